--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Every target sets up what it needs in .venv; nothing else has to be installed.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format binary bench golden clean
+
+$(STAMP): requirements-dev.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip -q install --require-hashes -r requirements-dev.lock
+	$(BIN)/pip -q install --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/cranberrycleat demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+golden: $(STAMP)
+	$(BIN)/python -m pytest --snapshot-update
+
+lint: $(STAMP)
+	$(BIN)/black --check -q cranberrycleat tests
+	$(BIN)/isort --check -q cranberrycleat tests
+	$(BIN)/flake8 cranberrycleat tests
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/black -q cranberrycleat tests
+	$(BIN)/isort -q cranberrycleat tests
+
+binary: $(STAMP)
+	mkdir -p dist
+	$(BIN)/shiv -q -c cranberrycleat -o dist/cranberrycleat --compressed --reproducible --require-hashes --no-deps -r requirements.lock 2>/dev/null || true
+
+bench: $(STAMP)
+	$(BIN)/cranberrycleat bench routing --quick
+	$(BIN)/cranberrycleat bench placement --quick
+	$(BIN)/cranberrycleat bench control --quick
+
+clean:
+	rm -rf $(VENV) build dist *.egg-info
--- /dev/null
+++ b/cranberrycleat/acceptance.py
@@ -0,0 +1,247 @@
+"""Accepting operators' changes: into the table first, then said to be accepted.
+
+A change for a shard becomes an inbox row, which the shard's owner takes and
+deletes in the same transaction that carries out the change. Any scheduler may
+accept, owner or not. Each write carries an id, so that a lost reply is settled
+by reading back; a change whose fate stays open is reported as unknown.
+"""
+
+import secrets
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+from cranberrycleat import codec, errors, selectors
+from cranberrycleat.jobs import JobSpec, Kind
+from cranberrycleat.messages import (
+    Accepted,
+    HostEntry,
+    InboxEntry,
+    JobPart,
+    LabelChange,
+    NameRow,
+)
+from cranberrycleat.shard import inbox_prefix
+from cranberrycleat.table import ABSENT, Check, Put, Table, Transaction
+from cranberrycleat.table_http import Platform
+
+SETTLE_TRIES: Final = 3
+RETRY_S: Final = 5.0
+
+
+def name_key(job: str) -> str:
+    """Return the key of the row that makes a job's name unique."""
+    return f"name/{job}"
+
+
+@attrs.frozen(kw_only=True)
+class Home:
+    """How much room a data centre has for tasks of one job.
+
+    Attributes:
+        data_centre: The data centre.
+        room: How many tasks its matching workers could hold if empty.
+    """
+
+    data_centre: str
+    room: int
+
+
+def homes(spec: JobSpec, hosts: Iterable[HostEntry]) -> tuple[Home, ...]:
+    """Return the data centres whose listed hosts match, largest room first."""
+    selector = selectors.parse(spec.selector, place=f"{spec.name}.selector")
+    room: dict[str, int] = {}
+    for host in hosts:
+        labels = {**host.labels, "data-centre": host.data_centre, "rack": host.rack}
+        if selector.matches(labels):
+            count = _how_many(spec, host)
+            room[host.data_centre] = room.get(host.data_centre, 0) + count
+    found = [Home(data_centre=name, room=count) for name, count in room.items()]
+    return tuple(sorted(found, key=lambda home: (-home.room, home.data_centre)))
+
+
+def _how_many(spec: JobSpec, host: HostEntry) -> int:
+    needs, capacity = spec.needs, host.capacity
+    counts = [capacity.processors // needs.processors]
+    counts.append(capacity.memory_mb // needs.memory_mb)
+    if needs.accelerators:
+        counts.append(capacity.accelerators // needs.accelerators)
+    if needs.slots:
+        counts.append(capacity.slots // needs.slots)
+    return min(counts)
+
+
+def split(
+    spec: JobSpec, found: tuple[Home, ...], default: str
+) -> dict[str, tuple[int, ...]]:
+    """Give each task a home: gangs one for all, others by room.
+
+    Args:
+        spec: The job.
+        found: The data centres that could hold tasks.
+        default: The home where none could; it will say why nothing fits.
+
+    Returns:
+        For each home, the numbers of the tasks that live there.
+    """
+    able = [home for home in found if home.room > 0]
+    if not able:
+        return {default: tuple(range(spec.tasks))}
+    if spec.kind is Kind.GANG:
+        return {able[0].data_centre: tuple(range(spec.tasks))}
+    parts: dict[str, list[int]] = {home.data_centre: [] for home in able}
+    for index in range(spec.tasks):
+        home = min(able, key=lambda each: len(parts[each.data_centre]) / each.room)
+        parts[home.data_centre].append(index)
+    return {name: tuple(part) for name, part in parts.items() if part}
+
+
+@attrs.define(kw_only=True, eq=False)
+class Acceptance:
+    """Accepts operators' changes on behalf of one scheduler.
+
+    Attributes:
+        platform: The table and the list of hosts.
+        data_centre: The home for jobs that match no listed host.
+    """
+
+    platform: Platform
+    data_centre: str
+
+    async def submit(self, spec: JobSpec) -> Accepted:
+        """Accept a job.
+
+        Raises:
+            ProblemError: The name exists (409), or the outcome is unknown (504).
+            TableUnavailable: Nothing was accepted.
+        """
+        listed = await self.platform.hosts()
+        parts = split(spec, homes(spec, listed.hosts), self.data_centre)
+        change = secrets.token_hex(8)
+        name = NameRow(submission=change, data_centres=tuple(sorted(parts)))
+        puts = [Put(key=name_key(spec.name), value=codec.encode_text(name))]
+        for data_centre, indices in parts.items():
+            entry = InboxEntry(id=change, submit=JobPart(spec=spec, indices=indices))
+            puts.append(_inbox_put(data_centre, entry))
+        check = Check(key=name_key(spec.name), version=ABSENT)
+        txn = Transaction(checks=(check,), puts=tuple(puts))
+        settled = Settled(table=self.platform, key=name_key(spec.name), change=change)
+        if not await settled.commit(txn):
+            raise errors.ProblemError(
+                status=409, code=errors.DUPLICATE_NAME, kind="job", name=spec.name
+            )
+        return Accepted(id=change, data_centres=name.data_centres)
+
+    async def cancel(self, job: str) -> Accepted:
+        """Accept the cancellation of a job.
+
+        Raises:
+            ProblemError: No such job (404).
+            TableUnavailable: Nothing was accepted.
+        """
+        name = await self.find(job)
+        change = secrets.token_hex(8)
+        entry = InboxEntry(id=change, cancel=job)
+        puts = tuple(_inbox_put(each, entry) for each in name.data_centres)
+        await self._write(Transaction(puts=puts))
+        return Accepted(id=change, data_centres=name.data_centres)
+
+    async def find(self, job: str) -> NameRow:
+        """Return a job's name row.
+
+        Raises:
+            ProblemError: No such job (404).
+            TableUnavailable: The table gave no answer.
+        """
+        rows = await self.platform.read(keys=(name_key(job),))
+        if not rows:
+            raise errors.ProblemError(
+                status=404, code=errors.UNKNOWN_NAME, kind="job", name=job
+            )
+        return codec.decode(rows[0].value, NameRow, place=rows[0].key)
+
+    async def label(self, change: LabelChange) -> Accepted:
+        """Accept new labels for a worker.
+
+        Raises:
+            ProblemError: No such worker (404).
+            TableUnavailable: Nothing was accepted.
+        """
+        entry = InboxEntry(id=secrets.token_hex(8), label=change)
+        return await self._to_worker_home(change.worker, entry)
+
+    async def declare_dead(self, worker: str) -> Accepted:
+        """Accept an operator's word that a worker is gone and runs nothing.
+
+        Raises:
+            ProblemError: No such worker (404).
+            TableUnavailable: Nothing was accepted.
+        """
+        entry = InboxEntry(id=secrets.token_hex(8), declare_dead=worker)
+        return await self._to_worker_home(worker, entry)
+
+    async def _to_worker_home(self, worker: str, entry: InboxEntry) -> Accepted:
+        listed = await self.platform.hosts()
+        home = next((h.data_centre for h in listed.hosts if h.name == worker), None)
+        if home is None:
+            raise errors.ProblemError(
+                status=404, code=errors.UNKNOWN_NAME, kind="worker", name=worker
+            )
+        await self._write(Transaction(puts=(_inbox_put(home, entry),)))
+        return Accepted(id=entry.id, data_centres=(home,))
+
+    async def _write(self, txn: Transaction) -> None:
+        """Write changes that may be carried out twice without harm."""
+        for _ in range(SETTLE_TRIES):
+            try:
+                await self.platform.commit(txn)
+                return
+            except errors.TableUnavailable:
+                continue
+        raise errors.ProblemError(
+            status=504,
+            code=errors.OUTCOME_UNKNOWN,
+            reason="the table gave no answer; asking again is safe",
+            retry_after_s=RETRY_S,
+        )
+
+
+def _inbox_put(data_centre: str, entry: InboxEntry) -> Put:
+    key = inbox_prefix(data_centre) + entry.id
+    return Put(key=key, value=codec.encode_text(entry))
+
+
+@attrs.frozen(kw_only=True)
+class Settled:
+    """A commit whose lost reply is settled by a row that names the change."""
+
+    table: Table
+    key: str
+    change: str
+
+    async def commit(self, txn: Transaction) -> bool:
+        """Commit, and tell whether this very change took effect.
+
+        Raises:
+            ProblemError: It is unknown whether it did (504).
+        """
+        for _ in range(SETTLE_TRIES):
+            try:
+                reply = await self.table.commit(txn)
+                return reply.committed or await self._took_effect()
+            except errors.TableUnavailable:
+                continue
+        raise errors.ProblemError(
+            status=504,
+            code=errors.OUTCOME_UNKNOWN,
+            reason="the table gave no answer; ask for the job's status",
+            retry_after_s=RETRY_S,
+        )
+
+    async def _took_effect(self) -> bool:
+        rows = await self.table.read(keys=(self.key,))
+        if not rows:
+            return False
+        found = codec.decode(rows[0].value, NameRow, place=self.key)
+        return found.submission == self.change
--- /dev/null
+++ b/cranberrycleat/admission.py
@@ -0,0 +1,175 @@
+"""Admission: which requests wait for a slot, and which are refused at once.
+
+Each service has a gate. A request gets a slot, or waits in a bounded queue of
+its class for no longer than its deadline, or is refused at once, with when to
+come back. What a queue's length says about the wait is believed: a request
+that could not be served in time is not let in. The highest class goes first;
+when the queue is full, the newest of the lowest class makes room.
+"""
+
+import asyncio
+import enum
+from collections import deque
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from cranberrycleat import errors
+from cranberrycleat.endpoints import EndpointState, ServiceEndpoints
+
+LEAST_RETRY_S: Final = 1.0
+
+
+class RequestClass(enum.IntEnum):
+    """How urgent a request is; the lower number goes first."""
+
+    URGENT = 0
+    NORMAL = 1
+    BULK = 2
+
+
+Pick = Callable[[frozenset[str]], EndpointState | None]
+
+
+@attrs.define(kw_only=True, eq=False)
+class Waiter:
+    """One request that waits for a slot."""
+
+    rank: RequestClass
+    tried: frozenset[str]
+    slot: "asyncio.Future[EndpointState]"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Gate:
+    """The way in to one service.
+
+    Attributes:
+        pick: Picks an endpoint with room, or none.
+        most: How many requests may wait.
+    """
+
+    pick: Pick
+    most: int
+    _queues: dict[RequestClass, deque[Waiter]] = attrs.field(
+        factory=lambda: {rank: deque() for rank in RequestClass}
+    )
+
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    async def enter(
+        self,
+        *,
+        service: ServiceEndpoints,
+        rank: RequestClass,
+        tried: frozenset[str],
+        patience_s: float,
+    ) -> EndpointState:
+        """Get a slot; the caller gives it back with `leave`.
+
+        Args:
+            service: The service's endpoints.
+            rank: The request's class.
+            tried: URLs that it was sent to before.
+            patience_s: How long it may wait, in seconds.
+
+        Raises:
+            ProblemError: Refused, not run, with when to come back.
+        """
+        if not self._ahead(rank):
+            state = self.pick(tried)
+            if state is not None:
+                state.share.in_flight += 1
+                return state
+        expected = self._expected_wait_s(service, rank)
+        if expected > patience_s or not self._make_room(rank):
+            raise _overloaded(expected)
+        return await self._wait(rank, tried, patience_s, expected)
+
+    def leave(self, state: EndpointState) -> None:
+        """Give a slot back and let the next request have it."""
+        state.share.in_flight -= 1
+        self.admit_waiting()
+
+    def admit_waiting(self) -> None:
+        """Give free slots to those that wait, the highest class first."""
+        for queue in self._queues.values():
+            while queue:
+                waiter = queue[0]
+                if waiter.slot.done():
+                    queue.popleft()
+                    continue
+                state = self.pick(waiter.tried)
+                if state is None:
+                    return
+                queue.popleft()
+                state.share.in_flight += 1
+                waiter.slot.set_result(state)
+
+    def _ahead(self, rank: RequestClass) -> int:
+        """Count those who wait and go before a new request of this class."""
+        return sum(len(q) for each, q in self._queues.items() if each <= rank)
+
+    def _expected_wait_s(self, service: ServiceEndpoints, rank: RequestClass) -> float:
+        capacity = max(1, service.capacity())
+        return (self._ahead(rank) + 1) * service.took_s / capacity
+
+    def _make_room(self, rank: RequestClass) -> bool:
+        """Let one more wait, if need be by refusing one of a lower class."""
+        if self.waiting() < self.most:
+            return True
+        for lower in reversed(RequestClass):
+            if lower <= rank:
+                return False
+            if self._queues[lower]:
+                waiter = self._queues[lower].pop()
+                if not waiter.slot.done():
+                    waiter.slot.set_exception(_overloaded(LEAST_RETRY_S))
+                return True
+        return False
+
+    async def _wait(
+        self,
+        rank: RequestClass,
+        tried: frozenset[str],
+        patience_s: float,
+        expected_s: float,
+    ) -> EndpointState:
+        loop = asyncio.get_running_loop()
+        waiter = Waiter(rank=rank, tried=tried, slot=loop.create_future())
+        queue = self._queues[rank]
+        queue.append(waiter)
+        timer = loop.call_later(patience_s, _give_up, waiter, queue, expected_s)
+        try:
+            return await waiter.slot
+        finally:
+            timer.cancel()
+            self._returned(waiter)
+
+    def _returned(self, waiter: Waiter) -> None:
+        """A request that was cancelled as it got its slot gives it back."""
+        task = asyncio.current_task()
+        cancelled = task is not None and task.cancelling()
+        if not cancelled:
+            return
+        if waiter.slot.done() and not waiter.slot.cancelled():
+            if waiter.slot.exception() is None:
+                self.leave(waiter.slot.result())
+
+
+def _give_up(waiter: Waiter, queue: deque[Waiter], expected_s: float) -> None:
+    if not waiter.slot.done():
+        waiter.slot.set_exception(_overloaded(expected_s))
+        if waiter in queue:
+            queue.remove(waiter)
+
+
+def _overloaded(expected_s: float) -> errors.ProblemError:
+    return errors.ProblemError(
+        status=503,
+        code=errors.OVERLOADED,
+        retry_after_s=max(LEAST_RETRY_S, expected_s),
+    )
--- /dev/null
+++ b/cranberrycleat/amounts.py
@@ -0,0 +1,73 @@
+"""Amounts of the resources that workers have and tasks need."""
+
+from typing import Final
+
+import attrs
+
+MILLI: Final = 1000
+"""Processors are counted in thousandths, so that sums are exact."""
+
+
+@attrs.frozen(kw_only=True)
+class Amounts:
+    """Amounts of each resource, all whole numbers.
+
+    Attributes:
+        processors: In thousandths of a processor.
+        memory_mb: In mebibytes.
+        accelerators: Whole accelerators.
+        slots: Requests a service may answer at once.
+    """
+
+    processors: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    slots: int = 0
+
+    def plus(self, other: "Amounts") -> "Amounts":
+        """Return the sum."""
+        return Amounts(
+            processors=self.processors + other.processors,
+            memory_mb=self.memory_mb + other.memory_mb,
+            accelerators=self.accelerators + other.accelerators,
+            slots=self.slots + other.slots,
+        )
+
+    def minus(self, other: "Amounts") -> "Amounts":
+        """Return the difference; parts may be negative."""
+        return Amounts(
+            processors=self.processors - other.processors,
+            memory_mb=self.memory_mb - other.memory_mb,
+            accelerators=self.accelerators - other.accelerators,
+            slots=self.slots - other.slots,
+        )
+
+    def fits_in(self, free: "Amounts") -> bool:
+        """Tell whether these amounts are all there in `free`."""
+        return (
+            self.processors <= free.processors
+            and self.memory_mb <= free.memory_mb
+            and self.accelerators <= free.accelerators
+            and self.slots <= free.slots
+        )
+
+    def larger(self, other: "Amounts") -> "Amounts":
+        """Return the larger of each part."""
+        return Amounts(
+            processors=max(self.processors, other.processors),
+            memory_mb=max(self.memory_mb, other.memory_mb),
+            accelerators=max(self.accelerators, other.accelerators),
+            slots=max(self.slots, other.slots),
+        )
+
+
+NOTHING: Final = Amounts()
+
+
+def dominant_share(part: Amounts, whole: Amounts) -> float:
+    """Return the largest share that `part` takes of any resource of `whole`."""
+    return max(
+        part.processors / max(1, whole.processors),
+        part.memory_mb / max(1, whole.memory_mb),
+        part.accelerators / max(1, whole.accelerators) if part.accelerators else 0.0,
+    )
--- /dev/null
+++ b/cranberrycleat/book.py
@@ -0,0 +1,228 @@
+"""The capacity book: what each worker has, what is on it, what is free.
+
+Invariant: for every worker, the sum of what its tasks are counted with never
+exceeds its capacity by any act of the book's user (`reserve` refuses). A task
+is counted with the larger of what was declared and what was reported, because
+reports lag; a report may therefore push a worker over, which `overfull` tells
+and nothing may be added to until it is mended. A task stays counted until the
+worker's own word, or the end of its lease, proves that it is gone.
+
+Pools keep the workers that match one selector sorted by what is free, so that
+a best-fit search starts at the first worker with room. The part is importable
+on its own and uses no clock and no table.
+"""
+
+import bisect
+import enum
+from typing import Final
+
+import attrs
+
+from cranberrycleat.amounts import NOTHING, Amounts
+from cranberrycleat.selectors import Selector
+
+QUARANTINE_AFTER: Final = 3
+"""Starts that failed in a row before a worker draws no more work."""
+
+
+class WorkerState(enum.Enum):
+    """Whether a worker may draw new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    SILENT = "silent"
+    QUARANTINED = "quarantined"
+
+
+class CapacityError(Exception):
+    """The amounts asked for are not free on that worker."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class BookWorker:
+    """A worker as the book knows it.
+
+    Attributes:
+        name: Its name.
+        data_centre: Where it stands.
+        rack: The rack it stands in.
+        labels: What selectors are matched against.
+        capacity: What it has.
+        used: The sum of what its tasks are counted with.
+        tasks: What each task on it is counted with.
+        state: Whether it may draw new work.
+        failures: Starts that failed in a row.
+    """
+
+    name: str
+    data_centre: str
+    rack: str
+    labels: dict[str, str]
+    capacity: Amounts
+    used: Amounts = NOTHING
+    free: Amounts = NOTHING
+    tasks: dict[str, Amounts] = attrs.field(factory=dict)
+    state: WorkerState = WorkerState.LIVE
+    failures: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.free = self.capacity.minus(self.used)
+
+    @property
+    def overfull(self) -> bool:
+        """Whether reports showed more in use than there is."""
+        return not NOTHING.fits_in(self.free)
+
+
+_SortKey = tuple[int, int, int, str]
+
+
+def _sort_key(worker: BookWorker) -> _SortKey:
+    free = worker.free
+    return (free.accelerators, free.processors, free.memory_mb, worker.name)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Pool:
+    """The workers that match a selector, sorted by what is free.
+
+    Attributes:
+        selector: The selector.
+        members: Every matching worker, whatever its state.
+        racks: Matching workers by rack.
+    """
+
+    selector: Selector
+    members: dict[str, BookWorker] = attrs.field(factory=dict)
+    racks: dict[str, list[BookWorker]] = attrs.field(factory=dict)
+    _order: list[_SortKey] = attrs.field(factory=list)
+
+    def add(self, worker: BookWorker) -> None:
+        """Take in a matching worker."""
+        self.members[worker.name] = worker
+        self.racks.setdefault(worker.rack, []).append(worker)
+        bisect.insort(self._order, _sort_key(worker))
+
+    def remove(self, worker: BookWorker) -> None:
+        """Leave out a worker."""
+        del self.members[worker.name]
+        self.racks[worker.rack].remove(worker)
+        if not self.racks[worker.rack]:
+            del self.racks[worker.rack]
+        self._drop(_sort_key(worker))
+
+    def moved(self, worker: BookWorker, old: _SortKey) -> None:
+        """Put a worker in its new place in the order."""
+        self._drop(old)
+        bisect.insort(self._order, _sort_key(worker))
+
+    def _drop(self, key: _SortKey) -> None:
+        del self._order[bisect.bisect_left(self._order, key)]
+
+    def tightest(self, needs: Amounts) -> BookWorker | None:
+        """Return the live worker with the least room that still fits."""
+        start = bisect.bisect_left(self._order, (needs.accelerators,))
+        for index in range(start, len(self._order)):
+            key = self._order[index]
+            if key[1] < needs.processors or key[2] < needs.memory_mb:
+                continue
+            worker = self.members[key[3]]
+            if worker.state is WorkerState.LIVE and needs.fits_in(worker.free):
+                return worker
+        return None
+
+
+@attrs.define(kw_only=True, eq=False)
+class CapacityBook:
+    """Every worker of a shard, with what is on it."""
+
+    workers: dict[str, BookWorker] = attrs.field(factory=dict)
+    _pools: dict[Selector, Pool] = attrs.field(factory=dict)
+
+    def add_worker(self, worker: BookWorker) -> None:
+        """Take in a worker that is not in the book yet."""
+        self.workers[worker.name] = worker
+        for pool in self._pools.values():
+            if pool.selector.matches(worker.labels):
+                pool.add(worker)
+
+    def remove_worker(self, name: str) -> None:
+        """Forget a worker that has no tasks left."""
+        worker = self.workers.pop(name)
+        for pool in self._pools.values():
+            if name in pool.members:
+                pool.remove(worker)
+
+    def relabel(self, name: str, labels: dict[str, str]) -> None:
+        """Give a worker new labels; what it runs stays."""
+        worker = self.workers[name]
+        for pool in self._pools.values():
+            if name in pool.members:
+                pool.remove(worker)
+        worker.labels = labels
+        for pool in self._pools.values():
+            if pool.selector.matches(labels):
+                pool.add(worker)
+
+    def pool(self, selector: Selector) -> Pool:
+        """Return the pool of a selector, made at its first use."""
+        pool = self._pools.get(selector)
+        if pool is None:
+            pool = Pool(selector=selector)
+            for worker in self.workers.values():
+                if selector.matches(worker.labels):
+                    pool.add(worker)
+            self._pools[selector] = pool
+        return pool
+
+    def reserve(self, name: str, task: str, needs: Amounts) -> None:
+        """Count a task on a worker.
+
+        Raises:
+            CapacityError: The worker has not that much free, or has the task.
+        """
+        worker = self.workers[name]
+        if task in worker.tasks or not needs.fits_in(worker.free):
+            raise CapacityError(f"{task} on {name}")
+        self._set(worker, task, needs)
+
+    def adopt(self, name: str, task: str, needs: Amounts) -> None:
+        """Count a task that is found to be on a worker, fitting or not."""
+        self._set(self.workers[name], task, needs)
+
+    def report(self, name: str, task: str, declared: Amounts, used: Amounts) -> None:
+        """Take in what a worker says a task uses."""
+        worker = self.workers[name]
+        if task in worker.tasks:
+            self._set(worker, task, declared.larger(used))
+
+    def release(self, name: str, task: str) -> None:
+        """Stop counting a task that is proved to be gone; idempotent."""
+        worker = self.workers.get(name)
+        if worker is not None and task in worker.tasks:
+            self._set(worker, task, None)
+
+    def _set(self, worker: BookWorker, task: str, needs: Amounts | None) -> None:
+        old_key = _sort_key(worker)
+        old = worker.tasks.pop(task, NOTHING)
+        if needs is not None:
+            worker.tasks[task] = needs
+        worker.used = worker.used.minus(old).plus(needs or NOTHING)
+        worker.free = worker.capacity.minus(worker.used)
+        for pool in self._pools.values():
+            if worker.name in pool.members:
+                pool.moved(worker, old_key)
+
+    def start_succeeded(self, name: str) -> None:
+        """Note that a worker started what it was given."""
+        worker = self.workers[name]
+        worker.failures = 0
+        if worker.state is WorkerState.QUARANTINED:
+            worker.state = WorkerState.LIVE
+
+    def start_failed(self, name: str) -> None:
+        """Note that a worker failed what it was given; enough, and it rests."""
+        worker = self.workers[name]
+        worker.failures += 1
+        if worker.failures >= QUARANTINE_AFTER and worker.state is WorkerState.LIVE:
+            worker.state = WorkerState.QUARANTINED
--- /dev/null
+++ b/cranberrycleat/claims.py
@@ -0,0 +1,181 @@
+"""Claims: a request with an idempotency key is sent by one gateway, once.
+
+Invariant: a request that carries a key leaves for an endpoint only after the
+table holds a claim row for the key that names this very request. The row is
+made under the condition that there is none, or none but one whose holder wrote
+that nothing was run; so of any number of gateways, in any data centre, before
+or after a membership change or a death, at most one sends it.
+
+Without the table no claim can be made, and the answer is 'not run' at once. A
+claim whose fate is open is never sent; its key may stay taken, which errs on
+the side of not running.
+"""
+
+import base64
+import hashlib
+import secrets
+from typing import Final
+
+import attrs
+
+from cranberrycleat import codec, errors
+from cranberrycleat.table import ABSENT, Check, Put, Row
+from cranberrycleat.writer import Change, GroupedWriter, Lost, Unsettled, Won
+
+KEPT_BODY: Final = 16 * 1024
+"""Answers up to this size are kept for a repeat of the request."""
+RETRY_S: Final = 2.0
+SENT: Final = "sent"
+ANSWERED: Final = "answered"
+NOT_RUN: Final = "not-run"
+
+
+@attrs.frozen(kw_only=True)
+class KeptAnswer:
+    """An answer as kept in a claim row.
+
+    Attributes:
+        status: The HTTP status.
+        content_type: The answer's type.
+        body: The body in base 64, or None where it was too large to keep.
+    """
+
+    status: int
+    content_type: str
+    body: str | None
+
+
+@attrs.frozen(kw_only=True)
+class ClaimRow:
+    """The value of a claim's row.
+
+    Attributes:
+        claim: Names the request that holds the claim.
+        fingerprint: Method, service, path and body of the request, hashed.
+        state: `sent`, `answered` or `not-run`.
+        answer: The answer, once there is one.
+    """
+
+    claim: str
+    fingerprint: str
+    state: str
+    answer: KeptAnswer | None = None
+
+
+@attrs.define(kw_only=True)
+class Claim:
+    """A claim that this gateway holds for one request.
+
+    Attributes:
+        key: The row's key.
+        version: The row's version.
+        row: The row's value.
+    """
+
+    key: str
+    version: int
+    row: ClaimRow
+
+
+@attrs.frozen(kw_only=True)
+class Replay:
+    """The request was answered before; this is the answer."""
+
+    answer: KeptAnswer
+
+
+def claim_key(idempotency_key: str) -> str:
+    """Return the key of a claim's row; hashed, to bound its length."""
+    digest = hashlib.blake2b(idempotency_key.encode(), digest_size=20).hexdigest()
+    return f"claim/{digest}"
+
+
+def fingerprint(method: str, path: str, body: bytes) -> str:
+    """Return what tells one request from another under the same key."""
+    digest = hashlib.blake2b(digest_size=16)
+    digest.update(f"{method} {path}\n".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+@attrs.define(kw_only=True, eq=False)
+class Claims:
+    """Makes and settles claims through the grouped writer."""
+
+    writer: GroupedWriter
+
+    async def claim(self, *, key: str, mark: str) -> Claim | Replay:
+        """Claim a key for a request.
+
+        Args:
+            key: The caller's idempotency key.
+            mark: The request's fingerprint.
+
+        Raises:
+            ProblemError: The key is taken by a request whose outcome is open
+                (409) or by a different request (422), or no safe claim can be
+                made (503, not run).
+        """
+        row = ClaimRow(claim=secrets.token_hex(8), fingerprint=mark, state=SENT)
+        found = await self._write(claim_key(key), ABSENT, row)
+        if isinstance(found, Claim):
+            return found
+        return await self._second_try(found, row)
+
+    async def _second_try(self, found: Row, row: ClaimRow) -> Claim | Replay:
+        """The key has a row: replay it, take it over if not run, or refuse."""
+        held = codec.decode(found.value, ClaimRow, place=found.key)
+        if held.fingerprint != row.fingerprint:
+            raise errors.ProblemError(status=422, code=errors.KEY_REUSED)
+        if held.state == ANSWERED and held.answer is not None:
+            return Replay(answer=held.answer)
+        if held.state == NOT_RUN:
+            again = await self._write(found.key, found.version, row)
+            if isinstance(again, Claim):
+                return again
+        raise errors.ProblemError(
+            status=409, code=errors.KEY_IN_USE, retry_after_s=RETRY_S
+        )
+
+    async def _write(self, key: str, version: int, row: ClaimRow) -> Claim | Row:
+        change = Change(
+            check=Check(key=key, version=version),
+            put=Put(key=key, value=codec.encode_text(row)),
+        )
+        match await self.writer.write(change):
+            case Won(version=now):
+                return Claim(key=key, version=now, row=row)
+            case Lost(row=Row() as found):
+                return found
+            case Lost() | Unsettled():
+                raise _no_claim()
+
+    async def settle(self, claim: Claim, answer: KeptAnswer | None) -> None:
+        """Record how a claimed request ended; best effort.
+
+        Args:
+            claim: The claim.
+            answer: The answer, or None where the request was proved not run.
+        """
+        state = NOT_RUN if answer is None else ANSWERED
+        row = attrs.evolve(claim.row, state=state, answer=answer)
+        change = Change(
+            check=Check(key=claim.key, version=claim.version),
+            put=Put(key=claim.key, value=codec.encode_text(row)),
+        )
+        await self.writer.write(change)
+
+
+def kept(status: int, content_type: str, body: bytes) -> KeptAnswer:
+    """Return an answer in the form that a claim row keeps."""
+    text = base64.b64encode(body).decode() if len(body) <= KEPT_BODY else None
+    return KeptAnswer(status=status, content_type=content_type, body=text)
+
+
+def _no_claim() -> errors.ProblemError:
+    return errors.ProblemError(
+        status=503,
+        code=errors.NOT_RUN,
+        retry_after_s=RETRY_S,
+        reason="no claim could be made for its idempotency key",
+    )
--- /dev/null
+++ b/cranberrycleat/cli.py
@@ -0,0 +1,139 @@
+"""The command line: daemons, stand-ins and the operator's commands.
+
+Every flag of a daemon is declared in `options`; this module only turns those
+declarations into commands. Findings are printed one a line, all at once.
+"""
+
+import asyncio
+import sys
+from collections.abc import Callable
+from typing import Any, NoReturn
+
+import attrs
+import click
+
+from cranberrycleat import __version__, errors, lifecycle, logs, plugins, settings
+from cranberrycleat.cli_bench import bench, demo
+from cranberrycleat.cli_operator import operator_commands
+from cranberrycleat.options import (
+    GatewayOptions,
+    PlatformOptions,
+    SchedulerOptions,
+    WorkerOptions,
+)
+
+assert plugins
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="cranberrycleat")
+def main() -> None:
+    """A cluster scheduler for services, batch and all-at-once jobs.
+
+    Run `gateway` and `scheduler` on each entry host; drive them with `job`,
+    `worker`, `config`, `status` and `dump`. `demo` shows the whole path on
+    small stand-ins for the platform and the workers.
+
+    Exit codes: 0 done; 1 failed; 2 bad usage or input; 3 nobody could be
+    reached; 4 refused.
+    """
+
+
+def fail(findings: tuple[errors.Finding, ...]) -> NoReturn:
+    """Print findings, one a line, and exit."""
+    for each in findings:
+        click.echo(f"error: {each}", err=True)
+    sys.exit(errors.EXIT_USAGE)
+
+
+def daemon(cls: type[Any], help_text: str) -> Callable[[Any], click.Command]:
+    """Make a command whose flags are the fields of an options class.
+
+    The decorated function gets the options object and returns the part to run.
+    """
+
+    def wrap(build: Callable[[Any], lifecycle.Part]) -> click.Command:
+        def invoke(**given: str | None) -> None:
+            try:
+                cfg = settings.load(cls, given)
+            except errors.FindingsError as exc:
+                fail(exc.findings)
+            logs.set_up(level=cfg.log_level, form=cfg.log_form)
+            name = click.get_current_context().command_path
+            _run(build, cfg, name.removeprefix("cranberrycleat "))
+
+        return click.Command(
+            name=build.__name__.removeprefix("run_"),
+            callback=invoke,
+            params=[_option(field) for field in attrs.fields(cls)],
+            help=help_text,
+        )
+
+    return wrap
+
+
+def _option(field: "attrs.Attribute[Any]") -> click.Option:
+    return click.Option(
+        [settings.flag(field)],
+        type=str,
+        default=None,
+        metavar="VALUE",
+        help=settings.help_of(field),
+    )
+
+
+def _run(build: Callable[[Any], lifecycle.Part], cfg: Any, name: str) -> None:
+    async def whole() -> None:
+        await lifecycle.run(build(cfg), announce=name)
+
+    try:
+        asyncio.run(whole())
+    except errors.FindingsError as exc:
+        fail(exc.findings)
+    except (OSError, errors.PeerUnavailable) as exc:
+        click.echo(f"error: {exc}", err=True)
+        sys.exit(errors.EXIT_FAILED)
+
+
+@daemon(GatewayOptions, "Take callers' requests and route them to endpoints.")
+def run_gateway(cfg: GatewayOptions) -> lifecycle.Part:
+    from cranberrycleat.gateway import Gateway
+
+    return Gateway(cfg=cfg)
+
+
+@daemon(SchedulerOptions, "Serve operators, and own this data centre's workers.")
+def run_scheduler(cfg: SchedulerOptions) -> lifecycle.Part:
+    from cranberrycleat.scheduler import Scheduler
+
+    return Scheduler(cfg=cfg)
+
+
+@click.group()
+def standin() -> None:
+    """Small fakes of the platform and of a worker, for tests and the demo."""
+
+
+@daemon(PlatformOptions, "The platform's table, object store and host list.")
+def run_platform(cfg: PlatformOptions) -> lifecycle.Part:
+    from cranberrycleat.standin_parts import platform_part
+
+    return platform_part(cfg)
+
+
+@daemon(WorkerOptions, "A worker that runs tasks under leases.")
+def run_worker(cfg: WorkerOptions) -> lifecycle.Part:
+    from cranberrycleat.standin_parts import worker_part
+
+    return worker_part(cfg)
+
+
+standin.add_command(run_platform)
+standin.add_command(run_worker)
+main.add_command(run_gateway)
+main.add_command(run_scheduler)
+main.add_command(standin)
+main.add_command(demo)
+main.add_command(bench)
+for _command in operator_commands():
+    main.add_command(_command)
--- /dev/null
+++ b/cranberrycleat/cli_operator.py
@@ -0,0 +1,351 @@
+"""The operator's commands: `job`, `worker`, `config`, `status` and `dump`."""
+
+import asyncio
+import json
+import sys
+import tomllib
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, Final, NoReturn, TypeVar
+
+import click
+import msgspec
+
+from cranberrycleat import codec, errors, settings
+from cranberrycleat.config import Configuration, parse_configuration
+from cranberrycleat.jobs import JobSpec, JobStatusWords, parse_job, unwrap
+from cranberrycleat.messages import ConfigChange, JobStatus
+from cranberrycleat.operator_client import OperatorClient
+from cranberrycleat.standin_parts import parse_labels
+
+T = TypeVar("T")
+WAIT_STEP_S: Final = 0.2
+MOST_FILE: Final = 1024 * 1024
+
+
+def operator_commands() -> tuple[click.Command, ...]:
+    """Return the operator's commands."""
+    return (job, worker, config, status, dump)
+
+
+def fail(findings: tuple[errors.Finding, ...]) -> NoReturn:
+    """Print findings, one a line, and exit."""
+    for each in findings:
+        click.echo(f"error: {each}", err=True)
+    sys.exit(errors.EXIT_USAGE)
+
+
+def _scheduler_option(command: Callable[..., Any]) -> Callable[..., Any]:
+    return click.option(
+        "--scheduler",
+        required=True,
+        envvar=settings.PREFIX + "SCHEDULER",
+        metavar="URL[,URL]",
+        help="Schedulers to ask, in order, as http://IP:PORT. "
+        f"[env: {settings.PREFIX}SCHEDULER]",
+    )(command)
+
+
+def _client(text: str) -> OperatorClient:
+    try:
+        urls = settings.convert(settings.Urls(), text)
+    except ValueError:
+        rule = settings.allowed(settings.Urls())
+        found = errors.finding(
+            "--scheduler", errors.BAD_VALUE, value=text, allowed=rule
+        )
+        fail((found,))
+    return OperatorClient(urls=urls)
+
+
+def _ask(work: Awaitable[T]) -> T:
+    """Wait for an answer; a refusal is printed and becomes an exit code."""
+
+    async def whole() -> T:
+        return await work
+
+    try:
+        return asyncio.run(whole())
+    except errors.ProblemError as exc:
+        click.echo(f"refused: {exc.detail} [{exc.code}]", err=True)
+        for each in exc.findings:
+            click.echo(f"  {each}", err=True)
+        if exc.retry_after_s is not None:
+            click.echo(f"come back in {exc.retry_after_s:g} s", err=True)
+        sys.exit(errors.EXIT_REFUSED)
+    except errors.PeerUnavailable as exc:
+        click.echo(f"unreachable: {exc}", err=True)
+        sys.exit(errors.EXIT_UNREACHABLE)
+
+
+def read_document(path: Path) -> Any:
+    """Read a TOML or JSON file.
+
+    Raises:
+        FindingsError: It cannot be read, is too large, or is not well formed.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as exc:
+        raise _malformed(path, str(exc.strerror)) from None
+    if len(data) > MOST_FILE:
+        found = errors.finding(
+            str(path), errors.TOO_LARGE, size=f"{len(data)} bytes", limit=MOST_FILE
+        )
+        raise errors.FindingsError(findings=(found,))
+    try:
+        if path.suffix == ".json":
+            return msgspec.json.decode(data)
+        return tomllib.loads(data.decode())
+    except (msgspec.DecodeError, tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise _malformed(path, str(exc)) from None
+
+
+def _malformed(path: Path, reason: str) -> errors.FindingsError:
+    found = errors.finding(str(path), errors.MALFORMED, reason=reason)
+    return errors.FindingsError(findings=(found,))
+
+
+def load_jobs(paths: tuple[Path, ...]) -> tuple[JobSpec, ...]:
+    """Read workload files, each one job or a list under `job`.
+
+    Raises:
+        FindingsError: With every fault in every file.
+    """
+    found = errors.Findings()
+    specs = []
+    for path in paths:
+        try:
+            specs.extend(_jobs_in(path))
+        except errors.FindingsError as exc:
+            found.extend(exc.findings)
+    if found.items:
+        raise errors.FindingsError(findings=found.sorted())
+    return tuple(specs)
+
+
+def _jobs_in(path: Path) -> list[JobSpec]:
+    data = read_document(path)
+    listed = data["job"] if isinstance(data, dict) and "job" in data else [data]
+    found = errors.Findings()
+    specs = []
+    for number, each in enumerate(listed):
+        place = f"{path}[{number}]" if len(listed) > 1 else str(path)
+        try:
+            specs.append(unwrap(parse_job(each, place=place)))
+        except errors.FindingsError as exc:
+            found.extend(exc.findings)
+    if found.items:
+        raise errors.FindingsError(findings=found.sorted())
+    return specs
+
+
+@click.group()
+def job() -> None:
+    """Submit, cancel and look at jobs."""
+
+
+@job.command("submit")
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+@_scheduler_option
+def job_submit(files: tuple[Path, ...], scheduler: str) -> None:
+    """Submit the jobs in workload FILES (TOML or JSON).
+
+    All files are checked before the first job is submitted.
+    """
+    try:
+        specs = load_jobs(files)
+    except errors.FindingsError as exc:
+        fail(exc.findings)
+    client = _client(scheduler)
+    for spec in specs:
+        accepted = _ask(client.submit(spec))
+        homes = ", ".join(accepted.data_centres)
+        click.echo(f"accepted {spec.name} for {homes}")
+
+
+@job.command("cancel")
+@click.argument("name")
+@_scheduler_option
+def job_cancel(name: str, scheduler: str) -> None:
+    """Cancel job NAME: pending tasks never start, running ones are stopped."""
+    _ask(_client(scheduler).cancel(name))
+    click.echo(f"accepted the cancellation of {name}")
+
+
+@job.command("status")
+@click.argument("name")
+@click.option("--wait", type=float, default=0.0, help="Seconds to wait for its end.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@_scheduler_option
+def job_status(name: str, wait: float, as_json: bool, scheduler: str) -> None:
+    """Say what became of job NAME.
+
+    Exits with 1 where a task failed, can never run, or, with --wait, is not
+    done in time.
+    """
+    found = _ask(_wait_for(_client(scheduler), name, wait))
+    if as_json:
+        click.echo(codec.encode_text(found))
+    else:
+        _print_job(found)
+    words = {each.state for each in found.tasks}
+    if words & JobStatusWords.BAD or (wait and not words <= JobStatusWords.ENDED):
+        sys.exit(errors.EXIT_FAILED)
+
+
+async def _wait_for(client: OperatorClient, name: str, wait_s: float) -> JobStatus:
+    loop = asyncio.get_running_loop()
+    end = loop.time() + wait_s
+    while True:
+        found = await client.job(name)
+        done = found.tasks and {t.state for t in found.tasks} <= JobStatusWords.ENDED
+        if done or loop.time() >= end:
+            return found
+        await asyncio.sleep(WAIT_STEP_S)
+
+
+def _print_job(found: JobStatus) -> None:
+    click.echo(f"{found.name} ({found.kind}){' cancelled' * found.cancelled}")
+    for task in found.tasks:
+        where = f" on {task.worker}" if task.worker else ""
+        click.echo(f"  {task.index}: {task.state}{where}, attempt {task.attempt}")
+    for reason in found.reasons:
+        click.echo(f"  why: {reason}")
+
+
+@click.group()
+def worker() -> None:
+    """Look at workers, label them, vouch that one is gone."""
+
+
+@worker.command("list")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@_scheduler_option
+def worker_list(as_json: bool, scheduler: str) -> None:
+    """List the workers of every shard whose owner is among the schedulers."""
+    lists = _ask(_client(scheduler).workers())
+    if as_json:
+        click.echo(codec.encode_text(lists))
+        return
+    for each in sorted((w for group in lists for w in group.workers), key=_by_name):
+        used, has = each.used, each.capacity
+        click.echo(
+            f"{each.name:20} {each.data_centre:16} {each.rack:10} {each.state:11} "
+            f"cpu {used.processors / 1000:g}/{has.processors / 1000:g} "
+            f"mem {used.memory_mb}/{has.memory_mb} "
+            f"acc {used.accelerators}/{has.accelerators} tasks {each.tasks}"
+        )
+
+
+def _by_name(each: Any) -> str:
+    return str(each.name)
+
+
+@worker.command("label")
+@click.argument("name")
+@click.argument("labels", nargs=-1, required=True)
+@_scheduler_option
+def worker_label(name: str, labels: tuple[str, ...], scheduler: str) -> None:
+    """Set LABELS (key=value) on worker NAME, or remove one (key-)."""
+    wanted: dict[str, str | None] = {}
+    for text in labels:
+        if text.endswith("-") and "=" not in text:
+            wanted[text[:-1]] = None
+            continue
+        try:
+            wanted.update(parse_labels(text, place=f"label {text}"))
+        except errors.FindingsError as exc:
+            fail(exc.findings)
+    _ask(_client(scheduler).label(name, wanted))
+    click.echo(f"accepted the labels of {name}")
+
+
+@worker.command("dead")
+@click.argument("name")
+@click.confirmation_option(prompt="Is it certain that the worker runs nothing?")
+@_scheduler_option
+def worker_dead(name: str, scheduler: str) -> None:
+    """Vouch that worker NAME is gone, so that its tasks are re-placed at once.
+
+    If it still runs, its tasks will run in two places.
+    """
+    _ask(_client(scheduler).declare_dead(name))
+    click.echo(f"accepted that {name} is dead")
+
+
+@click.group()
+def config() -> None:
+    """Check, apply and show the configuration."""
+
+
+def load_config(path: Path) -> Configuration:
+    """Read and check a configuration file; exits with its faults."""
+    try:
+        return unwrap(parse_configuration(read_document(path), place=str(path)))
+    except errors.FindingsError as exc:
+        fail(exc.findings)
+
+
+@config.command("check")
+@click.argument("file", type=click.Path(path_type=Path))
+def config_check(file: Path) -> None:
+    """Check configuration FILE without applying it."""
+    load_config(file)
+    click.echo(f"{file}: no faults")
+
+
+@config.command("apply")
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option(
+    "--made-from",
+    type=int,
+    default=None,
+    help="The version that the change was made from; without it, the newest.",
+)
+@_scheduler_option
+def config_apply(file: Path, made_from: int | None, scheduler: str) -> None:
+    """Apply configuration FILE; refused where another change came first."""
+    cfg = load_config(file)
+    client = _client(scheduler)
+    if made_from is None:
+        made_from = _ask(client.config()).version
+    change = ConfigChange(made_from=made_from, document=codec.encode_text(cfg))
+    accepted = _ask(client.apply(change))
+    click.echo(f"accepted version {accepted.version}")
+
+
+@config.command("show")
+@_scheduler_option
+def config_show(scheduler: str) -> None:
+    """Show the configuration in force and its version."""
+    found = _ask(_client(scheduler).config())
+    click.echo(f"version {found.version}")
+    click.echo(json.dumps(json.loads(found.text), indent=2))
+
+
+@click.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@_scheduler_option
+def status(as_json: bool, scheduler: str) -> None:
+    """Show each scheduler in a line."""
+    found = _ask(_client(scheduler).statuses())
+    if as_json:
+        click.echo(codec.encode_text(found))
+        return
+    for each in found:
+        role = f"owner, epoch {each.epoch}" if each.owner else "candidate"
+        table = "table reachable" if each.table_reachable else "TABLE OUT OF REACH"
+        click.echo(
+            f"{each.name:16} {each.data_centre:16} {role:18} {table}, "
+            f"configuration {each.config_version}, workers {each.workers}, "
+            f"pending {each.pending}, placed {each.placed}"
+        )
+
+
+@click.command()
+@click.argument("url")
+def dump(url: str) -> None:
+    """Print the state of the process at URL as JSON."""
+    found = _ask(OperatorClient(urls=()).dump(url.rstrip("/")))
+    click.echo(json.dumps(found, indent=2))
--- /dev/null
+++ b/cranberrycleat/gateway.py
@@ -0,0 +1,379 @@
+"""The gateway daemon: takes callers' requests and has endpoints answer them.
+
+A request is admitted or refused at once (`admission`), claimed if it carries an
+idempotency key (`claims`), sent (`forward`) and, only where the outcome allows
+it and the budget has room, sent again elsewhere. One task for each connection
+does all that; one for each peer exchanges digests (`peers`).
+"""
+
+import asyncio
+import logging
+import secrets
+from typing import Final
+
+import attrs
+
+from cranberrycleat import codec, errors, registry
+from cranberrycleat.admission import Gate, RequestClass
+from cranberrycleat.claims import Claim, Claims, Replay, fingerprint, kept
+from cranberrycleat.clock import Clock, MonotonicClock
+from cranberrycleat.config import Configuration
+from cranberrycleat.endpoints import (
+    EndpointBook,
+    EndpointState,
+    ServiceEndpoints,
+    Verdict,
+    judge,
+)
+from cranberrycleat.forward import (
+    Answered,
+    AttemptOutcome,
+    CallerRequest,
+    Forwarder,
+    NotRun,
+    Unknown,
+)
+from cranberrycleat.gateway_api import gateway_handlers
+from cranberrycleat.lifecycle import Background
+from cranberrycleat.logs import part_logger
+from cranberrycleat.messages import Digest, DigestReply
+from cranberrycleat.metrics import Metrics
+from cranberrycleat.options import GatewayOptions
+from cranberrycleat.peers import Peers
+from cranberrycleat.retry import RetryBudget
+from cranberrycleat.routing import RoutingPolicy
+from cranberrycleat.serve import HttpServer, make_app
+from cranberrycleat.table_http import Platform
+from cranberrycleat.watcher import ConfigWatcher
+from cranberrycleat.writer import GroupedWriter
+
+LOG: Final[logging.Logger] = part_logger("gateway")
+MOST_ATTEMPTS: Final = 4
+NO_ENDPOINT_RETRY_S: Final = 2.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class ServiceState:
+    """What a gateway keeps for one service."""
+
+    gate: Gate
+    budget: RetryBudget
+
+
+@attrs.define(kw_only=True, eq=False)
+class Gateway:
+    """One gateway process.
+
+    Attributes:
+        cfg: Its options.
+        clock: Its clock.
+        book: The endpoints that it knows.
+        routing: The part of the configuration that it goes by.
+        draining: Whether it is shutting down.
+        in_flight: Callers' requests that it has not answered yet.
+    """
+
+    cfg: GatewayOptions
+    clock: Clock = attrs.field(factory=MonotonicClock)
+    incarnation: str = attrs.field(factory=lambda: secrets.token_hex(4))
+    config: Configuration = Configuration()
+    draining: bool = False
+    in_flight: int = 0
+    book: EndpointBook = attrs.field(init=False)
+    platform: Platform = attrs.field(init=False)
+    claims: Claims = attrs.field(init=False)
+    watcher: ConfigWatcher = attrs.field(init=False)
+    policy: RoutingPolicy = attrs.field(init=False)
+    peers: Peers = attrs.field(init=False)
+    metrics: Metrics = attrs.field(init=False)
+    forwarder: Forwarder = attrs.field(factory=Forwarder)
+    services: dict[str, ServiceState] = attrs.field(factory=dict)
+    _server: HttpServer = attrs.field(init=False)
+    _background: Background = attrs.field(factory=Background)
+
+    def __attrs_post_init__(self) -> None:
+        cfg = self.cfg
+        make = registry.find(registry.PluginKind.TABLE, cfg.table_client)
+        self.platform = make(url=cfg.platform, timeout_s=cfg.platform_timeout_s)
+        self.policy = registry.find(registry.PluginKind.ROUTING, cfg.routing)()
+        self.book = EndpointBook(me=cfg.name, data_centre=cfg.data_centre)
+        writer = GroupedWriter(table=self.platform, gather_s=cfg.claim_batch_s)
+        self.claims = Claims(writer=writer)
+        self.watcher = ConfigWatcher(table=self.platform)
+        self.peers = Peers(
+            urls=cfg.peers, gossip=self, clock=self.clock, digest_s=cfg.digest_s
+        )
+        self.metrics = Metrics(role="gateway", name=cfg.name)
+        self.metrics.watch("in_flight", lambda: float(self.in_flight))
+        app = make_app(gateway_handlers(self))
+        self._server = HttpServer(app=app, host=cfg.listen, port=cfg.port)
+
+    @property
+    def url(self) -> str:
+        """The base URL it answers at."""
+        return self._server.url
+
+    async def start(self) -> None:
+        """Begin to serve and to talk to peers."""
+        await self._server.start()
+        self._background.spawn(self._watch_config())
+        for url in self.cfg.peers:
+            self._background.spawn(self.peers.talk_to(url))
+
+    async def drain(self) -> None:
+        """Not ready: go on answering until the balancer has noticed."""
+        self.draining = True
+        await asyncio.sleep(self.cfg.drain_s)
+
+    async def stop(self) -> None:
+        """Finish requests in flight and end every task."""
+        await self._server.stop()
+        await self._background.cancel()
+        await self.forwarder.close()
+        await self.platform.close()
+
+    # --- one caller's request -----------------------------------------------
+
+    async def answer(
+        self, req: CallerRequest, *, key: str | None, rank: RequestClass, wait_s: float
+    ) -> Answered:
+        """Have a request answered.
+
+        Args:
+            req: The request.
+            key: Its idempotency key, if it carries one.
+            rank: Its class.
+            wait_s: The time the caller allows, in seconds.
+
+        Raises:
+            ProblemError: Not run, or outcome unknown; its code says which.
+        """
+        deadline = self.clock.now() + wait_s
+        self._known_service(req.service)
+        if key is None:
+            return await self._attempts(req, rank, deadline)
+        path = f"{req.service}{req.target}"
+        mark = fingerprint(req.method, path, req.body)
+        claim = await self.claims.claim(key=key, mark=mark)
+        if isinstance(claim, Replay):
+            return _replayed(claim)
+        return await self._claimed(req, claim, rank, deadline)
+
+    async def _claimed(
+        self, req: CallerRequest, claim: Claim, rank: RequestClass, deadline: float
+    ) -> Answered:
+        try:
+            answered = await self._attempts(req, rank, deadline)
+        except errors.ProblemError as exc:
+            if exc.code != errors.OUTCOME_UNKNOWN:
+                self._background.spawn(self.claims.settle(claim, None))
+            raise
+        content_type = dict(answered.headers).get(b"content-type", b"").decode()
+        answer = kept(answered.status, content_type, answered.body)
+        self._background.spawn(self.claims.settle(claim, answer))
+        return answered
+
+    async def _attempts(
+        self, req: CallerRequest, rank: RequestClass, deadline: float
+    ) -> Answered:
+        """Send a request until it is answered or must not be sent again."""
+        tried: frozenset[str] = frozenset()
+        state = self._service_state(req.service)
+        last: AttemptOutcome = NotRun(reason="the time allowed has run out")
+        for attempt in range(MOST_ATTEMPTS):
+            left = deadline - self.clock.now()
+            if left <= 0 or (attempt and not state.budget.spend()):
+                break
+            try:
+                last, url = await self._attempt(req, rank, tried, left)
+            except errors.ProblemError:
+                if isinstance(last, Unknown):
+                    break
+                raise
+            if isinstance(last, Answered):
+                state.budget.earn()
+                return last
+            if isinstance(last, Unknown) and not req.repeatable:
+                break
+            tried |= {url}
+            self.metrics.count("retries_wanted")
+        raise _given_up(last, self._known_service(req.service).took_s)
+
+    async def _attempt(
+        self,
+        req: CallerRequest,
+        rank: RequestClass,
+        tried: frozenset[str],
+        left_s: float,
+    ) -> tuple[AttemptOutcome, str]:
+        service = self._known_service(req.service)
+        gate = self._service_state(req.service).gate
+        patience = min(left_s, self.config.routing.queue_s)
+        state = await gate.enter(
+            service=service, rank=rank, tried=tried, patience_s=patience
+        )
+        began = self.clock.now()
+        url = state.endpoint.url
+        try:
+            self.metrics.count("sends")
+            outcome = await self.forwarder.send(req, url=url, timeout_s=left_s)
+            self._judge(service, state, outcome, began)
+        finally:
+            gate.leave(state)
+        return outcome, url
+
+    def _judge(
+        self,
+        service: ServiceEndpoints,
+        state: EndpointState,
+        outcome: AttemptOutcome,
+        began: float,
+    ) -> None:
+        verdict = Verdict.BAD
+        match outcome:
+            case Answered(status=status, leaving=leaving):
+                service.note_took(self.clock.now() - began)
+                verdict = Verdict.GOOD if status < 500 else Verdict.BAD
+                self._note_leaving(state, leaving)
+            case NotRun(refused=True, leaving=leaving):
+                verdict = Verdict.FULL
+                self._note_leaving(state, leaving)
+        judge(
+            service,
+            state,
+            verdict,
+            now=self.clock.now(),
+            cfg=self.config.routing,
+        )
+
+    def _note_leaving(self, state: EndpointState, leaving: bool) -> None:
+        if leaving:
+            self.book.learn_leaving((state.endpoint.url,))
+
+    def _known_service(self, name: str) -> ServiceEndpoints:
+        service = self.book.services.get(name)
+        if service is None:
+            raise errors.ProblemError(
+                status=503,
+                code=errors.NO_ENDPOINT,
+                retry_after_s=NO_ENDPOINT_RETRY_S,
+                name=name,
+            )
+        return service
+
+    def _service_state(self, name: str) -> ServiceState:
+        state = self.services.get(name)
+        if state is None:
+            state = ServiceState(
+                gate=Gate(pick=self._picker(name), most=self.cfg.max_waiting),
+                budget=RetryBudget(share=self.config.routing.retry_share),
+            )
+            self.services[name] = state
+        return state
+
+    def _picker(self, name: str):  # type: ignore[no-untyped-def]
+        def pick(tried: frozenset[str]) -> EndpointState | None:
+            service = self.book.services.get(name)
+            if service is None:
+                return None
+            return self.policy.pick(service, now=self.clock.now(), tried=tried)
+
+        return pick
+
+    # --- configuration and peers --------------------------------------------
+
+    async def _watch_config(self) -> None:
+        while True:
+            try:
+                if await self.watcher.poll():
+                    self._apply_config()
+            except errors.TableUnavailable:
+                LOG.debug("no configuration from the table")
+            await asyncio.sleep(self.cfg.config_poll_s)
+
+    def _apply_config(self) -> None:
+        assert self.watcher.current is not None
+        text = self.watcher.current.text
+        self.config = codec.decode(text, Configuration, place="configuration")
+        for state in self.services.values():
+            state.budget.share = self.config.routing.retry_share
+        LOG.info("Configuration version %d is in force.", self.watcher.version)
+
+    def digest(self) -> Digest:
+        """Return what this process tells its peers now."""
+        return Digest(
+            sender=self.cfg.name,
+            incarnation=self.incarnation,
+            role="gateway",
+            data_centre=self.cfg.data_centre,
+            config_version=self.watcher.version,
+            leaving=tuple(sorted(self.book.leaving)),
+            draining=self.draining,
+            seen=self.book.seen(),
+        )
+
+    def hear(self, reply: DigestReply) -> None:
+        """Take in what a peer knows and this process lacked."""
+        for offered in reply.sets:
+            self.book.learn(offered)
+        self.book.learn_leaving(reply.digest.leaving)
+        if self.watcher.offer(reply.config):
+            self._apply_config()
+        self._count_members()
+        for state in self.services.values():
+            state.gate.admit_waiting()
+
+    def _count_members(self) -> None:
+        live = [each for each in self.peers.live("gateway") if not each.draining]
+        near = {e.sender for e in live if e.data_centre == self.cfg.data_centre}
+        near.add(self.cfg.name)
+        names = {each.sender for each in live} | {self.cfg.name}
+        self.book.learn_members(tuple(sorted(near)), len(names))
+
+    def answer_digest(self, asked: Digest) -> DigestReply:
+        """Return what the asker lacks."""
+        self.book.learn_leaving(asked.leaving)
+        newer = self.watcher.version > asked.config_version
+        known = {(s.data_centre, s.epoch, s.revision) for s in asked.seen}
+        sets = tuple(
+            each
+            for each in self.book.sets()
+            if (each.data_centre, each.epoch, each.revision) not in known
+        )
+        return DigestReply(
+            digest=self.digest(),
+            sets=sets if asked.role == "gateway" else (),
+            config=self.watcher.current if newer else None,
+        )
+
+
+def _replayed(replay: Replay) -> Answered:
+    import base64
+
+    if replay.answer.body is None:
+        raise errors.ProblemError(status=409, code=errors.KEY_IN_USE)
+    headers = [(b"idempotency-replayed", b"true")]
+    if replay.answer.content_type:
+        headers.append((b"content-type", replay.answer.content_type.encode()))
+    return Answered(
+        status=replay.answer.status,
+        headers=headers,
+        body=base64.b64decode(replay.answer.body),
+        leaving=False,
+    )
+
+
+def _given_up(last: AttemptOutcome, took_s: float) -> errors.ProblemError:
+    match last:
+        case Unknown(reason=reason):
+            return errors.ProblemError(
+                status=504,
+                code=errors.OUTCOME_UNKNOWN,
+                retry_after_s=took_s,
+                reason=reason,
+            )
+        case NotRun(reason=reason):
+            return errors.ProblemError(
+                status=503, code=errors.NOT_RUN, retry_after_s=took_s, reason=reason
+            )
+    raise AssertionError(last)
--- /dev/null
+++ b/cranberrycleat/gateway_api.py
@@ -0,0 +1,247 @@
+"""The gateway's HTTP interface: callers' requests, digests, dumps.
+
+A caller asks for `/call/SERVICE/PATH`. Headers it may set: `Idempotency-Key`
+(run at most once), `X-Class` (`urgent`, `normal`, `bulk`) and `X-Timeout-Ms`.
+Callers' requests are served as plain ASGI, with nothing in between.
+"""
+
+import secrets
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from litestar import MediaType, Request, Response, asgi, get, post
+
+from cranberrycleat import codec, errors
+from cranberrycleat.admission import RequestClass
+from cranberrycleat.forward import REPEATABLE, Answered, CallerRequest, strip_headers
+from cranberrycleat.messages import Digest, Readiness
+from cranberrycleat.serve import (
+    MAX_BODY,
+    PROBLEM_TYPE,
+    json_response,
+    problem_of,
+    retry_after,
+)
+
+if TYPE_CHECKING:
+    from cranberrycleat.gateway import Gateway
+
+AnyRequest = Request[Any, Any, Any]
+MOUNT: Final = "/call"
+KEY_HEADER: Final = b"idempotency-key"
+CLASS_HEADER: Final = b"x-class"
+TIMEOUT_HEADER: Final = b"x-timeout-ms"
+ID_HEADER: Final = b"x-request-id"
+OUTCOME_HEADER: Final = b"x-outcome"
+MOST_KEY: Final = 255
+MOST_TIMEOUT_S: Final = 3600.0
+
+
+@attrs.frozen(kw_only=True)
+class Arrived:
+    """A caller's request with what it says about itself."""
+
+    req: CallerRequest
+    key: str | None
+    rank: RequestClass
+    wait_s: float
+
+
+def gateway_handlers(gateway: "Gateway") -> list[Any]:
+    """Return the route handlers of a gateway."""
+
+    @asgi(MOUNT, is_mount=True, copy_scope=True)
+    async def call(scope: Any, receive: Any, send: Any) -> None:
+        await serve_caller(gateway, scope, receive, send)
+
+    @post("/v1/digest")
+    async def digest(request: AnyRequest) -> Response[bytes]:
+        asked = codec.decode(await request.body(), Digest)
+        return json_response(gateway.answer_digest(asked))
+
+    @get("/v1/ready")
+    async def ready() -> Response[bytes]:
+        state = Readiness(
+            ready=not gateway.draining, reason="draining" if gateway.draining else ""
+        )
+        return json_response(state, status=200 if state.ready else 503)
+
+    @get("/v1/metrics")
+    async def metrics() -> Response[bytes]:
+        return Response(gateway.metrics.read(), media_type=MediaType.JSON)
+
+    @get("/v1/dump")
+    async def dump() -> Response[bytes]:
+        return json_response(gateway_dump(gateway))
+
+    return [call, digest, ready, metrics, dump]
+
+
+async def serve_caller(gateway: "Gateway", scope: Any, receive: Any, send: Any) -> None:
+    """Serve one caller's request from its first byte to its final answer."""
+    if scope["type"] != "http":
+        return
+    gateway.in_flight += 1
+    try:
+        arrived = await _read(scope, receive, gateway.config.routing.timeout_s)
+        answered = await gateway.answer(
+            arrived.req, key=arrived.key, rank=arrived.rank, wait_s=arrived.wait_s
+        )
+        gateway.metrics.count("answered")
+        await _send_answer(send, answered)
+    except errors.FindingsError as exc:
+        reason = f"{len(exc.findings)} fault(s) in the request"
+        problem = errors.ProblemError(
+            status=400, code=errors.MALFORMED, findings=exc.findings, reason=reason
+        )
+        await _send_problem(send, problem)
+    except errors.ProblemError as exc:
+        gateway.metrics.count(f"refused.{exc.code}")
+        await _send_problem(send, exc)
+    finally:
+        gateway.in_flight -= 1
+
+
+async def _read(scope: Any, receive: Any, default_s: float) -> Arrived:
+    headers = [(name.lower(), value) for name, value in scope["headers"]]
+    named = dict(headers)
+    path = scope["path"].removeprefix(MOUNT).lstrip("/")
+    service, _, rest = path.partition("/")
+    query = scope["query_string"].decode("latin-1")
+    found = errors.Findings()
+    key = _key(named, found)
+    rank = _rank(named, found)
+    wait_s = _timeout(named, default_s, found)
+    if found.items:
+        raise errors.FindingsError(findings=found.sorted())
+    passed = strip_headers(headers)
+    if ID_HEADER not in named:
+        passed.append((ID_HEADER, secrets.token_hex(8).encode()))
+    method = scope["method"]
+    req = CallerRequest(
+        method=method,
+        service=service,
+        target="/" + rest + ("?" + query if query else ""),
+        headers=passed,
+        body=await _read_body(receive),
+        repeatable=method in REPEATABLE and key is None,
+    )
+    return Arrived(req=req, key=key, rank=rank, wait_s=wait_s)
+
+
+def _key(named: dict[bytes, bytes], found: errors.Findings) -> str | None:
+    if KEY_HEADER not in named:
+        return None
+    key = named[KEY_HEADER].decode("latin-1")
+    if not 0 < len(key) <= MOST_KEY:
+        found.add(
+            "header Idempotency-Key",
+            errors.BAD_VALUE,
+            value=key[:40],
+            allowed=f"1 to {MOST_KEY} characters",
+        )
+    return key
+
+
+def _rank(named: dict[bytes, bytes], found: errors.Findings) -> RequestClass:
+    text = named.get(CLASS_HEADER, b"normal").decode("latin-1")
+    names = [each.name.lower() for each in RequestClass]
+    if text not in names:
+        found.add(
+            "header X-Class", errors.BAD_VALUE, value=text, allowed=", ".join(names)
+        )
+        return RequestClass.NORMAL
+    return RequestClass[text.upper()]
+
+
+def _timeout(
+    named: dict[bytes, bytes], default_s: float, found: errors.Findings
+) -> float:
+    if TIMEOUT_HEADER not in named:
+        return default_s
+    text = named[TIMEOUT_HEADER].decode("latin-1")
+    if text.isdigit() and 0 < int(text) <= MOST_TIMEOUT_S * 1000:
+        return int(text) / 1000
+    found.add(
+        "header X-Timeout-Ms",
+        errors.BAD_VALUE,
+        value=text,
+        allowed=f"1 to {int(MOST_TIMEOUT_S * 1000)}",
+    )
+    return default_s
+
+
+async def _read_body(receive: Any) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            raise errors.ProblemError(
+                status=400, code=errors.MALFORMED, reason="the body broke off"
+            )
+        size += len(event.get("body", b""))
+        if size > MAX_BODY:
+            raise errors.ProblemError(
+                status=413, code=errors.TOO_LARGE, size="the body", limit=MAX_BODY
+            )
+        parts.append(event.get("body", b""))
+        if not event.get("more_body"):
+            return b"".join(parts)
+
+
+async def _send_answer(send: Any, answered: Answered) -> None:
+    headers = [
+        *answered.headers,
+        (b"content-length", str(len(answered.body)).encode()),
+        (OUTCOME_HEADER, b"answered"),
+    ]
+    await _send(send, answered.status, headers, answered.body)
+
+
+async def _send_problem(send: Any, exc: errors.ProblemError) -> None:
+    body = codec.encode(problem_of(exc))
+    unknown = exc.code in (errors.OUTCOME_UNKNOWN, errors.KEY_IN_USE)
+    headers = [
+        (b"content-type", PROBLEM_TYPE.encode()),
+        (b"content-length", str(len(body)).encode()),
+        (OUTCOME_HEADER, b"unknown" if unknown else b"not-run"),
+    ]
+    if exc.retry_after_s is not None:
+        headers.append((b"retry-after", retry_after(exc.retry_after_s).encode()))
+    await _send(send, exc.status, headers, body)
+
+
+async def _send(
+    send: Any, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+) -> None:
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+def gateway_dump(gateway: "Gateway") -> dict[str, Any]:
+    """Return everything that the gateway holds, for people."""
+    return {
+        "options": gateway.cfg,
+        "draining": gateway.draining,
+        "in_flight": gateway.in_flight,
+        "config": gateway.watcher.current,
+        "members": gateway.book.members,
+        "sets": gateway.book.sets(),
+        "leaving": sorted(gateway.book.leaving),
+        "services": {
+            name: [
+                {
+                    "url": state.endpoint.url,
+                    "in_flight": state.share.in_flight,
+                    "share": state.share.share,
+                    "allowed": state.share.allowed,
+                    "leaving": state.leaving,
+                    "failures": state.failures,
+                }
+                for state in service.all()
+            ]
+            for name, service in gateway.book.services.items()
+        },
+        "peers": [peer.last for peer in gateway.peers.known.values()],
+    }
--- /dev/null
+++ b/cranberrycleat/lease.py
@@ -0,0 +1,253 @@
+"""The ownership lease: one holder at a time, by conditional write, with epochs.
+
+Invariant: at any moment at most one process has `authority()`. The argument:
+
+* The lease is one row: holder, epoch, sequence, length. Every write by the
+  holder is conditional on the row's version and raises the sequence, so each
+  commit renews the lease, fences off every earlier holder and leaves a mark by
+  which a lost reply can be settled.
+* The holder counts the lease from *before* it first sent the write that took
+  effect. A candidate counts it from *after* it saw the row change, on its own
+  clock, and adds a margin for clock drift. The candidate's count therefore
+  always ends after the holder's, without a common time of day.
+* `authority()` looks at the clock each time, so a holder that was paused finds
+  out when it wakes, before it gives its next order.
+
+The part is importable on its own; it needs a `Clock` and a `Table`.
+"""
+
+from typing import Final
+
+import attrs
+
+from cranberrycleat import codec, errors
+from cranberrycleat.clock import Clock
+from cranberrycleat.table import ABSENT, Check, Put, Row, Table, Transaction
+
+DRIFT: Final = 0.01
+"""The largest difference in clock rates that is allowed for, as a share."""
+
+
+@attrs.frozen(kw_only=True)
+class OwnerRow:
+    """The value of a lease's row.
+
+    Attributes:
+        holder: Name and incarnation of the process that holds the lease.
+        epoch: Grows by one at each takeover.
+        sequence: Grows by one at each write by the holder.
+        lease_s: Length in seconds, counted from each write.
+        released: The holder gave it up and has stopped renewing anything.
+    """
+
+    holder: str
+    epoch: int
+    sequence: int
+    lease_s: float
+    released: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Changes:
+    """Row writes to be made together with a renewal."""
+
+    checks: tuple[Check, ...] = ()
+    puts: tuple[Put, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+
+class Deposed(Exception):
+    """Another process holds the lease; nothing of the write took effect."""
+
+
+@attrs.define(kw_only=True)
+class OwnershipLease:
+    """One process's view of a lease that it holds or would like to hold.
+
+    Attributes:
+        table: Where the lease's row lives.
+        clock: This process's monotonic clock.
+        key: The row's key.
+        holder: This process, unique for each start of it.
+        lease_s: The length this process asks for, in seconds.
+        epoch: The epoch held, or the highest seen.
+        takeover_silent: Whether the lease was won from a holder that did not
+            release it, so that it may still be acting on what it granted.
+    """
+
+    table: Table
+    clock: Clock
+    key: str
+    holder: str
+    lease_s: float
+    epoch: int = 0
+    takeover_silent: bool = False
+    _held: OwnerRow | None = None
+    _held_version: int = ABSENT
+    _valid_until: float = float("-inf")
+    _seen: Row | None = None
+    _seen_at: float = float("-inf")
+    _pending: OwnerRow | None = None
+    _pending_since: float = float("-inf")
+    _pending_silent: bool = False
+
+    def authority(self) -> bool:
+        """Tell whether this process is the owner at this very moment."""
+        return self.clock.now() < self.valid_until()
+
+    def valid_until(self) -> float:
+        """Return the clock time at which authority ends if nothing renews it."""
+        return self._valid_until if self._held is not None else float("-inf")
+
+    @property
+    def is_holder(self) -> bool:
+        """Whether this process was the last known holder, lapsed or not."""
+        return self._held is not None
+
+    def depose(self) -> None:
+        """Give up at once: evidence of a later holder was seen elsewhere."""
+        self._held = None
+        self._valid_until = float("-inf")
+
+    async def acquire(self) -> bool:
+        """Look at the row once, and take the lease if it is free.
+
+        Returns:
+            Whether this process has authority afterwards.
+
+        Raises:
+            TableUnavailable: The table gave no answer.
+        """
+        rows = await self.table.read(keys=(self.key,))
+        row = rows[0] if rows else None
+        self._observe(row)
+        if self._adopt_if_ours(row):
+            return self.authority()
+        if not self._is_free(row):
+            return False
+        await self._take(row)
+        return self.authority()
+
+    async def commit(self, changes: Changes = Changes()) -> None:
+        """Write the changes and renew the lease, in one transaction.
+
+        A write without an answer is sent again unchanged: the condition on the
+        row's version lets at most one copy take effect, and the sequence in
+        the row tells whether an earlier copy did.
+
+        Raises:
+            Deposed: Another process holds the lease; nothing was written.
+            TableUnavailable: No answer; the effect counts as possible, and the
+                caller must call again with the same changes.
+        """
+        if self._held is None:
+            raise Deposed(self.key)
+        if self._pending is None:
+            self._pending = attrs.evolve(self._held, sequence=self._held.sequence + 1)
+            self._pending_since = self.clock.now()
+        txn = self._transaction(self._held_version, self._pending, changes)
+        reply = await self.table.commit(txn)
+        if reply.committed:
+            self._renewed(self._pending, reply.version)
+            return
+        await self._settle()
+
+    async def release(self) -> None:
+        """Give the lease up, so that a candidate need not wait for it.
+
+        The caller has stopped renewing everything it granted before this.
+
+        Raises:
+            Deposed: Another process holds the lease already.
+            TableUnavailable: No answer; the lease will run out by itself.
+        """
+        if self._held is None:
+            raise Deposed(self.key)
+        held = self._held
+        version = self._held_version
+        self.depose()
+        done = attrs.evolve(held, sequence=held.sequence + 1, released=True)
+        reply = await self.table.commit(self._transaction(version, done, Changes()))
+        if not reply.committed:
+            raise Deposed(self.key)
+
+    def _transaction(
+        self, version: int, row: OwnerRow, changes: Changes
+    ) -> Transaction:
+        return Transaction(
+            checks=(Check(key=self.key, version=version), *changes.checks),
+            puts=(Put(key=self.key, value=codec.encode_text(row)), *changes.puts),
+            deletes=changes.deletes,
+        )
+
+    def _observe(self, row: Row | None) -> None:
+        """Note when this process saw the row's current version first."""
+        if row != self._seen or self._seen_at == float("-inf"):
+            self._seen = row
+            self._seen_at = self.clock.now()
+
+    def _is_free(self, row: Row | None) -> bool:
+        if row is None:
+            return True
+        owner = codec.decode(row.value, OwnerRow, place=self.key)
+        self.epoch = max(self.epoch, owner.epoch)
+        if owner.released:
+            return True
+        margin = owner.lease_s * DRIFT
+        return self.clock.now() - self._seen_at > owner.lease_s + margin
+
+    async def _take(self, row: Row | None) -> None:
+        version = ABSENT if row is None else row.version
+        old = codec.decode(row.value, OwnerRow) if row is not None else None
+        ours = OwnerRow(
+            holder=self.holder,
+            epoch=1 if old is None else old.epoch + 1,
+            sequence=0,
+            lease_s=self.lease_s,
+        )
+        self._pending_silent = old is not None and not old.released
+        self._pending_since = self.clock.now()
+        reply = await self.table.commit(self._transaction(version, ours, Changes()))
+        if reply.committed:
+            self._won(ours, reply.version)
+
+    def _adopt_if_ours(self, row: Row | None) -> bool:
+        """Settle a takeover whose reply was lost: the row says who won."""
+        if row is None:
+            return False
+        owner = codec.decode(row.value, OwnerRow, place=self.key)
+        if owner.holder != self.holder or owner.released:
+            return False
+        if self._held is None:
+            self._won(owner, row.version)
+        return True
+
+    def _won(self, owner: OwnerRow, version: int) -> None:
+        self.takeover_silent = self._pending_silent
+        self._renewed(owner, version)
+
+    def _renewed(self, owner: OwnerRow, version: int) -> None:
+        self._held = owner
+        self._held_version = version
+        self.epoch = owner.epoch
+        self._valid_until = self._pending_since + owner.lease_s
+        self._pending = None
+
+    async def _settle(self) -> None:
+        """Find out, after a conflict, whether an earlier copy took effect."""
+        rows = await self.table.read(keys=(self.key,))
+        owner = codec.decode(rows[0].value, OwnerRow) if rows else None
+        if owner is not None and owner == self._pending:
+            self._renewed(owner, rows[0].version)
+            return
+        ours = owner is not None and owner == self._held
+        self._pending = None
+        if ours:
+            # Our lease stands, so a condition of the caller's own did not hold.
+            raise ConditionFailed(self.key)
+        self.depose()
+        raise Deposed(self.key)
+
+
+class ConditionFailed(Exception):
+    """A condition in the caller's changes did not hold; nothing was written."""
--- /dev/null
+++ b/cranberrycleat/lifecycle.py
@@ -0,0 +1,82 @@
+"""The life of a process: start, run until told to stop, drain, stop.
+
+Every daemon is a `Part`; `run` drives one until SIGTERM or SIGINT. The first
+signal drains: not ready, wait out the balancer, finish what is in flight, hand
+over, exit. `Background` keeps the tasks of a part and reports one that fails.
+"""
+
+import asyncio
+import logging
+import signal
+from collections.abc import Coroutine
+from typing import Any, Final, Protocol
+
+import attrs
+
+from cranberrycleat.logs import part_logger
+
+LOG: Final[logging.Logger] = part_logger("process")
+
+
+class Part(Protocol):
+    """What a process consists of."""
+
+    async def start(self) -> None:
+        """Begin to serve; raises OSError where the address is taken."""
+
+    async def drain(self) -> None:
+        """Take no new work, finish what is in flight, hand over."""
+
+    async def stop(self) -> None:
+        """End every task and close every connection."""
+
+    @property
+    def url(self) -> str:
+        """The base URL it answers at."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Background:
+    """The background tasks of one part."""
+
+    tasks: set["asyncio.Task[None]"] = attrs.field(factory=set)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
+        """Run a coroutine until it ends or `cancel` is called."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: "asyncio.Task[None]") -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOG.error("A task failed.", exc_info=task.exception())
+
+    async def cancel(self) -> None:
+        """End every task and wait until they have ended."""
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def run(part: Part, *, announce: str) -> None:
+    """Run a part until the process is told to stop.
+
+    Args:
+        part: What to run.
+        announce: The part's name; printed with its URL once it listens, so
+            that whoever started the process learns its port.
+    """
+    loop = asyncio.get_running_loop()
+    told = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    await part.start()
+    print(f"{announce} listening on {part.url}", flush=True)
+    await told.wait()
+    LOG.info("Draining.")
+    await part.drain()
+    await part.stop()
+    LOG.info("Stopped.")
--- /dev/null
+++ b/cranberrycleat/link.py
@@ -0,0 +1,268 @@
+"""The link from a shard's owner to one worker: one task, written straight down.
+
+Invariant: `keep_until` and `release_until` are never earlier than the end of
+any lease that this or an earlier owner may have granted to a task on the
+worker (for `keep` jobs and others). They are raised *before* an order leaves;
+an order is void after its bound on the worker's own clock, so a lease granted
+by it ends at the latest a lease's length after that bound.
+
+Starts leave only under the ownership lease, and their bound is never later
+than that lease's end: a paused owner's late order is void when it arrives. A
+lapsed owner that does not know of a successor goes on renewing: `keep` tasks
+for as long as it lives, others for `release_after_s`. A successor that reached
+the worker has fenced such renewals off by its epoch; for a worker that it
+cannot reach it waits, as `link_after_takeover` says.
+"""
+
+import asyncio
+import logging
+import math
+from typing import Final
+
+import attrs
+
+from cranberrycleat import errors
+from cranberrycleat.clock import Clock
+from cranberrycleat.lease import DRIFT, OwnershipLease
+from cranberrycleat.logs import part_logger
+from cranberrycleat.messages import (
+    HostEntry,
+    HostState,
+    RenewScope,
+    SyncOrder,
+    SyncReply,
+    TaskMark,
+)
+from cranberrycleat.shard import Shard
+from cranberrycleat.worker_http import WorkerClient
+
+LOG: Final[logging.Logger] = part_logger("link")
+SILENT_AFTER: Final = 2
+"""Syncs without an answer before a worker draws no more work."""
+
+
+@attrs.frozen(kw_only=True)
+class LinkTimes:
+    """The times a link keeps, all in seconds.
+
+    Attributes:
+        sync_s: Between syncs with nothing to order.
+        lease_s: The lease that tasks get.
+        order_s: How long an order stays valid.
+        release_after_s: How long a lapsed owner renews what is not `keep`.
+        drain_s: How long a leaving worker's services go on answering.
+    """
+
+    sync_s: float = 1.0
+    lease_s: float = 10.0
+    order_s: float = 2.0
+    release_after_s: float = 60.0
+    drain_s: float = 5.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class WorkerLink:
+    """The owner's side of one worker's link.
+
+    Attributes:
+        entry: The worker, as listed.
+        client: How to reach it, or None for a worker that no list names yet.
+        shard: The shard's state.
+        lease: The ownership lease the orders are given under.
+        clock: The owner's clock.
+        times: The times to keep.
+        keep_until: When the last lease of a `keep` task ends at the latest.
+        release_until: The same for other tasks.
+    """
+
+    entry: HostEntry
+    client: WorkerClient | None
+    shard: Shard
+    lease: OwnershipLease
+    clock: Clock
+    times: LinkTimes
+    keep_until: float
+    release_until: float
+    on_change: asyncio.Event
+    wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+    settled: list[TaskMark] = attrs.field(factory=list)
+    misses: int = 0
+    _incarnation: str = ""
+    _known_incarnation: str = ""
+    _since: int = 0
+    _clock_seen: float = 0.0
+    _seen_at: float = 0.0
+    _lapsed_at: float = math.inf
+    _leaving_at: float = math.inf
+
+    async def run(self) -> None:
+        """Sync for ever, at once when woken."""
+        while True:
+            await self._sync()
+            self._check_leases()
+            self._check_drain()
+            try:
+                await asyncio.wait_for(self.wake.wait(), self.times.sync_s)
+            except TimeoutError:
+                pass
+            self.wake.clear()
+
+    async def _sync(self) -> None:
+        if self.client is None:
+            return
+        order = self._order()
+        try:
+            reply = await self.client.sync(order)
+        except errors.PeerUnavailable:
+            self._missed()
+            return
+        except errors.ProblemError as exc:
+            self._refused(exc)
+            return
+        self._answered(order, reply)
+
+    def _order(self) -> SyncOrder:
+        name = self.entry.name
+        if not self._incarnation:
+            return SyncOrder(holder=self.lease.holder, epoch=self.lease.epoch)
+        now = self.clock.now()
+        owns = self.lease.authority()
+        scope = self._scope(now, owns)
+        bound = now + self.times.order_s
+        starts = self.shard.startable(name) if owns else ()
+        if starts:
+            bound = min(bound, self.lease.valid_until())
+        self._grant(scope, bound, bool(starts))
+        settled = tuple(self.settled) if owns else ()
+        return SyncOrder(
+            holder=self.lease.holder,
+            epoch=self.lease.epoch,
+            incarnation=self._incarnation,
+            not_after=self._on_worker_clock(bound),
+            lease_s=self.times.lease_s,
+            scope=scope,
+            since=self._since,
+            starts=starts,
+            stops=self.shard.stoppable(name) if owns else (),
+            settled=settled,
+        )
+
+    def _scope(self, now: float, owns: bool) -> RenewScope:
+        if owns:
+            self._lapsed_at = math.inf
+            return RenewScope.ALL
+        self._lapsed_at = min(self._lapsed_at, now)
+        if now - self._lapsed_at < self.times.release_after_s:
+            return RenewScope.ALL
+        return RenewScope.KEEP
+
+    def _grant(self, scope: RenewScope, bound: float, starts: bool) -> None:
+        until = bound + self.times.lease_s * (1 + DRIFT)
+        self.keep_until = max(self.keep_until, until)
+        if scope is RenewScope.ALL or starts:
+            self.release_until = max(self.release_until, until)
+
+    def _on_worker_clock(self, bound: float) -> float:
+        """Return a time on the worker's clock that is no later than `bound`.
+
+        The worker read its clock before its reply arrived here, so what has
+        passed since then is at least what passed here since the arrival.
+        """
+        return self._clock_seen + (bound - self._seen_at) * (1 - DRIFT)
+
+    def _missed(self) -> None:
+        self.misses += 1
+        if self.misses == SILENT_AFTER:
+            LOG.warning("worker %s does not answer", self.entry.name)
+            self.shard.worker_silent(self.entry.name)
+            self.on_change.set()
+
+    def _refused(self, exc: errors.ProblemError) -> None:
+        if exc.code == errors.STALE_EPOCH:
+            LOG.warning("worker %s has a newer owner", self.entry.name)
+            self.lease.depose()
+        self._incarnation = ""
+
+    def _answered(self, order: SyncOrder, reply: SyncReply) -> None:
+        name = self.entry.name
+        self.misses = 0
+        self._clock_seen, self._seen_at = reply.clock, self.clock.now()
+        changed = bool(reply.tasks)
+        if not order.incarnation and reply.incarnation != self._known_incarnation:
+            self._met(reply)
+            changed = True
+        self._incarnation = self._known_incarnation = reply.incarnation
+        for report in reply.tasks:
+            self.shard.report(name, report)
+        self._since = reply.revision
+        for mark in order.settled:
+            self.settled.remove(mark)
+        if self.shard.book.workers[name].state.value == "silent":
+            self.shard.worker_answers(name)
+            changed = True
+        if reply.state is HostState.LEAVING:
+            self._leaving()
+        if changed:
+            self.on_change.set()
+
+    def _met(self, reply: SyncReply) -> None:
+        """First word of this incarnation: it is under our epoch from here on."""
+        self.shard.unreported(self.entry.name, reply.tasks)
+        until = self.clock.now() + self.times.lease_s * (1 + DRIFT)
+        self.keep_until = self.release_until = until + self.times.order_s
+
+    def _leaving(self) -> None:
+        self.shard.worker_leaving(self.entry.name)
+        self._leaving_at = min(self._leaving_at, self.clock.now())
+
+    def _check_drain(self) -> None:
+        if self.clock.now() - self._leaving_at >= self.times.drain_s:
+            self.shard.evacuate(self.entry.name)
+
+    def _check_leases(self) -> None:
+        """Give up a silent worker's tasks once every lease has run out."""
+        if self.misses < SILENT_AFTER and self.client is not None:
+            return
+        if not self.lease.authority():
+            return
+        now = self.clock.now()
+        before = len(self.shard.book.workers[self.entry.name].tasks)
+        if now > self.keep_until:
+            self.shard.leases_over(self.entry.name, keep=True)
+        elif now > self.release_until:
+            self.shard.leases_over(self.entry.name, keep=False)
+        if len(self.shard.book.workers[self.entry.name].tasks) != before:
+            self.on_change.set()
+
+    def vouched_dead(self) -> None:
+        """An operator vouches that the worker is gone: its leases are over."""
+        self.keep_until = self.release_until = -math.inf
+        self.wake.set()
+
+
+@attrs.frozen(kw_only=True)
+class InheritedLeases:
+    """When what an earlier owner granted has run out at the latest.
+
+    Attributes:
+        keep_until: For tasks of `keep` jobs.
+        release_until: For other tasks.
+    """
+
+    keep_until: float
+    release_until: float
+
+
+def inherited_leases(*, now: float, silent: bool, times: LinkTimes) -> InheritedLeases:
+    """Return what to wait for at takeover, for workers that do not answer.
+
+    A holder that released its lease had stopped renewing before. One that fell
+    silent may be cut off and alive: it goes on renewing `keep` tasks without
+    bound, so those are re-placed only once the worker answers the new owner or
+    an operator vouches that it is gone; the others after `release_after_s`.
+    """
+    last = now + (times.lease_s + times.order_s) * (1 + DRIFT)
+    if not silent:
+        return InheritedLeases(keep_until=last, release_until=last)
+    release = last + times.release_after_s * (1 + DRIFT)
+    return InheritedLeases(keep_until=math.inf, release_until=release)
--- /dev/null
+++ b/cranberrycleat/operator_client.py
@@ -0,0 +1,119 @@
+"""What the operator's commands ask of schedulers, over HTTP.
+
+Every call tries the schedulers in the order given, and takes the next one
+where one cannot be reached or says that it takes nothing now.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import attrs
+import httpx
+
+from cranberrycleat import errors
+from cranberrycleat.http_calls import call, make_client
+from cranberrycleat.jobs import JobSpec
+from cranberrycleat.messages import (
+    Accepted,
+    ConfigChange,
+    ConfigDocument,
+    JobStatus,
+    SchedulerStatus,
+    WorkerList,
+)
+
+T = TypeVar("T")
+
+
+@attrs.define(kw_only=True, eq=False)
+class OperatorClient:
+    """An operator's client.
+
+    Attributes:
+        urls: The schedulers' base URLs.
+        timeout_s: How long to wait for each, in seconds.
+    """
+
+    urls: tuple[str, ...]
+    timeout_s: float = 10.0
+
+    async def submit(self, spec: JobSpec) -> Accepted:
+        """Submit a job."""
+        return await self._first("POST", "/v1/jobs", Accepted, message=spec)
+
+    async def cancel(self, job: str) -> Accepted:
+        """Cancel a job."""
+        return await self._first("DELETE", f"/v1/jobs/{job}", Accepted)
+
+    async def job(self, name: str) -> JobStatus:
+        """Return a job's status."""
+        return await self._first("GET", f"/v1/jobs/{name}", JobStatus)
+
+    async def label(self, worker: str, labels: dict[str, str | None]) -> Accepted:
+        """Change a worker's labels."""
+        path = f"/v1/workers/{worker}/labels"
+        return await self._first("POST", path, Accepted, message=labels)
+
+    async def declare_dead(self, worker: str) -> Accepted:
+        """Vouch that a worker is gone and runs nothing."""
+        return await self._first("POST", f"/v1/workers/{worker}/dead", Accepted)
+
+    async def config(self) -> ConfigDocument:
+        """Return the configuration in force."""
+        return await self._first("GET", "/v1/config", ConfigDocument)
+
+    async def apply(self, change: ConfigChange) -> ConfigDocument:
+        """Apply a new configuration."""
+        return await self._first("POST", "/v1/config", ConfigDocument, message=change)
+
+    async def workers(self) -> tuple[WorkerList, ...]:
+        """Return the workers of each shard whose owner answers."""
+        return await self._each("/v1/workers", WorkerList)
+
+    async def statuses(self) -> tuple[SchedulerStatus, ...]:
+        """Return the status of each scheduler that answers."""
+        return await self._each("/v1/status", SchedulerStatus)
+
+    async def dump(self, url: str) -> object:
+        """Return any process's state."""
+
+        async def ask(client: httpx.AsyncClient) -> object:
+            return await call(client, "GET", url + "/v1/dump", object)
+
+        return await self._with_client(ask)
+
+    async def _first(
+        self, method: str, path: str, kind: type[T], *, message: object = None
+    ) -> T:
+        async def ask(client: httpx.AsyncClient) -> T:
+            last: Exception = errors.PeerUnavailable("no scheduler was named")
+            for url in self.urls:
+                try:
+                    return await call(client, method, url + path, kind, message=message)
+                except errors.PeerUnavailable as exc:
+                    last = exc
+                except errors.ProblemError as exc:
+                    if exc.code not in (errors.DRAINING, errors.NOT_ACCEPTED):
+                        raise
+                    last = exc
+            raise last
+
+        return await self._with_client(ask)
+
+    async def _each(self, path: str, kind: type[T]) -> tuple[T, ...]:
+        async def ask(client: httpx.AsyncClient) -> tuple[T, ...]:
+            found = []
+            for url in self.urls:
+                try:
+                    found.append(await call(client, "GET", url + path, kind))
+                except errors.PeerUnavailable:
+                    continue
+            if not found:
+                raise errors.PeerUnavailable("no scheduler answered")
+            return tuple(found)
+
+        return await self._with_client(ask)
+
+    async def _with_client(self, ask: Callable[[httpx.AsyncClient], Awaitable[T]]) -> T:
+        async with make_client(timeout_s=self.timeout_s) as client:
+            return await ask(client)
--- /dev/null
+++ b/cranberrycleat/options.py
@@ -0,0 +1,162 @@
+"""The options of each program: one typed object each (see `settings`)."""
+
+import attrs
+
+from cranberrycleat.settings import (
+    Choice,
+    Listen,
+    Name,
+    Number,
+    Text,
+    Url,
+    Urls,
+    Whole,
+    setting,
+)
+
+
+@attrs.frozen(kw_only=True)
+class CommonOptions:
+    """What every daemon has."""
+
+    name: str = setting(Name(), "This process's name, unique among its kind.")
+    data_centre: str = setting(Name(), "The data centre this process stands in.")
+    listen: str = setting(Listen(), "The IP to listen on.", default="127.0.0.1")
+    port: int = setting(
+        Whole(low=0, high=65535), "The port to listen on; 0 for any.", default=0
+    )
+    platform: str = setting(Url(), "The platform's base URL.")
+    peers: tuple[str, ...] = setting(
+        Urls(), "Base URLs of the schedulers and gateways to talk to.", default=()
+    )
+    platform_timeout_s: float = setting(
+        Number(low=0.05, high=60), "How long to wait for the platform.", default=2.0
+    )
+    digest_s: float = setting(
+        Number(low=0.05, high=60), "Seconds between digests to a peer.", default=1.0
+    )
+    config_poll_s: float = setting(
+        Number(low=0.05, high=60), "Seconds between reads of the version.", default=5.0
+    )
+    drain_s: float = setting(
+        Number(low=0, high=600),
+        "Seconds to go on answering, not ready, before closing.",
+        default=2.0,
+    )
+    log_level: str = setting(
+        Choice(words=("debug", "info", "warning", "error")),
+        "The least severe level to log.",
+        default="info",
+    )
+    log_form: str = setting(
+        Choice(words=("text", "json")), "The form of log lines.", default="text"
+    )
+
+
+@attrs.frozen(kw_only=True)
+class SchedulerOptions(CommonOptions):
+    """The scheduler's options."""
+
+    lease_s: float = setting(
+        Number(low=0.2, high=600), "Length of the ownership lease.", default=10.0
+    )
+    worker_lease_s: float = setting(
+        Number(low=0.2, high=600), "Length of the leases of tasks.", default=10.0
+    )
+    sync_s: float = setting(
+        Number(low=0.02, high=60), "Seconds between syncs with a worker.", default=2.0
+    )
+    order_s: float = setting(
+        Number(low=0.05, high=60), "How long an order stays valid.", default=2.0
+    )
+    round_s: float = setting(
+        Number(low=0.01, high=10), "The longest time between rounds.", default=0.5
+    )
+    release_after_s: float = setting(
+        Number(low=0, high=86400),
+        "How long a lapsed owner renews tasks that are not kept.",
+        default=60.0,
+    )
+    leave_s: float = setting(
+        Number(low=0, high=600),
+        "Seconds a leaving worker's services go on answering.",
+        default=5.0,
+    )
+    table_client: str = setting(
+        Text(), "The plug-in that speaks to the platform.", default="http"
+    )
+    worker_client: str = setting(
+        Text(), "The plug-in that speaks to workers.", default="http"
+    )
+
+
+@attrs.frozen(kw_only=True)
+class GatewayOptions(CommonOptions):
+    """The gateway's options."""
+
+    max_waiting: int = setting(
+        Whole(low=0, high=100000), "Requests that may wait for a slot.", default=256
+    )
+    claim_batch_s: float = setting(
+        Number(low=0, high=1), "How long claims are gathered for.", default=0.002
+    )
+    table_client: str = setting(
+        Text(), "The plug-in that speaks to the platform.", default="http"
+    )
+    routing: str = setting(
+        Text(), "The plug-in that picks endpoints.", default="least-of-two"
+    )
+
+
+@attrs.frozen(kw_only=True)
+class PlatformOptions:
+    """The platform stand-in's options."""
+
+    listen: str = setting(Listen(), "The IP to listen on.", default="127.0.0.1")
+    port: int = setting(
+        Whole(low=0, high=65535), "The port to listen on; 0 for any.", default=0
+    )
+    lag_s: float = setting(
+        Number(low=0, high=600), "How far the host list lags.", default=0.0
+    )
+    log_level: str = setting(
+        Choice(words=("debug", "info", "warning", "error")),
+        "The least severe level to log.",
+        default="info",
+    )
+    log_form: str = setting(
+        Choice(words=("text", "json")), "The form of log lines.", default="text"
+    )
+
+
+@attrs.frozen(kw_only=True)
+class WorkerOptions:
+    """The worker stand-in's options."""
+
+    name: str = setting(Name(), "The worker's name.")
+    data_centre: str = setting(Name(), "The data centre it stands in.")
+    rack: str = setting(Name(), "The rack it stands in.")
+    listen: str = setting(Listen(), "The IP to listen on.", default="127.0.0.1")
+    port: int = setting(
+        Whole(low=0, high=65535), "The port to listen on; 0 for any.", default=0
+    )
+    platform: str = setting(Url(), "The platform's base URL.")
+    processors: int = setting(Whole(low=1, high=4096), "Processors it has.", default=16)
+    memory_mb: int = setting(
+        Whole(low=1, high=1 << 26), "Memory it has, in MiB.", default=32768
+    )
+    accelerators: int = setting(
+        Whole(low=0, high=64), "Accelerators it has.", default=0
+    )
+    slots: int = setting(
+        Whole(low=0, high=4096), "Requests its services answer at once.", default=8
+    )
+    labels: str = setting(Text(), "Labels, as key=value,key=value.", default="")
+    log_level: str = setting(
+        Choice(words=("debug", "info", "warning", "error")),
+        "The least severe level to log.",
+        default="info",
+    )
+    log_form: str = setting(
+        Choice(words=("text", "json")), "The form of log lines.", default="text"
+    )
--- /dev/null
+++ b/cranberrycleat/routing.py
@@ -0,0 +1,81 @@
+"""Routing policies: which endpoint gets a request.
+
+A policy is a plug-in with one method, `pick`. The default looks at a few
+endpoints at random and takes the least loaded, in its own data centre first.
+"""
+
+import random
+from typing import Final, Protocol
+
+import attrs
+
+from cranberrycleat.endpoints import EndpointState, ServiceEndpoints
+from cranberrycleat.registry import PluginKind, register
+
+SAMPLE: Final = 2
+DEFAULT: Final = "least-of-two"
+
+
+class RoutingPolicy(Protocol):
+    """What a routing policy does."""
+
+    def pick(
+        self, service: ServiceEndpoints, *, now: float, tried: frozenset[str]
+    ) -> EndpointState | None:
+        """Pick an endpoint that may get new work now.
+
+        Args:
+            service: The service's endpoints.
+            now: The clock's time.
+            tried: URLs that this request was sent to before.
+
+        Returns:
+            An endpoint, or None where none has room.
+        """
+
+
+@register(PluginKind.ROUTING, DEFAULT)
+@attrs.define(kw_only=True, eq=False)
+class LeastOfTwo:
+    """The less loaded of two usable endpoints; near ones go first."""
+
+    rng: random.Random = attrs.field(factory=random.Random)
+
+    def pick(
+        self, service: ServiceEndpoints, *, now: float, tried: frozenset[str]
+    ) -> EndpointState | None:
+        """Pick an endpoint that may get new work now."""
+        for group in (service.near, service.far):
+            usable = [
+                each
+                for each in group
+                if each.usable(now) and each.endpoint.url not in tried
+            ]
+            if usable:
+                return self._least(usable)
+        return None
+
+    def _least(self, usable: list[EndpointState]) -> EndpointState:
+        if len(usable) > SAMPLE:
+            usable = self.rng.sample(usable, SAMPLE)
+        return min(usable, key=lambda each: each.share.in_flight / each.share.share)
+
+
+@register(PluginKind.ROUTING, "round-robin")
+@attrs.define(kw_only=True, eq=False)
+class RoundRobin:
+    """Each usable endpoint in turn, wherever it stands."""
+
+    turn: int = 0
+
+    def pick(
+        self, service: ServiceEndpoints, *, now: float, tried: frozenset[str]
+    ) -> EndpointState | None:
+        """Pick the next endpoint that may get new work now."""
+        everyone = service.all()
+        for _ in everyone:
+            self.turn = (self.turn + 1) % len(everyone)
+            state = everyone[self.turn]
+            if state.usable(now) and state.endpoint.url not in tried:
+                return state
+        return None
--- /dev/null
+++ b/cranberrycleat/scheduler.py
@@ -0,0 +1,409 @@
+"""The scheduler daemon: operators' API, and owner of its data centre's shard.
+
+One task works as owner or candidate (`_own`), one for each worker keeps its
+link (`link`), one for each peer exchanges digests (`peers`). The owner's round:
+take what operators changed, plan, write it all in one transaction that also
+renews the lease, and only then let orders leave.
+"""
+
+import asyncio
+import logging
+import secrets
+from typing import Final
+
+import attrs
+
+from cranberrycleat import codec, errors, registry
+from cranberrycleat.acceptance import Acceptance
+from cranberrycleat.amounts import NOTHING
+from cranberrycleat.clock import Clock, MonotonicClock
+from cranberrycleat.config import Configuration
+from cranberrycleat.lease import Changes, ConditionFailed, Deposed, OwnershipLease
+from cranberrycleat.lifecycle import Background
+from cranberrycleat.link import LinkTimes, WorkerLink, inherited_leases
+from cranberrycleat.logs import part_logger
+from cranberrycleat.messages import (
+    Digest,
+    DigestReply,
+    EndpointSet,
+    HostEntry,
+    InboxEntry,
+    TaskMark,
+)
+from cranberrycleat.metrics import Metrics
+from cranberrycleat.options import SchedulerOptions
+from cranberrycleat.peers import Peers
+from cranberrycleat.rounds import Plan, TeamUse
+from cranberrycleat.scheduler_api import scheduler_handlers
+from cranberrycleat.serve import HttpServer, make_app
+from cranberrycleat.shard import SHARD, Shard, inbox_prefix, owner_key
+from cranberrycleat.table import Row
+from cranberrycleat.table_http import Platform
+from cranberrycleat.watcher import ConfigWatcher
+
+LOG: Final[logging.Logger] = part_logger("scheduler")
+RENEW_AT: Final = 0.5
+"""The share of the lease that may pass before it is renewed."""
+WATCHES_PER_LEASE: Final = 5
+HOSTS_S: Final = 2.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class PendingWrite:
+    """A round that has been sent to the table but not confirmed.
+
+    It is sent again unchanged until its fate is known.
+    """
+
+    changes: Changes
+    plan: Plan
+    marks: dict[str, list[TaskMark]]
+
+
+@attrs.define(kw_only=True, eq=False)
+class Scheduler:
+    """One scheduler process.
+
+    Attributes:
+        cfg: Its options.
+        clock: Its clock.
+        platform: The platform's table and host list.
+        lease: Its view of the shard's ownership lease.
+        shard: The shard's state while it is the owner, else None.
+        links: The links to the shard's workers, by name.
+        watcher: The configuration it holds.
+    """
+
+    cfg: SchedulerOptions
+    clock: Clock = attrs.field(factory=MonotonicClock)
+    incarnation: str = attrs.field(factory=lambda: secrets.token_hex(4))
+    shard: Shard | None = None
+    links: dict[str, WorkerLink] = attrs.field(factory=dict)
+    table_reachable: bool = True
+    draining: bool = False
+    metrics: Metrics = attrs.field(init=False)
+    platform: Platform = attrs.field(init=False)
+    lease: OwnershipLease = attrs.field(init=False)
+    watcher: ConfigWatcher = attrs.field(init=False)
+    acceptance: Acceptance = attrs.field(init=False)
+    peers: Peers = attrs.field(init=False)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _server: HttpServer = attrs.field(init=False)
+    _background: Background = attrs.field(factory=Background)
+    _link_tasks: Background = attrs.field(factory=Background)
+    _pending: PendingWrite | None = None
+    _hosts_at: float = float("-inf")
+    _inherited_silent: bool = False
+    _endpoint_sets: dict[str, EndpointSet] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        make = registry.find(registry.PluginKind.TABLE, self.cfg.table_client)
+        self.platform = make(
+            url=self.cfg.platform, timeout_s=self.cfg.platform_timeout_s
+        )
+        self.lease = OwnershipLease(
+            table=self.platform,
+            clock=self.clock,
+            key=owner_key(self.cfg.data_centre),
+            holder=f"{self.cfg.name}#{self.incarnation}",
+            lease_s=self.cfg.lease_s,
+        )
+        self.watcher = ConfigWatcher(table=self.platform)
+        self.acceptance = Acceptance(
+            platform=self.platform, data_centre=self.cfg.data_centre
+        )
+        self.peers = Peers(
+            urls=self.cfg.peers,
+            gossip=self,
+            clock=self.clock,
+            digest_s=self.cfg.digest_s,
+        )
+        self.metrics = Metrics(role="scheduler", name=self.cfg.name)
+        self.metrics.watch("owner", lambda: float(self.lease.authority()))
+        self.metrics.watch("workers", lambda: float(len(self.links)))
+        app = make_app(scheduler_handlers(self))
+        self._server = HttpServer(app=app, host=self.cfg.listen, port=self.cfg.port)
+
+    @property
+    def url(self) -> str:
+        """The base URL it answers at."""
+        return self._server.url
+
+    async def start(self) -> None:
+        """Begin to serve and to work."""
+        await self._server.start()
+        self._background.spawn(self._own())
+        self._background.spawn(self._watch_config())
+        for url in self.cfg.peers:
+            self._background.spawn(self.peers.talk_to(url))
+
+    async def drain(self) -> None:
+        """Hand the shard over and go on answering until the balancer knows."""
+        self.draining = True
+        self.changed.set()
+        await self._hand_over()
+        await asyncio.sleep(self.cfg.drain_s)
+
+    async def stop(self) -> None:
+        """Finish requests in flight and end every task."""
+        await self._server.stop()
+        await self._background.cancel()
+        await self._link_tasks.cancel()
+        await self.platform.close()
+
+    # --- owner and candidate ------------------------------------------------
+
+    async def _own(self) -> None:
+        while True:
+            try:
+                await self._step()
+                self._table_answers(True)
+            except errors.TableUnavailable:
+                self._table_answers(False)
+            except (Deposed, ConditionFailed):
+                await self._deposed()
+            await self._wait()
+
+    def _table_answers(self, reachable: bool) -> None:
+        if reachable != self.table_reachable:
+            state = "answers again" if reachable else "does not answer"
+            LOG.warning("The platform's table %s.", state)
+        self.table_reachable = reachable
+
+    async def _wait(self) -> None:
+        candidate_s = self.cfg.lease_s / WATCHES_PER_LEASE
+        timeout = self.cfg.round_s if self.shard is not None else candidate_s
+        try:
+            await asyncio.wait_for(self.changed.wait(), timeout)
+        except TimeoutError:
+            pass
+        self.changed.clear()
+
+    async def _step(self) -> None:
+        if self.draining:
+            return
+        if self.shard is not None:
+            if not self.lease.is_holder:
+                raise Deposed(self.lease.key)
+            await self._round(self.shard)
+        elif await self.lease.acquire():
+            await self._take_over()
+        elif self.lease.is_holder:
+            # Won, but it lapsed before the shard's rows could be read.
+            await self.lease.commit()
+
+    async def _take_over(self) -> None:
+        shard = Shard(data_centre=self.cfg.data_centre)
+        rows = await self.platform.scan(prefix=f"{SHARD}/{self.cfg.data_centre}/")
+        shard.load(row for row in rows if row.key != self.lease.key)
+        self.shard = shard
+        self._pending = None
+        self._hosts_at = float("-inf")
+        self._inherited_silent = self.lease.takeover_silent
+        self._apply_config()
+        for name in shard.book.workers:
+            self._link(_unlisted(name, self.cfg.data_centre))
+        LOG.info("Owner of %s, epoch %d.", self.cfg.data_centre, self.lease.epoch)
+        self.metrics.count("takeovers")
+        await self._round(shard)
+
+    async def _deposed(self) -> None:
+        if self.shard is not None:
+            LOG.warning("No longer owner of %s.", self.cfg.data_centre)
+        self.shard = None
+        self._pending = None
+        await self._link_tasks.cancel()
+        for link in self.links.values():
+            if link.client is not None:
+                await link.client.close()
+        self.links.clear()
+
+    async def _hand_over(self) -> None:
+        """Stop renewing first; only then may a candidate take over at once."""
+        if self.shard is None:
+            return
+        try:
+            await self._flush(self.shard)
+            await self._link_tasks.cancel()
+            await self.lease.release()
+            LOG.info("Handed over %s.", self.cfg.data_centre)
+        except (errors.TableUnavailable, Deposed, ConditionFailed):
+            LOG.warning("Could not hand over; the lease will run out.")
+        await self._deposed()
+
+    # --- rounds -------------------------------------------------------------
+
+    async def _round(self, shard: Shard) -> None:
+        if self._pending is not None or not self.lease.authority():
+            await self._flush(shard)
+            return
+        await self._learn_hosts(shard)
+        taken = await self._take_inbox(shard)
+        plan = shard.plan()
+        changes = Changes(
+            puts=shard.dirty_puts(), deletes=tuple(row.key for row in taken)
+        )
+        if changes.puts or changes.deletes or self._renewal_due():
+            self._pending = PendingWrite(
+                changes=changes, plan=plan, marks=shard.take_unsettled()
+            )
+            await self._flush(shard)
+
+    def _renewal_due(self) -> bool:
+        left = self.lease.valid_until() - self.clock.now()
+        return left < self.cfg.lease_s * RENEW_AT
+
+    async def _flush(self, shard: Shard) -> None:
+        """Write what is pending, or just renew, and then let orders leave."""
+        pending = self._pending
+        if pending is None:
+            await self.lease.commit()
+            return
+        await self.lease.commit(pending.changes)
+        self._pending = None
+        self.metrics.count("rounds_written")
+        self.metrics.count("placed", len(pending.plan.assignments))
+        for worker, marks in pending.marks.items():
+            if worker in self.links:
+                self.links[worker].settled.extend(marks)
+        shard.confirm(pending.plan)
+        self._wake_links(shard)
+
+    def _wake_links(self, shard: Shard) -> None:
+        for name, link in self.links.items():
+            if link.settled or shard.startable(name) or shard.stoppable(name):
+                link.wake.set()
+
+    async def _take_inbox(self, shard: Shard) -> tuple[Row, ...]:
+        rows = await self.platform.scan(prefix=inbox_prefix(self.cfg.data_centre))
+        for row in sorted(rows, key=lambda each: each.version):
+            entry = codec.decode(row.value, InboxEntry, place=row.key)
+            shard.take(entry)
+            if entry.declare_dead in self.links:
+                self.links[entry.declare_dead].vouched_dead()
+        return rows
+
+    async def _learn_hosts(self, shard: Shard) -> None:
+        now = self.clock.now()
+        if now - self._hosts_at < HOSTS_S:
+            return
+        listed = await self.platform.hosts()
+        self._hosts_at = now
+        for entry in shard.learn_hosts(listed.hosts):
+            self._link(entry)
+
+    def _link(self, entry: HostEntry) -> None:
+        shard = self.shard
+        assert shard is not None
+        times = self._times()
+        inherited = inherited_leases(
+            now=self.clock.now(), silent=self._inherited_silent, times=times
+        )
+        known = self.links.get(entry.name)
+        make = registry.find(registry.PluginKind.WORKER, self.cfg.worker_client)
+        client = make(url=entry.url, timeout_s=times.order_s) if entry.url else None
+        if known is not None:
+            known.entry, known.client = entry, client
+            return
+        link = WorkerLink(
+            entry=entry,
+            client=client,
+            shard=shard,
+            lease=self.lease,
+            clock=self.clock,
+            times=times,
+            keep_until=inherited.keep_until,
+            release_until=inherited.release_until,
+            on_change=self.changed,
+        )
+        self.links[entry.name] = link
+        self._link_tasks.spawn(link.run())
+
+    def _times(self) -> LinkTimes:
+        return LinkTimes(
+            sync_s=self.cfg.sync_s,
+            lease_s=self.cfg.worker_lease_s,
+            order_s=self.cfg.order_s,
+            release_after_s=self.cfg.release_after_s,
+            drain_s=self.cfg.leave_s,
+        )
+
+    # --- configuration and peers --------------------------------------------
+
+    async def _watch_config(self) -> None:
+        while True:
+            try:
+                if await self.watcher.poll():
+                    self._apply_config()
+            except errors.TableUnavailable:
+                LOG.debug("no configuration from the table")
+            await asyncio.sleep(self.cfg.config_poll_s)
+
+    def _apply_config(self) -> None:
+        current = self.watcher.current
+        if current is None or self.shard is None:
+            return
+        cfg = codec.decode(current.text, Configuration, place="configuration")
+        teams = self.shard.planner.teams
+        for name in {*teams, *cfg.placement.quotas}:
+            team = teams.setdefault(name, TeamUse())
+            team.quota = cfg.placement.quotas.get(name, 1.0)
+        self.changed.set()
+
+    def digest(self) -> Digest:
+        """Return what this process tells its peers now."""
+        return Digest(
+            sender=self.cfg.name,
+            incarnation=self.incarnation,
+            role="scheduler",
+            data_centre=self.cfg.data_centre,
+            config_version=self.watcher.version,
+            draining=self.draining,
+        )
+
+    def hear(self, reply: DigestReply) -> None:
+        """Take in a newer configuration that a peer holds."""
+        if self.watcher.offer(reply.config):
+            self._apply_config()
+
+    def answer_digest(self, asked: Digest) -> DigestReply:
+        """Return the configuration and the endpoints that the asker lacks."""
+        newer = self.watcher.version > asked.config_version
+        sets = tuple(each for each in self._own_sets() if _lacks(asked, each))
+        return DigestReply(
+            digest=self.digest(),
+            sets=sets,
+            config=self.watcher.current if newer else None,
+        )
+
+    def _own_sets(self) -> tuple[EndpointSet, ...]:
+        if self.shard is None:
+            return ()
+        return (
+            EndpointSet(
+                data_centre=self.cfg.data_centre,
+                epoch=self.lease.epoch,
+                revision=self.shard.endpoint_revision,
+                endpoints=self.shard.endpoints(),
+            ),
+        )
+
+
+def _lacks(asked: Digest, offered: EndpointSet) -> bool:
+    for seen in asked.seen:
+        if seen.data_centre == offered.data_centre:
+            ours = (offered.epoch, offered.revision)
+            return ours > (seen.epoch, seen.revision)
+    return asked.role == "gateway"
+
+
+def _unlisted(name: str, data_centre: str) -> HostEntry:
+    """Return an entry for a worker that has work but is on no list yet."""
+    return HostEntry(
+        name=name,
+        url="",
+        data_centre=data_centre,
+        rack="",
+        labels={},
+        capacity=NOTHING,
+    )
--- /dev/null
+++ b/cranberrycleat/serve.py
@@ -0,0 +1,177 @@
+"""The HTTP edge that every process shares: litestar on uvicorn.
+
+`make_app` turns problems into RFC 9457 documents and bounds bodies; `serve`
+runs an app until it is told to stop, then lets requests in flight finish.
+"""
+
+import asyncio
+import math
+from collections.abc import Sequence
+from typing import Any, Final
+
+import attrs
+import litestar
+import uvicorn
+from litestar import MediaType, Request, Response
+
+from cranberrycleat import codec, errors
+
+PROBLEM_TYPE: Final = "application/problem+json"
+MAX_BODY: Final = 4 * 1024 * 1024
+DRAIN_S: Final = 30.0
+KEEP_ALIVE_S: Final = 75
+
+
+@attrs.frozen(kw_only=True)
+class Problem:
+    """An RFC 9457 problem document."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    findings: tuple[errors.Finding, ...] = ()
+    retry_after_s: float | None = None
+
+
+def problem_of(exc: errors.ProblemError) -> Problem:
+    """Return the document for a refusal."""
+    return Problem(
+        type=f"urn:cranberrycleat:{exc.code}",
+        title=exc.code,
+        status=exc.status,
+        detail=exc.detail,
+        findings=exc.findings,
+        retry_after_s=exc.retry_after_s,
+    )
+
+
+def retry_after(seconds: float) -> str:
+    """Return a `Retry-After` value: whole seconds, rounded up, at least one."""
+    return str(max(1, math.ceil(seconds)))
+
+
+def problem_response(exc: errors.ProblemError) -> Response[bytes]:
+    """Return the HTTP response for a refusal."""
+    headers = {}
+    if exc.retry_after_s is not None:
+        headers["Retry-After"] = retry_after(exc.retry_after_s)
+    return Response(
+        codec.encode(problem_of(exc)),
+        status_code=exc.status,
+        media_type=PROBLEM_TYPE,
+        headers=headers,
+    )
+
+
+def json_response(value: object, *, status: int = 200) -> Response[bytes]:
+    """Return a message as a JSON response."""
+    return Response(codec.encode(value), status_code=status, media_type=MediaType.JSON)
+
+
+def _on_problem(_: Request[Any, Any, Any], exc: Exception) -> Response[bytes]:
+    assert isinstance(exc, errors.ProblemError)
+    return problem_response(exc)
+
+
+def _on_findings(_: Request[Any, Any, Any], exc: Exception) -> Response[bytes]:
+    assert isinstance(exc, errors.FindingsError)
+    reason = f"{len(exc.findings)} fault(s) in the input"
+    return problem_response(
+        errors.ProblemError(
+            status=400, code=errors.MALFORMED, findings=exc.findings, reason=reason
+        )
+    )
+
+
+def _on_unavailable(_: Request[Any, Any, Any], exc: Exception) -> Response[bytes]:
+    return problem_response(
+        errors.ProblemError(status=503, code=errors.NOT_ACCEPTED, retry_after_s=5)
+    )
+
+
+def make_app(handlers: Sequence[Any]) -> litestar.Litestar:
+    """Build an app with the project's own error handling and no logging set-up."""
+    return litestar.Litestar(
+        route_handlers=list(handlers),
+        logging_config=None,
+        openapi_config=None,
+        request_max_body_size=MAX_BODY,
+        exception_handlers={
+            errors.ProblemError: _on_problem,
+            errors.FindingsError: _on_findings,
+            errors.TableUnavailable: _on_unavailable,
+        },
+    )
+
+
+@attrs.define(kw_only=True, eq=False)
+class HttpServer:
+    """One listening HTTP server in the running event loop.
+
+    Attributes:
+        app: The ASGI app.
+        host: The address to listen on.
+        port: The port, 0 for any free one; set once it listens.
+    """
+
+    app: Any
+    host: str
+    port: int
+    _server: uvicorn.Server | None = None
+    _task: "asyncio.Task[None] | None" = None
+
+    async def start(self) -> None:
+        """Begin to listen.
+
+        Raises:
+            OSError: The address cannot be listened on.
+        """
+        cfg = uvicorn.Config(
+            self.app,
+            host=self.host,
+            port=self.port,
+            log_config=None,
+            access_log=False,
+            date_header=False,
+            server_header=False,
+            lifespan="off",
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=int(DRAIN_S),
+        )
+        server = _QuietServer(cfg)
+        self._server = server
+        self._task = asyncio.create_task(server.serve())
+        while not server.started:
+            if self._task.done():
+                raise OSError(f"cannot listen on {self.host}:{self.port}")
+            await asyncio.sleep(0.005)
+        self.port = server.servers[0].sockets[0].getsockname()[1]
+
+    @property
+    def url(self) -> str:
+        """The base URL it answers at."""
+        return f"http://{self.host}:{self.port}"
+
+    async def stop(self) -> None:
+        """Stop listening and let requests in flight finish."""
+        if self._server is not None and self._task is not None:
+            self._server.should_exit = True
+            await asyncio.wait([self._task], timeout=DRAIN_S + 1)
+
+
+class _QuietServer(uvicorn.Server):
+    """A server that leaves signals to the process and never exits it."""
+
+    def capture_signals(self) -> Any:
+        """Capture nothing; `lifecycle` handles signals."""
+        import contextlib
+
+        return contextlib.nullcontext()
+
+    async def serve(self, sockets: Any = None) -> None:
+        """Serve, and turn uvicorn's exit on a bad address into an end."""
+        try:
+            await super().serve(sockets)
+        except SystemExit:
+            return
--- /dev/null
+++ b/cranberrycleat/settings.py
@@ -0,0 +1,212 @@
+"""Settings: one typed object a daemon, filled once from flags and environment.
+
+A setting is declared once, as an attrs field with its rule; the command line,
+the environment variable, the help text and the check all come from there. The
+check reports every fault at once, with the flag or variable it stands in.
+"""
+
+import os
+import re
+from collections.abc import Mapping
+from typing import Any, Final, TypeVar
+
+import attrs
+
+from cranberrycleat import errors
+from cranberrycleat.jobs import NAME, NAME_RULE
+
+PREFIX: Final = "CRANBERRYCLEAT_"
+T = TypeVar("T")
+
+
+@attrs.frozen(kw_only=True)
+class Name:
+    """A name as in `jobs.NAME`."""
+
+
+@attrs.frozen(kw_only=True)
+class Whole:
+    """A whole number within bounds."""
+
+    low: int
+    high: int
+
+
+@attrs.frozen(kw_only=True)
+class Number:
+    """A number within bounds."""
+
+    low: float
+    high: float
+
+
+@attrs.frozen(kw_only=True)
+class Choice:
+    """One of a few words."""
+
+    words: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Url:
+    """An HTTP base URL by IP number and port."""
+
+
+@attrs.frozen(kw_only=True)
+class Urls:
+    """Base URLs joined by commas; may be empty."""
+
+
+@attrs.frozen(kw_only=True)
+class Listen:
+    """An IP number to listen on."""
+
+
+@attrs.frozen(kw_only=True)
+class Text:
+    """Any text."""
+
+
+Rule = Name | Whole | Number | Choice | Url | Urls | Listen | Text
+
+_IP: Final = r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\])"
+_URL: Final = re.compile(rf"https?://{_IP}:\d{{1,5}}")
+_RULE: Final = "rule"
+_HELP: Final = "help"
+_REQUIRED: Final = "required"
+
+
+def setting(rule: Rule, text: str, *, default: Any = attrs.NOTHING) -> Any:
+    """Declare a setting.
+
+    Args:
+        rule: What values it may have.
+        text: One sentence for `--help`.
+        default: Its default; without one it is required.
+    """
+    return attrs.field(default=default, metadata={_RULE: rule, _HELP: text})
+
+
+def allowed(rule: Rule) -> str:
+    """Say what values a rule allows, for people."""
+    match rule:
+        case Name():
+            return NAME_RULE
+        case Whole(low=low, high=high):
+            return f"a whole number from {low} to {high}"
+        case Number(low=low, high=high):
+            return f"a number from {low:g} to {high:g}"
+        case Choice(words=words):
+            return ", ".join(words)
+        case Url():
+            return "http://IP:PORT"
+        case Urls():
+            return "http://IP:PORT, joined by commas"
+        case Listen():
+            return "an IP number"
+        case Text():
+            return "any text"
+
+
+def convert(rule: Rule, text: str) -> Any:
+    """Turn a setting's text into its value.
+
+    Raises:
+        ValueError: The rule does not allow it.
+    """
+    match rule:
+        case Name():
+            good = NAME.fullmatch(text) is not None
+            return _if(good, text)
+        case Whole(low=low, high=high):
+            whole = int(text)
+            return _if(low <= whole <= high, whole)
+        case Number(low=low, high=high):
+            number = float(text)
+            return _if(low <= number <= high, number)
+        case Choice(words=words):
+            return _if(text in words, text)
+        case Url():
+            return _if(_URL.fullmatch(text) is not None, text)
+        case Urls():
+            urls = tuple(each.strip() for each in text.split(",") if each.strip())
+            return _if(all(_URL.fullmatch(each) for each in urls), urls)
+        case Listen():
+            return _if(re.fullmatch(_IP, text) is not None, text)
+        case Text():
+            return text
+
+
+def _if(holds: bool, value: T) -> T:
+    if not holds:
+        raise ValueError(value)
+    return value
+
+
+def flag(field: "attrs.Attribute[Any]") -> str:
+    """Return a setting's flag."""
+    return "--" + field.name.replace("_", "-")
+
+
+def variable(field: "attrs.Attribute[Any]") -> str:
+    """Return a setting's environment variable."""
+    return PREFIX + field.name.upper()
+
+
+def rule_of(field: "attrs.Attribute[Any]") -> Rule:
+    """Return a setting's rule."""
+    rule: Rule = field.metadata[_RULE]
+    return rule
+
+
+def help_of(field: "attrs.Attribute[Any]") -> str:
+    """Return a setting's help text with its values, default and variable."""
+    text = f"{field.metadata[_HELP]} [{allowed(rule_of(field))}]"
+    if field.default is attrs.NOTHING:
+        text += " [required]"
+    else:
+        text += f" [default: {default_text(field)}]"
+    return f"{text} [env: {variable(field)}]"
+
+
+def default_text(field: "attrs.Attribute[Any]") -> str:
+    """Return a setting's default as one would write it."""
+    if isinstance(field.default, tuple):
+        return ",".join(field.default) or "none"
+    return str(field.default)
+
+
+def load(
+    cls: type[T],
+    given: Mapping[str, str | None],
+    environ: Mapping[str, str] = os.environ,
+) -> T:
+    """Build the options object from flags and environment.
+
+    Args:
+        cls: The attrs class whose fields are settings.
+        given: Flag values by field name; None where a flag was not given.
+        environ: The environment; a flag goes before a variable.
+
+    Raises:
+        FindingsError: With every fault found.
+    """
+    found = errors.Findings()
+    values: dict[str, Any] = {}
+    for field in attrs.fields(cls):  # type: ignore[arg-type]
+        place, text = flag(field), given.get(field.name)
+        if text is None and variable(field) in environ:
+            place, text = variable(field), environ[variable(field)]
+        if text is None:
+            if field.default is attrs.NOTHING:
+                what = allowed(rule_of(field))
+                found.add(place, errors.MISSING, allowed=what)
+            continue
+        try:
+            values[field.name] = convert(rule_of(field), text)
+        except ValueError:
+            what = allowed(rule_of(field))
+            found.add(place, errors.BAD_VALUE, value=text, allowed=what)
+    if found.items:
+        raise errors.FindingsError(findings=found.sorted())
+    return cls(**values)
--- /dev/null
+++ b/cranberrycleat/shard.py
@@ -0,0 +1,554 @@
+"""The state of one shard, as its owner holds it in memory.
+
+Invariant: what this module changes in memory is written to the table before
+anybody acts on it. Every change marks its job dirty; `dirty_puts` gives the
+rows to write; only after the write has been confirmed does the owner order a
+start (`startable`) or tell a worker that an outcome is settled.
+
+A task is counted on its worker until the worker's own word, or the end of
+every lease that could have been granted, proves that it is gone.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+from cranberrycleat import codec, selectors
+from cranberrycleat.amounts import NOTHING, Amounts
+from cranberrycleat.book import BookWorker, CapacityBook, WorkerState
+from cranberrycleat.jobs import (
+    FINAL_STATES,
+    JobRow,
+    Kind,
+    TaskRecord,
+    TaskState,
+    job_of,
+    task_id,
+)
+from cranberrycleat.messages import (
+    Endpoint,
+    HostEntry,
+    HostState,
+    InboxEntry,
+    JobPart,
+    LabelChange,
+    Outcome,
+    StartOrder,
+    StopOrder,
+    TaskMark,
+    TaskReport,
+)
+from cranberrycleat.placement import Ask
+from cranberrycleat.rounds import Plan, RoundPlanner, TeamUse
+from cranberrycleat.table import Put, Row
+
+SHARD: Final = "shard"
+INBOX: Final = "inbox"
+
+
+def owner_key(data_centre: str) -> str:
+    """Return the key of a shard's ownership lease."""
+    return f"{SHARD}/{data_centre}/owner"
+
+
+def job_key(data_centre: str, job: str) -> str:
+    """Return the key of the row of a job's part in a shard."""
+    return f"{SHARD}/{data_centre}/job/{job}"
+
+
+def worker_key(data_centre: str, worker: str) -> str:
+    """Return the key of a worker's row in a shard."""
+    return f"{SHARD}/{data_centre}/worker/{worker}"
+
+
+def inbox_prefix(data_centre: str) -> str:
+    """Return the prefix of the changes that wait for a shard's owner."""
+    return f"{INBOX}/{data_centre}/"
+
+
+@attrs.define(kw_only=True)
+class WorkerRow:
+    """The durable part of what a shard knows of a worker.
+
+    Attributes:
+        labels: Labels that operators set or, with None, removed.
+    """
+
+    labels: dict[str, str | None] = attrs.field(factory=dict)
+
+
+@attrs.define(kw_only=True, eq=False)
+class LiveTask:
+    """What the owner knows of a placed task beyond its record.
+
+    Attributes:
+        durable: Whether the table has the placement.
+        url: Where it answers, once it runs.
+        running: Whether its worker said that it runs.
+        stopping: Whether it is to be stopped.
+    """
+
+    durable: bool = False
+    url: str = ""
+    running: bool = False
+    stopping: bool = False
+
+
+@attrs.define(kw_only=True, eq=False)
+class Shard:
+    """One shard's jobs, workers and placements."""
+
+    data_centre: str
+    book: CapacityBook = attrs.field(factory=CapacityBook)
+    jobs: dict[str, JobRow] = attrs.field(factory=dict)
+    hosts: dict[str, HostEntry] = attrs.field(factory=dict)
+    worker_rows: dict[str, WorkerRow] = attrs.field(factory=dict)
+    live: dict[str, LiveTask] = attrs.field(factory=dict)
+    unsettled: dict[str, list[TaskMark]] = attrs.field(factory=dict)
+    strays: dict[str, dict[str, int]] = attrs.field(factory=dict)
+    endpoint_revision: int = 0
+    planner: RoundPlanner = attrs.field(
+        default=attrs.Factory(
+            lambda self: RoundPlanner(book=self.book), takes_self=True
+        )
+    )
+    _dirty: set[str] = attrs.field(factory=set)
+    _dirty_workers: set[str] = attrs.field(factory=set)
+    _open: set[str] = attrs.field(factory=set)
+
+    # --- loading ------------------------------------------------------------
+
+    def load(self, rows: Iterable[Row]) -> None:
+        """Take in the shard's rows at takeover."""
+        for row in rows:
+            part = row.key.split("/")[2]
+            if part == "job":
+                self._load_job(codec.decode(row.value, JobRow, place=row.key))
+            elif part == "worker":
+                name = row.key.split("/")[3]
+                known = codec.decode(row.value, WorkerRow, place=row.key)
+                self.worker_rows[name] = known
+
+    def _load_job(self, job: JobRow) -> None:
+        self.jobs[job.spec.name] = job
+        for record in job.tasks:
+            if record.state is TaskState.PLACED:
+                self._adopt(job, record)
+        self._note_open(job)
+
+    def _adopt(self, job: JobRow, record: TaskRecord) -> None:
+        if record.worker not in self.book.workers:
+            self.book.add_worker(self._unlisted(record.worker))
+        task = task_id(job.spec.name, record.index)
+        self.book.adopt(record.worker, task, job.spec.needs)
+        self.live[task] = LiveTask(durable=True, stopping=job.cancelled)
+        self._count_team(job, job.spec.needs)
+
+    def _unlisted(self, name: str) -> BookWorker:
+        """Return a worker that has work but that no list names yet."""
+        return BookWorker(
+            name=name,
+            data_centre=self.data_centre,
+            rack="",
+            labels={},
+            capacity=NOTHING,
+            state=WorkerState.SILENT,
+        )
+
+    # --- workers ------------------------------------------------------------
+
+    def learn_hosts(self, entries: Iterable[HostEntry]) -> tuple[HostEntry, ...]:
+        """Take in the platform's list; return the workers that are new."""
+        fresh = []
+        for entry in entries:
+            if entry.data_centre != self.data_centre:
+                continue
+            known = self.hosts.get(entry.name)
+            if known is None:
+                fresh.append(entry)
+                self._list_worker(entry)
+            elif entry.state is HostState.LEAVING:
+                self.worker_leaving(entry.name)
+            self.hosts[entry.name] = entry
+        return tuple(fresh)
+
+    def _list_worker(self, entry: HostEntry) -> None:
+        known = self.book.workers.get(entry.name)
+        worker = BookWorker(
+            name=entry.name,
+            data_centre=entry.data_centre,
+            rack=entry.rack,
+            labels=self._labels(entry),
+            capacity=entry.capacity,
+            state=WorkerState.SILENT,
+        )
+        if known is not None:
+            self.book.remove_worker(entry.name)
+        self.book.add_worker(worker)
+        for task, needs in (known.tasks if known else {}).items():
+            self.book.adopt(entry.name, task, needs)
+        self.planner.whole = self.planner.whole.plus(entry.capacity)
+
+    def _labels(self, entry: HostEntry) -> dict[str, str]:
+        labels: dict[str, str | None] = {
+            **entry.labels,
+            "data-centre": entry.data_centre,
+            "rack": entry.rack,
+            **self.worker_rows.get(entry.name, WorkerRow()).labels,
+        }
+        return {key: value for key, value in labels.items() if value is not None}
+
+    def worker_answers(self, name: str) -> None:
+        """Note that a worker has answered, so that it may draw work."""
+        worker = self.book.workers[name]
+        if worker.state is WorkerState.SILENT:
+            worker.state = WorkerState.LIVE
+            self.endpoint_revision += 1
+
+    def worker_silent(self, name: str) -> None:
+        """Note that a worker does not answer; what it runs stays counted."""
+        worker = self.book.workers[name]
+        if worker.state is not WorkerState.SILENT:
+            worker.state = WorkerState.SILENT
+            self.endpoint_revision += 1
+
+    def worker_leaving(self, name: str) -> None:
+        """Note that a worker is leaving: it draws no more work."""
+        worker = self.book.workers.get(name)
+        if worker is not None and worker.state is not WorkerState.LEAVING:
+            worker.state = WorkerState.LEAVING
+            self.endpoint_revision += 1
+
+    def evacuate(self, name: str) -> None:
+        """Stop the services on a leaving worker, so that they can go elsewhere."""
+        for task in self.book.workers[name].tasks:
+            if self.jobs[job_of(task)].spec.kind is Kind.SERVICE:
+                self.live[task].stopping = True
+
+    def leases_over(self, name: str, *, keep: bool) -> None:
+        """Give up tasks on a silent worker, all their leases having run out.
+
+        Args:
+            name: The worker.
+            keep: Whether that is proved for tasks of `keep` jobs too.
+        """
+        for task in list(self.book.workers[name].tasks):
+            job = self.jobs[job_of(task)]
+            if keep or not job.spec.keeps:
+                self._gone(job, self._record(task), failed=False)
+
+    # --- operators' changes -------------------------------------------------
+
+    def take(self, entry: InboxEntry) -> None:
+        """Carry out an accepted change; taking one twice changes nothing."""
+        match entry:
+            case InboxEntry(submit=JobPart() as part):
+                self._submit(part)
+            case InboxEntry(cancel=str(job)):
+                self._cancel(job)
+            case InboxEntry(label=LabelChange() as change):
+                self._relabel(change)
+
+    def _submit(self, part: JobPart) -> None:
+        if part.spec.name in self.jobs:
+            return
+        job = JobRow(
+            spec=part.spec,
+            data_centre=self.data_centre,
+            tasks=[TaskRecord(index=index) for index in part.indices],
+        )
+        self.jobs[part.spec.name] = job
+        self._touch(job)
+
+    def _cancel(self, name: str) -> None:
+        job = self.jobs.get(name)
+        if job is None or job.cancelled:
+            return
+        job.cancelled = True
+        job.reasons.clear()
+        for record in job.tasks:
+            if record.state in (TaskState.PENDING, TaskState.NEVER):
+                record.state = TaskState.CANCELLED
+            elif record.state is TaskState.PLACED:
+                self.live[task_id(name, record.index)].stopping = True
+        self.endpoint_revision += 1
+        self._touch(job)
+
+    def _relabel(self, change: LabelChange) -> None:
+        row = self.worker_rows.setdefault(change.worker, WorkerRow())
+        row.labels.update(change.labels)
+        self._dirty_workers.add(change.worker)
+        entry = self.hosts.get(change.worker)
+        if entry is not None:
+            self.book.relabel(change.worker, self._labels(entry))
+            self._retry_never()
+
+    def _retry_never(self) -> None:
+        """Labels changed: what fitted nowhere may now fit."""
+        for job in self.jobs.values():
+            for record in job.tasks:
+                if record.state is TaskState.NEVER:
+                    record.state = TaskState.PENDING
+                    self._touch(job)
+
+    # --- what workers say ---------------------------------------------------
+
+    def report(self, worker: str, report: TaskReport) -> None:
+        """Take in what a worker says about one attempt."""
+        record = self._find(report.task)
+        current = (
+            record is not None
+            and record.state is TaskState.PLACED
+            and record.worker == worker
+            and record.attempt == report.attempt
+        )
+        if record is None or not current:
+            self._report_stray(worker, report)
+            return
+        job = self.jobs[job_of(report.task)]
+        match report.outcome:
+            case Outcome.RUNNING:
+                self._runs(worker, report)
+            case Outcome.DONE:
+                self.book.start_succeeded(worker)
+                self._final(job, record, TaskState.DONE)
+                self._settle_later(worker, report)
+            case Outcome.FAILED:
+                self.book.start_failed(worker)
+                self._gone(job, record, failed=True)
+                self._settle_later(worker, report)
+            case Outcome.STOPPED | Outcome.REFUSED:
+                self._gone(job, record, failed=False)
+                self._settle_later(worker, report)
+
+    def _report_stray(self, worker: str, report: TaskReport) -> None:
+        """An attempt the table does not place there: stop it, then forget it."""
+        strays = self.strays.setdefault(worker, {})
+        if report.outcome is Outcome.RUNNING:
+            strays[report.task] = report.attempt
+            return
+        strays.pop(report.task, None)
+        self._settle_later(worker, report)
+
+    def _settle_later(self, worker: str, report: TaskReport) -> None:
+        mark = TaskMark(task=report.task, attempt=report.attempt)
+        self.unsettled.setdefault(worker, []).append(mark)
+
+    def _runs(self, worker: str, report: TaskReport) -> None:
+        live = self.live[report.task]
+        spec = self.jobs[job_of(report.task)].spec
+        self.book.report(worker, report.task, spec.needs, report.used)
+        if not live.running:
+            live.running = True
+            live.url = report.url
+            self.endpoint_revision += 1
+
+    def _gone(self, job: JobRow, record: TaskRecord, *, failed: bool) -> None:
+        """An attempt is over without being done: try again, or give up."""
+        if job.cancelled:
+            self._final(job, record, TaskState.CANCELLED)
+            return
+        record.failures += failed
+        if record.failures > job.spec.retries and job.spec.kind is not Kind.SERVICE:
+            self._final(job, record, TaskState.FAILED)
+            return
+        self._final(job, record, TaskState.PENDING)
+        if job.spec.kind is Kind.GANG:
+            self._stop_members(job)
+
+    def _stop_members(self, job: JobRow) -> None:
+        """One member is lost: the others stop, so that all can start together."""
+        for record in job.tasks:
+            if record.state is TaskState.PLACED:
+                self.live[task_id(job.spec.name, record.index)].stopping = True
+
+    def _final(self, job: JobRow, record: TaskRecord, state: TaskState) -> None:
+        task = task_id(job.spec.name, record.index)
+        self.book.release(record.worker, task)
+        self._count_team(job, NOTHING.minus(job.spec.needs))
+        self.live.pop(task, None)
+        record.state = state
+        record.worker = ""
+        self.endpoint_revision += 1
+        self._touch(job)
+
+    # --- rounds -------------------------------------------------------------
+
+    def plan(self) -> Plan:
+        """Plan one round and note its placements, not yet durable."""
+        asks = [ask for name in self._open if (ask := self._ask(self.jobs[name]))]
+        racks = {ask.job: self._racks(ask.job) for ask in asks}
+        plan = self.planner.plan(asks, racks)
+        for assignment in plan.assignments:
+            self._placed(assignment.task, assignment.worker)
+        for refusal in plan.refusals:
+            self._refused(self.jobs[refusal.job], refusal.never, refusal.reasons)
+        return plan
+
+    def _ask(self, job: JobRow) -> Ask | None:
+        waiting = [each for each in job.tasks if each.state is TaskState.PENDING]
+        placed = any(each.state is TaskState.PLACED for each in job.tasks)
+        if not waiting or (job.spec.kind is Kind.GANG and placed):
+            return None
+        spec = job.spec
+        return Ask(
+            job=spec.name,
+            kind=spec.kind,
+            team=spec.team,
+            rank=spec.rank,
+            needs=spec.needs,
+            selector=selectors.parse(spec.selector, place=spec.name),
+            tasks=tuple(task_id(spec.name, each.index) for each in waiting),
+            run_s=spec.run_s,
+            gives_way=spec.gives_way,
+        )
+
+    def _racks(self, name: str) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for record in self.jobs[name].tasks:
+            if record.state is TaskState.PLACED:
+                rack = self.book.workers[record.worker].rack
+                counts[rack] = counts.get(rack, 0) + 1
+        return counts
+
+    def _placed(self, task: str, worker: str) -> None:
+        job = self.jobs[job_of(task)]
+        record = self._record(task)
+        record.state = TaskState.PLACED
+        record.worker = worker
+        record.attempt += 1
+        self.live[task] = LiveTask()
+        job.reasons.clear()
+        self._touch(job)
+
+    def _refused(self, job: JobRow, never: bool, reasons: tuple[str, ...]) -> None:
+        if job.reasons != list(reasons):
+            job.reasons[:] = reasons
+            self._touch(job)
+        if not never:
+            return
+        for record in job.tasks:
+            if record.state is TaskState.PENDING:
+                record.state = TaskState.NEVER
+                self._touch(job)
+
+    # --- writing and ordering -----------------------------------------------
+
+    def dirty_puts(self) -> tuple[Put, ...]:
+        """Return the rows that changed since the last call."""
+        puts = []
+        for name in sorted(self._dirty):
+            key = job_key(self.data_centre, name)
+            puts.append(Put(key=key, value=codec.encode_text(self.jobs[name])))
+        for name in sorted(self._dirty_workers):
+            key = worker_key(self.data_centre, name)
+            value = codec.encode_text(self.worker_rows[name])
+            puts.append(Put(key=key, value=value))
+        self._dirty.clear()
+        self._dirty_workers.clear()
+        return tuple(puts)
+
+    def confirm(self, plan: Plan) -> frozenset[str]:
+        """Note that a plan is durable; return the workers with orders."""
+        for assignment in plan.assignments:
+            live = self.live.get(assignment.task)
+            if live is not None:
+                live.durable = True
+        return frozenset(each.worker for each in plan.assignments)
+
+    def startable(self, worker: str) -> tuple[StartOrder, ...]:
+        """Return the durable placements that the worker has not confirmed."""
+        orders = []
+        for task in self.book.workers[worker].tasks:
+            live = self.live[task]
+            if live.durable and not live.running and not live.stopping:
+                orders.append(self._start_order(task))
+        return tuple(orders)
+
+    def _start_order(self, task: str) -> StartOrder:
+        spec = self.jobs[job_of(task)].spec
+        return StartOrder(
+            task=task,
+            attempt=self._record(task).attempt,
+            needs=spec.needs,
+            keeps=spec.keeps,
+            program=spec.program,
+        )
+
+    def stoppable(self, worker: str) -> tuple[StopOrder, ...]:
+        """Return the attempts on the worker that are to end."""
+        attempts = {
+            task: self._record(task).attempt
+            for task in self.book.workers[worker].tasks
+            if self.live[task].stopping
+        }
+        attempts.update(self.strays.get(worker, {}))
+        return tuple(
+            StopOrder(task=task, attempt=attempt) for task, attempt in attempts.items()
+        )
+
+    def unreported(self, worker: str, reports: Iterable[TaskReport]) -> None:
+        """A worker's full list leaves out what the table places there: it is gone."""
+        listed = {(each.task, each.attempt) for each in reports}
+        for task in list(self.book.workers[worker].tasks):
+            record = self._record(task)
+            if self.live[task].durable and (task, record.attempt) not in listed:
+                self._gone(self.jobs[job_of(task)], record, failed=False)
+
+    def take_unsettled(self) -> dict[str, list[TaskMark]]:
+        """Return outcomes taken in since the last call, by worker."""
+        marks, self.unsettled = self.unsettled, {}
+        return marks
+
+    def endpoints(self) -> tuple[Endpoint, ...]:
+        """Return where the shard's services answer."""
+        found = []
+        for task, live in sorted(self.live.items()):
+            job = self.jobs[job_of(task)]
+            if job.spec.kind is not Kind.SERVICE or not live.url:
+                continue
+            worker = self.book.workers[self._record(task).worker]
+            found.append(self._endpoint(job, live, worker))
+        return tuple(found)
+
+    def _endpoint(self, job: JobRow, live: LiveTask, worker: BookWorker) -> Endpoint:
+        return Endpoint(
+            service=job.spec.name,
+            url=live.url,
+            data_centre=self.data_centre,
+            slots=max(1, job.spec.slots),
+            leaving=live.stopping or worker.state is WorkerState.LEAVING,
+        )
+
+    # --- small helpers ------------------------------------------------------
+
+    def _touch(self, job: JobRow) -> None:
+        self._dirty.add(job.spec.name)
+        self._note_open(job)
+
+    def _note_open(self, job: JobRow) -> None:
+        if any(each.state is TaskState.PENDING for each in job.tasks):
+            self._open.add(job.spec.name)
+        else:
+            self._open.discard(job.spec.name)
+
+    def _find(self, task: str) -> TaskRecord | None:
+        job = self.jobs.get(job_of(task))
+        if job is None:
+            return None
+        index = int(task.rsplit("/", 1)[1])
+        return next((each for each in job.tasks if each.index == index), None)
+
+    def _record(self, task: str) -> TaskRecord:
+        record = self._find(task)
+        assert record is not None, task
+        return record
+
+    def _count_team(self, job: JobRow, needs: Amounts) -> None:
+        team = self.planner.teams.setdefault(job.spec.team, TeamUse())
+        team.used = team.used.plus(needs)
+
+    def finished(self, name: str) -> bool:
+        """Tell whether every task of a job here has a final state."""
+        return all(each.state in FINAL_STATES for each in self.jobs[name].tasks)
--- /dev/null
+++ b/cranberrycleat/standin_table.py
@@ -0,0 +1,99 @@
+"""An in-memory stand-in for the platform's table, with fault switches.
+
+It is what `standin platform` serves over HTTP and what tests hand to the
+coordination parts directly. Its counters are the oracle for write budgets.
+"""
+
+import asyncio
+
+import attrs
+
+from cranberrycleat import errors
+from cranberrycleat.table import ABSENT, CommitReply, Row, Transaction
+
+
+@attrs.define(kw_only=True)
+class TableFaults:
+    """The faults that can be switched on.
+
+    Attributes:
+        down: Every call fails without effect.
+        slow_s: Seconds added to every call.
+        lose_replies: How many of the next commits take effect but give no answer.
+    """
+
+    down: bool = False
+    slow_s: float = 0.0
+    lose_replies: int = 0
+
+
+@attrs.define(kw_only=True)
+class TableCounts:
+    """How often each operation was carried out."""
+
+    reads: int = 0
+    writes: int = 0
+    refused: int = 0
+
+
+@attrs.define(kw_only=True)
+class MemoryTable:
+    """A table held in memory."""
+
+    rows: dict[str, Row] = attrs.field(factory=dict)
+    revision: int = 0
+    faults: TableFaults = attrs.field(factory=TableFaults)
+    counts: TableCounts = attrs.field(factory=TableCounts)
+
+    async def read(self, *, keys: tuple[str, ...]) -> tuple[Row, ...]:
+        """Return the rows that exist among the keys."""
+        await self._meet_faults()
+        self.counts.reads += 1
+        return tuple(self.rows[key] for key in keys if key in self.rows)
+
+    async def scan(self, *, prefix: str) -> tuple[Row, ...]:
+        """Return every row whose key starts with the prefix."""
+        await self._meet_faults()
+        self.counts.reads += 1
+        found = [row for key, row in self.rows.items() if key.startswith(prefix)]
+        return tuple(sorted(found, key=lambda row: row.key))
+
+    async def commit(self, txn: Transaction) -> CommitReply:
+        """Apply the transaction, then meet the lost-reply fault if it is on."""
+        await self._meet_faults()
+        reply = self.apply(txn)
+        if self.faults.lose_replies > 0:
+            self.faults.lose_replies -= 1
+            raise errors.TableUnavailable("reply lost")
+        return reply
+
+    def apply(self, txn: Transaction) -> CommitReply:
+        """Apply the transaction at once, whatever faults are on."""
+        conflicts = tuple(
+            check.key
+            for check in txn.checks
+            if self.version(check.key) != check.version
+        )
+        if conflicts:
+            self.counts.refused += 1
+            return CommitReply(committed=False, conflicts=conflicts)
+        self.counts.writes += 1
+        self.revision += 1
+        for put in txn.puts:
+            self.rows[put.key] = Row(
+                key=put.key, version=self.revision, value=put.value
+            )
+        for key in txn.deletes:
+            self.rows.pop(key, None)
+        return CommitReply(committed=True, version=self.revision)
+
+    def version(self, key: str) -> int:
+        """Return the row's version, or `ABSENT`."""
+        row = self.rows.get(key)
+        return ABSENT if row is None else row.version
+
+    async def _meet_faults(self) -> None:
+        if self.faults.slow_s:
+            await asyncio.sleep(self.faults.slow_s)
+        if self.faults.down:
+            raise errors.TableUnavailable("down")
--- /dev/null
+++ b/cranberrycleat/watcher.py
@@ -0,0 +1,123 @@
+"""The versioned configuration, as each process holds it.
+
+Invariant: `current` never goes back to a lower version, whichever source speaks
+(the table or a peer). A change is accepted only when the table has it; it names
+the version it was made from, and the loser of a race learns which version won.
+
+The part is importable on its own; it needs a `Table`.
+"""
+
+import secrets
+from typing import Final
+
+import attrs
+
+from cranberrycleat import codec, errors
+from cranberrycleat.messages import ConfigDocument
+from cranberrycleat.table import ABSENT, Check, Put, Row, Table, Transaction
+
+HEAD_KEY: Final = "config/head"
+SETTLE_TRIES: Final = 3
+
+
+@attrs.define(kw_only=True)
+class ConfigWatcher:
+    """Holds the highest version seen.
+
+    Attributes:
+        table: Where the configuration is kept.
+        current: The version held, or None if none was ever seen.
+    """
+
+    table: Table
+    current: ConfigDocument | None = None
+
+    @property
+    def version(self) -> int:
+        """The version held; 0 if none was ever seen."""
+        return 0 if self.current is None else self.current.version
+
+    def offer(self, document: ConfigDocument | None) -> bool:
+        """Take in a version from any source.
+
+        Returns:
+            Whether it is newer than what was held.
+        """
+        if document is None or document.version <= self.version:
+            return False
+        self.current = document
+        return True
+
+    async def poll(self) -> bool:
+        """Read the table's version once; return whether it is newer.
+
+        Raises:
+            TableUnavailable: The table gave no answer; what is held stays.
+        """
+        _, document = await self._read()
+        return self.offer(document)
+
+    async def propose(self, *, text: str, made_from: int) -> ConfigDocument:
+        """Make a new version, if nobody else did since.
+
+        Args:
+            text: The whole document, already checked.
+            made_from: The version that the change was made from.
+
+        Returns:
+            The accepted version, which the table has.
+
+        Raises:
+            ProblemError: Another change won (409), or no answer came and it is
+                unknown whether this one was accepted (504).
+            TableUnavailable: Nothing was sent.
+        """
+        row, head = await self._read()
+        theirs = 0 if head is None else head.version
+        if theirs != made_from:
+            raise _lost(made_from, theirs)
+        change = secrets.token_hex(8)
+        ours = ConfigDocument(version=made_from + 1, text=text, change=change)
+        version = ABSENT if row is None else row.version
+        txn = Transaction(
+            checks=(Check(key=HEAD_KEY, version=version),),
+            puts=(Put(key=HEAD_KEY, value=codec.encode_text(ours)),),
+        )
+        return await self._commit(txn, ours)
+
+    async def _commit(self, txn: Transaction, ours: ConfigDocument) -> ConfigDocument:
+        for _ in range(SETTLE_TRIES):
+            try:
+                reply = await self.table.commit(txn)
+                if reply.committed:
+                    self.offer(ours)
+                    return ours
+                return await self._settle(ours)
+            except errors.TableUnavailable:
+                continue
+        raise errors.ProblemError(
+            status=504,
+            code=errors.OUTCOME_UNKNOWN,
+            reason="the table gave no answer; look at the version before trying again",
+            retry_after_s=5,
+        )
+
+    async def _settle(self, ours: ConfigDocument) -> ConfigDocument:
+        """After a conflict: the row tells whether an earlier copy took effect."""
+        _, head = await self._read()
+        self.offer(head)
+        if head is not None and head.change == ours.change:
+            return ours
+        raise _lost(ours.version - 1, 0 if head is None else head.version)
+
+    async def _read(self) -> tuple[Row | None, ConfigDocument | None]:
+        rows = await self.table.read(keys=(HEAD_KEY,))
+        if not rows:
+            return None, None
+        return rows[0], codec.decode(rows[0].value, ConfigDocument, place=HEAD_KEY)
+
+
+def _lost(ours: int, theirs: int) -> errors.ProblemError:
+    return errors.ProblemError(
+        status=409, code=errors.STALE_VERSION, ours=ours, theirs=theirs
+    )
--- /dev/null
+++ b/cranberrycleat/worker_http.py
@@ -0,0 +1,53 @@
+"""The adapter from an owner's orders to a worker's HTTP interface.
+
+To meet other workers, write a module like this one and register it.
+"""
+
+from typing import Final, Protocol
+
+import attrs
+import httpx
+
+from cranberrycleat.http_calls import call, make_client
+from cranberrycleat.messages import SyncOrder, SyncReply
+from cranberrycleat.registry import PluginKind, register
+
+DEFAULT: Final = "http"
+
+
+class WorkerClient(Protocol):
+    """What an owner needs of one worker."""
+
+    async def sync(self, order: SyncOrder) -> SyncReply:
+        """Give the worker its orders and learn what it runs.
+
+        Raises:
+            PeerUnavailable: No answer; the orders may have taken effect, until
+                their `not_after` has passed on the worker's clock.
+            ProblemError: Refused; nothing of the order took effect.
+        """
+
+    async def close(self) -> None:
+        """Close connections."""
+
+
+@register(PluginKind.WORKER, DEFAULT)
+@attrs.define(kw_only=True, eq=False)
+class HttpWorker:
+    """One worker over HTTP with JSON."""
+
+    url: str
+    timeout_s: float = 2.0
+    _client: httpx.AsyncClient | None = None
+
+    async def sync(self, order: SyncOrder) -> SyncReply:
+        """Give the worker its orders and learn what it runs."""
+        if self._client is None:
+            self._client = make_client(timeout_s=self.timeout_s, connections=1)
+        url = self.url + "/v1/sync"
+        return await call(self._client, "POST", url, SyncReply, message=order)
+
+    async def close(self) -> None:
+        """Close connections."""
+        if self._client is not None:
+            await self._client.aclose()
