--- a/Makefile
+++ b/Makefile
@@ -31,9 +31,15 @@
 	$(BIN)/black -q cranberrycleat tests
 	$(BIN)/isort -q cranberrycleat tests
 
+# One file: a zip of the package and its locked libraries, run by the host's
+# Python. docs/DESIGN.md weighs the ways to build it.
 binary: $(STAMP)
-	mkdir -p dist
-	$(BIN)/shiv -q -c cranberrycleat -o dist/cranberrycleat --compressed --reproducible --require-hashes --no-deps -r requirements.lock 2>/dev/null || true
+	rm -rf build dist/cranberrycleat
+	mkdir -p build dist
+	$(BIN)/pip -q install --require-hashes --target build/site -r requirements.lock
+	$(BIN)/pip -q install --no-deps --no-build-isolation --target build/site .
+	$(BIN)/shiv --site-packages build/site -c cranberrycleat --compressed \
+		-p '/usr/bin/env python3' -o dist/cranberrycleat
 
 bench: $(STAMP)
 	$(BIN)/cranberrycleat bench routing --quick
--- /dev/null
+++ b/cranberrycleat/cell.py
@@ -0,0 +1,184 @@
+"""A whole cell in one process: stand-ins, schedulers and gateways.
+
+The demo and the tests start one; each part listens on loopback and talks over
+HTTP as it would alone. A cell's description is a file (`examples/*/cell.toml`).
+"""
+
+from pathlib import Path
+from typing import Final
+
+import attrs
+import cattrs
+
+from cranberrycleat.amounts import MILLI, Amounts
+from cranberrycleat.documents import read_document
+from cranberrycleat.gateway import Gateway
+from cranberrycleat.messages import HostEntry
+from cranberrycleat.options import GatewayOptions, SchedulerOptions
+from cranberrycleat.scheduler import Scheduler
+from cranberrycleat.standin_platform import PlatformStandin
+from cranberrycleat.standin_worker import WorkerStandin
+
+LOOPBACK: Final = "127.0.0.1"
+
+
+@attrs.frozen(kw_only=True)
+class CellPlan:
+    """A cell's description.
+
+    Attributes:
+        name: The deployment's name.
+        region: Its region.
+        data_centres: Its data centres.
+        workers: How many workers, spread evenly over the data centres.
+        rack_size: How many workers stand in a rack.
+        processors: Processors a worker has.
+        memory_mb: Memory a worker has.
+        slots: Requests a worker's services answer at once.
+        connections: Connections a worker takes.
+        entry_hosts: How many entry hosts there are.
+        labels: Labels on every worker.
+    """
+
+    name: str
+    region: str
+    data_centres: tuple[str, ...]
+    workers: int
+    rack_size: int
+    processors: int
+    memory_mb: int
+    slots: int
+    connections: int
+    entry_hosts: int
+    labels: dict[str, str]
+
+
+@attrs.frozen(kw_only=True)
+class CellTimes:
+    """How fast the parts of a cell go, in seconds; short for the demo."""
+
+    lease_s: float = 3.0
+    worker_lease_s: float = 2.0
+    sync_s: float = 0.25
+    order_s: float = 1.0
+    digest_s: float = 0.25
+    config_poll_s: float = 0.5
+    drain_s: float = 0.5
+    leave_s: float = 1.0
+    platform_timeout_s: float = 1.0
+
+
+def load_plan(path: Path) -> CellPlan:
+    """Read a cell's description."""
+    return cattrs.structure(read_document(path), CellPlan)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Cell:
+    """A running cell.
+
+    Attributes:
+        plan: Its description.
+        times: How fast its parts go.
+        platform: The platform stand-in.
+        workers: The worker stand-ins, by name.
+        schedulers: The schedulers, one a data centre.
+        gateways: The gateways, spread over the data centres.
+    """
+
+    plan: CellPlan
+    times: CellTimes = CellTimes()
+    platform: PlatformStandin = attrs.field(
+        factory=lambda: PlatformStandin(host=LOOPBACK, port=0)
+    )
+    workers: dict[str, WorkerStandin] = attrs.field(factory=dict)
+    schedulers: list[Scheduler] = attrs.field(factory=list)
+    gateways: list[Gateway] = attrs.field(factory=list)
+
+    async def start(self) -> None:
+        """Start every part, the ones that others ask first."""
+        await self.platform.start()
+        for number in range(self.plan.workers):
+            await self._start_worker(number)
+        for data_centre in self.plan.data_centres:
+            await self.add_scheduler(f"scheduler-{data_centre}", data_centre)
+        for number in range(self.plan.entry_hosts):
+            await self._start_gateway(number)
+
+    async def stop(self) -> None:
+        """Stop every part."""
+        for gateway in self.gateways:
+            await gateway.stop()
+        for scheduler in self.schedulers:
+            await scheduler.stop()
+        for worker in self.workers.values():
+            await worker.stop()
+        await self.platform.stop()
+
+    async def _start_worker(self, number: int) -> None:
+        centres = self.plan.data_centres
+        per_centre = -(-self.plan.workers // len(centres))
+        data_centre = centres[number // per_centre]
+        name = f"{data_centre}-{number % per_centre + 1}"
+        entry = HostEntry(
+            name=name,
+            url="",
+            data_centre=data_centre,
+            rack=f"{data_centre}-r{number % per_centre // self.plan.rack_size + 1}",
+            labels=dict(self.plan.labels),
+            capacity=Amounts(
+                processors=self.plan.processors * MILLI,
+                memory_mb=self.plan.memory_mb,
+                slots=self.plan.slots,
+            ),
+        )
+        worker = WorkerStandin(
+            entry=entry, host=LOOPBACK, port=0, platform_url=self.platform.url
+        )
+        await worker.start()
+        self.workers[name] = worker
+
+    async def add_scheduler(self, name: str, data_centre: str) -> Scheduler:
+        """Start one more scheduler."""
+        times = self.times
+        cfg = SchedulerOptions(
+            name=name,
+            data_centre=data_centre,
+            platform=self.platform.url,
+            platform_timeout_s=times.platform_timeout_s,
+            digest_s=times.digest_s,
+            config_poll_s=times.config_poll_s,
+            drain_s=times.drain_s,
+            lease_s=times.lease_s,
+            worker_lease_s=times.worker_lease_s,
+            sync_s=times.sync_s,
+            order_s=times.order_s,
+            round_s=0.1,
+            leave_s=times.leave_s,
+            release_after_s=1.0,
+        )
+        scheduler = Scheduler(cfg=cfg)
+        await scheduler.start()
+        self.schedulers.append(scheduler)
+        return scheduler
+
+    async def _start_gateway(self, number: int) -> None:
+        centres = self.plan.data_centres
+        peers = [each.url for each in self.schedulers]
+        peers += [each.url for each in self.gateways]
+        times = self.times
+        cfg = GatewayOptions(
+            name=f"gateway-{number + 1}",
+            data_centre=centres[number % len(centres)],
+            platform=self.platform.url,
+            platform_timeout_s=times.platform_timeout_s,
+            peers=tuple(peers),
+            digest_s=times.digest_s,
+            config_poll_s=times.config_poll_s,
+            drain_s=times.drain_s,
+        )
+        gateway = Gateway(cfg=cfg)
+        await gateway.start()
+        for earlier in self.gateways:
+            earlier.add_peer(gateway.url)
+        self.gateways.append(gateway)
--- a/cranberrycleat/cli_operator.py
+++ b/cranberrycleat/cli_operator.py
@@ -3,24 +3,22 @@
 import asyncio
 import json
 import sys
-import tomllib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, Final, NoReturn, TypeVar
 
 import click
-import msgspec
 
 from cranberrycleat import codec, errors, settings
-from cranberrycleat.config import Configuration, parse_configuration
-from cranberrycleat.jobs import JobSpec, JobStatusWords, parse_job, unwrap
+from cranberrycleat.config import Configuration
+from cranberrycleat.documents import load_configuration, load_jobs
+from cranberrycleat.jobs import JobStatusWords
 from cranberrycleat.messages import ConfigChange, JobStatus
 from cranberrycleat.operator_client import OperatorClient
 from cranberrycleat.standin_parts import parse_labels
 
 T = TypeVar("T")
 WAIT_STEP_S: Final = 0.2
-MOST_FILE: Final = 1024 * 1024
 
 
 def operator_commands() -> tuple[click.Command, ...]:
@@ -78,68 +76,6 @@
         sys.exit(errors.EXIT_UNREACHABLE)
 
 
-def read_document(path: Path) -> Any:
-    """Read a TOML or JSON file.
-
-    Raises:
-        FindingsError: It cannot be read, is too large, or is not well formed.
-    """
-    try:
-        data = path.read_bytes()
-    except OSError as exc:
-        raise _malformed(path, str(exc.strerror)) from None
-    if len(data) > MOST_FILE:
-        found = errors.finding(
-            str(path), errors.TOO_LARGE, size=f"{len(data)} bytes", limit=MOST_FILE
-        )
-        raise errors.FindingsError(findings=(found,))
-    try:
-        if path.suffix == ".json":
-            return msgspec.json.decode(data)
-        return tomllib.loads(data.decode())
-    except (msgspec.DecodeError, tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
-        raise _malformed(path, str(exc)) from None
-
-
-def _malformed(path: Path, reason: str) -> errors.FindingsError:
-    found = errors.finding(str(path), errors.MALFORMED, reason=reason)
-    return errors.FindingsError(findings=(found,))
-
-
-def load_jobs(paths: tuple[Path, ...]) -> tuple[JobSpec, ...]:
-    """Read workload files, each one job or a list under `job`.
-
-    Raises:
-        FindingsError: With every fault in every file.
-    """
-    found = errors.Findings()
-    specs = []
-    for path in paths:
-        try:
-            specs.extend(_jobs_in(path))
-        except errors.FindingsError as exc:
-            found.extend(exc.findings)
-    if found.items:
-        raise errors.FindingsError(findings=found.sorted())
-    return tuple(specs)
-
-
-def _jobs_in(path: Path) -> list[JobSpec]:
-    data = read_document(path)
-    listed = data["job"] if isinstance(data, dict) and "job" in data else [data]
-    found = errors.Findings()
-    specs = []
-    for number, each in enumerate(listed):
-        place = f"{path}[{number}]" if len(listed) > 1 else str(path)
-        try:
-            specs.append(unwrap(parse_job(each, place=place)))
-        except errors.FindingsError as exc:
-            found.extend(exc.findings)
-    if found.items:
-        raise errors.FindingsError(findings=found.sorted())
-    return specs
-
-
 @click.group()
 def job() -> None:
     """Submit, cancel and look at jobs."""
@@ -282,7 +218,7 @@
 def load_config(path: Path) -> Configuration:
     """Read and check a configuration file; exits with its faults."""
     try:
-        return unwrap(parse_configuration(read_document(path), place=str(path)))
+        return load_configuration(path)
     except errors.FindingsError as exc:
         fail(exc.findings)
 
--- /dev/null
+++ b/cranberrycleat/documents.py
@@ -0,0 +1,87 @@
+"""Reads the files that people write: workloads, configuration, cells."""
+
+import tomllib
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+
+from cranberrycleat import errors
+from cranberrycleat.config import Configuration, parse_configuration
+from cranberrycleat.jobs import JobSpec, parse_job, unwrap
+
+MOST_FILE: Final = 1024 * 1024
+"""The largest file that is read, in bytes."""
+
+
+def read_document(path: Path) -> Any:
+    """Read a TOML or JSON file.
+
+    Raises:
+        FindingsError: It cannot be read, is too large, or is not well formed.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as exc:
+        raise _malformed(path, str(exc.strerror)) from None
+    if len(data) > MOST_FILE:
+        found = errors.finding(
+            str(path), errors.TOO_LARGE, size=f"{len(data)} bytes", limit=MOST_FILE
+        )
+        raise errors.FindingsError(findings=(found,))
+    try:
+        if path.suffix == ".json":
+            return msgspec.json.decode(data)
+        return tomllib.loads(data.decode())
+    except (msgspec.DecodeError, tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise _malformed(path, str(exc)) from None
+
+
+def _malformed(path: Path, reason: str) -> errors.FindingsError:
+    found = errors.finding(str(path), errors.MALFORMED, reason=reason)
+    return errors.FindingsError(findings=(found,))
+
+
+def load_jobs(paths: tuple[Path, ...]) -> tuple[JobSpec, ...]:
+    """Read workload files, each one job or a list under `job`.
+
+    Raises:
+        FindingsError: With every fault in every file.
+    """
+    found = errors.Findings()
+    specs: list[JobSpec] = []
+    for path in paths:
+        try:
+            specs.extend(_jobs_in(path))
+        except errors.FindingsError as exc:
+            found.extend(exc.findings)
+    if found.items:
+        raise errors.FindingsError(findings=found.sorted())
+    return tuple(specs)
+
+
+def _jobs_in(path: Path) -> list[JobSpec]:
+    data = read_document(path)
+    listed = data["job"] if isinstance(data, dict) and "job" in data else [data]
+    if not isinstance(listed, list):
+        raise _malformed(path, "`job` is not a list of jobs")
+    found = errors.Findings()
+    specs = []
+    for number, each in enumerate(listed):
+        place = f"{path}[{number}]" if len(listed) > 1 else str(path)
+        try:
+            specs.append(unwrap(parse_job(each, place=place)))
+        except errors.FindingsError as exc:
+            found.extend(exc.findings)
+    if found.items:
+        raise errors.FindingsError(findings=found.sorted())
+    return specs
+
+
+def load_configuration(path: Path) -> Configuration:
+    """Read and check a configuration file.
+
+    Raises:
+        FindingsError: With every fault found.
+    """
+    return unwrap(parse_configuration(read_document(path), place=str(path)))
--- a/cranberrycleat/gateway.py
+++ b/cranberrycleat/gateway.py
@@ -120,6 +120,10 @@
         for url in self.cfg.peers:
             self._background.spawn(self.peers.talk_to(url))
 
+    def add_peer(self, url: str) -> None:
+        """Talk to one more peer."""
+        self._background.spawn(self.peers.talk_to(url))
+
     async def drain(self) -> None:
         """Not ready: go on answering until the balancer has noticed."""
         self.draining = True
--- a/cranberrycleat/gateway_api.py
+++ b/cranberrycleat/gateway_api.py
@@ -208,7 +208,7 @@
         (OUTCOME_HEADER, b"unknown" if unknown else b"not-run"),
     ]
     if exc.retry_after_s is not None:
-        headers.append((b"retry-after", retry_after(exc.retry_after_s).encode()))
+        headers.append((b"retry-after", str(retry_after(exc.retry_after_s)).encode()))
     await _send(send, exc.status, headers, body)
 
 
--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -20,7 +20,7 @@
 
 import attrs
 
-from cranberrycleat import codec, errors
+from cranberrycleat import codec
 from cranberrycleat.clock import Clock
 from cranberrycleat.table import ABSENT, Check, Put, Row, Table, Transaction
 
--- a/cranberrycleat/link.py
+++ b/cranberrycleat/link.py
@@ -176,6 +176,10 @@
             LOG.warning("worker %s does not answer", self.entry.name)
             self.shard.worker_silent(self.entry.name)
             self.on_change.set()
+        if self.misses >= SILENT_AFTER:
+            # From here on only ask: an order would grant one more lease, and
+            # the wait for the end of the last one would never be over.
+            self._incarnation = ""
 
     def _refused(self, exc: errors.ProblemError) -> None:
         if exc.code == errors.STALE_EPOCH:
--- a/cranberrycleat/serve.py
+++ b/cranberrycleat/serve.py
@@ -31,7 +31,7 @@
     status: int
     detail: str
     findings: tuple[errors.Finding, ...] = ()
-    retry_after_s: float | None = None
+    retry_after_s: int | None = None
 
 
 def problem_of(exc: errors.ProblemError) -> Problem:
@@ -42,20 +42,20 @@
         status=exc.status,
         detail=exc.detail,
         findings=exc.findings,
-        retry_after_s=exc.retry_after_s,
+        retry_after_s=retry_after(exc.retry_after_s),
     )
 
 
-def retry_after(seconds: float) -> str:
+def retry_after(seconds: float | None) -> int | None:
     """Return a `Retry-After` value: whole seconds, rounded up, at least one."""
-    return str(max(1, math.ceil(seconds)))
+    return None if seconds is None else max(1, math.ceil(seconds))
 
 
 def problem_response(exc: errors.ProblemError) -> Response[bytes]:
     """Return the HTTP response for a refusal."""
     headers = {}
     if exc.retry_after_s is not None:
-        headers["Retry-After"] = retry_after(exc.retry_after_s)
+        headers["Retry-After"] = str(retry_after(exc.retry_after_s))
     return Response(
         codec.encode(problem_of(exc)),
         status_code=exc.status,
@@ -159,6 +159,15 @@
             self._server.should_exit = True
             await asyncio.wait([self._task], timeout=DRAIN_S + 1)
 
+    async def kill(self) -> None:
+        """Stop at once, breaking off requests in flight."""
+        if self._server is not None and self._task is not None:
+            self._server.should_exit = True
+            self._server.force_exit = True
+            for conn in list(self._server.server_state.connections):
+                conn.transport.abort()
+            await asyncio.wait([self._task], timeout=DRAIN_S)
+
 
 class _QuietServer(uvicorn.Server):
     """A server that leaves signals to the process and never exits it."""
--- a/cranberrycleat/standin_service.py
+++ b/cranberrycleat/standin_service.py
@@ -82,7 +82,7 @@
             self.in_flight -= 1
 
     async def _run(self, scope: Any, receive: Any, send: Any, host: Host) -> None:
-        query = dict(parse_qsl(scope["query_string"].decode()))
+        query = dict(parse_qsl(scope["query_string"].decode(), keep_blank_values=True))
         body = await _read_body(receive)
         took_ms = float(query.get("ms", self.program.answer_ms))
         if took_ms:
--- a/cranberrycleat/standin_worker.py
+++ b/cranberrycleat/standin_worker.py
@@ -157,6 +157,17 @@
         if self._ticker is not None:
             self._ticker.cancel()
 
+    async def crash(self) -> None:
+        """Be gone at once, as if the host had lost power."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        for running in self.tasks.values():
+            if running.outcome is Outcome.RUNNING:
+                self._note(running.order, "crashed")
+        self.tasks.clear()
+        if self.server is not None:
+            await self.server.kill()
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cranberrycleat."""
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,128 @@
+"""Starts the real programs as separate processes on loopback, and faults them."""
+
+import os
+import re
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from types import TracebackType
+from typing import Final
+
+import attrs
+
+LISTENING: Final = re.compile(r"listening on (http://\S+)")
+WAIT_S: Final = 30.0
+STEP_S: Final = 0.05
+
+
+@attrs.define(kw_only=True, eq=False)
+class Program:
+    """One running program."""
+
+    process: "subprocess.Popen[str]"
+    url: str
+
+    def freeze(self) -> None:
+        """Pause it, as a host under strain would."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let it go on."""
+        self.process.send_signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.process.kill()
+        self.process.wait()
+
+    def terminate(self) -> int:
+        """Ask it to shut down and return its exit code."""
+        self.process.terminate()
+        return self.process.wait(timeout=WAIT_S)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Fleet:
+    """The programs that one test started; all are ended with it."""
+
+    programs: list[Program] = attrs.field(factory=list)
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for program in self.programs:
+            program.wake()
+            program.process.kill()
+            program.process.wait()
+
+    def start(self, *args: str) -> Program:
+        """Start a daemon and wait until it listens."""
+        process = subprocess.Popen(
+            [sys.executable, "-m", "cranberrycleat", *args],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+            env={"PATH": os.environ["PATH"]},
+        )
+        assert process.stdout is not None
+        line = process.stdout.readline()
+        match = LISTENING.search(line)
+        assert match, f"{args}: {line!r}"
+        program = Program(process=process, url=match.group(1))
+        self.programs.append(program)
+        return program
+
+    def platform(self) -> Program:
+        """Start the platform stand-in."""
+        return self.start("standin", "platform")
+
+    def worker(self, name: str, platform: Program, *more: str) -> Program:
+        """Start a worker stand-in of data centre `dc-a`."""
+        args = ["--name", name, "--data-centre", "dc-a", "--rack", "r1"]
+        args += ["--platform", platform.url, "--labels", "tier=live", *more]
+        return self.start("standin", "worker", *args)
+
+    def scheduler(self, name: str, platform: Program, *more: str) -> Program:
+        """Start a scheduler of data centre `dc-a` with short times."""
+        args = ["--name", name, "--data-centre", "dc-a", "--platform", platform.url]
+        args += ["--lease-s", "1.5", "--worker-lease-s", "1.5", "--sync-s", "0.2"]
+        args += ["--order-s", "0.5", "--round-s", "0.1", "--release-after-s", "0.5"]
+        args += ["--drain-s", "0.2", "--leave-s", "0.5", "--config-poll-s", "0.2"]
+        return self.start("scheduler", *args, "--platform-timeout-s", "0.5", *more)
+
+    def gateway(self, name: str, platform: Program, *peers: Program) -> Program:
+        """Start a gateway of data centre `dc-a` with short times."""
+        args = ["--name", name, "--data-centre", "dc-a", "--platform", platform.url]
+        args += ["--peers", ",".join(peer.url for peer in peers)]
+        args += ["--digest-s", "0.1", "--config-poll-s", "0.2", "--drain-s", "0.5"]
+        return self.start("gateway", *args, "--platform-timeout-s", "0.5")
+
+
+def run_command(*args: str, scheduler: str = "") -> "subprocess.CompletedProcess[str]":
+    """Run one operator's command to its end."""
+    env = {"PATH": os.environ["PATH"], "CRANBERRYCLEAT_SCHEDULER": scheduler}
+    return subprocess.run(
+        [sys.executable, "-m", "cranberrycleat", *args],
+        capture_output=True,
+        text=True,
+        env=env,
+        timeout=WAIT_S * 2,
+    )
+
+
+def until(holds: Callable[[], bool], *, what: str) -> None:
+    """Wait until something holds; fail the test if it does not in time."""
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        if holds():
+            return
+        time.sleep(STEP_S)
+    raise AssertionError(f"did not come about: {what}")
