Unit proofs of leases, links, writes, outcomes and limits

Found while writing them: a lapsed owner counted the time it may still renew from when it noticed the lapse, a successor from the lapse itself; an owner paused in between could renew for longer than the successor waits. It counts from the lapse now. Finished jobs stayed in memory for ever, and so did links to hosts that had left the platform's list; both are forgotten now.

--- a/cranberrycleat/link.py
+++ b/cranberrycleat/link.py
@@ -86,13 +86,13 @@
     on_change: asyncio.Event
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
     settled: list[TaskMark] = attrs.field(factory=list)
+    task: "asyncio.Task[None] | None" = None
     misses: int = 0
     _incarnation: str = ""
     _known_incarnation: str = ""
     _since: int = 0
     _clock_seen: float = 0.0
     _seen_at: float = 0.0
-    _lapsed_at: float = math.inf
     _leaving_at: float = math.inf
 
     async def run(self) -> None:
@@ -127,7 +127,7 @@
             return SyncOrder(holder=self.lease.holder, epoch=self.lease.epoch)
         now = self.clock.now()
         owns = self.lease.authority()
-        scope = self._scope(now, owns)
+        scope = self._scope(now)
         bound = now + self.times.order_s
         starts = self.shard.startable(name) if owns else ()
         if starts:
@@ -147,14 +147,16 @@
             settled=settled,
         )
 
-    def _scope(self, now: float, owns: bool) -> RenewScope:
-        if owns:
-            self._lapsed_at = math.inf
-            return RenewScope.ALL
-        self._lapsed_at = min(self._lapsed_at, now)
-        if now - self._lapsed_at < self.times.release_after_s:
+    def _scope(self, now: float) -> RenewScope:
+        """Say what may be renewed: less and less after the lease lapsed.
+
+        It is counted from the lapse itself and not from when this process
+        noticed it, since a successor counts from there too.
+        """
+        lapsed_s = now - self.lease.valid_until()
+        if lapsed_s < self.times.release_after_s:
             return RenewScope.ALL
-        return RenewScope.KEEP
+        return RenewScope.KEEP if self.lease.is_holder else RenewScope.NONE
 
     def _grant(self, scope: RenewScope, bound: float, starts: bool) -> None:
         until = bound + self.times.lease_s * (1 + DRIFT)
@@ -225,9 +227,7 @@
 
     def _check_leases(self) -> None:
         """Give up a silent worker's tasks once every lease has run out."""
-        if self.misses < SILENT_AFTER and self.client is not None:
-            return
-        if not self.lease.authority():
+        if not self.is_silent() or not self.lease.authority():
             return
         now = self.clock.now()
         before = len(self.shard.book.workers[self.entry.name].tasks)
@@ -238,6 +238,10 @@
         if len(self.shard.book.workers[self.entry.name].tasks) != before:
             self.on_change.set()
 
+    def is_silent(self) -> bool:
+        """Tell whether the worker has stopped answering."""
+        return self.client is None or self.misses >= SILENT_AFTER
+
     def vouched_dead(self) -> None:
         """An operator vouches that the worker is gone: its leases are over."""
         self.keep_until = self.release_until = -math.inf
--- a/cranberrycleat/options.py
+++ b/cranberrycleat/options.py
@@ -77,6 +77,11 @@
         "How long a lapsed owner renews tasks that are not kept.",
         default=60.0,
     )
+    job_keep_s: float = setting(
+        Number(low=1, high=31536000),
+        "How long the record of a job that has ended is kept.",
+        default=86400.0,
+    )
     leave_s: float = setting(
         Number(low=0, high=600),
         "Seconds a leaving worker's services go on answering.",
--- a/cranberrycleat/scheduler.py
+++ b/cranberrycleat/scheduler.py
@@ -240,9 +240,11 @@
         await self._learn_hosts(shard)
         taken = await self._take_inbox(shard)
         plan = shard.plan()
-        changes = Changes(
-            puts=shard.dirty_puts(), deletes=tuple(row.key for row in taken)
-        )
+        now = self.clock.now()
+        shard.note_finished(now)
+        deletes = [row.key for row in taken]
+        deletes += shard.forget_finished(now - self.cfg.job_keep_s)
+        changes = Changes(puts=shard.dirty_puts(), deletes=tuple(deletes))
         if changes.puts or changes.deletes or self._renewal_due():
             self._pending = PendingWrite(
                 changes=changes, plan=plan, marks=shard.take_unsettled()
@@ -291,6 +293,22 @@
         self._hosts_at = now
         for entry in shard.learn_hosts(listed.hosts):
             self._link(entry)
+        names = {entry.name for entry in listed.hosts}
+        for name in [each for each in self.links if each not in names]:
+            await self._forget_if_gone(shard, name)
+
+    async def _forget_if_gone(self, shard: Shard, name: str) -> None:
+        """Forget a worker that is off the list, silent, and has nothing left."""
+        link = self.links[name]
+        if not link.is_silent() or shard.book.workers[name].tasks:
+            return
+        LOG.info("worker %s is gone", name)
+        del self.links[name]
+        shard.forget_worker(name)
+        if link.task is not None:
+            link.task.cancel()
+        if link.client is not None:
+            await link.client.close()
 
     def _link(self, entry: HostEntry) -> None:
         shard = self.shard
@@ -317,7 +335,7 @@
             on_change=self.changed,
         )
         self.links[entry.name] = link
-        self._link_tasks.spawn(link.run())
+        link.task = self._link_tasks.spawn(link.run())
 
     def _times(self) -> LinkTimes:
         return LinkTimes(
--- a/cranberrycleat/shard.py
+++ b/cranberrycleat/shard.py
@@ -116,6 +116,8 @@
     _dirty: set[str] = attrs.field(factory=set)
     _dirty_workers: set[str] = attrs.field(factory=set)
     _open: set[str] = attrs.field(factory=set)
+    _touched: set[str] = attrs.field(factory=set)
+    _ended_at: dict[str, float] = attrs.field(factory=dict)
 
     # --- loading ------------------------------------------------------------
 
@@ -190,6 +192,14 @@
             self.book.adopt(entry.name, task, needs)
         self.planner.whole = self.planner.whole.plus(entry.capacity)
 
+    def forget_worker(self, name: str) -> None:
+        """Forget a worker that is gone and has no tasks."""
+        worker = self.book.workers[name]
+        self.book.remove_worker(name)
+        self.hosts.pop(name, None)
+        self.strays.pop(name, None)
+        self.planner.whole = self.planner.whole.minus(worker.capacity)
+
     def _labels(self, entry: HostEntry) -> dict[str, str]:
         labels: dict[str, str | None] = {
             **entry.labels,
@@ -528,6 +538,7 @@
         self._note_open(job)
 
     def _note_open(self, job: JobRow) -> None:
+        self._touched.add(job.spec.name)
         if any(each.state is TaskState.PENDING for each in job.tasks):
             self._open.add(job.spec.name)
         else:
@@ -549,6 +560,18 @@
         team = self.planner.teams.setdefault(job.spec.team, TeamUse())
         team.used = team.used.plus(needs)
 
-    def finished(self, name: str) -> bool:
-        """Tell whether every task of a job here has a final state."""
-        return all(each.state in FINAL_STATES for each in self.jobs[name].tasks)
+    def note_finished(self, now: float) -> None:
+        """Note when the jobs that have ended were first seen to have."""
+        for name in self._touched:
+            job = self.jobs.get(name)
+            if job and all(each.state in FINAL_STATES for each in job.tasks):
+                self._ended_at.setdefault(name, now)
+        self._touched.clear()
+
+    def forget_finished(self, before: float) -> tuple[str, ...]:
+        """Forget jobs that ended before a time; return their rows' keys."""
+        old = [name for name, at in self._ended_at.items() if at < before]
+        for name in old:
+            del self._ended_at[name]
+            del self.jobs[name]
+        return tuple(job_key(self.data_centre, name) for name in old)
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,187 @@
+"""Small fakes at the interfaces: a table that delays, a worker without HTTP."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+import attrs
+
+from cranberrycleat import errors
+from cranberrycleat.amounts import Amounts
+from cranberrycleat.clock import ManualClock
+from cranberrycleat.messages import HostEntry, HostList, SyncOrder, SyncReply
+from cranberrycleat.registry import PluginKind, register
+from cranberrycleat.standin_table import MemoryTable
+from cranberrycleat.standin_worker import WorkerStandin
+from cranberrycleat.table import CommitReply, Row, Transaction
+
+T = TypeVar("T")
+
+
+def go(work: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine to its end."""
+    return asyncio.run(work)
+
+
+@attrs.define(kw_only=True, eq=False)
+class LateTable:
+    """A table whose commits can be held back and land later, or never.
+
+    Attributes:
+        inner: The table behind it.
+        hold: Whether commits are held back; their sender gets no answer.
+        held: The commits held back.
+    """
+
+    inner: MemoryTable = attrs.field(factory=MemoryTable)
+    hold: bool = False
+    held: list[Transaction] = attrs.field(factory=list)
+
+    async def read(self, *, keys: tuple[str, ...]) -> tuple[Row, ...]:
+        """Read through."""
+        return await self.inner.read(keys=keys)
+
+    async def scan(self, *, prefix: str) -> tuple[Row, ...]:
+        """Scan through."""
+        return await self.inner.scan(prefix=prefix)
+
+    async def commit(self, txn: Transaction) -> CommitReply:
+        """Commit through, or hold the transaction back."""
+        if self.hold:
+            self.held.append(txn)
+            raise errors.TableUnavailable("held back")
+        return await self.inner.commit(txn)
+
+    def land(self) -> None:
+        """Let every commit that was held back arrive now."""
+        for txn in self.held:
+            self.inner.apply(txn)
+        self.held.clear()
+
+
+def host(name: str = "w1", *, processors: int = 4, slots: int = 8) -> HostEntry:
+    """Return a listed worker of data centre `dc-a`."""
+    return HostEntry(
+        name=name,
+        url=f"http://127.0.0.1/{name}",
+        data_centre="dc-a",
+        rack="r1",
+        labels={},
+        capacity=Amounts(processors=processors * 1000, memory_mb=8192, slots=slots),
+    )
+
+
+@attrs.define(kw_only=True, eq=False)
+class DirectWorker:
+    """A worker client that calls the stand-in without HTTP.
+
+    Attributes:
+        standin: The worker.
+        cut: Whether orders and answers are lost on the way.
+        late: Orders that were caught on the way, to be delivered later.
+        catch: Whether orders are caught on the way.
+    """
+
+    standin: WorkerStandin
+    cut: bool = False
+    catch: bool = False
+    late: list[SyncOrder] = attrs.field(factory=list)
+
+    async def sync(self, order: SyncOrder) -> SyncReply:
+        """Hand the order over, unless the link is cut."""
+        if self.catch:
+            self.late.append(order)
+        if self.cut or self.catch:
+            raise errors.PeerUnavailable("cut")
+        return self.standin.obey(order)
+
+    async def close(self) -> None:
+        """Nothing to close."""
+
+
+def direct_worker(clock: ManualClock, name: str = "w1") -> DirectWorker:
+    """Return a client of a fresh stand-in on the given clock."""
+    standin = WorkerStandin(
+        entry=host(name), host="127.0.0.1", port=0, platform_url="", clock=clock
+    )
+    return DirectWorker(standin=standin)
+
+
+@attrs.define(kw_only=True, eq=False)
+class ScriptedEndpoint:
+    """An endpoint that answers by a script: one word a request, the last repeats.
+
+    `ok` answers; `close` reads the request and closes; `partial` sends part of
+    an answer and closes; `refuse` refuses before it starts; `slow` answers
+    after half a second; `leave` answers and says that it is leaving.
+    """
+
+    script: list[str]
+    seen: list[str] = attrs.field(factory=list)
+    port: int = 0
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> "ScriptedEndpoint":
+        """Begin to listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    @property
+    def url(self) -> str:
+        """The base URL it answers at."""
+        return f"http://127.0.0.1:{self.port}"
+
+    async def stop(self) -> None:
+        """Listen no more."""
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+    async def _one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        names = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
+        await reader.readexactly(int(names.get("content-length", 0)))
+        ident = names.get("x-request-id", "")
+        self.seen.append(ident)
+        word = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        if word == "close":
+            return False
+        if word == "slow":
+            await asyncio.sleep(0.5)
+        body = ident.encode() + b" " + b"." * 20
+        head = "503 No\r\nx-not-started: 1" if word == "refuse" else "200 OK"
+        head += "\r\nx-endpoint-state: leaving" if word == "leave" else ""
+        writer.write(f"HTTP/1.1 {head}\r\ncontent-length: {len(body)}\r\n\r\n".encode())
+        writer.write(body[:10] if word == "partial" else body)
+        await writer.drain()
+        return word != "partial"
+
+
+@attrs.define(kw_only=True, eq=False)
+class MemoryPlatform(MemoryTable):
+    """The stand-in table as a platform client, without HTTP."""
+
+    async def hosts(self) -> HostList:
+        """Return an empty list."""
+        return HostList(hosts=())
+
+    async def close(self) -> None:
+        """Nothing to close."""
+
+
+@register(PluginKind.TABLE, "memory")
+def memory_platform(*, url: str, timeout_s: float) -> MemoryPlatform:
+    """Return a platform client of its own."""
+    return MemoryPlatform()
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,391 @@
+"""The gateway against endpoints that misbehave: outcomes, retries, limits."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+import pytest
+
+from cranberrycleat import errors, plugins
+from cranberrycleat.admission import Gate, RequestClass
+from cranberrycleat.clock import ManualClock
+from cranberrycleat.config import RoutingConfig
+from cranberrycleat.endpoints import EndpointState, ServiceEndpoints, Verdict, judge
+from cranberrycleat.forward import CallerRequest
+from cranberrycleat.gateway import Gateway
+from cranberrycleat.messages import Digest, DigestReply, Endpoint, EndpointSet
+from cranberrycleat.options import GatewayOptions
+from cranberrycleat.retry import BURST, RetryBudget
+from cranberrycleat.slots import SlotShare, share_of
+from tests.fakes import MemoryPlatform, ScriptedEndpoint, go
+
+assert plugins
+
+
+def make_gateway(name: str = "g1") -> Gateway:
+    """Return a gateway that listens nowhere."""
+    cfg = GatewayOptions(
+        name=name,
+        data_centre="dc-a",
+        platform="http://127.0.0.1:1",
+        table_client="memory",
+        routing="round-robin",
+    )
+    return Gateway(cfg=cfg)
+
+
+def endpoint_set(*urls: str, revision: int = 1, slots: int = 4) -> EndpointSet:
+    """Return the endpoints of service `s`."""
+    return EndpointSet(
+        data_centre="dc-a",
+        epoch=1,
+        revision=revision,
+        endpoints=tuple(
+            Endpoint(service="s", url=url, data_centre="dc-a", slots=slots)
+            for url in urls
+        ),
+    )
+
+
+def request(method: str = "GET", ident: str = "r1") -> CallerRequest:
+    """Return a caller's request."""
+    return CallerRequest(
+        method=method,
+        service="s",
+        target="/",
+        headers=[(b"x-request-id", ident.encode())],
+        body=b"",
+        repeatable=method == "GET",
+    )
+
+
+async def ask(
+    gateway: Gateway,
+    method: str = "GET",
+    ident: str = "r1",
+    key: str | None = None,
+    wait_s: float = 0.3,
+) -> str:
+    """Ask the gateway; return `ok`, `wrong` or the refusal's code."""
+    req = request(method, ident)
+    if key is not None:
+        req = attrs.evolve(req, repeatable=False)
+    try:
+        answered = await gateway.answer(
+            req, key=key, rank=RequestClass.NORMAL, wait_s=wait_s
+        )
+    except errors.ProblemError as exc:
+        return exc.code
+    return "ok" if answered.body.startswith(ident.encode() + b" ") else "wrong"
+
+
+def with_endpoints(
+    scripts: list[list[str]],
+    work: Callable[[Gateway, list[ScriptedEndpoint]], Awaitable[None]],
+) -> None:
+    """Run something against a gateway with scripted endpoints."""
+
+    async def whole() -> None:
+        points = [await ScriptedEndpoint(script=each).start() for each in scripts]
+        gateway = make_gateway()
+        gateway.book.learn(endpoint_set(*[point.url for point in points]))
+        await work(gateway, points)
+        await gateway.forwarder.close()
+        for point in points:
+            await point.stop()
+
+    go(whole())
+
+
+CASES = [
+    # method, scripts of two endpoints, what is told, how often it was sent
+    ("GET", ["ok"], ["ok"], "ok", 1),
+    ("GET", ["close"], ["ok"], "ok", 2),
+    ("GET", ["partial"], ["ok"], "ok", 2),
+    ("GET", ["refuse"], ["ok"], "ok", 2),
+    ("GET", ["partial"], ["partial"], errors.OUTCOME_UNKNOWN, 2),
+    ("POST", ["close"], ["ok"], errors.OUTCOME_UNKNOWN, 1),
+    ("POST", ["partial"], ["ok"], errors.OUTCOME_UNKNOWN, 1),
+    ("POST", ["slow"], ["ok"], errors.OUTCOME_UNKNOWN, 1),
+    ("POST", ["refuse"], ["ok"], "ok", 2),
+    ("POST", ["refuse"], ["refuse"], errors.OVERLOADED, 2),
+]
+
+
+@pytest.mark.parametrize(("method", "second", "first", "told", "sent"), CASES)
+def test_outcome(
+    method: str, first: list[str], second: list[str], told: str, sent: int
+) -> None:
+    """What is told is what is known; only what did not run is sent again."""
+
+    async def work(gateway: Gateway, points: list[ScriptedEndpoint]) -> None:
+        assert await ask(gateway, method) == told
+        assert sum(len(point.seen) for point in points) == sent
+
+    with_endpoints([first, second], work)
+
+
+def test_nobody_listens() -> None:
+    """A connection that was never made is proof that nothing ran."""
+
+    async def work(gateway: Gateway, points: list[ScriptedEndpoint]) -> None:
+        await points[0].stop()
+        assert await ask(gateway, "POST") in (errors.NOT_RUN, errors.OVERLOADED)
+
+    with_endpoints([["ok"]], work)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_reused_connection_that_closes(method: str) -> None:
+    """An idle connection's close costs no request its certain outcome."""
+
+    async def work(gateway: Gateway, points: list[ScriptedEndpoint]) -> None:
+        assert await ask(gateway, "GET", "first") == "ok"
+        points[0].script[:] = ["close", "ok"] if method == "GET" else ["ok"]
+        assert await ask(gateway, method, "second") == "ok"
+
+    with_endpoints([["ok"], ["ok"]], work)
+
+
+def test_late_answer_reaches_nobody_else() -> None:
+    """An answer that comes after its caller gave up is not the next caller's."""
+
+    async def work(gateway: Gateway, points: list[ScriptedEndpoint]) -> None:
+        assert await ask(gateway, "GET", "one", wait_s=0.1) == errors.OUTCOME_UNKNOWN
+        points[0].script[:] = ["ok"]
+        await asyncio.sleep(0.6)
+        found = [await ask(gateway, "GET", f"two{n}") for n in range(3)]
+        assert found == ["ok"] * 3
+
+    with_endpoints([["slow"]], work)
+
+
+def test_caller_that_has_gone() -> None:
+    """A caller that goes away frees its slot, and its answer reaches nobody."""
+
+    async def work(gateway: Gateway, points: list[ScriptedEndpoint]) -> None:
+        gone = asyncio.create_task(ask(gateway, "GET", "gone", wait_s=5))
+        await asyncio.sleep(0.1)
+        gone.cancel()
+        await asyncio.wait([gone])
+        state = gateway.book.services["s"].all()[0]
+        assert state.share.in_flight == 0
+        points[0].script[:] = ["ok"]
+        await asyncio.sleep(0.5)
+        assert await ask(gateway, "GET", "next") == "ok"
+
+    with_endpoints([["slow"]], work)
+
+
+def test_many_answers_out_of_order() -> None:
+    """Answers that overtake each other reach their own callers."""
+
+    async def work(gateway: Gateway, points: list[ScriptedEndpoint]) -> None:
+        asked = [ask(gateway, "GET", f"id{n}", wait_s=9) for n in range(16)]
+        assert await asyncio.gather(*asked) == ["ok"] * 16
+
+    with_endpoints([["slow", "ok", "slow", "ok"], ["ok"]], work)
+
+
+def test_key_runs_at_most_once_through_any_gateway() -> None:
+    """Two gateways with one table: one sends, whatever the first one's fate."""
+
+    async def work(gateway: Gateway, points: list[ScriptedEndpoint]) -> None:
+        other = make_gateway("g2")
+        other.book.learn(endpoint_set(points[0].url))
+        other.claims.writer.table = gateway.claims.writer.table
+        asked = [ask(each, "POST", key="k") for each in (gateway, other) * 3]
+        told = await asyncio.gather(*asked)
+        assert len(points[0].seen) == 1
+        assert told.count("ok") <= 1
+        assert set(told) <= {"ok", errors.KEY_IN_USE, errors.OUTCOME_UNKNOWN}
+
+    for script in (["ok"], ["close"], ["partial"]):
+        with_endpoints([script], work)
+
+
+@pytest.mark.parametrize(
+    ("down", "lose", "told", "sent"),
+    [(True, 0, errors.NOT_RUN, 0), (False, 1, "ok", 1), (False, 2, "ok", 1)],
+)
+def test_key_in_an_outage(down: bool, lose: int, told: str, sent: int) -> None:
+    """No table, no claim, not run; a claim whose reply was lost is settled."""
+
+    async def work(gateway: Gateway, points: list[ScriptedEndpoint]) -> None:
+        table = gateway.platform
+        assert isinstance(table, MemoryPlatform)
+        table.faults.down, table.faults.lose_replies = down, lose
+        assert await ask(gateway, "POST", key="k") == told
+        assert len(points[0].seen) == sent
+
+    with_endpoints([["ok"]], work)
+
+
+@pytest.mark.parametrize("source", ["answer", "peer", "scheduler"])
+def test_leaving_endpoint_gets_no_new_work(source: str) -> None:
+    """The first sign from any source is enough, and no older set undoes it."""
+
+    async def work(gateway: Gateway, points: list[ScriptedEndpoint]) -> None:
+        first, second = points
+        if source == "answer":
+            await ask(gateway)
+            await ask(gateway)
+        elif source == "peer":
+            gateway.hear(DigestReply(digest=peer_digest(first.url)))
+        else:
+            left = endpoint_set(first.url, second.url, revision=2).endpoints
+            gone = attrs.evolve(left[0], leaving=True)
+            gateway.book.learn(
+                EndpointSet(
+                    data_centre="dc-a",
+                    epoch=1,
+                    revision=2,
+                    endpoints=(gone, left[1]),
+                )
+            )
+        gateway.book.learn(endpoint_set(first.url, second.url, revision=1))
+        gateway.book.learn(endpoint_set(first.url, second.url, revision=3))
+        before = len(first.seen)
+        for _ in range(6):
+            assert await ask(gateway) == "ok"
+        assert len(first.seen) == before
+        assert first.url in gateway.digest().leaving
+
+    with_endpoints([["leave"], ["ok"]], work)
+
+
+def peer_digest(leaving: str) -> Digest:
+    """Return a peer gateway's digest."""
+    return Digest(
+        sender="g2",
+        incarnation="1",
+        role="gateway",
+        data_centre="dc-a",
+        config_version=0,
+        leaving=(leaving,),
+    )
+
+
+def test_retry_budget_bounds_retries() -> None:
+    """When everything fails, retries are a share of answers and a small burst."""
+    budget = RetryBudget(share=0.1)
+    assert sum(budget.spend() for _ in range(1000)) == BURST
+    for _ in range(100):
+        budget.earn()
+    assert sum(budget.spend() for _ in range(1000)) in (9, 10)
+
+
+@pytest.mark.parametrize("gateways", [1, 2, 3, 5, 7, 8])
+def test_shares_add_up_to_the_slots(gateways: int) -> None:
+    """The shares of one list of gateways never add up to more than there is."""
+    members = tuple(f"g{n}" for n in range(gateways))
+    for point in ("a", "b", "c"):
+        shares = [
+            share_of(slots=8, members=members, me=me, endpoint=point) for me in members
+        ]
+        assert sum(shares) == 8
+
+
+def test_share_learns_from_refusals() -> None:
+    """Refusals lower what is allowed, answers raise it up to the share."""
+    share = SlotShare(share=4)
+    for _ in range(9):
+        share.refused()
+    assert share.allowed == 1
+    for _ in range(30):
+        share.answered()
+    assert share.allowed == 4
+
+
+def service_of(count: int) -> ServiceEndpoints:
+    """Return a service with some endpoints."""
+    listed = endpoint_set(*[f"http://127.0.0.1:{n}" for n in range(count)]).endpoints
+    return ServiceEndpoints(
+        near=[EndpointState(endpoint=e, share=SlotShare(share=4)) for e in listed]
+    )
+
+
+@pytest.mark.parametrize(("count", "left"), [(1, 1), (2, 1), (4, 2), (5, 3)])
+def test_ejection_has_a_floor(count: int, left: int) -> None:
+    """However all endpoints fail, some go on getting work."""
+    service, cfg = service_of(count), RoutingConfig()
+    for state in service.all() * 10:
+        judge(service, state, Verdict.BAD, now=1.0, cfg=cfg)
+    assert sum(state.usable(2.0) for state in service.all()) == left
+    assert all(state.usable(1.0 + cfg.eject_s) for state in service.all())
+
+
+@attrs.define
+class Waiting:
+    """A gate with one slot that is taken, and requests that came after."""
+
+    service: ServiceEndpoints
+    gate: Gate
+    order: list[str] = attrs.field(factory=list)
+
+    async def enter(self, name: str, rank: RequestClass, patience_s: float) -> None:
+        """Go in, note it, and leave."""
+        state = await self.gate.enter(
+            service=self.service,
+            rank=rank,
+            tried=frozenset(),
+            patience_s=patience_s,
+        )
+        self.order.append(name)
+        self.gate.leave(state)
+
+
+def make_waiting(most: int) -> Waiting:
+    """Return a gate whose only slot is taken."""
+    service, clock = service_of(1), ManualClock()
+    state = service.all()[0]
+    state.share.resize(1)
+    state.share.in_flight = 1
+
+    def pick(tried: frozenset[str]) -> EndpointState | None:
+        return state if state.usable(clock.now()) else None
+
+    return Waiting(service, Gate(pick=pick, most=most))
+
+
+@pytest.mark.parametrize(
+    ("most", "arrivals", "expected"),
+    [
+        (9, "bulk normal urgent bulk", "urgent normal bulk bulk"),
+        (2, "bulk bulk urgent", "urgent bulk refused"),
+        (2, "urgent urgent bulk", "urgent urgent refused"),
+        (1, "bulk normal urgent", "urgent refused refused"),
+        (0, "urgent", "refused"),
+    ],
+)
+def test_admission_by_class(most: int, arrivals: str, expected: str) -> None:
+    """The highest class goes first; a full queue refuses the lowest at once."""
+
+    async def whole() -> list[str]:
+        waiting = make_waiting(most)
+        tasks = []
+        for name in arrivals.split():
+            rank = RequestClass[name.upper()]
+            tasks.append(asyncio.create_task(waiting.enter(name, rank, 9.0)))
+            await asyncio.sleep(0)
+        waiting.gate.leave(waiting.service.all()[0])
+        done = await asyncio.gather(*tasks, return_exceptions=True)
+        refused = [each for each in done if isinstance(each, errors.ProblemError)]
+        assert all(each.retry_after_s for each in refused)
+        return waiting.order + ["refused"] * len(refused)
+
+    assert go(whole()) == expected.split()
+
+
+def test_no_waiting_for_what_comes_too_late() -> None:
+    """A request that could not be served in time is refused at once."""
+
+    async def whole() -> None:
+        waiting = make_waiting(9)
+        waiting.service.took_s = 5.0
+        with pytest.raises(errors.ProblemError) as caught:
+            await waiting.enter("x", RequestClass.URGENT, 1.0)
+        assert caught.value.retry_after_s == 5.0
+        assert waiting.gate.waiting() == 0
+
+    go(whole())
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,208 @@
+"""The ownership lease: never two with authority, whatever is lost or late."""
+
+import attrs
+import pytest
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cranberrycleat import errors
+from cranberrycleat.clock import ManualClock
+from cranberrycleat.lease import Changes, Deposed, OwnershipLease
+from cranberrycleat.table import Put
+from tests.fakes import LateTable, go
+
+LEASE_S = 10.0
+
+
+def candidate(table: LateTable, clock: ManualClock, name: str) -> OwnershipLease:
+    """Return one candidate's view of the lease."""
+    return OwnershipLease(
+        table=table, clock=clock, key="lease", holder=name, lease_s=LEASE_S
+    )
+
+
+@attrs.define
+class Pair:
+    """Two candidates on one table, each with its own clock."""
+
+    table: LateTable = attrs.field(factory=LateTable)
+    clock_a: ManualClock = attrs.field(factory=ManualClock)
+    clock_b: ManualClock = attrs.field(factory=lambda: ManualClock(time_s=500.0))
+    a: OwnershipLease = attrs.field(init=False)
+    b: OwnershipLease = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.a = candidate(self.table, self.clock_a, "a")
+        self.b = candidate(self.table, self.clock_b, "b")
+
+    def advance(self, seconds: float) -> None:
+        """Move both clocks."""
+        self.clock_a.advance(seconds=seconds)
+        self.clock_b.advance(seconds=seconds)
+
+
+def test_takeover_waits_out_the_lease() -> None:
+    """A candidate takes over only after the holder's lease has run out."""
+    pair = Pair()
+    assert go(pair.a.acquire())
+    assert not go(pair.b.acquire())
+    pair.advance(LEASE_S)
+    assert not pair.a.authority()
+    assert not go(pair.b.acquire())
+    pair.advance(LEASE_S * 0.02)
+    assert go(pair.b.acquire())
+    assert (pair.b.epoch, pair.b.takeover_silent) == (2, True)
+    with pytest.raises(Deposed):
+        go(pair.a.commit())
+
+
+def test_renewal_counts_from_before_it_was_sent() -> None:
+    """A slow table shortens the holder's lease, never the candidate's wait."""
+    pair = Pair()
+    go(pair.a.acquire())
+
+    async def slow_commit() -> None:
+        pair.table.hold = True
+        with pytest.raises(errors.TableUnavailable):
+            await pair.a.commit()
+        pair.clock_a.advance(seconds=6)
+        pair.table.hold = False
+        pair.table.land()
+        await pair.a.commit()
+
+    go(slow_commit())
+    pair.clock_a.advance(seconds=LEASE_S - 6)
+    assert not pair.a.authority()
+
+
+def test_paused_holder_finds_out() -> None:
+    """A holder that was paused past its lease has no authority when it wakes."""
+    pair = Pair()
+    go(pair.a.acquire())
+    pair.clock_a.advance(seconds=LEASE_S * 3)
+    assert not pair.a.authority()
+
+
+def test_release_lets_the_next_take_over_at_once() -> None:
+    """A released lease needs no wait, and is known not to be silent."""
+    pair = Pair()
+    go(pair.a.acquire())
+    go(pair.a.release())
+    assert go(pair.b.acquire())
+    assert not pair.b.takeover_silent
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+def test_lost_reply_is_settled(lost: int) -> None:
+    """A write whose reply was lost takes effect once and keeps the lease."""
+    pair = Pair()
+    go(pair.a.acquire())
+    changes = Changes(puts=(Put(key="row", value='"x"'),))
+    pair.table.inner.faults.lose_replies = lost
+    for _ in range(lost):
+        with pytest.raises(errors.TableUnavailable):
+            go(pair.a.commit(changes))
+    go(pair.a.commit(changes))
+    assert pair.a.authority()
+    assert pair.table.inner.counts.writes == 2
+
+
+def test_lost_reply_to_a_takeover_is_settled() -> None:
+    """A candidate whose takeover's reply was lost learns that it won."""
+    pair = Pair()
+    pair.table.inner.faults.lose_replies = 1
+    with pytest.raises(errors.TableUnavailable):
+        go(pair.a.acquire())
+    assert go(pair.a.acquire())
+    assert not go(pair.b.acquire())
+
+
+def test_late_write_of_a_deposed_holder_is_void() -> None:
+    """A write that arrives after a takeover changes nothing."""
+    pair = Pair()
+    go(pair.a.acquire())
+    pair.table.hold = True
+    with pytest.raises(errors.TableUnavailable):
+        go(pair.a.commit(Changes(puts=(Put(key="row", value='"late"'),))))
+    pair.table.hold = False
+    go(pair.b.acquire())
+    pair.advance(LEASE_S * 1.02)
+    assert go(pair.b.acquire())
+    pair.table.land()
+    assert "row" not in pair.table.inner.rows
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Any order of steps, losses, late writes, restarts and pauses."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = LateTable()
+        self.clocks = [ManualClock(), ManualClock(time_s=1e4), ManualClock()]
+        self.leases = [self._fresh(number) for number in range(3)]
+        self.starts = 0
+
+    def _fresh(self, number: int) -> OwnershipLease:
+        self.starts = getattr(self, "starts", 0) + 1
+        return candidate(self.table, self.clocks[number], f"c{number}#{self.starts}")
+
+    @rule(seconds=st.sampled_from([0.5, 3.0, 6.0, 10.0, 10.2]))
+    def advance(self, seconds: float) -> None:
+        """Time passes; the clocks differ by half a per cent."""
+        for clock, rate in zip(self.clocks, (1.0, 1.005, 0.995)):
+            clock.advance(seconds=seconds * rate)
+
+    @rule(number=st.integers(0, 2))
+    def acquire(self, number: int) -> None:
+        """One candidate looks, and takes the lease if it is free."""
+        try:
+            go(self.leases[number].acquire())
+        except errors.TableUnavailable:
+            pass
+
+    @rule(number=st.integers(0, 2))
+    def renew(self, number: int) -> None:
+        """One of them renews, if it thinks that it holds the lease."""
+        try:
+            go(self.leases[number].commit())
+        except (errors.TableUnavailable, Deposed):
+            pass
+
+    @rule(number=st.integers(0, 2))
+    def restart(self, number: int) -> None:
+        """One of them dies, and another process takes its place."""
+        self.leases[number] = self._fresh(number)
+
+    @rule(number=st.integers(0, 2))
+    def release(self, number: int) -> None:
+        """One of them hands over, if it holds the lease."""
+        try:
+            go(self.leases[number].release())
+        except (errors.TableUnavailable, Deposed):
+            pass
+
+    @rule(lost=st.integers(0, 2))
+    def lose_replies(self, lost: int) -> None:
+        """The next replies are lost after the write took effect."""
+        self.table.inner.faults.lose_replies = lost
+
+    @rule(hold=st.booleans())
+    def hold(self, hold: bool) -> None:
+        """Writes are held back on their way, or no longer."""
+        self.table.hold = hold
+
+    @rule()
+    def land(self) -> None:
+        """The writes that were held back arrive."""
+        self.table.land()
+
+    @invariant()
+    def one_owner(self) -> None:
+        """At most one process has authority, at every moment."""
+        assert sum(lease.authority() for lease in self.leases) <= 1
+
+
+LeaseMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+test_any_order_of_events = LeaseMachine.TestCase
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,270 @@
+"""Leases and orders between owner and worker, on clocks set by hand."""
+
+import asyncio
+import copy
+
+import attrs
+import pytest
+
+from cranberrycleat import errors
+from cranberrycleat.clock import ManualClock
+from cranberrycleat.jobs import JobSpec, Kind, Program, TaskState
+from cranberrycleat.lease import OwnershipLease
+from cranberrycleat.link import LinkTimes, WorkerLink, inherited_leases
+from cranberrycleat.messages import InboxEntry, JobPart, Outcome
+from cranberrycleat.shard import Shard
+from cranberrycleat.standin_table import MemoryTable
+from tests.fakes import DirectWorker, direct_worker, go
+
+LEASE_S = 10.0
+TIMES = LinkTimes(lease_s=10.0, order_s=2.0, release_after_s=60.0)
+
+
+@attrs.define(kw_only=True)
+class Owner:
+    """One owner with a link to one worker."""
+
+    clock: ManualClock
+    lease: OwnershipLease
+    shard: Shard
+    link: WorkerLink
+    client: DirectWorker
+
+    def sync(self) -> None:
+        """Give the worker one order, and look at the leases."""
+        go(self._sync())
+
+    async def _sync(self) -> None:
+        await self.link._sync()
+        self.link._check_leases()
+
+    def place(self) -> None:
+        """Plan a round and take it to be durable."""
+        self.shard.confirm(self.shard.plan())
+
+    def renew(self) -> None:
+        """Renew the ownership lease."""
+        go(self.lease.commit())
+
+    def state(self) -> tuple[TaskState, int]:
+        """Return the state and attempt of the only task."""
+        record = next(iter(self.shard.jobs.values())).tasks[0]
+        return record.state, record.attempt
+
+
+def make_owner(
+    table: MemoryTable, clock: ManualClock, client: DirectWorker, name: str = "a"
+) -> Owner:
+    """Return an owner that has just won the lease."""
+    lease = OwnershipLease(
+        table=table, clock=clock, key="lease", holder=name, lease_s=LEASE_S
+    )
+    assert go(lease.acquire())
+    shard = Shard(data_centre="dc-a")
+    shard.learn_hosts([client.standin.entry])
+    inherited = inherited_leases(
+        now=clock.now(), silent=lease.takeover_silent, times=TIMES
+    )
+    link = WorkerLink(
+        entry=client.standin.entry,
+        client=client,
+        shard=shard,
+        lease=lease,
+        clock=clock,
+        times=TIMES,
+        keep_until=inherited.keep_until,
+        release_until=inherited.release_until,
+        on_change=asyncio.Event(),
+    )
+    return Owner(clock=clock, lease=lease, shard=shard, link=link, client=client)
+
+
+def running(kind: Kind = Kind.SERVICE) -> tuple[Owner, MemoryTable, ManualClock]:
+    """Return an owner whose one task runs on the worker."""
+    clock = ManualClock(time_s=100.0)
+    client = direct_worker(ManualClock(time_s=7.0))
+    table = MemoryTable()
+    owner = make_owner(table, clock, client)
+    program = Program(command="serve", run_s=1000.0)
+    spec = JobSpec(name="job", kind=kind, program=program)
+    owner.sync()
+    owner.shard.take(InboxEntry(id="1", submit=JobPart(spec=spec, indices=(0,))))
+    owner.place()
+    owner.sync()
+    owner.sync()
+    assert runs(client)
+    return owner, table, clock
+
+
+def runs(client: DirectWorker) -> bool:
+    """Tell whether the worker runs the task, by its own clock."""
+    client.standin.expire()
+    task = client.standin.tasks.get("job/0")
+    return task is not None and task.outcome is Outcome.RUNNING
+
+
+def pass_time(owner: Owner, seconds: float) -> None:
+    """Let time pass for owner and worker alike."""
+    owner.clock.advance(seconds=seconds)
+    worker_clock = owner.client.standin.clock
+    assert isinstance(worker_clock, ManualClock)
+    worker_clock.advance(seconds=seconds)
+
+
+def test_task_ends_when_nothing_renews_its_lease() -> None:
+    """A worker that nobody reaches stops its task at the end of the lease."""
+    owner, _, _ = running()
+    pass_time(owner, TIMES.lease_s - 0.1)
+    assert runs(owner.client)
+    pass_time(owner, 0.2)
+    assert not runs(owner.client)
+
+
+def test_lost_worker_is_waited_out() -> None:
+    """A task goes elsewhere only once its worker must have stopped it."""
+    owner, _, _ = running()
+    owner.client.cut = True
+    while owner.state()[0] is TaskState.PLACED:
+        assert owner.clock.now() < 200, "never given up"
+        pass_time(owner, 0.5)
+        owner.renew()
+        owner.sync()
+    assert not runs(owner.client)
+
+
+def test_lapsed_owner_starts_nothing() -> None:
+    """Without the ownership lease an owner renews but starts nothing."""
+    owner, _, _ = running()
+    for _ in range(3):
+        pass_time(owner, 5.0)
+        owner.sync()
+    spec = JobSpec(name="more", kind=Kind.BATCH, program=Program(run_s=1000.0))
+    owner.shard.take(InboxEntry(id="2", submit=JobPart(spec=spec, indices=(0,))))
+    owner.place()
+    for _ in range(8):
+        pass_time(owner, 5.0)
+        owner.sync()
+    assert runs(owner.client)
+    assert "more/0" not in owner.client.standin.tasks
+
+
+@pytest.mark.parametrize(
+    ("kind", "lapsed_s", "still"),
+    [
+        (Kind.BATCH, 50.0, True),
+        (Kind.BATCH, 80.0, False),
+        (Kind.SERVICE, 500.0, True),
+    ],
+)
+def test_what_a_lapsed_owner_renews(kind: Kind, lapsed_s: float, still: bool) -> None:
+    """Kept tasks are renewed for ever, others for a bounded time."""
+    owner, _, _ = running(kind)
+    pass_time(owner, LEASE_S - 1)
+    owner.sync()
+    for _ in range(int(lapsed_s / 5) + 1):
+        pass_time(owner, 5.0)
+        owner.sync()
+    assert runs(owner.client) is still
+
+
+def test_late_order_is_void() -> None:
+    """A start order that was held up on its way does nothing when it arrives."""
+    owner, _, _ = running()
+    spec = JobSpec(name="more", kind=Kind.BATCH, program=Program(run_s=1000.0))
+    owner.shard.take(InboxEntry(id="2", submit=JobPart(spec=spec, indices=(0,))))
+    owner.place()
+    owner.client.catch = True
+    owner.sync()
+    pass_time(owner, TIMES.order_s + 0.1)
+    with pytest.raises(errors.ProblemError) as caught:
+        owner.client.standin.obey(owner.client.late[0])
+    assert caught.value.code == errors.EXPIRED_ORDER
+    assert "more/0" not in owner.client.standin.tasks
+
+
+def successor(owner: Owner, table: MemoryTable) -> Owner:
+    """Return a second owner, after the first fell silent towards the table."""
+    clock = ManualClock()
+    watcher = OwnershipLease(
+        table=table, clock=clock, key="lease", holder="b", lease_s=LEASE_S
+    )
+    go(watcher.acquire())
+    clock.advance(seconds=LEASE_S * 1.02)
+    for _ in range(2):
+        pass_time(owner, LEASE_S * 0.51)
+        owner.sync()
+    client = DirectWorker(standin=owner.client.standin)
+    second = make_owner_from(watcher, clock, client)
+    second.shard.jobs.clear()
+    for job in owner.shard.jobs.values():
+        second.shard._load_job(copy.deepcopy(job))
+    return second
+
+
+def make_owner_from(
+    lease: OwnershipLease, clock: ManualClock, client: DirectWorker
+) -> Owner:
+    """Return an owner around a lease that watched the first one's."""
+    made = make_owner(MemoryTable(), clock, client)
+    assert go(lease.acquire())
+    made.lease = made.link.lease = lease
+    inherited = inherited_leases(
+        now=clock.now(), silent=lease.takeover_silent, times=TIMES
+    )
+    made.link.keep_until = inherited.keep_until
+    made.link.release_until = inherited.release_until
+    return made
+
+
+def test_worker_refuses_an_older_epoch() -> None:
+    """Once the successor has spoken, the first owner is fenced off."""
+    owner, table, _ = running()
+    second = successor(owner, table)
+    second.sync()
+    owner.sync()
+    assert not owner.lease.is_holder
+    assert second.client.standin.epoch == 2
+
+
+@pytest.mark.parametrize(("kind", "freed"), [(Kind.SERVICE, False), (Kind.BATCH, True)])
+def test_successor_without_a_link_to_the_worker(kind: Kind, freed: bool) -> None:
+    """The first owner may still renew: kept tasks stay where they are."""
+    owner, table, _ = running(kind)
+    second = successor(owner, table)
+    second.client.cut = True
+    for _ in range(60):
+        second.clock.advance(seconds=2.0)
+        pass_time(owner, 2.0)
+        owner.sync()
+        go(second.lease.commit())
+        second.sync()
+        if runs(owner.client):
+            assert second.state()[0] is TaskState.PLACED, "given up too early"
+    assert (second.state()[0] is not TaskState.PLACED) is freed
+    assert runs(owner.client) is not freed
+
+
+def test_operator_vouches_for_a_dead_worker() -> None:
+    """An operator's word frees what no lease would."""
+    owner, table, _ = running()
+    second = successor(owner, table)
+    second.client.cut = True
+    second.sync()
+    second.sync()
+    second.link.vouched_dead()
+    second.sync()
+    assert second.state()[0] is TaskState.PENDING
+
+
+def test_restarted_worker_has_lost_its_tasks() -> None:
+    """A new incarnation runs nothing of the old one; the next attempt follows."""
+    owner, _, _ = running()
+    owner.client.standin = direct_worker(ManualClock()).standin
+    owner.sync()
+    owner.sync()
+    assert owner.state() == (TaskState.PENDING, 1)
+    owner.place()
+    owner.sync()
+    owner.sync()
+    assert owner.state() == (TaskState.PLACED, 2)
+    assert runs(owner.client)
--- /dev/null
+++ b/tests/test_writes.py
@@ -0,0 +1,168 @@
+"""Grouped writes, claims and configuration: lost replies, races, outages."""
+
+import asyncio
+
+import pytest
+
+from cranberrycleat import errors
+from cranberrycleat.claims import Claim, Claims, Replay, kept
+from cranberrycleat.messages import ConfigDocument
+from cranberrycleat.standin_table import MemoryTable
+from cranberrycleat.table import ABSENT, Check, Put
+from cranberrycleat.watcher import HEAD_KEY, ConfigWatcher
+from cranberrycleat.writer import Change, GroupedWriter, Lost, Unsettled, Won
+from tests.fakes import LateTable, go
+
+
+def change(key: str, value: str, version: int = ABSENT) -> Change:
+    """Return a change of one row."""
+    return Change(
+        check=Check(key=key, version=version), put=Put(key=key, value=f'"{value}"')
+    )
+
+
+def write_all(table: MemoryTable, *changes: Change) -> list[object]:
+    """Write changes at the same time and return their results' types."""
+
+    async def whole() -> list[object]:
+        writer = GroupedWriter(table=table, gather_s=0)
+        return [type(r) for r in await asyncio.gather(*map(writer.write, changes))]
+
+    return go(whole())
+
+
+def test_many_changes_are_one_transaction() -> None:
+    """Changes that come together cost one write."""
+    table = MemoryTable()
+    assert write_all(table, *[change(f"k{n}", "x") for n in range(50)]) == [Won] * 50
+    assert table.counts.writes == 1
+
+
+def test_a_loser_does_not_hold_up_the_others() -> None:
+    """A change whose condition fails is taken out; the rest is written."""
+    table = MemoryTable()
+    write_all(table, change("b", "first"))
+    assert write_all(
+        table, change("a", "x"), change("b", "second"), change("c", "x")
+    ) == [Won, Lost, Won]
+    assert table.rows["b"].value == '"first"'
+
+
+def test_two_changes_of_one_row_do_not_meet_in_a_transaction() -> None:
+    """The second of two equal claims loses."""
+    found = write_all(MemoryTable(), change("a", "x"), change("a", "y"))
+    assert found == [Won, Lost]
+
+
+@pytest.mark.parametrize(("lost", "expected"), [(1, Won), (2, Won), (3, Unsettled)])
+def test_lost_replies_are_settled(lost: int, expected: object) -> None:
+    """A change that took effect unanswered is told from one that lost."""
+    table = MemoryTable()
+    table.faults.lose_replies = lost
+    if lost == 3:
+        table.faults.down = True
+    assert write_all(table, change("a", "x")) == [expected]
+
+
+def make_claims(table: MemoryTable) -> Claims:
+    """Return a gateway's claims."""
+    return Claims(writer=GroupedWriter(table=table, gather_s=0))
+
+
+def outcome(table: MemoryTable, mark: str = "m") -> str:
+    """Claim key `k` as a fresh gateway would; say what came of it."""
+    try:
+        found = go(make_claims(table).claim(key="k", mark=mark))
+    except errors.ProblemError as exc:
+        return exc.code
+    return type(found).__name__
+
+
+def test_a_key_is_claimed_once() -> None:
+    """Of two gateways one sends; a different request is told apart."""
+    table = MemoryTable()
+    assert outcome(table) == Claim.__name__
+    assert outcome(table) == errors.KEY_IN_USE
+    assert outcome(table, mark="other") == errors.KEY_REUSED
+
+
+@pytest.mark.parametrize(
+    ("answered", "expected"), [(True, Replay.__name__), (False, Claim.__name__)]
+)
+def test_a_settled_claim(answered: bool, expected: str) -> None:
+    """An answer is replayed; what was proved not run may run."""
+    table = MemoryTable()
+
+    async def settle() -> None:
+        claims = make_claims(table)
+        claim = await claims.claim(key="k", mark="m")
+        assert isinstance(claim, Claim)
+        answer = kept(200, "text/plain", b"ok") if answered else None
+        await claims.settle(claim, answer)
+
+    go(settle())
+    assert outcome(table) == expected
+
+
+def test_no_table_no_claim() -> None:
+    """In an outage the answer is 'not run' at once."""
+    table = MemoryTable()
+    table.faults.down = True
+    assert outcome(table) == errors.NOT_RUN
+    assert not table.rows
+
+
+def test_claim_survives_a_lost_reply() -> None:
+    """A claim that took effect unanswered is this gateway's and nobody else's."""
+    table = MemoryTable()
+    table.faults.lose_replies = 1
+    assert outcome(table) == Claim.__name__
+    assert outcome(table) == errors.KEY_IN_USE
+
+
+def propose(table: MemoryTable, text: str, made_from: int) -> int | str:
+    """Propose a configuration; return its version or the refusal's code."""
+    try:
+        watcher = ConfigWatcher(table=table)
+        return go(watcher.propose(text=text, made_from=made_from)).version
+    except errors.ProblemError as exc:
+        return exc.code
+
+
+def test_racing_operators() -> None:
+    """Of two changes made from one version one wins, and the other is told."""
+    table = MemoryTable()
+    assert propose(table, "1", 0) == 1
+    assert propose(table, "2", 0) == errors.STALE_VERSION
+    assert propose(table, "3", 1) == 2
+    assert '"text":"3"' in table.rows[HEAD_KEY].value
+
+
+@pytest.mark.parametrize(("lost", "expected"), [(1, 1), (2, 1)])
+def test_accepted_change_with_a_lost_reply(lost: int, expected: int) -> None:
+    """A change that took effect unanswered is accepted once."""
+    table = MemoryTable()
+    table.faults.lose_replies = lost
+    assert propose(table, "1", 0) == expected
+    assert propose(table, "2", 1) == 2
+
+
+def test_unanswered_change_is_not_called_accepted() -> None:
+    """Where no answer comes at all, the outcome is said to be unknown."""
+    late = LateTable(hold=True)
+    watcher = ConfigWatcher(table=late)
+    with pytest.raises(errors.ProblemError) as caught:
+        go(watcher.propose(text="1", made_from=0))
+    assert caught.value.code == errors.OUTCOME_UNKNOWN
+    assert watcher.version == 0
+
+
+@pytest.mark.parametrize(
+    ("offered", "held"), [([3, 1], 3), ([1, 3, 2], 3), ([2, 2], 2)]
+)
+def test_configuration_never_reverts(offered: list[int], held: int) -> None:
+    """Whatever order versions come in, the highest is held."""
+    watcher = ConfigWatcher(table=MemoryTable())
+    for version in offered:
+        watcher.offer(ConfigDocument(version=version, text="{}"))
+    assert watcher.version == held
