--- a/cranberrycleat/cell.py
+++ b/cranberrycleat/cell.py
@@ -57,8 +57,8 @@
 class CellTimes:
     """How fast the parts of a cell go, in seconds; short for the demo."""
 
-    lease_s: float = 3.0
-    worker_lease_s: float = 2.0
+    lease_s: float = 1.5
+    worker_lease_s: float = 3.5
     sync_s: float = 0.25
     order_s: float = 1.0
     digest_s: float = 0.25
--- a/cranberrycleat/options.py
+++ b/cranberrycleat/options.py
@@ -1,7 +1,10 @@
 """The options of each program: one typed object each (see `settings`)."""
 
+from typing import Final
+
 import attrs
 
+from cranberrycleat import errors
 from cranberrycleat.settings import (
     Choice,
     Listen,
@@ -14,6 +17,10 @@
     setting,
 )
 
+LEASES_PER_WORKER_LEASE: Final = 2.0
+"""A task must outlive its owner: a candidate waits for one ownership lease,
+looks every fifth of one, and then has to reach the worker."""
+
 
 @attrs.frozen(kw_only=True)
 class CommonOptions:
@@ -58,10 +65,12 @@
     """The scheduler's options."""
 
     lease_s: float = setting(
-        Number(low=0.2, high=600), "Length of the ownership lease.", default=10.0
+        Number(low=0.2, high=600), "Length of the ownership lease.", default=5.0
     )
     worker_lease_s: float = setting(
-        Number(low=0.2, high=600), "Length of the leases of tasks.", default=10.0
+        Number(low=0.2, high=600),
+        "Length of the leases of tasks; at least twice --lease-s.",
+        default=15.0,
     )
     sync_s: float = setting(
         Number(low=0.02, high=60), "Seconds between syncs with a worker.", default=2.0
@@ -87,6 +96,7 @@
         "Seconds a leaving worker's services go on answering.",
         default=5.0,
     )
+
     table_client: str = setting(
         Text(), "The plug-in that speaks to the platform.", default="http"
     )
@@ -94,6 +104,19 @@
         Text(), "The plug-in that speaks to workers.", default="http"
     )
 
+    def check(self) -> tuple[errors.Finding, ...]:
+        """Return faults of settings that are right alone but not together."""
+        least = LEASES_PER_WORKER_LEASE * self.lease_s
+        if self.worker_lease_s >= least:
+            return ()
+        found = errors.finding(
+            "--worker-lease-s",
+            errors.BAD_VALUE,
+            value=self.worker_lease_s,
+            allowed=f"at least {least:g}, or tasks stop when an owner dies",
+        )
+        return (found,)
+
 
 @attrs.frozen(kw_only=True)
 class GatewayOptions(CommonOptions):
--- a/cranberrycleat/settings.py
+++ b/cranberrycleat/settings.py
@@ -7,7 +7,7 @@
 
 import os
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Final, TypeVar
 
 import attrs
@@ -209,4 +209,9 @@
             found.add(place, errors.BAD_VALUE, value=text, allowed=what)
     if found.items:
         raise errors.FindingsError(findings=found.sorted())
-    return cls(**values)
+    cfg = cls(**values)
+    check: Callable[[], tuple[errors.Finding, ...]] = getattr(cfg, "check", tuple)
+    faults = check()
+    if faults:
+        raise errors.FindingsError(findings=faults)
+    return cfg
--- a/cranberrycleat/standin_worker.py
+++ b/cranberrycleat/standin_worker.py
@@ -180,7 +180,11 @@
             if running.outcome is not Outcome.RUNNING:
                 continue
             if now >= running.lease_until:
-                self._end(running, Outcome.STOPPED, "lease ran out")
+                # It has done nothing since its lease ran out, however late
+                # this process, which may have been paused, gets to note it.
+                self._end(
+                    running, Outcome.STOPPED, "lease ran out", at=running.lease_until
+                )
             elif self._finished(running, now):
                 failed = running.order.program.fails
                 outcome = Outcome.FAILED if failed else Outcome.DONE
@@ -192,17 +196,26 @@
             return False
         return now - running.started >= program.run_s
 
-    def _end(self, running: RunningTask, outcome: Outcome, reason: str) -> None:
+    def _end(
+        self,
+        running: RunningTask,
+        outcome: Outcome,
+        reason: str,
+        at: float | None = None,
+    ) -> None:
         running.outcome = outcome
         running.reason = reason
-        running.ended = self.clock.now()
+        running.ended = self.clock.now() if at is None else at
         self.revision += 1
         running.revision = self.revision
-        self._note(running.order, outcome.value)
+        self._note(running.order, outcome.value, running.ended)
 
-    def _note(self, order: StartOrder, event: str) -> None:
+    def _note(self, order: StartOrder, event: str, at: float | None = None) -> None:
         line = RecordLine(
-            at=self.clock.now(), task=order.task, attempt=order.attempt, event=event
+            at=self.clock.now() if at is None else at,
+            task=order.task,
+            attempt=order.attempt,
+            event=event,
         )
         self.lines.append(line)
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -93,7 +93,7 @@
     def scheduler(self, name: str, platform: Program, *more: str) -> Program:
         """Start a scheduler of data centre `dc-a` with short times."""
         args = ["--name", name, "--data-centre", "dc-a", "--platform", platform.url]
-        args += ["--lease-s", "1.5", "--worker-lease-s", "1.5", "--sync-s", "0.2"]
+        args += ["--lease-s", "1.0", "--worker-lease-s", "3.0", "--sync-s", "0.2"]
         args += ["--order-s", "0.5", "--round-s", "0.1", "--release-after-s", "0.5"]
         args += ["--drain-s", "0.2", "--leave-s", "0.5", "--config-poll-s", "0.2"]
         return self.start("scheduler", *args, "--platform-timeout-s", "0.5", *more)
