--- a/cranberrycleat/admission.py
+++ b/cranberrycleat/admission.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import enum
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Final
@@ -16,9 +17,11 @@
 import attrs
 
 from cranberrycleat import errors
+from cranberrycleat.clock import Clock
 from cranberrycleat.endpoints import EndpointState, ServiceEndpoints
 
 LEAST_RETRY_S: Final = 1.0
+PACE_SMOOTHING: Final = 0.05
 
 
 class RequestClass(enum.IntEnum):
@@ -52,6 +55,9 @@
 
     pick: Pick
     most: int
+    clock: Clock
+    _leave_s: float = 0.0
+    _left_at: float = math.inf
     _queues: dict[RequestClass, deque[Waiter]] = attrs.field(
         factory=lambda: {rank: deque() for rank in RequestClass}
     )
@@ -92,8 +98,20 @@
     def leave(self, state: EndpointState) -> None:
         """Give a slot back and let the next request have it."""
         state.share.in_flight -= 1
+        self._note_pace()
         self.admit_waiting()
 
+    def _note_pace(self) -> None:
+        """Learn how fast slots come free while requests wait for them."""
+        now = self.clock.now()
+        if not self.waiting():
+            self._left_at = math.inf
+            return
+        if now >= self._left_at:
+            gap = now - self._left_at
+            self._leave_s += PACE_SMOOTHING * (gap - self._leave_s)
+        self._left_at = now
+
     def admit_waiting(self) -> None:
         """Give free slots to those that wait, the highest class first."""
         for queue in self._queues.values():
@@ -114,8 +132,9 @@
         return sum(len(q) for each, q in self._queues.items() if each <= rank)
 
     def _expected_wait_s(self, service: ServiceEndpoints, rank: RequestClass) -> float:
-        capacity = max(1, service.capacity())
-        return (self._ahead(rank) + 1) * service.took_s / capacity
+        """Say how long it would wait, by the pace seen and by the slots there are."""
+        by_slots = service.took_s / max(1, service.capacity())
+        return (self._ahead(rank) + 1) * max(by_slots, self._leave_s)
 
     def _make_room(self, rank: RequestClass) -> bool:
         """Let one more wait, if need be by refusing one of a lower class."""
--- /dev/null
+++ b/cranberrycleat/bench_load.py
@@ -0,0 +1,123 @@
+"""The callers of `bench routing`, one process for each gateway or baseline.
+
+Requests arrive at random times at a fixed mean rate, whatever is answered.
+"""
+
+import asyncio
+import random
+import sys
+from typing import Final
+
+import attrs
+import httpx
+
+from cranberrycleat import codec
+
+REFUSALS: Final = frozenset({429, 503, 504})
+
+
+@attrs.frozen(kw_only=True)
+class LoadPlan:
+    """What one caller process does.
+
+    Attributes:
+        url: The gateway or baseline to call.
+        rate: Mean arrivals a second.
+        seconds: For how long.
+        seed: The seed of the arrival times.
+        timeout_s: How long a caller waits.
+    """
+
+    url: str
+    rate: float
+    seconds: float
+    seed: int
+    timeout_s: float = 1.0
+
+
+@attrs.define(kw_only=True)
+class LoadResult:
+    """What one caller process saw.
+
+    Attributes:
+        offered: Requests sent.
+        good: Answered with status 200 within the caller's patience.
+        good_in_time: Those of them that came before the phase ended.
+        refused: Refused, with the time each took in `refused_s`.
+        bad: Everything else.
+        good_s: How long each good answer took, in seconds.
+        refused_s: How long each refusal took, in seconds.
+        no_retry_after: Refusals that did not say when to come back.
+    """
+
+    offered: int = 0
+    good: int = 0
+    good_in_time: int = 0
+    refused: int = 0
+    bad: int = 0
+    good_s: list[float] = attrs.field(factory=list)
+    refused_s: list[float] = attrs.field(factory=list)
+    no_retry_after: int = 0
+
+
+async def run_load(plan: LoadPlan) -> LoadResult:
+    """Call at random times, and return what was seen."""
+    rng = random.Random(plan.seed)
+    result = LoadResult()
+    transport = httpx.AsyncHTTPTransport(
+        limits=httpx.Limits(max_connections=None, max_keepalive_connections=512)
+    )
+    loop = asyncio.get_running_loop()
+    calls: set[asyncio.Task[None]] = set()
+    next_at = loop.time()
+    end = next_at + plan.seconds
+    while next_at < end:
+        await asyncio.sleep(max(0.0, next_at - loop.time()))
+        call = asyncio.create_task(_one_call(transport, plan, result, rng, end))
+        calls.add(call)
+        call.add_done_callback(calls.discard)
+        next_at += rng.expovariate(plan.rate)
+    if calls:
+        await asyncio.wait(calls)
+    return result
+
+
+async def _one_call(
+    transport: httpx.AsyncHTTPTransport,
+    plan: LoadPlan,
+    result: LoadResult,
+    rng: random.Random,
+    end: float,
+) -> None:
+    result.offered += 1
+    loop = asyncio.get_running_loop()
+    headers = {
+        "x-request-id": f"{rng.getrandbits(64):016x}",
+        "x-timeout-ms": str(int(plan.timeout_s * 1000)),
+    }
+    sent = httpx.Request("GET", f"{plan.url}/call/s/x", headers=headers)
+    began = loop.time()
+    try:
+        async with asyncio.timeout(plan.timeout_s + 0.05):
+            res = await transport.handle_async_request(sent)
+            await res.aread()
+            await res.aclose()
+    except (httpx.HTTPError, TimeoutError):
+        result.bad += 1
+        return
+    took = loop.time() - began
+    if res.status_code == 200:
+        result.good += 1
+        result.good_in_time += loop.time() <= end
+        result.good_s.append(took)
+    elif res.status_code in REFUSALS:
+        result.refused += 1
+        result.refused_s.append(took)
+        result.no_retry_after += "retry-after" not in res.headers
+    else:
+        result.bad += 1
+
+
+if __name__ == "__main__":
+    found = asyncio.run(run_load(codec.decode(sys.argv[2], LoadPlan)))
+    sys.stdout.write(codec.encode_text(found))
--- a/cranberrycleat/bench_parts.py
+++ b/cranberrycleat/bench_parts.py
@@ -1,10 +1,11 @@
-"""The processes that `bench routing` starts: endpoints, callers, and a baseline.
+"""The processes that `bench routing` starts: endpoints, and a baseline.
 
 * Endpoints: services with slots that answer after a fixed time, some of them
   slow or failing; they count what reaches them.
 * The baseline: a plain pass-through of litestar and httpx, round robin with
   three retries, as one would write it in an afternoon.
-* Callers: arrivals at random times at a fixed mean rate, whatever is answered.
+
+Callers are in `bench_load`.
 """
 
 import asyncio
@@ -15,7 +16,6 @@
 
 import attrs
 import httpx
-import uvicorn
 from litestar import Request, Response, route
 
 from cranberrycleat import codec
@@ -25,7 +25,6 @@
 LOOPBACK: Final = "127.0.0.1"
 SLOTS: Final = 8
 NAIVE_RETRIES: Final = 3
-REFUSALS: Final = frozenset({429, 503, 504})
 
 
 @attrs.frozen(kw_only=True)
@@ -159,115 +158,13 @@
     await asyncio.Event().wait()
 
 
-@attrs.frozen(kw_only=True)
-class LoadPlan:
-    """What one caller process does.
-
-    Attributes:
-        url: The gateway or baseline to call.
-        rate: Mean arrivals a second.
-        seconds: For how long.
-        seed: The seed of the arrival times.
-        timeout_s: How long a caller waits.
-    """
-
-    url: str
-    rate: float
-    seconds: float
-    seed: int
-    timeout_s: float = 1.0
-
-
-@attrs.define(kw_only=True)
-class LoadResult:
-    """What one caller process saw.
-
-    Attributes:
-        offered: Requests sent.
-        good: Answered with status 200 in time.
-        refused: Refused, with the time each took in `refused_s`.
-        bad: Everything else.
-        good_s: How long each good answer took, in seconds.
-        refused_s: How long each refusal took, in seconds.
-        no_retry_after: Refusals that did not say when to come back.
-    """
-
-    offered: int = 0
-    good: int = 0
-    refused: int = 0
-    bad: int = 0
-    good_s: list[float] = attrs.field(factory=list)
-    refused_s: list[float] = attrs.field(factory=list)
-    no_retry_after: int = 0
-
-
-async def run_load(plan: LoadPlan) -> LoadResult:
-    """Call at random times, and return what was seen."""
-    rng = random.Random(plan.seed)
-    result = LoadResult()
-    transport = httpx.AsyncHTTPTransport(
-        limits=httpx.Limits(max_connections=None, max_keepalive_connections=512)
-    )
-    loop = asyncio.get_running_loop()
-    calls: set[asyncio.Task[None]] = set()
-    next_at = loop.time()
-    end = next_at + plan.seconds
-    while next_at < end:
-        await asyncio.sleep(max(0.0, next_at - loop.time()))
-        call = asyncio.create_task(_one_call(transport, plan, result, rng))
-        calls.add(call)
-        call.add_done_callback(calls.discard)
-        next_at += rng.expovariate(plan.rate)
-    if calls:
-        await asyncio.wait(calls)
-    return result
-
-
-async def _one_call(
-    transport: httpx.AsyncHTTPTransport,
-    plan: LoadPlan,
-    result: LoadResult,
-    rng: random.Random,
-) -> None:
-    result.offered += 1
-    headers = {
-        "x-request-id": f"{rng.getrandbits(64):016x}",
-        "x-timeout-ms": str(int(plan.timeout_s * 1000)),
-    }
-    sent = httpx.Request("GET", f"{plan.url}/call/s/x", headers=headers)
-    loop = asyncio.get_running_loop()
-    began = loop.time()
-    try:
-        async with asyncio.timeout(plan.timeout_s + 0.05):
-            res = await transport.handle_async_request(sent)
-            await res.aread()
-            await res.aclose()
-    except (httpx.HTTPError, TimeoutError):
-        result.bad += 1
-        return
-    took = loop.time() - began
-    if res.status_code == 200:
-        result.good += 1
-        result.good_s.append(took)
-    elif res.status_code in REFUSALS:
-        result.refused += 1
-        result.refused_s.append(took)
-        result.no_retry_after += "retry-after" not in res.headers
-    else:
-        result.bad += 1
-
-
 def main(role: str, text: str, seed: int) -> None:
     """Run one part of the bench; `text` is its plan as JSON."""
-    assert uvicorn
     if role == "endpoints":
         kinds = codec.decode(text, tuple[EndpointKind, ...])
         asyncio.run(run_endpoints(kinds, seed))
-    elif role == "naive":
-        asyncio.run(run_naive(codec.decode(text, tuple[str, ...])))
     else:
-        result = asyncio.run(run_load(codec.decode(text, LoadPlan)))
-        sys.stdout.write(codec.encode_text(result))
+        asyncio.run(run_naive(codec.decode(text, tuple[str, ...])))
 
 
 if __name__ == "__main__":
--- a/cranberrycleat/bench_routing.py
+++ b/cranberrycleat/bench_routing.py
@@ -8,22 +8,18 @@
 
 import asyncio
 import os
+import socket
 import subprocess
 import sys
+from collections.abc import Sequence
 from typing import Any, Final
 
 import attrs
 from litestar import Request, Response, post
 
-from cranberrycleat import codec
-from cranberrycleat.bench_parts import (
-    LOOPBACK,
-    SLOTS,
-    EndpointCounts,
-    EndpointKind,
-    LoadPlan,
-    LoadResult,
-)
+from cranberrycleat import codec, errors
+from cranberrycleat.bench_load import LoadPlan, LoadResult
+from cranberrycleat.bench_parts import LOOPBACK, SLOTS, EndpointCounts, EndpointKind
 from cranberrycleat.http_calls import call, make_client
 from cranberrycleat.messages import Digest, DigestReply, Endpoint, EndpointSet
 from cranberrycleat.serve import HttpServer, json_response, make_app
@@ -35,7 +31,8 @@
 FAIL_SHARE: Final = 0.5
 GATEWAYS: Final = 3
 LOADS: Final = (0.5, 1.0, 2.0, 4.0)
-WARM_S: Final = 1.0
+WARM_S: Final = 1.2
+"""Longer than the time between two digests."""
 CLOCK_TICK: Final = os.sysconf("SC_CLK_TCK")
 
 
@@ -111,9 +108,20 @@
     return subprocess.Popen([sys.executable, *args], stdout=subprocess.PIPE, text=True)
 
 
+def _free_ports(count: int) -> list[int]:
+    listeners = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
+    ports = [listener.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    return ports
+
+
 def _first_line(process: "subprocess.Popen[str]") -> str:
     assert process.stdout is not None
-    return process.stdout.readline().strip()
+    line = process.stdout.readline().strip()
+    if not line:
+        raise errors.PeerUnavailable(f"{process.args!r} did not start")
+    return line
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -196,67 +204,85 @@
             await self.platform.stop()
 
     async def _phases(self, hub_url: str) -> RoutingReport:
-        healthy = self._endpoints((EndpointKind(answer_s=0.0),) * 4)
-        self.hub.list(healthy)
-        gateways = self._gateways(hub_url)
+        stage = self._set_stage(hub_url)
+        self.hub.list(stage.healthy)
         await asyncio.sleep(WARM_S)
-        unloaded = [
-            await self._phase(system, 0.0, healthy, None)
-            for system in (gateways, self._naives(healthy))
-        ]
+        unloaded = await asyncio.gather(
+            self._phase(stage.gateways, 0.0, stage.healthy, None),
+            self._phase(stage.idle_naives, 0.0, stage.healthy, None),
+        )
+        ours, naive = [], []
+        for load, acts in zip(LOADS, stage.acts):
+            self.hub.list(stage.steady + (acts.ours_dying.url,))
+            await asyncio.sleep(WARM_S)
+            # What reached the endpoint that dies is counted for neither side.
+            victim = acts.ours_dying.process
+            ours.append(await self._phase(stage.gateways, load, stage.steady, victim))
+            victim = acts.naive_dying.process
+            naive.append(await self._phase(acts.naives, load, stage.steady, victim))
+        return self._report(ours, naive, unloaded)
+
+    def _set_stage(self, hub_url: str) -> "Stage":
+        """Start every process of the run; side by side, for the start-up time."""
+        # The gateways first: nothing else may take the ports chosen for them.
+        gateways = self._gateways(hub_url)
+        healthy = self._endpoints((EndpointKind(answer_s=0.0),) * 4)
         kinds = [EndpointKind(answer_s=ANSWER_S)] * GOOD
         kinds.append(EndpointKind(answer_s=SLOW_S))
         kinds.append(EndpointKind(answer_s=ANSWER_S, fail_share=FAIL_SHARE))
         steady = self._endpoints(tuple(kinds))
-        figures: list[list[Figures]] = [[], []]
-        for load in LOADS:
-            figures[0].append(await self._faulty_phase(gateways, load, steady))
-            figures[1].append(await self._faulty_phase(None, load, steady))
-        return self._report(figures[0], figures[1], unloaded)
-
-    async def _faulty_phase(
-        self,
-        system: "list[Router] | None",
-        load: float,
-        steady: tuple[str, ...],
-    ) -> Figures:
-        """Run one phase with an endpoint of its own that dies half way."""
-        dying = self._endpoints((EndpointKind(answer_s=ANSWER_S),))
-        victim = self.started[-1]
-        everyone = steady + dying
-        self.hub.list(everyone)
-        if system is None:
-            system = self._naives(everyone)
-        await asyncio.sleep(WARM_S / 2)
-        return await self._phase(system, load, steady, victim)
+        dying = [self._dying() for _ in range(2 * len(LOADS))]
+        urls = [_first_line(process) for process in dying]
+        victims = [Router(process=p, url=url) for p, url in zip(dying, urls)]
+        naives = [self._start_naives(healthy)]
+        for victim in victims[len(LOADS) :]:
+            naives.append(self._start_naives(steady + (victim.url,)))
+        systems = [_routers(each) for each in naives]
+        acts = [
+            Act(ours_dying=mine, naive_dying=its, naives=system)
+            for mine, its, system in zip(
+                victims[: len(LOADS)], victims[len(LOADS) :], systems[1:]
+            )
+        ]
+        return Stage(
+            healthy=healthy,
+            steady=steady,
+            gateways=gateways,
+            idle_naives=systems[0],
+            acts=tuple(acts),
+        )
 
     def _endpoints(self, kinds: tuple[EndpointKind, ...]) -> tuple[str, ...]:
         process = self._part("endpoints", codec.encode_text(kinds))
         return tuple(_first_line(process).split(","))
 
-    def _naives(self, urls: tuple[str, ...]) -> "list[Router]":
-        processes = [
-            self._part("naive", codec.encode_text(urls)) for _ in range(GATEWAYS)
-        ]
-        return [Router(process=each, url=_first_line(each)) for each in processes]
+    def _dying(self) -> "subprocess.Popen[str]":
+        kinds = (EndpointKind(answer_s=ANSWER_S),)
+        return self._part("endpoints", codec.encode_text(kinds))
+
+    def _start_naives(self, urls: tuple[str, ...]) -> list["subprocess.Popen[str]"]:
+        text = codec.encode_text(urls)
+        return [self._part("naive", text) for _ in range(GATEWAYS)]
 
     def _part(self, role: str, text: str) -> "subprocess.Popen[str]":
-        module = "cranberrycleat.bench_parts"
-        process = _spawn("-m", module, role, text, str(self.seed))
+        module = "bench_load" if role == "load" else "bench_parts"
+        process = _spawn("-m", f"cranberrycleat.{module}", role, text, str(self.seed))
         self.started.append(process)
         return process
 
     def _gateways(self, hub_url: str) -> "list[Router]":
-        found: list[Router] = []
-        for number in range(GATEWAYS):
-            peers = ",".join([hub_url, *(each.url for each in found)])
+        ports = _free_ports(GATEWAYS)
+        urls = [f"http://{LOOPBACK}:{port}" for port in ports]
+        processes = []
+        for number, port in enumerate(ports):
+            peers = ",".join([hub_url, *(u for u in urls if u != urls[number])])
             args = ["--name", f"g{number}", "--data-centre", "dc", "--peers", peers]
-            args += ["--platform", self.platform.url, "--digest-s", "0.2"]
-            process = _spawn("-m", "cranberrycleat", "gateway", *args)
-            self.started.append(process)
-            url = _first_line(process).rsplit(" ", 1)[1]
-            found.append(Router(process=process, url=url))
-        return found
+            args += ["--platform", self.platform.url, "--port", str(port)]
+            processes.append(_spawn("-m", "cranberrycleat", "gateway", *args))
+        self.started += processes
+        for process in processes:
+            _first_line(process)
+        return [Router(process=p, url=url) for p, url in zip(processes, urls)]
 
     async def _phase(
         self,
@@ -296,7 +322,7 @@
             ]
 
     def _report(
-        self, ours: list[Figures], naive: list[Figures], unloaded: list[Figures]
+        self, ours: list[Figures], naive: list[Figures], unloaded: Sequence[Figures]
     ) -> RoutingReport:
         cpu = unloaded[0].cpu_ms_per_request / unloaded[1].cpu_ms_per_request
         summary = RoutingSummary(
@@ -321,7 +347,7 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Router:
-    """One gateway or baseline process."""
+    """One gateway, baseline or endpoint process."""
 
     process: "subprocess.Popen[str]"
     url: str
@@ -333,6 +359,38 @@
         return (int(fields[11]) + int(fields[12])) / CLOCK_TICK
 
 
+@attrs.frozen(kw_only=True)
+class Act:
+    """What one load needs beside the gateways: what dies, and the baselines."""
+
+    ours_dying: Router
+    naive_dying: Router
+    naives: list[Router]
+
+
+@attrs.frozen(kw_only=True)
+class Stage:
+    """Every process of a run.
+
+    Attributes:
+        healthy: Endpoints for the unloaded phases.
+        steady: The endpoints that live through all the other phases.
+        gateways: The gateways.
+        idle_naives: The baselines for the unloaded phase.
+        acts: What each load needs.
+    """
+
+    healthy: tuple[str, ...]
+    steady: tuple[str, ...]
+    gateways: list[Router]
+    idle_naives: list[Router]
+    acts: tuple[Act, ...]
+
+
+def _routers(processes: list["subprocess.Popen[str]"]) -> list[Router]:
+    return [Router(process=each, url=_first_line(each)) for each in processes]
+
+
 def _figures(
     load: float,
     seconds: float,
@@ -349,7 +407,7 @@
     return Figures(
         load=load,
         offered=offered,
-        goodput=round(len(good) / seconds, 1),
+        goodput=round(sum(each.good_in_time for each in results) / seconds, 1),
         p50_ms=_percentile_ms(good, 0.5),
         p99_ms=_percentile_ms(good, 0.99),
         refused=len(refused),
--- a/cranberrycleat/cli_bench.py
+++ b/cranberrycleat/cli_bench.py
@@ -10,7 +10,7 @@
 
 from cranberrycleat import codec, errors, logs
 
-QUICK_ROUTING_S: Final = 2.2
+QUICK_ROUTING_S: Final = 2.0
 FULL_ROUTING_S: Final = 10.0
 
 
--- a/cranberrycleat/endpoints.py
+++ b/cranberrycleat/endpoints.py
@@ -39,6 +39,7 @@
         failures: Failures in a row.
         ejected_until: Left out until this clock time.
         ejections: Ejections in a row.
+        took_s: The smoothed time that a request takes there, in seconds.
     """
 
     endpoint: Endpoint
@@ -47,6 +48,15 @@
     failures: int = 0
     ejected_until: float = float("-inf")
     ejections: int = 0
+    took_s: float = FIRST_GUESS_S
+
+    def note_took(self, seconds: float) -> None:
+        """Take in how long a request took, or how long it was waited for."""
+        self.took_s += SMOOTHING * (seconds - self.took_s)
+
+    def expected_s(self) -> float:
+        """Return about how long one more request would take."""
+        return self.took_s * (1 + self.share.in_flight / self.share.share)
 
     def usable(self, now: float) -> bool:
         """Tell whether it may get new work now."""
--- a/cranberrycleat/gateway.py
+++ b/cranberrycleat/gateway.py
@@ -49,6 +49,8 @@
 
 LOG: Final[logging.Logger] = part_logger("gateway")
 MOST_ATTEMPTS: Final = 4
+SERVER_ERROR: Final = 500
+PATIENCE_SHARE: Final = 0.5
 NO_ENDPOINT_RETRY_S: Final = 2.0
 
 
@@ -191,16 +193,20 @@
             try:
                 last, url = await self._attempt(req, rank, tried, left)
             except errors.ProblemError:
-                if isinstance(last, Unknown):
-                    break
-                raise
-            if isinstance(last, Answered):
+                if isinstance(last, NotRun):
+                    raise
+                break
+            if isinstance(last, Answered) and last.status < SERVER_ERROR:
                 state.budget.earn()
                 return last
+            if isinstance(last, Answered) and not req.repeatable:
+                return last
             if isinstance(last, Unknown) and not req.repeatable:
                 break
             tried |= {url}
             self.metrics.count("retries_wanted")
+        if isinstance(last, Answered):
+            return last
         raise _given_up(last, self._known_service(req.service).took_s)
 
     async def _attempt(
@@ -212,7 +218,10 @@
     ) -> tuple[AttemptOutcome, str]:
         service = self._known_service(req.service)
         gate = self._service_state(req.service).gate
-        patience = min(left_s, self.config.routing.queue_s)
+        # What could only be sent too late to be answered is refused at once;
+        # half of what is left is kept for answers that take longer than most.
+        patience = (left_s - service.took_s) * PATIENCE_SHARE
+        patience = min(patience, self.config.routing.queue_s)
         state = await gate.enter(
             service=service, rank=rank, tried=tried, patience_s=patience
         )
@@ -234,14 +243,18 @@
         began: float,
     ) -> None:
         verdict = Verdict.BAD
+        took_s = self.clock.now() - began
         match outcome:
             case Answered(status=status, leaving=leaving):
-                service.note_took(self.clock.now() - began)
-                verdict = Verdict.GOOD if status < 500 else Verdict.BAD
+                service.note_took(took_s)
+                state.note_took(took_s)
+                verdict = Verdict.GOOD if status < SERVER_ERROR else Verdict.BAD
                 self._note_leaving(state, leaving)
             case NotRun(refused=True, leaving=leaving):
                 verdict = Verdict.FULL
                 self._note_leaving(state, leaving)
+            case Unknown():
+                state.note_took(took_s)
         judge(
             service,
             state,
@@ -269,7 +282,11 @@
         state = self.services.get(name)
         if state is None:
             state = ServiceState(
-                gate=Gate(pick=self._picker(name), most=self.cfg.max_waiting),
+                gate=Gate(
+                    pick=self._picker(name),
+                    most=self.cfg.max_waiting,
+                    clock=self.clock,
+                ),
                 budget=RetryBudget(share=self.config.routing.retry_share),
             )
             self.services[name] = state
@@ -336,6 +353,7 @@
 
     def answer_digest(self, asked: Digest) -> DigestReply:
         """Return what the asker lacks."""
+        self.peers.heard(asked)
         self.book.learn_leaving(asked.leaving)
         newer = self.watcher.version > asked.config_version
         known = {(s.data_centre, s.epoch, s.revision) for s in asked.seen}
--- a/cranberrycleat/peers.py
+++ b/cranberrycleat/peers.py
@@ -79,8 +79,14 @@
                     LOG.debug("peer %s gave no answer: %s", url, exc)
                 await asyncio.sleep(self.digest_s)
 
+    def heard(self, asked: Digest) -> None:
+        """Note a peer that asked, whether or not its address is known here."""
+        peer = self.known.setdefault(asked.sender, Peer(url=""))
+        peer.last = asked
+        peer.heard_at = self.clock.now()
+
     def live(self, role: str) -> tuple[Digest, ...]:
-        """Return the last digests of peers of a role that answered lately."""
+        """Return the last digests of peers of a role that were heard lately."""
         bound = self.clock.now() - GONE_AFTER * self.digest_s
         return tuple(
             peer.last
--- a/cranberrycleat/routing.py
+++ b/cranberrycleat/routing.py
@@ -37,7 +37,7 @@
 @register(PluginKind.ROUTING, DEFAULT)
 @attrs.define(kw_only=True, eq=False)
 class LeastOfTwo:
-    """The less loaded of two usable endpoints; near ones go first."""
+    """The one of two usable endpoints that will answer sooner; near ones first."""
 
     rng: random.Random = attrs.field(factory=random.Random)
 
@@ -58,7 +58,7 @@
     def _least(self, usable: list[EndpointState]) -> EndpointState:
         if len(usable) > SAMPLE:
             usable = self.rng.sample(usable, SAMPLE)
-        return min(usable, key=lambda each: each.share.in_flight / each.share.share)
+        return min(usable, key=EndpointState.expected_s)
 
 
 @register(PluginKind.ROUTING, "round-robin")
--- a/cranberrycleat/scheduler.py
+++ b/cranberrycleat/scheduler.py
@@ -386,6 +386,7 @@
 
     def answer_digest(self, asked: Digest) -> DigestReply:
         """Return the configuration and the endpoints that the asker lacks."""
+        self.peers.heard(asked)
         newer = self.watcher.version > asked.config_version
         sets = tuple(each for each in self._own_sets() if _lacks(asked, each))
         return DigestReply(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -345,7 +345,7 @@
     def pick(tried: frozenset[str]) -> EndpointState | None:
         return state if state.usable(clock.now()) else None
 
-    return Waiting(service, Gate(pick=pick, most=most))
+    return Waiting(service, Gate(pick=pick, most=most, clock=clock))
 
 
 @pytest.mark.parametrize(
