One TLS context a process; bench callers that do not lag

A pool's time for a request grows with its connections, and each caller had some 300 in one pool. The gateways were not the cause (1.6 ms of CPU a request, 43% of a core).

Found on the way: every httpx client loads the system's certificates again, 691 KB each; a scheduler has one client a worker, so 208 workers would cost 144 MB.

--- a/cranberrycleat/bench_load.py
+++ b/cranberrycleat/bench_load.py
@@ -12,7 +12,9 @@
 import httpx
 
 from cranberrycleat import codec
+from cranberrycleat.http_calls import tls_context
 
+POOLS: Final = 32
 REFUSALS: Final = frozenset({429, 503, 504})
 
 
@@ -64,16 +66,22 @@
     """Call at random times, and return what was seen."""
     rng = random.Random(plan.seed)
     result = LoadResult()
-    transport = httpx.AsyncHTTPTransport(
-        limits=httpx.Limits(max_connections=None, max_keepalive_connections=512)
-    )
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=64)
+    # Several small pools: the time a pool takes for a request grows with its
+    # connections, and the callers must not be what is measured.
+    pools = [
+        httpx.AsyncHTTPTransport(limits=limits, verify=tls_context())
+        for _ in range(POOLS)
+    ]
     loop = asyncio.get_running_loop()
     calls: set[asyncio.Task[None]] = set()
     next_at = loop.time()
     end = next_at + plan.seconds
     while next_at < end:
         await asyncio.sleep(max(0.0, next_at - loop.time()))
-        call = asyncio.create_task(_one_call(transport, plan, result, rng, end))
+        call = asyncio.create_task(
+            _one_call(pools[result.offered % POOLS], plan, result, rng, end)
+        )
         calls.add(call)
         call.add_done_callback(calls.discard)
         next_at += rng.expovariate(plan.rate)
--- a/cranberrycleat/bench_routing.py
+++ b/cranberrycleat/bench_routing.py
@@ -30,6 +30,8 @@
 GOOD: Final = 4
 FAIL_SHARE: Final = 0.5
 GATEWAYS: Final = 3
+HEALTHY: Final = 4
+"""Endpoints of each side in the unloaded phase."""
 LOADS: Final = (0.5, 1.0, 2.0, 4.0)
 WARM_S: Final = 1.2
 """Longer than the time between two digests."""
@@ -205,11 +207,11 @@
 
     async def _phases(self, hub_url: str) -> RoutingReport:
         stage = self._set_stage(hub_url)
-        self.hub.list(stage.healthy)
+        self.hub.list(stage.healthy[:HEALTHY])
         await asyncio.sleep(WARM_S)
         unloaded = await asyncio.gather(
-            self._phase(stage.gateways, 0.0, stage.healthy, None),
-            self._phase(stage.idle_naives, 0.0, stage.healthy, None),
+            self._phase(stage.gateways, 0.0, stage.healthy[:HEALTHY], None),
+            self._phase(stage.idle_naives, 0.0, stage.healthy[HEALTHY:], None),
         )
         ours, naive = [], []
         for load, acts in zip(LOADS, stage.acts):
@@ -226,7 +228,7 @@
         """Start every process of the run; side by side, for the start-up time."""
         # The gateways first: nothing else may take the ports chosen for them.
         gateways = self._gateways(hub_url)
-        healthy = self._endpoints((EndpointKind(answer_s=0.0),) * 4)
+        healthy = self._endpoints((EndpointKind(answer_s=0.0),) * 2 * HEALTHY)
         kinds = [EndpointKind(answer_s=ANSWER_S)] * GOOD
         kinds.append(EndpointKind(answer_s=SLOW_S))
         kinds.append(EndpointKind(answer_s=ANSWER_S, fail_share=FAIL_SHARE))
@@ -234,7 +236,7 @@
         dying = [self._dying() for _ in range(2 * len(LOADS))]
         urls = [_first_line(process) for process in dying]
         victims = [Router(process=p, url=url) for p, url in zip(dying, urls)]
-        naives = [self._start_naives(healthy)]
+        naives = [self._start_naives(healthy[HEALTHY:])]
         for victim in victims[len(LOADS) :]:
             naives.append(self._start_naives(steady + (victim.url,)))
         systems = [_routers(each) for each in naives]
--- a/cranberrycleat/forward.py
+++ b/cranberrycleat/forward.py
@@ -16,6 +16,7 @@
 import attrs
 import httpx
 
+from cranberrycleat.http_calls import tls_context
 from cranberrycleat.standin_service import LEAVING, NOT_STARTED
 
 MAX_ANSWER: Final = 8 * 1024 * 1024
@@ -108,16 +109,18 @@
 
     _reused: httpx.AsyncHTTPTransport = attrs.field(
         factory=lambda: httpx.AsyncHTTPTransport(
+            verify=tls_context(),
             limits=httpx.Limits(
                 max_connections=None,
                 max_keepalive_connections=256,
                 keepalive_expiry=30.0,
-            )
+            ),
         )
     )
     _single: httpx.AsyncHTTPTransport = attrs.field(
         factory=lambda: httpx.AsyncHTTPTransport(
-            limits=httpx.Limits(max_connections=None, max_keepalive_connections=0)
+            verify=tls_context(),
+            limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
         )
     )
 
--- a/cranberrycleat/http_calls.py
+++ b/cranberrycleat/http_calls.py
@@ -5,6 +5,8 @@
 `ProblemError` that the other side raised.
 """
 
+import functools
+import ssl
 from typing import TypeVar
 
 import httpx
@@ -15,11 +17,22 @@
 T = TypeVar("T")
 
 
+@functools.cache
+def tls_context() -> ssl.SSLContext:
+    """Return the one TLS context of this process.
+
+    Each context holds its own copy of the system's certificates, about half a
+    megabyte; a scheduler has a client for every worker.
+    """
+    return httpx.create_ssl_context()
+
+
 def make_client(*, timeout_s: float, connections: int = 100) -> httpx.AsyncClient:
     """Return a client that reads no proxy settings from the environment."""
     return httpx.AsyncClient(
         timeout=timeout_s,
         trust_env=False,
+        verify=tls_context(),
         limits=httpx.Limits(
             max_connections=connections, max_keepalive_connections=connections
         ),
