--- /dev/null
+++ b/cranberrycleat/bench_run.py
@@ -0,0 +1,418 @@
+"""One policy under one workload, in virtual time, for `bench placement`.
+
+The planner is called directly: there is no network, no lease and no table. A
+task starts when it is placed and ends after its true run time; a report of what
+it really uses comes after the lag that workers have.
+"""
+
+import heapq
+import itertools
+import time
+from typing import Final
+
+import attrs
+
+from cranberrycleat import selectors
+from cranberrycleat.amounts import NOTHING, Amounts
+from cranberrycleat.bench_workload import GPU_LABEL, BadDay, BenchCell, BenchJob
+from cranberrycleat.book import BookWorker, CapacityBook, WorkerState
+from cranberrycleat.jobs import Kind, Yield
+from cranberrycleat.placement import Ask, why_never
+from cranberrycleat.preemption import Preemption, throttled
+from cranberrycleat.rounds import RoundPlanner
+
+REPORT_LAG_S: Final = 5.0
+FAIL_AFTER_S: Final = 0.5
+DRAIN_S: Final = 400.0
+RETRIES: Final = 50
+
+
+@attrs.define(kw_only=True, eq=False)
+class BenchTask:
+    """One task on its way through the bench."""
+
+    job: BenchJob
+    name: str
+    since: float
+    left_s: float
+    worker: str = ""
+    started: float = -1.0
+    serial: int = 0
+    first_start: float = -1.0
+    preempted: bool = False
+
+
+@attrs.define(kw_only=True)
+class RunFigures:
+    """What one policy did with one workload."""
+
+    policy: str
+    wait_p50_s: float = 0.0
+    wait_p99_s: float = 0.0
+    wait_max_s: float = 0.0
+    wait_mean_s: float = 0.0
+    urgent_p99_s: float = 0.0
+    service_p99_s: float = 0.0
+    batch_p99_s: float = 0.0
+    gang_p99_s: float = 0.0
+    packing: float = 0.0
+    touched: float = 0.0
+    lost_share: float = 0.0
+    decisions: int = 0
+    decisions_per_s: float = 0.0
+    decision_p99_ms: float = 0.0
+    over_capacity: int = 0
+    overfull_s: float = 0.0
+    never: int = 0
+    unstarted: int = 0
+    quarantined: int = 0
+
+
+@attrs.define(kw_only=True, eq=False)
+class BenchRun:
+    """One run."""
+
+    policy: str
+    cell: BenchCell
+    bad: BadDay
+    jobs: list[BenchJob]
+    planner: RoundPlanner
+    round_s: float
+    pooled: bool = False
+    now: float = 0.0
+    waiting: dict[str, list[BenchTask]] = attrs.field(factory=dict)
+    by_name: dict[str, BenchTask] = attrs.field(factory=dict)
+    finished: list[BenchTask] = attrs.field(factory=list)
+    figures: RunFigures = attrs.field(init=False)
+    _events: list[tuple[float, int, str, object]] = attrs.field(factory=list)
+    _serial: "itertools.count[int]" = attrs.field(factory=itertools.count)
+    _dirty: bool = True
+    _times: list[float] = attrs.field(factory=list)
+    _times_made: list[int] = attrs.field(factory=list)
+    _samples: list[tuple[float, int]] = attrs.field(factory=list)
+    _lost: float = 0.0
+    _failing: set[str] = attrs.field(factory=set)
+    _asks: dict[str, Ask] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.figures = RunFigures(policy=self.policy)
+
+    def run(self) -> RunFigures:
+        """Run to the end and return the figures."""
+        self._begin()
+        next_round = 0.0
+        end = self.cell.arrivals_s + DRAIN_S
+        while self._events and self.now < end:
+            at = self._events[0][0]
+            if self._dirty and at >= next_round:
+                self.now = max(self.now, next_round)
+                self._round()
+                next_round = self.now + self.round_s
+                continue
+            self.now = at
+            _, _, kind, what = heapq.heappop(self._events)
+            self._handle(kind, what)
+            if self.now > self.cell.arrivals_s and not self.waiting:
+                break
+        self._finish()
+        return self.figures
+
+    # --- events -----------------------------------------------------------------
+
+    def _at(self, when: float, kind: str, what: object) -> None:
+        heapq.heappush(self._events, (when, next(self._serial), kind, what))
+
+    def _begin(self) -> None:
+        self._failing = {f"w{number}" for number in range(self.bad.failing_workers)}
+        for job in self.jobs:
+            self._at(job.at, "arrive", job)
+        half = self.cell.arrivals_s / 2
+        if self.bad.cancel_share:
+            self._at(half, "cancel", None)
+        if self.bad.rack_lost:
+            self._at(half, "rack", None)
+        self._at(self.cell.arrivals_s + 0.001, "tick", None)
+
+    def _handle(self, kind: str, what: object) -> None:
+        match kind:
+            case "arrive":
+                assert isinstance(what, BenchJob)
+                self._arrive(what)
+            case "end":
+                assert isinstance(what, tuple)
+                self._end(*what)
+            case "report":
+                assert isinstance(what, tuple)
+                self._report(*what)
+            case "cancel":
+                self._cancel()
+            case "rack":
+                self._lose_rack()
+            case _:
+                self._dirty = True
+
+    def _arrive(self, job: BenchJob) -> None:
+        tasks = []
+        for number in range(job.count):
+            task = BenchTask(
+                job=job,
+                name=f"{job.name}/{number}",
+                since=self.now,
+                left_s=job.run_s[number],
+            )
+            tasks.append(task)
+            self.by_name[task.name] = task
+        self.waiting[job.name] = tasks
+        self._dirty = True
+
+    def _end(self, task: BenchTask, serial: int) -> None:
+        if task.serial != serial or not task.worker:
+            return
+        worker = task.worker
+        self._leave(task)
+        if worker in self._failing:
+            self.planner.book.start_failed(worker)
+            self._wait_again(task)
+            return
+        self.planner.book.start_succeeded(worker)
+        self.planner.history.note_run(task.job.name, self.now - task.started)
+        self.finished.append(task)
+
+    def _leave(self, task: BenchTask) -> None:
+        self.planner.book.release(task.worker, task.name)
+        self.planner.forget(task.name)
+        team = self.planner.teams.get(task.job.team)
+        if team is not None:
+            team.used = team.used.minus(self._asks[task.job.name].needs)
+        task.worker = ""
+        self._dirty = True
+
+    def _wait_again(self, task: BenchTask) -> None:
+        task.since = self.now
+        self.waiting.setdefault(task.job.name, []).append(task)
+        self._dirty = True
+
+    def _report(self, task: BenchTask, serial: int) -> None:
+        if task.serial == serial and task.worker:
+            needs = self._asks[task.job.name].needs
+            book = self.planner.book
+            book.report(task.worker, task.name, needs, task.job.uses)
+            self.planner.history.note_use(task.job.name, task.job.uses)
+            self._dirty = True
+
+    def _cancel(self) -> None:
+        """A third of all waiting jobs is cancelled, in one pass."""
+        names = sorted(self.waiting)
+        for name in names[: int(len(names) * self.bad.cancel_share)]:
+            del self.waiting[name]
+        self._dirty = True
+
+    def _lose_rack(self) -> None:
+        rack = next(reversed(self.planner.book.workers.values())).rack
+        for worker in list(self.planner.book.workers.values()):
+            if worker.rack == rack:
+                worker.state = WorkerState.SILENT
+                for name in list(worker.tasks):
+                    task = self.by_name[name]
+                    self._leave(task)
+                    self._wait_again(task)
+
+    # --- rounds -----------------------------------------------------------------
+
+    def _round(self) -> None:
+        asks = [self._ask(name, tasks) for name, tasks in self.waiting.items()]
+        racks = {ask.job: self._racks(ask) for ask in asks if ask.kind is Kind.SERVICE}
+        began = time.perf_counter()
+        plan = self.planner.plan(asks, racks, now=self.now)
+        took = time.perf_counter() - began
+        self._dirty = False
+        for assignment in plan.assignments:
+            self._start(self.by_name[assignment.task], assignment.worker)
+        for preemption in plan.preemptions:
+            self._give_way(preemption)
+        made = len(plan.assignments)
+        if made and self.now > 0.0:
+            self.figures.decisions += made
+            self._times.append(took)
+            self._times_made.append(made)
+        self._drop_never()
+        self._sample()
+        if any(w.state is WorkerState.QUARANTINED for w in self._watched()):
+            self._at(self.now + 5.0, "tick", None)
+        if self.waiting and not self._events:
+            self._at(self.now + 1.0, "tick", None)
+
+    def _watched(self) -> list[BookWorker]:
+        return [self.planner.book.workers[name] for name in self._failing]
+
+    def _ask(self, name: str, tasks: list[BenchTask]) -> Ask:
+        known = self._asks.get(name)
+        job = tasks[0].job
+        history = self.planner.history
+        declared = job.run_s[0] if self.pooled else job.declared_s
+        run_s = history.run_s(job.name, declared)
+        needs = known.needs if known else self._needs(job)
+        ask = Ask(
+            job=job.name,
+            kind=job.kind,
+            team=job.team,
+            rank=job.rank,
+            needs=needs,
+            selector=(
+                known.selector
+                if known
+                else selectors.parse(job.selector, place="bench")
+            ),
+            tasks=tuple(task.name for task in tasks),
+            run_s=run_s,
+            gives_way=job.gives_way,
+        )
+        self._asks[name] = ask
+        return ask
+
+    def _needs(self, job: BenchJob) -> Amounts:
+        learned = self.planner.history.needs(job.name, job.needs)
+        limit = Amounts(
+            processors=self.cell.processors * 1000,
+            memory_mb=self.cell.memory_mb,
+            accelerators=8,
+        )
+        return learned if learned.fits_in(limit) else job.needs
+
+    def _racks(self, ask: Ask) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for number in range(len(self._asks[ask.job].tasks)):
+            task = self.by_name.get(f"{ask.job}/{number}")
+            if task is not None and task.worker:
+                rack = self.planner.book.workers[task.worker].rack
+                counts[rack] = counts.get(rack, 0) + 1
+        return counts
+
+    def _start(self, task: BenchTask, worker: str) -> None:
+        tasks = self.waiting[task.job.name]
+        tasks.remove(task)
+        if not tasks:
+            del self.waiting[task.job.name]
+        task.worker, task.started = worker, self.now
+        task.serial = next(self._serial)
+        if task.first_start < 0:
+            task.first_start = self.now
+        if worker in self._failing:
+            self._at(self.now + FAIL_AFTER_S, "end", (task, task.serial))
+        elif task.left_s:
+            self._at(self.now + task.left_s, "end", (task, task.serial))
+        if self.bad.wrong_sizes:
+            self._at(self.now + REPORT_LAG_S, "report", (task, task.serial))
+
+    def _give_way(self, preemption: Preemption) -> None:
+        task = self.by_name[preemption.task]
+        ran = self.now - task.started
+        if preemption.how is Yield.THROTTLE:
+            needs = throttled(self.planner.book.workers[task.worker].tasks[task.name])
+            self.planner.book.recount(task.worker, task.name, needs)
+            task.left_s = 2 * max(0.0, task.left_s - ran)
+            task.started, task.serial = self.now, next(self._serial)
+            self._at(self.now + task.left_s, "end", (task, task.serial))
+            self._dirty = True
+            return
+        if preemption.how is Yield.CHECKPOINT:
+            task.left_s = max(0.1, task.left_s - ran)
+        else:
+            self._lost += ran * task.job.uses.processors
+        task.preempted = True
+        self._leave(task)
+        self._wait_again(task)
+
+    def _drop_never(self) -> None:
+        """Work that can never run is found once, said, and waits no more."""
+        if not self.bad.never_share:
+            return
+        for name in list(self.waiting):
+            if why_never(self._asks[name], self.planner.book):
+                self.figures.never += len(self.waiting.pop(name))
+
+    def _sample(self) -> None:
+        """Note what is used while work waits, and how many workers are touched."""
+        workers = self.planner.book.workers.values()
+        over = [w for w in workers if not w.used.fits_in(w.capacity)]
+        given = [w for w in over if not self.bad.wrong_sizes]
+        self.figures.over_capacity += len(given)
+        self.figures.overfull_s += len(over) * self.round_s
+        if self.waiting and self.now > 0.0:
+            whole = sum(w.capacity.processors for w in workers)
+            used = sum(w.used.processors for w in workers)
+            touched = sum(1 for w in workers if w.tasks)
+            self._samples.append((used / whole, touched))
+
+    # --- figures ----------------------------------------------------------------
+
+    def _finish(self) -> None:
+        figures = self.figures
+        tasks = [task for task in self.by_name.values() if task.job.at > 0]
+        started = [task for task in tasks if task.first_start >= 0]
+        waits = sorted(task.first_start - task.job.at for task in started)
+        figures.unstarted = sum(len(tasks) for tasks in self.waiting.values())
+        figures.wait_p50_s = percentile(waits, 0.5)
+        figures.wait_p99_s = percentile(waits, 0.99)
+        figures.wait_max_s = percentile(waits, 1.0)
+        figures.wait_mean_s = round(sum(waits) / max(1, len(waits)), 3)
+        urgent = [t for t in started if t.job.rank == 0]
+        figures.urgent_p99_s = _p99(urgent)
+        figures.service_p99_s = _p99([t for t in started if t.job.kind is Kind.SERVICE])
+        figures.batch_p99_s = _p99([t for t in started if t.job.kind is Kind.BATCH])
+        figures.gang_p99_s = _p99([t for t in started if t.job.kind is Kind.GANG])
+        if self._samples:
+            count = len(self._samples)
+            figures.packing = round(sum(s[0] for s in self._samples) / count, 4)
+            figures.touched = round(sum(s[1] for s in self._samples) / count, 1)
+        work = sum(t.job.uses.processors * sum(t.job.run_s) for t in started)
+        figures.lost_share = round(self._lost / max(1.0, work), 5)
+        spent = sum(self._times)
+        if spent:
+            figures.decisions_per_s = round(figures.decisions / spent, 1)
+        each = sorted(took / made for took, made in zip(self._times, self._times_made))
+        figures.decision_p99_ms = round(1000 * percentile(each, 0.99, 6), 3)
+        figures.quarantined = sum(
+            w.state is WorkerState.QUARANTINED or w.failures > 0
+            for w in self._watched()
+        )
+
+
+def _p99(tasks: list[BenchTask]) -> float:
+    return percentile(sorted(t.first_start - t.job.at for t in tasks), 0.99)
+
+
+def percentile(values: list[float], share: float, digits: int = 3) -> float:
+    """Return a percentile of sorted values, or 0 where there are none."""
+    if not values:
+        return 0.0
+    index = min(len(values) - 1, int(len(values) * share))
+    return round(values[index], digits)
+
+
+def make_book(cell: BenchCell, pooled: bool) -> CapacityBook:
+    """Return a case's workers, or one pooled worker as large as all of them."""
+    book = CapacityBook()
+    with_gpu = cell.accelerators // 8
+    whole = NOTHING
+    for number in range(cell.workers):
+        has_gpu = number >= cell.workers - with_gpu
+        capacity = Amounts(
+            processors=cell.processors * 1000,
+            memory_mb=cell.memory_mb,
+            accelerators=8 if has_gpu else 0,
+        )
+        whole = whole.plus(capacity)
+        if not pooled:
+            rack = f"r{number // cell.rack_size}"
+            book.add_worker(_worker(f"w{number}", rack, capacity, has_gpu))
+    if pooled:
+        book.add_worker(_worker("pool", "r0", whole, True))
+    return book
+
+
+def _worker(name: str, rack: str, capacity: Amounts, has_gpu: bool) -> BookWorker:
+    labels = {GPU_LABEL: "yes"} if has_gpu else {}
+    return BookWorker(
+        name=name, data_centre="dc", rack=rack, labels=labels, capacity=capacity
+    )
--- a/cranberrycleat/book.py
+++ b/cranberrycleat/book.py
@@ -14,6 +14,8 @@
 
 import bisect
 import enum
+import math
+from collections.abc import Iterator
 from typing import Final
 
 import attrs
@@ -23,6 +25,8 @@
 
 QUARANTINE_AFTER: Final = 3
 """Starts that failed in a row before a worker draws no more work."""
+PROBE_S: Final = 60.0
+MOST_RESTS: Final = 6
 
 
 class WorkerState(enum.Enum):
@@ -51,7 +55,9 @@
         used: The sum of what its tasks are counted with.
         tasks: What each task on it is counted with.
         state: Whether it may draw new work.
-        failures: Starts that failed in a row.
+        failures: Failures in a row, each of another job.
+        held_until: When a gang is expected to take the worker; 0 for never.
+        probe_at: When a quarantined worker is tried again.
     """
 
     name: str
@@ -64,6 +70,20 @@
     tasks: dict[str, Amounts] = attrs.field(factory=dict)
     state: WorkerState = WorkerState.LIVE
     failures: int = 0
+    held_until: float = 0.0
+    probe_at: float = math.inf
+    rests: int = 0
+    drew_in: int = -1
+    round: int = 0
+
+    def may_draw(self) -> bool:
+        """Tell whether it may draw work in this round.
+
+        After a failure it draws one task a round until something succeeds.
+        """
+        if self.state is not WorkerState.LIVE:
+            return False
+        return not self.failures or self.drew_in != self.round
 
     def __attrs_post_init__(self) -> None:
         self.free = self.capacity.minus(self.used)
@@ -119,25 +139,81 @@
     def _drop(self, key: _SortKey) -> None:
         del self._order[bisect.bisect_left(self._order, key)]
 
-    def tightest(self, needs: Amounts) -> BookWorker | None:
-        """Return the live worker with the least room that still fits."""
-        start = bisect.bisect_left(self._order, (needs.accelerators,))
-        for index in range(start, len(self._order)):
-            key = self._order[index]
-            if key[1] < needs.processors or key[2] < needs.memory_mb:
+    def tightest(
+        self, needs: Amounts, *, ends_by: float = -math.inf
+    ) -> BookWorker | None:
+        """Return the live worker with the least room that still fits.
+
+        Workers with fewer free accelerators go first, so that those that have
+        some are kept for work that needs them.
+
+        Args:
+            needs: What must be free.
+            ends_by: When the task would end; held workers must be free by then.
+        """
+        order = self._order
+        index = bisect.bisect_left(order, (needs.accelerators, needs.processors))
+        while index < len(order):
+            accelerators, processors, memory_mb, name = order[index]
+            if processors < needs.processors:
+                # The next group of equal accelerators begins further on.
+                index = bisect.bisect_left(order, (accelerators, needs.processors))
+                continue
+            index += 1
+            if memory_mb < needs.memory_mb:
+                continue
+            worker = self.members[name]
+            if worker.held_until and ends_by > worker.held_until:
                 continue
-            worker = self.members[key[3]]
-            if worker.state is WorkerState.LIVE and needs.fits_in(worker.free):
+            if worker.may_draw() and needs.fits_in(worker.free):
                 return worker
         return None
 
+    def roomiest(self) -> Iterator[BookWorker]:
+        """Return the workers, those with the most room first."""
+        for key in reversed(self._order):
+            yield self.members[key[3]]
+
 
 @attrs.define(kw_only=True, eq=False)
 class CapacityBook:
     """Every worker of a shard, with what is on it."""
 
     workers: dict[str, BookWorker] = attrs.field(factory=dict)
+    round: int = 0
     _pools: dict[Selector, Pool] = attrs.field(factory=dict)
+    _overfull: set[str] = attrs.field(factory=set)
+    _watched: set[str] = attrs.field(factory=set)
+
+    def begin_round(self, now: float) -> None:
+        """Begin a round: workers that failed may draw one more task each."""
+        self.round += 1
+        for name in list(self._watched):
+            worker = self.workers.get(name)
+            if worker is None:
+                self._watched.discard(name)
+                continue
+            worker.round = self.round
+            if worker.state is WorkerState.QUARANTINED:
+                self._rest_or_probe(worker, now)
+            elif not worker.failures:
+                self._watched.discard(name)
+
+    def _rest_or_probe(self, worker: BookWorker, now: float) -> None:
+        """Try a quarantined worker again after a rest that doubles each time."""
+        if worker.probe_at == math.inf:
+            worker.probe_at = now + PROBE_S * 2 ** min(worker.rests, MOST_RESTS)
+            worker.rests += 1
+        elif now >= worker.probe_at:
+            worker.probe_at = math.inf
+            worker.state = WorkerState.LIVE
+            worker.failures = QUARANTINE_AFTER - 1
+
+    def take_overfull(self) -> tuple[BookWorker, ...]:
+        """Return workers that a report has pushed over their capacity."""
+        names = [name for name in self._overfull if name in self.workers]
+        self._overfull = {name for name in names if self.workers[name].overfull}
+        return tuple(self.workers[name] for name in sorted(self._overfull))
 
     def add_worker(self, worker: BookWorker) -> None:
         """Take in a worker that is not in the book yet."""
@@ -184,6 +260,7 @@
         worker = self.workers[name]
         if task in worker.tasks or not needs.fits_in(worker.free):
             raise CapacityError(f"{task} on {name}")
+        worker.drew_in = self.round
         self._set(worker, task, needs)
 
     def adopt(self, name: str, task: str, needs: Amounts) -> None:
@@ -195,6 +272,14 @@
         worker = self.workers[name]
         if task in worker.tasks:
             self._set(worker, task, declared.larger(used))
+            if worker.overfull:
+                self._overfull.add(name)
+
+    def recount(self, name: str, task: str, needs: Amounts) -> None:
+        """Count a task with other amounts, as when it has been throttled."""
+        worker = self.workers[name]
+        if task in worker.tasks:
+            self._set(worker, task, needs)
 
     def release(self, name: str, task: str) -> None:
         """Stop counting a task that is proved to be gone; idempotent."""
@@ -217,12 +302,13 @@
         """Note that a worker started what it was given."""
         worker = self.workers[name]
         worker.failures = 0
-        if worker.state is WorkerState.QUARANTINED:
-            worker.state = WorkerState.LIVE
+        worker.rests = 0
 
     def start_failed(self, name: str) -> None:
         """Note that a worker failed what it was given; enough, and it rests."""
         worker = self.workers[name]
         worker.failures += 1
+        worker.round = worker.drew_in = self.round
+        self._watched.add(name)
         if worker.failures >= QUARANTINE_AFTER and worker.state is WorkerState.LIVE:
             worker.state = WorkerState.QUARANTINED
--- a/cranberrycleat/cli_bench.py
+++ b/cranberrycleat/cli_bench.py
@@ -60,6 +60,23 @@
     _print_rows("unloaded: naive", (report.unloaded_naive,))
 
 
+@bench.command("placement")
+@click.option("--seed", default=1, help="The seed of the workloads.")
+@click.option("--quick", is_flag=True, help="Fewer baselines; ends within 50 s.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def bench_placement(seed: int, quick: bool, as_json: bool) -> None:
+    """Waiting, packing and the cost of deciding, beside baselines and a bound."""
+    from cranberrycleat.bench_placement import run_placement_bench
+
+    report = run_placement_bench(seed, quick=quick)
+    if as_json:
+        click.echo(codec.encode_text(report))
+        return
+    _print_summary(report.summary)
+    for case in report.cases:
+        _print_rows(f"{case.case}: {case.tasks} tasks", case.rows)
+
+
 @click.command()
 @click.option("--small", is_flag=True, help="Fewer workers, gateways and calls.")
 @click.option("--log-level", default="error", help="The least severe level to log.")
--- a/cranberrycleat/messages.py
+++ b/cranberrycleat/messages.py
@@ -167,6 +167,7 @@
         url: Where it answers requests, for services.
         reason: Why it failed or was refused.
         run_s: How long it has run, in seconds.
+        throttled: Whether it runs with a part of its processors only.
     """
 
     task: str
@@ -176,6 +177,7 @@
     url: str = ""
     reason: str = ""
     run_s: float = 0.0
+    throttled: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/cranberrycleat/placement.py
+++ b/cranberrycleat/placement.py
@@ -7,12 +7,13 @@
 jobs, quotas and preemption are not a policy's business; see `rounds`.
 """
 
+import math
 from typing import Final, Protocol
 
 import attrs
 
 from cranberrycleat.amounts import Amounts
-from cranberrycleat.book import BookWorker, CapacityBook, Pool, WorkerState
+from cranberrycleat.book import BookWorker, CapacityBook, Pool
 from cranberrycleat.jobs import Kind, Yield
 from cranberrycleat.registry import PluginKind, register
 from cranberrycleat.selectors import Selector
@@ -34,6 +35,8 @@
         tasks: The names of the tasks that want a place.
         run_s: How long a task is expected to run, in seconds; 0 for unknown.
         gives_way: How its tasks make room for others.
+        ends_by: When a task placed now would end, on the planner's clock;
+            workers that are held for a gang take only what ends before its turn.
     """
 
     job: str
@@ -45,6 +48,7 @@
     tasks: tuple[str, ...]
     run_s: float = 0.0
     gives_way: Yield = Yield.STOP
+    ends_by: float = -math.inf
 
 
 @attrs.frozen(kw_only=True)
@@ -84,7 +88,7 @@
         pool = book.pool(ask.selector)
         made = []
         for task in ask.tasks:
-            worker = pool.tightest(ask.needs)
+            worker = pool.tightest(ask.needs, ends_by=ask.ends_by)
             if worker is None:
                 break
             book.reserve(worker.name, task, ask.needs)
@@ -132,14 +136,16 @@
 def _spread_choice(ask: Ask, pool: Pool, counts: dict[str, int]) -> BookWorker | None:
     prefix = ask.job + "/"
     for rack in sorted(pool.racks, key=lambda each: counts.get(each, 0)):
-        fitting = [each for each in pool.racks[rack] if _has_room(each, ask.needs)]
+        fitting = [each for each in pool.racks[rack] if _has_room(each, ask)]
         if fitting:
             return min(fitting, key=lambda each: _crowding(each, prefix))
     return None
 
 
-def _has_room(worker: BookWorker, needs: Amounts) -> bool:
-    return worker.state is WorkerState.LIVE and needs.fits_in(worker.free)
+def _has_room(worker: BookWorker, ask: Ask) -> bool:
+    if worker.held_until and ask.ends_by > worker.held_until:
+        return False
+    return worker.may_draw() and ask.needs.fits_in(worker.free)
 
 
 def _crowding(worker: BookWorker, prefix: str) -> tuple[int, int, str]:
--- a/cranberrycleat/scheduler.py
+++ b/cranberrycleat/scheduler.py
@@ -33,7 +33,7 @@
 from cranberrycleat.metrics import Metrics
 from cranberrycleat.options import SchedulerOptions
 from cranberrycleat.peers import Peers
-from cranberrycleat.rounds import Plan, TeamUse
+from cranberrycleat.rounds import WEIGHTS, Plan, TeamUse
 from cranberrycleat.scheduler_api import scheduler_handlers
 from cranberrycleat.serve import HttpServer, make_app
 from cranberrycleat.shard import SHARD, Shard, inbox_prefix, owner_key
@@ -239,7 +239,7 @@
             return
         await self._learn_hosts(shard)
         taken = await self._take_inbox(shard)
-        plan = shard.plan()
+        plan = shard.plan(self.clock.now())
         now = self.clock.now()
         shard.note_finished(now)
         deletes = [row.key for row in taken]
@@ -362,6 +362,7 @@
         if current is None or self.shard is None:
             return
         cfg = codec.decode(current.text, Configuration, place="configuration")
+        self.shard.planner.weights = WEIGHTS[cfg.placement.weight]
         teams = self.shard.planner.teams
         for name in {*teams, *cfg.placement.quotas}:
             team = teams.setdefault(name, TeamUse())
--- a/cranberrycleat/shard.py
+++ b/cranberrycleat/shard.py
@@ -23,6 +23,7 @@
     Kind,
     TaskRecord,
     TaskState,
+    Yield,
     job_of,
     task_id,
 )
@@ -40,6 +41,7 @@
     TaskReport,
 )
 from cranberrycleat.placement import Ask
+from cranberrycleat.preemption import throttled
 from cranberrycleat.rounds import Plan, RoundPlanner, TeamUse
 from cranberrycleat.table import Put, Row
 
@@ -87,12 +89,16 @@
         url: Where it answers, once it runs.
         running: Whether its worker said that it runs.
         stopping: Whether it is to be stopped.
+        how: How it is to give way.
+        needs: What the book counts it with.
     """
 
     durable: bool = False
     url: str = ""
     running: bool = False
     stopping: bool = False
+    how: Yield = Yield.STOP
+    needs: Amounts = NOTHING
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -144,7 +150,9 @@
             self.book.add_worker(self._unlisted(record.worker))
         task = task_id(job.spec.name, record.index)
         self.book.adopt(record.worker, task, job.spec.needs)
-        self.live[task] = LiveTask(durable=True, stopping=job.cancelled)
+        self.live[task] = LiveTask(
+            durable=True, stopping=job.cancelled, needs=job.spec.needs
+        )
         self._count_team(job, job.spec.needs)
 
     def _unlisted(self, name: str) -> BookWorker:
@@ -322,10 +330,12 @@
                 self._runs(worker, report)
             case Outcome.DONE:
                 self.book.start_succeeded(worker)
+                self.planner.history.note_run(job.spec.name, report.run_s)
                 self._final(job, record, TaskState.DONE)
                 self._settle_later(worker, report)
             case Outcome.FAILED:
-                self.book.start_failed(worker)
+                if self.planner.history.blames_worker(job.spec.name, worker):
+                    self.book.start_failed(worker)
                 self._gone(job, record, failed=True)
                 self._settle_later(worker, report)
             case Outcome.STOPPED | Outcome.REFUSED:
@@ -347,8 +357,12 @@
 
     def _runs(self, worker: str, report: TaskReport) -> None:
         live = self.live[report.task]
-        spec = self.jobs[job_of(report.task)].spec
-        self.book.report(worker, report.task, spec.needs, report.used)
+        if report.throttled:
+            live.stopping = False
+            self.book.recount(worker, report.task, throttled(live.needs))
+        else:
+            self.book.report(worker, report.task, live.needs, report.used)
+        self.planner.history.note_use(job_of(report.task), report.used)
         if not live.running:
             live.running = True
             live.url = report.url
@@ -376,8 +390,10 @@
     def _final(self, job: JobRow, record: TaskRecord, state: TaskState) -> None:
         task = task_id(job.spec.name, record.index)
         self.book.release(record.worker, task)
-        self._count_team(job, NOTHING.minus(job.spec.needs))
-        self.live.pop(task, None)
+        live = self.live.pop(task, None)
+        if live is not None:
+            self._count_team(job, NOTHING.minus(live.needs))
+        self.planner.forget(task)
         record.state = state
         record.worker = ""
         self.endpoint_revision += 1
@@ -385,13 +401,18 @@
 
     # --- rounds -------------------------------------------------------------
 
-    def plan(self) -> Plan:
+    def plan(self, now: float = 0.0) -> Plan:
         """Plan one round and note its placements, not yet durable."""
         asks = [ask for name in self._open if (ask := self._ask(self.jobs[name]))]
         racks = {ask.job: self._racks(ask.job) for ask in asks}
-        plan = self.planner.plan(asks, racks)
+        plan = self.planner.plan(asks, racks, now=now)
+        needs = {ask.job: ask.needs for ask in asks}
         for assignment in plan.assignments:
-            self._placed(assignment.task, assignment.worker)
+            counted = needs[job_of(assignment.task)]
+            self._placed(assignment.task, assignment.worker, counted)
+        for preemption in plan.preemptions:
+            live = self.live[preemption.task]
+            live.stopping, live.how = True, preemption.how
         for refusal in plan.refusals:
             self._refused(self.jobs[refusal.job], refusal.never, refusal.reasons)
         return plan
@@ -401,19 +422,28 @@
         placed = any(each.state is TaskState.PLACED for each in job.tasks)
         if not waiting or (job.spec.kind is Kind.GANG and placed):
             return None
-        spec = job.spec
+        spec, history = job.spec, self.planner.history
         return Ask(
             job=spec.name,
             kind=spec.kind,
             team=spec.team,
             rank=spec.rank,
-            needs=spec.needs,
+            needs=self._needs(job),
             selector=selectors.parse(spec.selector, place=spec.name),
             tasks=tuple(task_id(spec.name, each.index) for each in waiting),
-            run_s=spec.run_s,
+            run_s=history.run_s(spec.name, spec.run_s),
             gives_way=spec.gives_way,
         )
 
+    def _needs(self, job: JobRow) -> Amounts:
+        """What to count a task with: as learned, where some worker can hold it."""
+        declared = job.spec.needs
+        learned = self.planner.history.needs(job.spec.name, declared)
+        fits = any(
+            learned.fits_in(worker.capacity) for worker in self.book.workers.values()
+        )
+        return learned if fits else declared
+
     def _racks(self, name: str) -> dict[str, int]:
         counts: dict[str, int] = {}
         for record in self.jobs[name].tasks:
@@ -422,13 +452,13 @@
                 counts[rack] = counts.get(rack, 0) + 1
         return counts
 
-    def _placed(self, task: str, worker: str) -> None:
+    def _placed(self, task: str, worker: str, needs: Amounts) -> None:
         job = self.jobs[job_of(task)]
         record = self._record(task)
         record.state = TaskState.PLACED
         record.worker = worker
         record.attempt += 1
-        self.live[task] = LiveTask()
+        self.live[task] = LiveTask(needs=needs)
         job.reasons.clear()
         self._touch(job)
 
@@ -481,22 +511,25 @@
         return StartOrder(
             task=task,
             attempt=self._record(task).attempt,
-            needs=spec.needs,
+            needs=self.live[task].needs,
             keeps=spec.keeps,
             program=spec.program,
         )
 
     def stoppable(self, worker: str) -> tuple[StopOrder, ...]:
         """Return the attempts on the worker that are to end."""
-        attempts = {
-            task: self._record(task).attempt
+        orders = [
+            StopOrder(
+                task=task,
+                attempt=self._record(task).attempt,
+                how=self.live[task].how,
+            )
             for task in self.book.workers[worker].tasks
             if self.live[task].stopping
-        }
-        attempts.update(self.strays.get(worker, {}))
-        return tuple(
-            StopOrder(task=task, attempt=attempt) for task, attempt in attempts.items()
-        )
+        ]
+        for task, attempt in self.strays.get(worker, {}).items():
+            orders.append(StopOrder(task=task, attempt=attempt))
+        return tuple(orders)
 
     def unreported(self, worker: str, reports: Iterable[TaskReport]) -> None:
         """A worker's full list leaves out what the table places there: it is gone."""
@@ -574,4 +607,5 @@
         for name in old:
             del self._ended_at[name]
             del self.jobs[name]
+            self.planner.history.forget_job(name)
         return tuple(job_key(self.data_centre, name) for name in old)
--- a/cranberrycleat/standin_worker.py
+++ b/cranberrycleat/standin_worker.py
@@ -269,6 +269,8 @@
         match stop.how:
             case Yield.THROTTLE:
                 running.throttled = True
+                self.revision += 1
+                running.revision = self.revision
             case Yield.CHECKPOINT:
                 self._end(running, Outcome.STOPPED, "checkpointed")
             case Yield.STOP | Yield.NEVER:
@@ -347,6 +349,7 @@
             url=f"{self.entry.url}/task/{order.task}/{order.attempt}" if serves else "",
             reason=running.reason,
             run_s=ended - running.started,
+            throttled=running.throttled,
         )
 
     def record(self) -> WorkerRecord:
