--- a/cranberrycleat/bench_workload.py
+++ b/cranberrycleat/bench_workload.py
@@ -191,7 +191,8 @@
                 at=at,
             )
         )
-        self.asked += needs.processors * count / MILLI
+        if needs.processors <= self.cell.processors * MILLI:
+            self.asked += needs.processors * count / MILLI
 
     def _declared(self, uses: Amounts) -> Amounts:
         if self.rng.random() < self.bad.never_share:
--- a/cranberrycleat/book.py
+++ b/cranberrycleat/book.py
@@ -177,10 +177,17 @@
 
 @attrs.define(kw_only=True, eq=False)
 class CapacityBook:
-    """Every worker of a shard, with what is on it."""
+    """Every worker of a shard, with what is on it.
+
+    Attributes:
+        workers: The workers, by name.
+        round: The number of the current round.
+        changes: Grows when workers come, go or are relabelled.
+    """
 
     workers: dict[str, BookWorker] = attrs.field(factory=dict)
     round: int = 0
+    changes: int = 0
     _pools: dict[Selector, Pool] = attrs.field(factory=dict)
     _overfull: set[str] = attrs.field(factory=set)
     _watched: set[str] = attrs.field(factory=set)
@@ -217,6 +224,7 @@
 
     def add_worker(self, worker: BookWorker) -> None:
         """Take in a worker that is not in the book yet."""
+        self.changes += 1
         self.workers[worker.name] = worker
         for pool in self._pools.values():
             if pool.selector.matches(worker.labels):
@@ -224,6 +232,7 @@
 
     def remove_worker(self, name: str) -> None:
         """Forget a worker that has no tasks left."""
+        self.changes += 1
         worker = self.workers.pop(name)
         for pool in self._pools.values():
             if name in pool.members:
@@ -231,6 +240,7 @@
 
     def relabel(self, name: str, labels: dict[str, str]) -> None:
         """Give a worker new labels; what it runs stays."""
+        self.changes += 1
         worker = self.workers[name]
         for pool in self._pools.values():
             if name in pool.members:
--- a/cranberrycleat/cli_bench.py
+++ b/cranberrycleat/cli_bench.py
@@ -68,6 +68,7 @@
     """Waiting, packing and the cost of deciding, beside baselines and a bound."""
     from cranberrycleat.bench_placement import run_placement_bench
 
+    logs.set_up(level="info", form="text")
     report = run_placement_bench(seed, quick=quick)
     if as_json:
         click.echo(codec.encode_text(report))
--- a/cranberrycleat/rounds.py
+++ b/cranberrycleat/rounds.py
@@ -4,14 +4,15 @@
 Order, quotas, reservations and preemption are decided here, over the one
 capacity book; the caller makes the plan durable before it acts on it.
 
-Order: the higher priority first; within one, by waiting and run time over the
-square of the run time, which favours short work and lets nothing wait for ever.
+Order: the higher priority first; within one, the least work first (run time by
+processors), the sooner the longer it has waited, so that nothing waits for ever.
 A gang that has waited long reserves workers: what is placed there meanwhile
 must be expected to end before the gang's turn, so that it does not starve and
 small work is not held up.
 """
 
 import math
+from itertools import islice
 from typing import Final
 
 import attrs
@@ -30,6 +31,8 @@
 UNKNOWN_RUN_S: Final = 60.0
 RECHECK_S: Final = 5.0
 """How often a reservation's workers are chosen anew."""
+HOLD_AMONG: Final = 128
+"""Workers that a reservation is chosen among, those with the most room."""
 
 
 @attrs.frozen(kw_only=True)
@@ -150,6 +153,7 @@
     policies: dict[str, Policy] = attrs.field(factory=dict)
     reservation: Reservation | None = None
     _since: dict[str, float] = attrs.field(factory=dict)
+    _could_fit: dict[str, int] = attrs.field(factory=dict)
     _giving_way: dict[str, str] = attrs.field(factory=dict)
     _blocked: dict[Selector, list[Blocked]] = attrs.field(factory=dict)
 
@@ -173,19 +177,29 @@
         assignments: list[Assignment] = []
         refusals: list[Refusal] = []
         preemptions = list(self._relieve(now))
-        for ask in sorted(asks, key=lambda each: self._order(each, now)):
-            made = self._place(ask, (racks or {}).get(ask.job, {}), now)
-            assignments.extend(made)
-            left = len(ask.tasks) - len(made)
-            if left:
-                refusals.append(self._refusal(ask))
-                preemptions.extend(self._left_over(ask, left, now))
+        for ask in self._sorted(asks, now):
+            decision = self.decide(ask, (racks or {}).get(ask.job, {}), now)
+            assignments.extend(decision.assignments)
+            refusals.extend(decision.refusals)
+            preemptions.extend(decision.preemptions)
         return Plan(
             assignments=tuple(assignments),
             refusals=tuple(refusals),
             preemptions=tuple(preemptions),
         )
 
+    def decide(self, ask: Ask, racks: dict[str, int], now: float) -> Plan:
+        """Decide about one job: places, or why not, and who gives way."""
+        made = self._place(ask, racks, now)
+        left = len(ask.tasks) - len(made)
+        if not left:
+            return Plan(assignments=made, refusals=())
+        return Plan(
+            assignments=made,
+            refusals=(self._refusal(ask),),
+            preemptions=self._left_over(ask, left, now),
+        )
+
     def forget(self, task: str) -> None:
         """Forget a task that holds no place any more."""
         self.placed.pop(task, None)
@@ -196,16 +210,27 @@
     def _note_waiting(self, asks: list[Ask], now: float) -> None:
         """Remember since when each job has waited."""
         self._since = {ask.job: self._since.get(ask.job, now) for ask in asks}
+        self._could_fit = {
+            job: seen for job, seen in self._could_fit.items() if job in self._since
+        }
         held = self.reservation
         if held is not None and held.job not in self._since:
             self._unhold()
 
-    def _order(self, ask: Ask, now: float) -> tuple[int, float, float]:
-        run_s = max(SHORTEST_S, ask.run_s or UNKNOWN_RUN_S)
-        waited_s = now - self._since[ask.job]
-        ratio = (waited_s + run_s) / (run_s * run_s)
-        share = dominant_share(self._team(ask.team).used, self.whole)
-        return (ask.rank, -ratio, share)
+    def _sorted(self, asks: list[Ask], now: float) -> list[Ask]:
+        """Return the asks in the order in which they are tried."""
+        shares = {
+            name: dominant_share(team.used, self.whole)
+            for name, team in self.teams.items()
+        }
+
+        def order(ask: Ask) -> tuple[int, float, float]:
+            run_s = max(SHORTEST_S, ask.run_s or UNKNOWN_RUN_S)
+            waited_s = now - self._since[ask.job]
+            ratio = (waited_s + run_s) / (run_s * run_s * ask.needs.processors)
+            return (ask.rank, -ratio, shares.get(ask.team, 0.0))
+
+        return sorted(asks, key=order)
 
     def _team(self, name: str) -> TeamUse:
         return self.teams.setdefault(name, TeamUse())
@@ -215,33 +240,43 @@
     def _place(
         self, ask: Ask, racks: dict[str, int], now: float
     ) -> tuple[Assignment, ...]:
+        ends_by = self._ends_by(ask, now)
+        if self._is_blocked(ask, ends_by):
+            return ()
         allowed = self._within_quota(ask)
-        ask = self._with_end(ask, now)
-        if allowed == 0 or self._is_blocked(ask):
+        if allowed == 0:
             return ()
-        if allowed < len(ask.tasks):
-            ask = attrs.evolve(ask, tasks=ask.tasks[:allowed])
+        ask = attrs.evolve(ask, tasks=ask.tasks[:allowed], ends_by=ends_by)
         made = self._policy(ask.kind).place(ask=ask, book=self.book, racks=racks)
         if len(made) < len(ask.tasks) and ask.kind is Kind.BATCH:
-            blocked = Blocked(needs=ask.needs, ends_by=ask.ends_by)
-            self._blocked.setdefault(ask.selector, []).append(blocked)
+            self._note_blocked(ask)
         self._note_placed(ask, made, now)
         return made
 
-    def _with_end(self, ask: Ask, now: float) -> Ask:
+    def _ends_by(self, ask: Ask, now: float) -> float:
         """Say when the tasks would end; a gang may use what is held for it."""
-        ends_by = now + ask.run_s if ask.run_s else math.inf
         if self.reservation is not None and self.reservation.job == ask.job:
-            ends_by = -math.inf
-        return attrs.evolve(ask, ends_by=ends_by)
+            return -math.inf
+        return now + ask.run_s if ask.run_s else math.inf
 
-    def _is_blocked(self, ask: Ask) -> bool:
+    def _is_blocked(self, ask: Ask, ends_by: float) -> bool:
         """Tell whether as little or less found no room already in this round."""
         return any(
-            each.needs.fits_in(ask.needs) and each.ends_by <= ask.ends_by
+            each.needs.fits_in(ask.needs) and each.ends_by <= ends_by
             for each in self._blocked.get(ask.selector, ())
         )
 
+    def _note_blocked(self, ask: Ask) -> None:
+        """Remember the smallest needs that found no room in this round."""
+        known = self._blocked.setdefault(ask.selector, [])
+        mine = Blocked(needs=ask.needs, ends_by=ask.ends_by)
+        known[:] = [
+            each
+            for each in known
+            if not (mine.needs.fits_in(each.needs) and mine.ends_by <= each.ends_by)
+        ]
+        known.append(mine)
+
     def _policy(self, kind: Kind) -> Policy:
         policy = self.policies.get(kind.value)
         if policy is None:
@@ -278,9 +313,11 @@
         return count
 
     def _refusal(self, ask: Ask) -> Refusal:
-        never = why_never(ask, self.book)
-        if never:
-            return Refusal(job=ask.job, never=True, reasons=never)
+        if self._could_fit.get(ask.job) != self.book.changes:
+            never = why_never(ask, self.book)
+            if never:
+                return Refusal(job=ask.job, never=True, reasons=never)
+            self._could_fit[ask.job] = self.book.changes
         if self._within_quota(ask) == 0:
             reason = f"the quota of team {ask.team} is used up"
             return Refusal(job=ask.job, never=False, reasons=(reason,))
@@ -348,7 +385,7 @@
         """Hold the workers that will be able to take the members soonest."""
         places = sorted(
             (at, worker.name)
-            for worker in self.book.pool(ask.selector).members.values()
+            for worker in islice(self.book.pool(ask.selector).roomiest(), HOLD_AMONG)
             for at in self._free_times(worker, ask, now)
         )
         chosen = places[: len(ask.tasks)]
