--- /dev/null
+++ b/cranberrycleat/bench_control.py
@@ -0,0 +1,330 @@
+"""`bench control`: what control costs, as slopes over workers, tasks and peers.
+
+A scheduler process owns a shard of fake workers (one process answers for all of
+them), with services running, and nothing else happens: what is measured is the
+upkeep. A gateway process exchanges digests with a number of peers. From two
+sizes of each come the slopes, from the slopes the cost at full size.
+"""
+
+import asyncio
+import os
+import subprocess
+import sys
+from typing import Any, Final
+
+import attrs
+
+from cranberrycleat import codec
+from cranberrycleat.acceptance import Acceptance
+from cranberrycleat.amounts import Amounts
+from cranberrycleat.bench_routing import Hub, Router
+from cranberrycleat.cell import LOOPBACK
+from cranberrycleat.http_calls import make_client
+from cranberrycleat.jobs import JobSpec, Kind, Program
+from cranberrycleat.messages import Endpoint, HostEntry, SyncOrder
+from cranberrycleat.serve import HttpServer
+from cranberrycleat.standin_platform import PlatformStandin
+from cranberrycleat.standin_worker import WorkerStandin
+from cranberrycleat.table_http import HttpPlatform
+
+SHARD_WORKERS: Final = 208
+"""Workers of one data centre at full size: 2,500 over 12."""
+SHARDS: Final = 12
+TASKS_PER_WORKER: Final = 16
+PEERS_FULL: Final = 6
+"""A gateway's peers: the other entry hosts of its data centre."""
+ENDPOINTS_FULL: Final = 667
+"""Endpoints of one data centre: 8,000 service tasks over 12."""
+SIZES: Final = (52, SHARD_WORKERS)
+HEAD_BYTES: Final = 180
+"""Request line, status line and header lines that the server adds itself."""
+PAGE: Final = os.sysconf("SC_PAGE_SIZE")
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeWorkers:
+    """Many worker stand-ins behind one server, by the first part of the path.
+
+    Attributes:
+        workers: The stand-ins, by name.
+        syncs: How many syncs they answered.
+        bytes: Bytes of those, both ways.
+    """
+
+    workers: dict[str, WorkerStandin] = attrs.field(factory=dict)
+    syncs: int = 0
+    bytes: int = 0
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one sync."""
+        body = b""
+        more = True
+        while more:
+            event = await receive()
+            body += event.get("body", b"")
+            more = event.get("more_body", False)
+        name = scope["path"].split("/")[1]
+        order = codec.decode(body, SyncOrder)
+        answer = codec.encode(self.workers[name].obey(order))
+        self.syncs += 1
+        head = sum(len(k) + len(v) + 4 for k, v in scope["headers"])
+        self.bytes += len(body) + len(answer) + head + HEAD_BYTES
+        length = [(b"content-length", str(len(answer)).encode())]
+        start = {"type": "http.response.start", "status": 200, "headers": length}
+        await send(start)
+        await send({"type": "http.response.body", "body": answer})
+
+
+@attrs.frozen(kw_only=True)
+class ControlFigures:
+    """What one process cost over the time it was watched.
+
+    Attributes:
+        size: Workers of the shard, or peers of the gateway.
+        tasks: Tasks that ran, or endpoints that were known.
+        rss_mb: Resident memory, in mebibytes.
+        cpu_share: Share of one core.
+        bytes_per_s: Bytes on the wire for upkeep, both ways.
+        table_writes_per_s: Transactions.
+        table_reads_per_s: Reads and scans.
+    """
+
+    size: int
+    tasks: int
+    rss_mb: float
+    cpu_share: float
+    bytes_per_s: float
+    table_writes_per_s: float
+    table_reads_per_s: float
+
+
+@attrs.frozen(kw_only=True)
+class ControlSummary:
+    """The cost at full size.
+
+    Attributes:
+        rss_mb_scheduler: An owner of one data centre of the full size.
+        rss_mb_gateway: A gateway of such a data centre.
+        cpu_share_full_size: The owner's share of a core.
+        bytes_per_s_full_size: The owner's bytes on the wire, to all its workers.
+        bytes_per_s_worker: The same for each worker's host.
+        table_writes_per_s_full_size: All owners together.
+        table_reads_per_s_full_size: All owners, candidates and gateways together.
+    """
+
+    rss_mb_scheduler: float
+    rss_mb_gateway: float
+    cpu_share_full_size: float
+    bytes_per_s_full_size: float
+    bytes_per_s_worker: float
+    table_writes_per_s_full_size: float
+    table_reads_per_s_full_size: float
+
+
+@attrs.frozen(kw_only=True)
+class ControlReport:
+    """Everything that one run of the bench measured."""
+
+    seconds: float
+    summary: ControlSummary
+    owners: tuple[ControlFigures, ...]
+    candidate: ControlFigures
+    gateways: tuple[ControlFigures, ...]
+
+
+@attrs.define(kw_only=True, eq=False)
+class ControlBench:
+    """One run of the bench.
+
+    Attributes:
+        seconds: How long each process is watched.
+    """
+
+    seconds: float
+    started: list["subprocess.Popen[str]"] = attrs.field(factory=list)
+
+    async def run(self) -> ControlReport:
+        """Run every part and return the report."""
+        try:
+            owners = [await self._owner(size) for size in SIZES]
+            gateways = [await self._gateway(peers) for peers in (1, PEERS_FULL)]
+        finally:
+            for process in self.started:
+                process.kill()
+                process.wait()
+        owner, candidate = owners[-1]
+        return ControlReport(
+            seconds=self.seconds,
+            summary=_summary(owner, candidate, gateways[-1]),
+            owners=tuple(each[0] for each in owners),
+            candidate=candidate,
+            gateways=tuple(gateways),
+        )
+
+    async def _owner(self, size: int) -> tuple[ControlFigures, ControlFigures]:
+        """Watch an owner of so many workers, and a candidate beside it."""
+        platform = PlatformStandin(host=LOOPBACK, port=0)
+        await platform.start()
+        fakes = FakeWorkers()
+        server = HttpServer(app=fakes, host=LOOPBACK, port=0)
+        await server.start()
+        for number in range(size):
+            self._add_worker(platform, fakes, server.url, number)
+        owner = self._start("scheduler", "s1", platform.url)
+        await self._settle(platform, fakes, size)
+        counts = platform.table.counts
+        before = (counts.reads, counts.writes, fakes.bytes, owner.cpu_s())
+        await asyncio.sleep(self.seconds)
+        figures = ControlFigures(
+            size=size,
+            tasks=size * TASKS_PER_WORKER,
+            rss_mb=rss_mb(owner),
+            cpu_share=round((owner.cpu_s() - before[3]) / self.seconds, 4),
+            bytes_per_s=round((fakes.bytes - before[2]) / self.seconds, 1),
+            table_writes_per_s=round((counts.writes - before[1]) / self.seconds, 2),
+            table_reads_per_s=round((counts.reads - before[0]) / self.seconds, 2),
+        )
+        candidate = await self._candidate(platform, figures)
+        owner.process.kill()
+        await server.stop()
+        await platform.stop()
+        return figures, candidate
+
+    async def _candidate(
+        self, platform: PlatformStandin, owner: ControlFigures
+    ) -> ControlFigures:
+        """Watch a candidate; its reads are what comes on top of the owner's."""
+        candidate = self._start("scheduler", "s2", platform.url)
+        await asyncio.sleep(1.0)
+        before = (platform.table.counts.reads, candidate.cpu_s())
+        await asyncio.sleep(self.seconds)
+        reads = (platform.table.counts.reads - before[0]) / self.seconds
+        figures = ControlFigures(
+            size=owner.size,
+            tasks=0,
+            rss_mb=rss_mb(candidate),
+            cpu_share=round((candidate.cpu_s() - before[1]) / self.seconds, 4),
+            bytes_per_s=0.0,
+            table_writes_per_s=0.0,
+            table_reads_per_s=round(max(0.0, reads - owner.table_reads_per_s), 2),
+        )
+        candidate.process.kill()
+        return figures
+
+    def _add_worker(
+        self, platform: PlatformStandin, fakes: FakeWorkers, url: str, number: int
+    ) -> None:
+        name = f"w{number}"
+        entry = HostEntry(
+            name=name,
+            url=f"{url}/{name}",
+            data_centre="dc",
+            rack=f"r{number // 8}",
+            labels={"tier": "live"},
+            capacity=Amounts(processors=28000, memory_mb=65536, slots=64),
+        )
+        fakes.workers[name] = WorkerStandin(
+            entry=entry, host=LOOPBACK, port=0, platform_url=""
+        )
+        platform.listed[name] = entry
+
+    async def _settle(
+        self, platform: PlatformStandin, fakes: FakeWorkers, size: int
+    ) -> None:
+        """Submit the services and wait until all of them run."""
+        client = HttpPlatform(url=platform.url)
+        acceptance = Acceptance(platform=client, data_centre="dc")
+        for number in range(TASKS_PER_WORKER):
+            spec = JobSpec(
+                name=f"service-{number}",
+                kind=Kind.SERVICE,
+                tasks=size,
+                slots=2,
+                program=Program(command="serve"),
+            )
+            await acceptance.submit(spec)
+        wanted = size * TASKS_PER_WORKER
+        while sum(len(each.tasks) for each in fakes.workers.values()) < wanted:
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(2.5)
+        await client.close()
+
+    async def _gateway(self, peers: int) -> ControlFigures:
+        platform = PlatformStandin(host=LOOPBACK, port=0)
+        await platform.start()
+        hub = FullHub()
+        url = await hub.start()
+        hub.list(tuple(f"http://{LOOPBACK}:9/task/{n}" for n in range(ENDPOINTS_FULL)))
+        gateway = self._start("gateway", "g1", platform.url, ",".join([url] * peers))
+        await asyncio.sleep(2.0)
+        reads, cpu_s = platform.table.counts.reads, gateway.cpu_s()
+        await asyncio.sleep(self.seconds)
+        figures = ControlFigures(
+            size=peers,
+            tasks=ENDPOINTS_FULL,
+            rss_mb=rss_mb(gateway),
+            cpu_share=round((gateway.cpu_s() - cpu_s) / self.seconds, 4),
+            bytes_per_s=round(peers * await self._digest_bytes(url), 1),
+            table_writes_per_s=0.0,
+            table_reads_per_s=round(
+                (platform.table.counts.reads - reads) / self.seconds, 2
+            ),
+        )
+        gateway.process.kill()
+        await platform.stop()
+        return figures
+
+    async def _digest_bytes(self, url: str) -> float:
+        """Return the bytes of one digest and its answer, nothing being new."""
+        digest = Hub().own_digest()
+        async with make_client(timeout_s=5) as client:
+            res = await client.post(url + "/v1/digest", content=codec.encode(digest))
+            sent = codec.encode(digest)
+            head = sum(len(k) + len(v) + 4 for k, v in res.request.headers.raw)
+            return len(sent) + head + HEAD_BYTES + 2 * len(sent)
+
+    def _start(self, role: str, name: str, platform: str, peers: str = "") -> Router:
+        args = ["--name", name, "--data-centre", "dc", "--platform", platform]
+        if peers:
+            args += ["--peers", peers]
+        process = subprocess.Popen(
+            [sys.executable, "-m", "cranberrycleat", role, *args],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.started.append(process)
+        assert process.stdout is not None
+        url = process.stdout.readline().strip().rsplit(" ", 1)[1]
+        return Router(process=process, url=url)
+
+
+class FullHub(Hub):
+    """A hub whose endpoints are as many as those of a full data centre."""
+
+    def endpoint(self, url: str) -> Endpoint:
+        """Return one endpoint of one of many services."""
+        service = f"service-{hash(url) % 40}"
+        return Endpoint(service=service, url=url, data_centre="dc", slots=2)
+
+
+def rss_mb(router: Router) -> float:
+    """Return a process's resident memory, in mebibytes."""
+    with open(f"/proc/{router.process.pid}/statm", encoding="ascii") as file:
+        pages = int(file.read().split()[1])
+    return round(pages * PAGE / (1024 * 1024), 1)
+
+
+def _summary(
+    owner: ControlFigures, candidate: ControlFigures, gateway: ControlFigures
+) -> ControlSummary:
+    reads = owner.table_reads_per_s + candidate.table_reads_per_s
+    reads += PEERS_FULL * gateway.table_reads_per_s
+    return ControlSummary(
+        rss_mb_scheduler=owner.rss_mb,
+        rss_mb_gateway=gateway.rss_mb,
+        cpu_share_full_size=owner.cpu_share,
+        bytes_per_s_full_size=owner.bytes_per_s,
+        bytes_per_s_worker=round(owner.bytes_per_s / owner.size, 1),
+        table_writes_per_s_full_size=round(SHARDS * owner.table_writes_per_s, 1),
+        table_reads_per_s_full_size=round(SHARDS * reads, 1),
+    )
--- a/cranberrycleat/bench_placement.py
+++ b/cranberrycleat/bench_placement.py
@@ -154,7 +154,7 @@
     """
     cases = []
     for cell in CELLS:
-        names = BASELINES
+        names: tuple[str, ...] = BASELINES
         if quick and cell.name == FULL:
             names = ("best-fit",)
             cell = attrs.evolve(cell, arrivals_s=QUICK_ARRIVALS_S)
--- a/cranberrycleat/bench_routing.py
+++ b/cranberrycleat/bench_routing.py
@@ -143,7 +143,9 @@
             known = {(seen.epoch, seen.revision) for seen in asked.seen}
             fresh = (1, self.revision) not in known
             return json_response(
-                DigestReply(digest=self._digest(), sets=(self._set(),) if fresh else ())
+                DigestReply(
+                    digest=self.own_digest(), sets=(self._set(),) if fresh else ()
+                )
             )
 
         self.server = HttpServer(app=make_app([digest]), host=LOOPBACK, port=0)
@@ -155,7 +157,8 @@
         self.urls = urls
         self.revision += 1
 
-    def _digest(self) -> Digest:
+    def own_digest(self) -> Digest:
+        """Return the hub's own digest."""
         return Digest(
             sender="hub",
             incarnation="1",
@@ -169,12 +172,13 @@
             data_centre="dc",
             epoch=1,
             revision=self.revision,
-            endpoints=tuple(
-                Endpoint(service="s", url=url, data_centre="dc", slots=SLOTS)
-                for url in self.urls
-            ),
+            endpoints=tuple(self.endpoint(url) for url in self.urls),
         )
 
+    def endpoint(self, url: str) -> Endpoint:
+        """Return one endpoint."""
+        return Endpoint(service="s", url=url, data_centre="dc", slots=SLOTS)
+
 
 @attrs.define(kw_only=True, eq=False)
 class RoutingBench:
--- a/cranberrycleat/cli_bench.py
+++ b/cranberrycleat/cli_bench.py
@@ -12,6 +12,8 @@
 
 QUICK_ROUTING_S: Final = 2.0
 FULL_ROUTING_S: Final = 10.0
+QUICK_CONTROL_S: Final = 5.0
+FULL_CONTROL_S: Final = 20.0
 
 
 @click.group()
@@ -78,6 +80,25 @@
         _print_rows(f"{case.case}: {case.tasks} tasks", case.rows)
 
 
+@bench.command("control")
+@click.option("--quick", is_flag=True, help="Shorter watches; ends within 50 s.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def bench_control(quick: bool, as_json: bool) -> None:
+    """Memory, processor time, bytes and table calls of upkeep, as slopes."""
+    from cranberrycleat.bench_control import ControlBench
+
+    logs.set_up(level="error", form="text")
+    seconds = QUICK_CONTROL_S if quick else FULL_CONTROL_S
+    report = asyncio.run(ControlBench(seconds=seconds).run())
+    if as_json:
+        click.echo(codec.encode_text(report))
+        return
+    _print_summary(report.summary)
+    _print_rows("owners, by workers", report.owners)
+    _print_rows("candidate", (report.candidate,))
+    _print_rows("gateways, by peers", report.gateways)
+
+
 @click.command()
 @click.option("--small", is_flag=True, help="Fewer workers, gateways and calls.")
 @click.option("--log-level", default="error", help="The least severe level to log.")
