Bounded waits for claims; every process shows its state; shard split by concern

Cause 1: while the table hangs, a keyed request waited up to three timeouts (6 s) before it was told 'not run'; it must be told at once.

Four copies of those handlers became one (serve.state_handlers); the golden session shows all four kinds of process.

Keys and the read-only views (orders, endpoints) are modules of their own; behaviour is unchanged.

--- a/cranberrycleat/acceptance.py
+++ b/cranberrycleat/acceptance.py
@@ -14,6 +14,7 @@
 
 from cranberrycleat import codec, errors, selectors
 from cranberrycleat.jobs import JobSpec, Kind
+from cranberrycleat.keys import inbox_prefix, name_key
 from cranberrycleat.messages import (
     Accepted,
     HostEntry,
@@ -22,7 +23,6 @@
     LabelChange,
     NameRow,
 )
-from cranberrycleat.shard import inbox_prefix
 from cranberrycleat.table import ABSENT, Check, Put, Table, Transaction
 from cranberrycleat.table_http import Platform
 
@@ -30,11 +30,6 @@
 RETRY_S: Final = 5.0
 
 
-def name_key(job: str) -> str:
-    """Return the key of the row that makes a job's name unique."""
-    return f"name/{job}"
-
-
 @attrs.frozen(kw_only=True)
 class Home:
     """How much room a data centre has for tasks of one job.
--- a/cranberrycleat/claims.py
+++ b/cranberrycleat/claims.py
@@ -25,6 +25,8 @@
 KEPT_BODY: Final = 16 * 1024
 """Answers up to this size are kept for a repeat of the request."""
 RETRY_S: Final = 2.0
+CLAIM_S: Final = 1.0
+"""The longest that a claim is waited for, in seconds."""
 SENT: Final = "sent"
 ANSWERED: Final = "answered"
 NOT_RUN: Final = "not-run"
@@ -148,7 +150,7 @@
             case Lost(row=Row() as found):
                 return found
             case Lost() | Unsettled():
-                raise _no_claim()
+                raise no_claim()
 
     async def settle(self, claim: Claim, answer: KeptAnswer | None) -> None:
         """Record how a claimed request ended; best effort.
@@ -172,7 +174,8 @@
     return KeptAnswer(status=status, content_type=content_type, body=text)
 
 
-def _no_claim() -> errors.ProblemError:
+def no_claim() -> errors.ProblemError:
+    """Return the refusal where no safe claim can be made: nothing was run."""
     return errors.ProblemError(
         status=503,
         code=errors.NOT_RUN,
--- a/cranberrycleat/gateway.py
+++ b/cranberrycleat/gateway.py
@@ -15,7 +15,15 @@
 
 from cranberrycleat import codec, errors, registry
 from cranberrycleat.admission import Gate, RequestClass
-from cranberrycleat.claims import Claim, Claims, Replay, fingerprint, kept
+from cranberrycleat.claims import (
+    CLAIM_S,
+    Claim,
+    Claims,
+    Replay,
+    fingerprint,
+    kept,
+    no_claim,
+)
 from cranberrycleat.clock import Clock, MonotonicClock
 from cranberrycleat.config import Configuration
 from cranberrycleat.endpoints import (
@@ -160,7 +168,12 @@
             return await self._attempts(req, rank, deadline)
         path = f"{req.service}{req.target}"
         mark = fingerprint(req.method, path, req.body)
-        claim = await self.claims.claim(key=key, mark=mark)
+        try:
+            async with asyncio.timeout(min(wait_s, CLAIM_S)):
+                claim = await self.claims.claim(key=key, mark=mark)
+        except TimeoutError:
+            # It may yet be made; the key is then taken and nothing was run.
+            raise no_claim() from None
         if isinstance(claim, Replay):
             return _replayed(claim)
         return await self._claimed(req, claim, rank, deadline)
--- a/cranberrycleat/gateway_api.py
+++ b/cranberrycleat/gateway_api.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
-from litestar import MediaType, Request, Response, asgi, get, post
+from litestar import Request, Response, asgi, get, post
 
 from cranberrycleat import codec, errors
 from cranberrycleat.admission import RequestClass
@@ -21,6 +21,7 @@
     json_response,
     problem_of,
     retry_after,
+    state_handlers,
 )
 
 if TYPE_CHECKING:
@@ -66,15 +67,8 @@
         )
         return json_response(state, status=200 if state.ready else 503)
 
-    @get("/v1/metrics")
-    async def metrics() -> Response[bytes]:
-        return Response(gateway.metrics.read(), media_type=MediaType.JSON)
-
-    @get("/v1/dump")
-    async def dump() -> Response[bytes]:
-        return json_response(gateway_dump(gateway))
-
-    return [call, digest, ready, metrics, dump]
+    shown = state_handlers(gateway.metrics, lambda: gateway_dump(gateway))
+    return [call, digest, ready, *shown]
 
 
 async def serve_caller(gateway: "Gateway", scope: Any, receive: Any, send: Any) -> None:
--- a/cranberrycleat/link.py
+++ b/cranberrycleat/link.py
@@ -34,6 +34,7 @@
     SyncReply,
     TaskMark,
 )
+from cranberrycleat.orders import start_orders, stop_orders
 from cranberrycleat.shard import Shard
 from cranberrycleat.worker_http import WorkerClient
 
@@ -152,7 +153,7 @@
         owns = self.lease.authority()
         scope = self._scope(now)
         bound = now + self.times.order_s
-        starts = self.shard.startable(name) if owns else ()
+        starts = start_orders(self.shard, name) if owns else ()
         if starts:
             bound = min(bound, self.lease.valid_until())
         self._grant(scope, bound, bool(starts))
@@ -166,7 +167,7 @@
             scope=scope,
             since=self._since,
             starts=starts,
-            stops=self.shard.stoppable(name) if owns else (),
+            stops=stop_orders(self.shard, name) if owns else (),
             settled=settled,
         )
 
--- a/cranberrycleat/scheduler.py
+++ b/cranberrycleat/scheduler.py
@@ -18,6 +18,7 @@
 from cranberrycleat.amounts import NOTHING
 from cranberrycleat.clock import Clock, MonotonicClock
 from cranberrycleat.config import Configuration
+from cranberrycleat.keys import SHARD, inbox_prefix, owner_key
 from cranberrycleat.lease import Changes, ConditionFailed, Deposed, OwnershipLease
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.link import LinkTimes, WorkerLink, inherited_leases, sync_interval_s
@@ -32,11 +33,12 @@
 )
 from cranberrycleat.metrics import Metrics
 from cranberrycleat.options import SchedulerOptions
+from cranberrycleat.orders import endpoints, start_orders, stop_orders
 from cranberrycleat.peers import Peers
 from cranberrycleat.rounds import WEIGHTS, Plan, TeamUse
 from cranberrycleat.scheduler_api import scheduler_handlers
 from cranberrycleat.serve import HttpServer, make_app
-from cranberrycleat.shard import SHARD, Shard, inbox_prefix, owner_key
+from cranberrycleat.shard import Shard
 from cranberrycleat.table import Row
 from cranberrycleat.table_http import Platform
 from cranberrycleat.watcher import ConfigWatcher
@@ -273,7 +275,7 @@
 
     def _wake_links(self, shard: Shard) -> None:
         for name, link in self.links.items():
-            if link.settled or shard.startable(name) or shard.stoppable(name):
+            if link.settled or start_orders(shard, name) or stop_orders(shard, name):
                 link.wake.set()
 
     async def _take_inbox(self, shard: Shard) -> tuple[Row, ...]:
@@ -408,7 +410,7 @@
                 data_centre=self.cfg.data_centre,
                 epoch=self.lease.epoch,
                 revision=self.shard.endpoint_revision,
-                endpoints=self.shard.endpoints(),
+                endpoints=endpoints(self.shard),
             ),
         )
 
--- a/cranberrycleat/scheduler_api.py
+++ b/cranberrycleat/scheduler_api.py
@@ -7,11 +7,12 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from litestar import MediaType, Request, Response, delete, get, post
+from litestar import Request, Response, delete, get, post
 
 from cranberrycleat import codec, errors
 from cranberrycleat.config import Configuration, parse_configuration
 from cranberrycleat.jobs import JobRow, JobSpec, TaskState, parse_job, unwrap
+from cranberrycleat.keys import job_key
 from cranberrycleat.messages import (
     ConfigChange,
     ConfigDocument,
@@ -24,8 +25,7 @@
     WorkerList,
     WorkerStatus,
 )
-from cranberrycleat.serve import json_response
-from cranberrycleat.shard import job_key
+from cranberrycleat.serve import json_response, state_handlers
 
 if TYPE_CHECKING:
     from cranberrycleat.scheduler import Scheduler
@@ -203,15 +203,8 @@
         )
         return json_response(state, status=200 if state.ready else 503)
 
-    @get("/v1/metrics")
-    async def metrics() -> Response[bytes]:
-        return Response(scheduler.metrics.read(), media_type=MediaType.JSON)
-
-    @get("/v1/dump")
-    async def dump() -> Response[bytes]:
-        return json_response(scheduler_dump(scheduler))
-
-    return [digest, status, ready, metrics, dump]
+    shown = state_handlers(scheduler.metrics, lambda: scheduler_dump(scheduler))
+    return [digest, status, ready, *shown]
 
 
 def scheduler_status(scheduler: "Scheduler") -> SchedulerStatus:
--- a/cranberrycleat/serve.py
+++ b/cranberrycleat/serve.py
@@ -6,15 +6,16 @@
 
 import asyncio
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, Final
 
 import attrs
 import litestar
 import uvicorn
-from litestar import MediaType, Request, Response
+from litestar import MediaType, Request, Response, get
 
 from cranberrycleat import codec, errors
+from cranberrycleat.metrics import Metrics
 
 PROBLEM_TYPE: Final = "application/problem+json"
 MAX_BODY: Final = 4 * 1024 * 1024
@@ -90,6 +91,20 @@
     )
 
 
+def state_handlers(metrics: Metrics, dump: Callable[[], object]) -> list[Any]:
+    """Return the handlers that show any process's metrics and state."""
+
+    @get("/v1/metrics")
+    async def show_metrics() -> Response[bytes]:
+        return Response(metrics.read(), media_type=MediaType.JSON)
+
+    @get("/v1/dump")
+    async def show_dump() -> Response[bytes]:
+        return json_response(dump())
+
+    return [show_metrics, show_dump]
+
+
 def make_app(handlers: Sequence[Any]) -> litestar.Litestar:
     """Build an app with the project's own error handling and no logging set-up."""
     return litestar.Litestar(
--- a/cranberrycleat/shard.py
+++ b/cranberrycleat/shard.py
@@ -10,7 +10,6 @@
 """
 
 from collections.abc import Iterable
-from typing import Final
 
 import attrs
 
@@ -27,16 +26,14 @@
     job_of,
     task_id,
 )
+from cranberrycleat.keys import job_key, worker_key
 from cranberrycleat.messages import (
-    Endpoint,
     HostEntry,
     HostState,
     InboxEntry,
     JobPart,
     LabelChange,
     Outcome,
-    StartOrder,
-    StopOrder,
     TaskMark,
     TaskReport,
 )
@@ -45,29 +42,6 @@
 from cranberrycleat.rounds import Plan, RoundPlanner, TeamUse
 from cranberrycleat.table import Put, Row
 
-SHARD: Final = "shard"
-INBOX: Final = "inbox"
-
-
-def owner_key(data_centre: str) -> str:
-    """Return the key of a shard's ownership lease."""
-    return f"{SHARD}/{data_centre}/owner"
-
-
-def job_key(data_centre: str, job: str) -> str:
-    """Return the key of the row of a job's part in a shard."""
-    return f"{SHARD}/{data_centre}/job/{job}"
-
-
-def worker_key(data_centre: str, worker: str) -> str:
-    """Return the key of a worker's row in a shard."""
-    return f"{SHARD}/{data_centre}/worker/{worker}"
-
-
-def inbox_prefix(data_centre: str) -> str:
-    """Return the prefix of the changes that wait for a shard's owner."""
-    return f"{INBOX}/{data_centre}/"
-
 
 @attrs.define(kw_only=True)
 class WorkerRow:
@@ -254,7 +228,7 @@
         for task in list(self.book.workers[name].tasks):
             job = self.jobs[job_of(task)]
             if keep or not job.spec.keeps:
-                self._gone(job, self._record(task), failed=False)
+                self._gone(job, self.record(task), failed=False)
 
     # --- operators' changes -------------------------------------------------
 
@@ -454,7 +428,7 @@
 
     def _placed(self, task: str, worker: str, needs: Amounts) -> None:
         job = self.jobs[job_of(task)]
-        record = self._record(task)
+        record = self.record(task)
         record.state = TaskState.PLACED
         record.worker = worker
         record.attempt += 1
@@ -497,45 +471,11 @@
                 live.durable = True
         return frozenset(each.worker for each in plan.assignments)
 
-    def startable(self, worker: str) -> tuple[StartOrder, ...]:
-        """Return the durable placements that the worker has not confirmed."""
-        orders = []
-        for task in self.book.workers[worker].tasks:
-            live = self.live[task]
-            if live.durable and not live.running and not live.stopping:
-                orders.append(self._start_order(task))
-        return tuple(orders)
-
-    def _start_order(self, task: str) -> StartOrder:
-        spec = self.jobs[job_of(task)].spec
-        return StartOrder(
-            task=task,
-            attempt=self._record(task).attempt,
-            needs=self.live[task].needs,
-            keeps=spec.keeps,
-            program=spec.program,
-        )
-
-    def stoppable(self, worker: str) -> tuple[StopOrder, ...]:
-        """Return the attempts on the worker that are to end."""
-        orders = [
-            StopOrder(
-                task=task,
-                attempt=self._record(task).attempt,
-                how=self.live[task].how,
-            )
-            for task in self.book.workers[worker].tasks
-            if self.live[task].stopping
-        ]
-        for task, attempt in self.strays.get(worker, {}).items():
-            orders.append(StopOrder(task=task, attempt=attempt))
-        return tuple(orders)
-
     def unreported(self, worker: str, reports: Iterable[TaskReport]) -> None:
         """A worker's full list leaves out what the table places there: it is gone."""
         listed = {(each.task, each.attempt) for each in reports}
         for task in list(self.book.workers[worker].tasks):
-            record = self._record(task)
+            record = self.record(task)
             if self.live[task].durable and (task, record.attempt) not in listed:
                 self._gone(self.jobs[job_of(task)], record, failed=False)
 
@@ -544,26 +484,6 @@
         marks, self.unsettled = self.unsettled, {}
         return marks
 
-    def endpoints(self) -> tuple[Endpoint, ...]:
-        """Return where the shard's services answer."""
-        found = []
-        for task, live in sorted(self.live.items()):
-            job = self.jobs[job_of(task)]
-            if job.spec.kind is not Kind.SERVICE or not live.url:
-                continue
-            worker = self.book.workers[self._record(task).worker]
-            found.append(self._endpoint(job, live, worker))
-        return tuple(found)
-
-    def _endpoint(self, job: JobRow, live: LiveTask, worker: BookWorker) -> Endpoint:
-        return Endpoint(
-            service=job.spec.name,
-            url=live.url,
-            data_centre=self.data_centre,
-            slots=max(1, job.spec.slots),
-            leaving=live.stopping or worker.state is WorkerState.LEAVING,
-        )
-
     # --- small helpers ------------------------------------------------------
 
     def _touch(self, job: JobRow) -> None:
@@ -584,7 +504,8 @@
         index = int(task.rsplit("/", 1)[1])
         return next((each for each in job.tasks if each.index == index), None)
 
-    def _record(self, task: str) -> TaskRecord:
+    def record(self, task: str) -> TaskRecord:
+        """Return the record of a task that the shard has."""
         record = self._find(task)
         assert record is not None, task
         return record
--- a/cranberrycleat/standin_platform.py
+++ b/cranberrycleat/standin_platform.py
@@ -19,7 +19,8 @@
     ReadRequest,
     Rows,
 )
-from cranberrycleat.serve import HttpServer, json_response, make_app
+from cranberrycleat.metrics import Metrics
+from cranberrycleat.serve import HttpServer, json_response, make_app, state_handlers
 from cranberrycleat.standin_table import MemoryTable, TableFaults
 from cranberrycleat.table import Transaction
 
@@ -78,7 +79,22 @@
             raise errors.TableUnavailable("down")
 
     def _handlers(self) -> list[Any]:
-        return [*self._table_handlers(), *self._other_handlers()]
+        metrics = Metrics(role="platform", name="standin")
+        metrics.watch("rows", lambda: float(len(self.table.rows)))
+        metrics.watch("reads", lambda: float(self.table.counts.reads))
+        metrics.watch("writes", lambda: float(self.table.counts.writes))
+        shown = state_handlers(metrics, self.dump)
+        return [*self._table_handlers(), *self._other_handlers(), *shown]
+
+    def dump(self) -> dict[str, Any]:
+        """Return everything that the stand-in holds, for people."""
+        return {
+            "counts": self.table.counts,
+            "faults": self.table.faults,
+            "rows": sorted(self.table.rows),
+            "objects": sorted(self.objects),
+            "hosts": self.listed,
+        }
 
     def _table_handlers(self) -> list[Any]:
         table = self.table
--- a/cranberrycleat/standin_worker.py
+++ b/cranberrycleat/standin_worker.py
@@ -30,7 +30,8 @@
     TaskMark,
     TaskReport,
 )
-from cranberrycleat.serve import HttpServer, json_response, make_app
+from cranberrycleat.metrics import Metrics
+from cranberrycleat.serve import HttpServer, json_response, make_app, state_handlers
 from cranberrycleat.standin_service import RequestLog, ServiceStandin
 
 AnyRequest = Request[Any, Any, Any]
@@ -406,7 +407,21 @@
         async def task(scope: Any, receive: Any, send: Any) -> None:
             await self._serve_task(scope, receive, send)
 
-        return [sync, record, faults, task]
+        metrics = Metrics(role="worker", name=self.entry.name)
+        metrics.watch("tasks", lambda: float(len(self.tasks)))
+        metrics.watch("requests", lambda: float(len(self.requests)))
+        return [sync, record, faults, task, *state_handlers(metrics, self.dump)]
+
+    def dump(self) -> dict[str, Any]:
+        """Return everything that the stand-in holds, for people."""
+        return {
+            "entry": self.entry,
+            "incarnation": self.incarnation,
+            "epoch": self.epoch,
+            "faults": self.faults,
+            "tasks": [self._report(running) for running in self.tasks.values()],
+            "used": self.used(),
+        }
 
 
 def _serves(running: RunningTask, attempt: list[str]) -> bool:
--- a/cranberrycleat/writer.py
+++ b/cranberrycleat/writer.py
@@ -15,10 +15,13 @@
 import attrs
 
 from cranberrycleat import errors
+from cranberrycleat.clock import Clock, MonotonicClock
 from cranberrycleat.table import Check, Put, Row, Table, Transaction
 
 MAX_GROUP: Final = 128
 SETTLE_TRIES: Final = 3
+REST_S: Final = 1.0
+"""How long nothing new is tried after the table gave no answer, in seconds."""
 
 
 @attrs.frozen(kw_only=True)
@@ -70,16 +73,25 @@
         table: The table to write to.
         gather_s: How long changes are gathered before a transaction leaves.
         transactions: How many transactions were sent.
+        clock: Where it gets the time from.
     """
 
     table: Table
+    clock: Clock = attrs.field(factory=MonotonicClock)
     gather_s: float = 0.002
     transactions: int = 0
     _waiting: list[_Waiting] = attrs.field(factory=list)
     _sender: "asyncio.Task[None] | None" = None
+    _failed_at: float = float("-inf")
 
     async def write(self, change: Change) -> WriteResult:
-        """Make one change, together with whatever else is waiting."""
+        """Make one change, together with whatever else is waiting.
+
+        For a short while after the table gave no answer, changes are not even
+        tried: who asks then is told at once instead of waiting as well.
+        """
+        if self.clock.now() - self._failed_at < REST_S:
+            return Unsettled()
         fut: "asyncio.Future[WriteResult]" = asyncio.get_running_loop().create_future()
         self._waiting.append(_Waiting(change=change, result=fut))
         if self._sender is None or self._sender.done():
@@ -113,6 +125,7 @@
                 group = await self._send_once(group)
             except errors.TableUnavailable:
                 tries += 1
+                self._failed_at = self.clock.now()
                 if tries >= SETTLE_TRIES:
                     self._resolve(group, Unsettled())
                     return
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -221,6 +221,19 @@
     with_endpoints([["ok"]], work)
 
 
+def test_key_while_the_table_hangs() -> None:
+    """The wait for a claim is bounded, and nothing is sent without one."""
+
+    async def work(gateway: Gateway, points: list[ScriptedEndpoint]) -> None:
+        table = gateway.platform
+        assert isinstance(table, MemoryPlatform)
+        table.faults.slow_s = 30.0
+        assert await ask(gateway, "POST", key="k", wait_s=0.1) == errors.NOT_RUN
+        assert points[0].seen == []
+
+    with_endpoints([["ok"]], work)
+
+
 @pytest.mark.parametrize("source", ["answer", "peer", "scheduler"])
 def test_leaving_endpoint_gets_no_new_work(source: str) -> None:
     """The first sign from any source is enough, and no older set undoes it."""
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -121,11 +121,22 @@
         _operators(script, tmp_path)
         _callers(script, gateway)
         _changes(script)
+        for program in (platform, workers[0], scheduler, gateway):
+            _shows_itself(script, program)
         codes = [each.terminate() for each in (gateway, scheduler, *workers, platform)]
         script.lines.append(f"exit codes at shutdown: {codes}")
     assert script.text() == snapshot
 
 
+def _shows_itself(script: Transcript, program: Program) -> None:
+    """Every process shows its state and its metrics on request."""
+    dump = httpx.get(program.url + "/v1/dump", trust_env=False).json()
+    found = httpx.get(program.url + "/v1/metrics", trust_env=False).json()
+    resource = found["resource_metrics"][0]["resource"]["attributes"]
+    script.lines.append(f"dump: {sorted(dump)}")
+    script.lines.append(f"metrics of: {sorted(resource.values())}")
+
+
 def _wait_for_workers(scheduler: Program, count: int) -> None:
     def live() -> bool:
         found = httpx.get(scheduler.url + "/v1/workers", trust_env=False).json()
--- a/tests/test_writes.py
+++ b/tests/test_writes.py
@@ -6,11 +6,12 @@
 
 from cranberrycleat import errors
 from cranberrycleat.claims import Claim, Claims, Replay, kept
+from cranberrycleat.clock import ManualClock
 from cranberrycleat.messages import ConfigDocument
 from cranberrycleat.standin_table import MemoryTable
 from cranberrycleat.table import ABSENT, Check, Put
 from cranberrycleat.watcher import HEAD_KEY, ConfigWatcher
-from cranberrycleat.writer import Change, GroupedWriter, Lost, Unsettled, Won
+from cranberrycleat.writer import REST_S, Change, GroupedWriter, Lost, Unsettled, Won
 from tests.fakes import LateTable, go
 
 
@@ -64,6 +65,24 @@
     assert write_all(table, change("a", "x")) == [expected]
 
 
+def test_who_asks_after_a_failure_is_told_at_once() -> None:
+    """While the table is known to be out of reach nothing is tried, for a while."""
+    table, clock = MemoryTable(), ManualClock(time_s=50.0)
+    writer = GroupedWriter(table=table, gather_s=0, clock=clock)
+
+    async def whole() -> None:
+        table.faults.down = True
+        assert isinstance(await writer.write(change("a", "x")), Unsettled)
+        tried = writer.transactions
+        assert isinstance(await writer.write(change("b", "x")), Unsettled)
+        assert writer.transactions == tried
+        table.faults.down = False
+        clock.advance(seconds=REST_S + 0.1)
+        assert isinstance(await writer.write(change("c", "x")), Won)
+
+    go(whole())
+
+
 def make_claims(table: MemoryTable) -> Claims:
     """Return a gateway's claims."""
     return Claims(writer=GroupedWriter(table=table, gather_s=0))
