--- a/cranberrycleat/scheduler.py
+++ b/cranberrycleat/scheduler.py
@@ -48,6 +48,8 @@
 """The share of the lease that may pass before it is renewed."""
 WATCHES_PER_LEASE: Final = 5
 HOSTS_S: Final = 2.0
+DRAIN_WAIT_S: Final = 10.0
+"""The longest that a round under way is waited for at shutdown, in seconds."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -96,6 +98,7 @@
     _pending: PendingWrite | None = None
     _hosts_at: float = float("-inf")
     _inherited_silent: bool = False
+    _owner_task: "asyncio.Task[None] | None" = None
     _unreadable: set[str] = attrs.field(factory=set)
     _endpoint_sets: dict[str, EndpointSet] = attrs.field(factory=dict)
 
@@ -135,7 +138,7 @@
     async def start(self) -> None:
         """Begin to serve and to work."""
         await self._server.start()
-        self._background.spawn(self._own())
+        self._owner_task = self._background.spawn(self._own())
         self._background.spawn(self._watch_config())
         for url in self.cfg.peers:
             self._background.spawn(self.peers.talk_to(url))
@@ -144,6 +147,9 @@
         """Hand the shard over and go on answering until the balancer knows."""
         self.draining = True
         self.changed.set()
+        if self._owner_task is not None:
+            # Two writers of one lease would take each other for a successor.
+            await asyncio.wait([self._owner_task], timeout=DRAIN_WAIT_S)
         await self._hand_over()
         await asyncio.sleep(self.cfg.drain_s)
 
@@ -157,7 +163,7 @@
     # --- owner and candidate ------------------------------------------------
 
     async def _own(self) -> None:
-        while True:
+        while not self.draining:
             try:
                 await self._step()
                 self._table_answers(True)
@@ -186,8 +192,6 @@
         self.changed.clear()
 
     async def _step(self) -> None:
-        if self.draining:
-            return
         if self.shard is not None:
             if not self.lease.is_holder:
                 raise Deposed(self.lease.key)
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -266,6 +266,14 @@
         instead="if False:",
         test="tests/test_writes.py",
     ),
+    Row(
+        promise="7 shutdown",
+        what="finishing the round under way before the handover",
+        file="scheduler.py",
+        text="await asyncio.wait([self._owner_task], timeout=DRAIN_WAIT_S)",
+        instead="pass",
+        test="tests/test_scheduler.py",
+    ),
     Row(
         promise="8 configuration",
         what="passing a change that can't be read",
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,11 +1,14 @@
 """The scheduler's own loop: what must not stop it."""
 
+import asyncio
+
 import attrs
 import pytest
 
 from cranberrycleat import codec, plugins
 from cranberrycleat.jobs import JobSpec, Kind
-from cranberrycleat.keys import inbox_prefix
+from cranberrycleat.keys import inbox_prefix, owner_key
+from cranberrycleat.lease import OwnerRow
 from cranberrycleat.messages import InboxEntry, JobPart
 from cranberrycleat.options import SchedulerOptions
 from cranberrycleat.scheduler import Scheduler
@@ -22,6 +25,7 @@
         data_centre="dc-a",
         platform="http://127.0.0.1:1",
         table_client="memory",
+        drain_s=0.0,
     )
     scheduler = Scheduler(cfg=cfg)
     assert isinstance(scheduler.platform, MemoryPlatform)
@@ -77,3 +81,26 @@
     go(whole())
     assert scheduler._pending is None
     assert scheduler.lease.authority()
+
+
+def test_shutdown_in_the_middle_of_a_round_hands_over() -> None:
+    """A round under way is finished first; the lease is then given up, not lost."""
+    scheduler, table = make_scheduler()
+
+    async def whole() -> None:
+        scheduler._owner_task = scheduler._background.spawn(scheduler._own())
+        while not scheduler.lease.authority():
+            await asyncio.sleep(0.01)
+        while scheduler.shard is None or scheduler._pending is not None:
+            await asyncio.sleep(0.01)
+        put = Put(key=inbox_prefix("dc-a") + "c", value=submission("late"))
+        table.apply(Transaction(puts=(put,)))
+        table.faults.slow_s = 0.2
+        scheduler.changed.set()
+        while scheduler._pending is None:
+            await asyncio.sleep(0.01)
+        await scheduler.drain()
+
+    go(whole())
+    owner = codec.decode(table.rows[owner_key("dc-a")].value, OwnerRow)
+    assert owner.released
