--- a/cranberrycleat/cli.py
+++ b/cranberrycleat/cli.py
@@ -7,14 +7,14 @@
 import asyncio
 import sys
 from collections.abc import Callable
-from typing import Any, NoReturn
+from typing import Any
 
 import attrs
 import click
 
 from cranberrycleat import __version__, errors, lifecycle, logs, plugins, settings
 from cranberrycleat.cli_bench import bench, demo
-from cranberrycleat.cli_operator import operator_commands
+from cranberrycleat.cli_operator import fail, operator_commands
 from cranberrycleat.options import (
     GatewayOptions,
     PlatformOptions,
@@ -39,13 +39,6 @@
     """
 
 
-def fail(findings: tuple[errors.Finding, ...]) -> NoReturn:
-    """Print findings, one a line, and exit."""
-    for each in findings:
-        click.echo(f"error: {each}", err=True)
-    sys.exit(errors.EXIT_USAGE)
-
-
 def daemon(cls: type[Any], help_text: str) -> Callable[[Any], click.Command]:
     """Make a command whose flags are the fields of an options class.
 
--- a/cranberrycleat/standin_platform.py
+++ b/cranberrycleat/standin_platform.py
@@ -70,11 +70,6 @@
         assert self.server is not None
         return self.server.url
 
-    async def list_host(self, entry: HostEntry) -> None:
-        """Put a host on the list, after the lag."""
-        await asyncio.sleep(self.lag_s)
-        self.listed[entry.name] = entry
-
     async def _list_check(self) -> None:
         if self.table.faults.down:
             raise errors.TableUnavailable("down")
