--- a/cranberrycleat/errors.py
+++ b/cranberrycleat/errors.py
@@ -167,3 +167,7 @@
 
 class PeerUnavailable(Exception):
     """A peer, worker or daemon could not be reached or gave no answer."""
+
+
+class NotSent(PeerUnavailable):
+    """No connection was made, so that no byte of the request left."""
--- a/cranberrycleat/platform/front.py
+++ b/cranberrycleat/platform/front.py
@@ -13,7 +13,12 @@
 
 from cranberrycleat import codec, errors
 from cranberrycleat.logs import part_logger
-from cranberrycleat.platform.jobs import QueueAnswer, StateAnswer, read_job
+from cranberrycleat.platform.jobs import (
+    DEADLINE_HEADER,
+    QueueAnswer,
+    StateAnswer,
+    read_job,
+)
 from cranberrycleat.workflow.door import Door, DoorAnswer, DoorStatus
 from cranberrycleat.workflow.ports import Queue
 
@@ -26,6 +31,8 @@
     DoorStatus.REFUSED: 503,
     DoorStatus.UNKNOWN: 504,
 }
+DEFAULT_LIMIT_S: Final = 3.0
+"""For a caller that does not say how long it waits; the sites' own limit."""
 MOST_BODY: Final = 262_144
 """Bytes; the platform's configuration gives this limit for bodies."""
 
@@ -62,13 +69,14 @@
             answer = DoorAnswer(status=DoorStatus.MALFORMED, reason="body too large")
         else:
             job_id = path[len(queue.prefix) :]
-            answer = await self._answer(scope["method"], queue, job_id, body)
+            limit_s = _limit_s(headers)
+            answer = await self._answer(scope["method"], queue, job_id, body, limit_s)
         await _send(
             send, answer, is_queue=isinstance(queue, Queue) and path == queue.prefix
         )
 
     async def _answer(
-        self, method: str, queue: Queue, job_id: str, body: bytes
+        self, method: str, queue: Queue, job_id: str, body: bytes, limit_s: float
     ) -> DoorAnswer:
         match method:
             case "GET" if not job_id:
@@ -76,19 +84,27 @@
             case "GET":
                 return await self.door.state(job_id)
             case "DELETE" if job_id:
-                return await self.door.cancel(job_id)
+                return await self.door.cancel(job_id, limit_s=limit_s)
             case "POST" if job_id:
-                return await self._submit(queue, job_id, body)
+                return await self._submit(queue, job_id, body, limit_s)
             case _:
                 return DoorAnswer(status=DoorStatus.MALFORMED, reason="no such call")
 
-    async def _submit(self, queue: Queue, job_id: str, body: bytes) -> DoorAnswer:
+    async def _submit(
+        self, queue: Queue, job_id: str, body: bytes, limit_s: float
+    ) -> DoorAnswer:
         try:
             spec = read_job(body)
         except errors.FindingsError as exc:
             LOG.info("Job %s cannot be read: %s", job_id, exc)
             return DoorAnswer(status=DoorStatus.MALFORMED, reason=str(exc))
-        return await self.door.submit(queue, job_id, spec)
+        return await self.door.submit(queue, job_id, spec, limit_s=limit_s)
+
+
+def _limit_s(headers: dict[bytes, bytes]) -> float:
+    """Return how long the caller waits, in seconds."""
+    text = headers.get(DEADLINE_HEADER, b"")
+    return int(text) / 1000 if text.isdigit() else DEFAULT_LIMIT_S
 
 
 async def _read(receive: Any) -> bytes | None:
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -13,8 +13,10 @@
 import msgspec
 
 from cranberrycleat import codec, errors
+from cranberrycleat.clock import Clock, MonotonicClock
 from cranberrycleat.http_client import HttpClient, HttpReply, NoAnswer
 from cranberrycleat.table import CommitReply, Row, Transaction
+from cranberrycleat.workflow.patience import Patience
 from cranberrycleat.workflow.ports import Feed, HistoryGone, Snapshot, TableChange
 
 PART: Final = "cell"
@@ -24,9 +26,6 @@
 CONDITION_FAILED: Final = 412
 GONE: Final = 410
 REFUSED: Final = frozenset({429, 503})
-TIMEOUT_S: Final = 0.9
-"""A store slowed 60 times answers in 0.25 s; a silent connection shows no end.
-Two tries fit the ownership lease."""
 
 
 @attrs.define(kw_only=True)
@@ -83,14 +82,16 @@
     Attributes:
         address: IP and port.
         http: The process's client.
-        timeout_s: How long to wait for an answer.
+        patience: How long to wait for an answer.
+        clock: Measures how long answers take.
         reads: Calls that read.
         writes: Calls that write.
     """
 
     address: str
     http: HttpClient
-    timeout_s: float = TIMEOUT_S
+    patience: Patience = attrs.field(factory=Patience)
+    clock: Clock = attrs.field(factory=MonotonicClock)
     reads: int = 0
     writes: int = 0
 
@@ -184,16 +185,21 @@
         params: dict[str, str] | None = None,
         wait_s: float = 0.0,
     ) -> HttpReply:
+        sent_at = self.clock.now()
         try:
-            return await self.http.call(
+            reply = await self.http.call(
                 method,
                 f"http://{self.address}{path}",
                 body=body,
                 params=params,
-                timeout_s=self.timeout_s + wait_s,
+                timeout_s=self.patience.limit_s() + wait_s,
             )
         except NoAnswer as exc:
+            self.patience.missed()
             raise errors.TableUnavailable(str(exc)) from exc
+        if not wait_s:
+            self.patience.answered(self.clock.now() - sent_at)
+        return reply
 
     def _page(self, reply: HttpReply, place: str) -> _WireRows:
         if reply.status in REFUSED:
--- /dev/null
+++ b/cranberrycleat/standins/feed_table.py
@@ -0,0 +1,63 @@
+"""The table stand-in that also tells what has changed."""
+
+import asyncio
+from typing import Final
+
+import attrs
+
+from cranberrycleat.standin_table import MemoryTable
+from cranberrycleat.table import CommitReply, Row, Transaction
+from cranberrycleat.workflow.ports import Feed, HistoryGone, Snapshot, TableChange
+
+STEP_S: Final = 0.005
+
+
+@attrs.define(kw_only=True)
+class MemoryFeedTable(MemoryTable):
+    """A table in memory with its history.
+
+    Attributes:
+        history: Every change, with its version.
+        kept_from: Changes up to this version are no longer kept.
+    """
+
+    history: list[tuple[int, TableChange]] = attrs.field(factory=list)
+    kept_from: int = 0
+
+    def apply(self, txn: Transaction) -> CommitReply:
+        """Apply the transaction and note what it changed."""
+        reply = MemoryTable.apply(self, txn)
+        if reply.committed:
+            for put in txn.puts:
+                change = TableChange(key=put.key, row=self.rows[put.key])
+                self.history.append((reply.version, change))
+            for key in txn.deletes:
+                self.history.append((reply.version, TableChange(key=key, row=None)))
+        return reply
+
+    def forget_history(self) -> None:
+        """Drop all history, as the platform may at any time."""
+        self.history.clear()
+        self.kept_from = self.revision
+
+    async def snapshot(self, *, table: str) -> Snapshot:
+        """Return a table's rows and the newest version."""
+        rows: tuple[Row, ...] = await self.scan(prefix=f"{table}/")
+        return Snapshot(rows=rows, version=self.revision)
+
+    async def follow(self, *, table: str, after: int, wait_s: float) -> Feed:
+        """Return the changes after a version; wait for one if there is none."""
+        await self._meet_faults()
+        left_s = wait_s
+        while True:
+            if after < self.kept_from:
+                raise HistoryGone(table)
+            found = [
+                change
+                for version, change in self.history
+                if version > after and change.key.startswith(f"{table}/")
+            ]
+            if found or left_s <= 0:
+                return Feed(changes=tuple(found), version=self.revision)
+            await asyncio.sleep(STEP_S)
+            left_s -= STEP_S
--- /dev/null
+++ b/cranberrycleat/standins/fleet.py
@@ -0,0 +1,291 @@
+"""Workers that run the tasks of stepped jobs, in memory, with faults and a record.
+
+The record is the oracle: what ran where and when, whether a task ran twice at a
+time, whether a worker was given more than it has, whether a gang was whole.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from cranberrycleat.amounts import NOTHING, Amounts
+from cranberrycleat.clock import Clock, MonotonicClock
+from cranberrycleat.workflow.ports import (
+    EndedTask,
+    EndKind,
+    OrderReply,
+    RunningTask,
+    StartOrder,
+    SyncReply,
+    Verdict,
+    WorkerEntry,
+    WorkerReplaced,
+    WorkerUnreachable,
+)
+
+STEP_S: Final = 0.005
+
+
+@attrs.frozen(kw_only=True)
+class Work:
+    """How an attempt of a task goes: for how long, and how it ends."""
+
+    seconds: float = 0.05
+    how: EndKind = EndKind.DONE
+
+
+@attrs.define(kw_only=True, eq=False)
+class Run:
+    """One attempt that runs."""
+
+    task: str
+    attempt: int
+    saved: str
+    started: float
+    ends_at: float
+    how: EndKind
+    needs: Amounts = NOTHING
+
+
+@attrs.frozen(kw_only=True)
+class Started:
+    """The record of one start."""
+
+    at: float
+    worker: str
+    task: str
+    attempt: int
+    epoch: int
+    saved: str
+
+
+@attrs.define(kw_only=True, eq=False)
+class Worker:
+    """One life of a worker.
+
+    Attributes:
+        entry: As it registers itself.
+        silent: It answers nothing, but runs on.
+        lose_starts: How many of the next starts get no answer and are carried
+            out when `carry_out` is called.
+        refuse: The verdict that it gives to each start; None: its own.
+    """
+
+    entry: WorkerEntry
+    silent: bool = False
+    replaced: bool = False
+    lose_starts: int = 0
+    refuse: Verdict | None = None
+    epoch: int = 0
+    lease_end_ms: int = 0
+    runs: dict[str, Run] = attrs.field(factory=dict)
+    ended: list[EndedTask] = attrs.field(factory=list)
+    last_end: int = 0
+    void: dict[str, int] = attrs.field(factory=dict)
+    late: list[StartOrder] = attrs.field(factory=list)
+
+
+@attrs.define(kw_only=True, eq=False)
+class StandinFleet:
+    """Several workers behind one `WorkerClient`.
+
+    Attributes:
+        work: Tells how each attempt of a task goes.
+        needs: Tells what a task takes, for the record of overloads.
+        gang: Tells whether a step's tasks end together.
+        clock: The workers' clock.
+        starts: Every start that was carried out.
+        faults: What the record shows that must never be.
+    """
+
+    work: Callable[[str, int], Work] = lambda task, attempt: Work()
+    needs: Callable[[str], Amounts] = lambda task: NOTHING
+    gang: Callable[[str], bool] = lambda step: False
+    clock: Clock = attrs.field(factory=MonotonicClock)
+    workers: dict[str, Worker] = attrs.field(factory=dict)
+    starts: list[Started] = attrs.field(factory=list)
+    faults: list[str] = attrs.field(factory=list)
+    done: set[str] = attrs.field(factory=set)
+
+    def add(self, entry: WorkerEntry) -> Worker:
+        """Take in a worker."""
+        self.workers[entry.worker] = Worker(entry=entry)
+        return self.workers[entry.worker]
+
+    def now_ms(self) -> int:
+        """Return the workers' clock in milliseconds."""
+        return round(self.clock.now() * 1000)
+
+    # --- the interface ------------------------------------------------------------
+
+    async def start(self, entry: WorkerEntry, order: StartOrder) -> OrderReply:
+        """Carry out a start, or lose it."""
+        worker = self._reach(entry)
+        if worker.lose_starts > 0:
+            worker.lose_starts -= 1
+            worker.late.append(order)
+            raise WorkerUnreachable("the order's answer was lost")
+        return self.carry_out(worker, order)
+
+    def carry_out(self, worker: Worker, order: StartOrder) -> OrderReply:
+        """Do what a start order says, as a worker does."""
+        now = self.now_ms()
+        verdict = self._verdict(worker, order, now)
+        if verdict is Verdict.ACCEPTED and order.task not in worker.runs:
+            self._begin(worker, order)
+        worker.lease_end_ms = max(worker.lease_end_ms, order.lease_end_ms)
+        return OrderReply(verdict=verdict, clock_ms=now)
+
+    def _verdict(self, worker: Worker, order: StartOrder, now: int) -> Verdict:
+        if order.epoch < worker.epoch:
+            return Verdict.STALE_EPOCH
+        worker.epoch = order.epoch
+        if order.attempt <= worker.void.get(order.task, 0):
+            return Verdict.STALE_ATTEMPT
+        if order.lease_end_ms <= now:
+            return Verdict.TOO_LATE
+        return worker.refuse or Verdict.ACCEPTED
+
+    def _begin(self, worker: Worker, order: StartOrder) -> None:
+        now = self.clock.now()
+        work = self.work(order.task, order.attempt)
+        run = Run(
+            task=order.task,
+            attempt=order.attempt,
+            saved=order.saved,
+            started=now,
+            ends_at=now + work.seconds,
+            how=work.how,
+            needs=self.needs(order.task),
+        )
+        for other in self.workers.values():
+            self._settle(other)
+            if order.task in other.runs:
+                self.faults.append(f"{order.task} runs twice")
+        if order.task in self.done:
+            self.faults.append(f"{order.task} starts after it was done")
+        worker.runs[order.task] = run
+        self.starts.append(
+            Started(
+                at=now,
+                worker=worker.entry.worker,
+                task=order.task,
+                attempt=order.attempt,
+                epoch=order.epoch,
+                saved=order.saved,
+            )
+        )
+        used = NOTHING
+        for each in worker.runs.values():
+            used = used.plus(each.needs)
+        if not used.fits_in(worker.entry.capacity):
+            self.faults.append(f"{worker.entry.worker} is over its capacity")
+
+    async def stop(
+        self, entry: WorkerEntry, task: str, attempt: int, epoch: int
+    ) -> OrderReply:
+        """Stop an attempt, or make one void that has not come yet."""
+        worker = self._reach(entry)
+        if epoch < worker.epoch:
+            return OrderReply(verdict=Verdict.STALE_EPOCH, clock_ms=self.now_ms())
+        worker.epoch = epoch
+        worker.void[task] = max(worker.void.get(task, 0), attempt)
+        run = worker.runs.get(task)
+        if run is not None and run.attempt <= attempt:
+            self._end(worker, run, EndKind.STOPPED)
+        return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=self.now_ms())
+
+    async def throttle(
+        self, entry: WorkerEntry, task: str, attempt: int, percent: int, epoch: int
+    ) -> OrderReply:
+        """Take note of nothing: these tasks disturb nobody."""
+        self._reach(entry)
+        return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=self.now_ms())
+
+    async def sync(
+        self,
+        entry: WorkerEntry,
+        *,
+        epoch: int,
+        ended_upto: int,
+        lease_end_ms: int | None,
+        wait_ms: int,
+    ) -> SyncReply | OrderReply:
+        """Renew the lease and return both lists, waiting for an end."""
+        worker = self._reach(entry)
+        if epoch < worker.epoch:
+            return OrderReply(verdict=Verdict.STALE_EPOCH, clock_ms=self.now_ms())
+        worker.epoch = epoch
+        worker.ended = [end for end in worker.ended if end.number > ended_upto]
+        if lease_end_ms is not None:
+            worker.lease_end_ms = max(worker.lease_end_ms, lease_end_ms)
+        until = self.now_ms() + wait_ms
+        self._settle(worker)
+        while not worker.ended and self.now_ms() < until:
+            await asyncio.sleep(STEP_S)
+            self._reach(entry)
+            self._settle(worker)
+        return SyncReply(
+            clock_ms=self.now_ms(),
+            running=tuple(
+                RunningTask(
+                    task=run.task, attempt=run.attempt, saved=run.saved, percent=100
+                )
+                for run in worker.runs.values()
+            ),
+            ended=tuple(worker.ended),
+        )
+
+    # --- what goes on by itself -----------------------------------------------------
+
+    def settle_all(self) -> None:
+        """Let every attempt that is over end."""
+        for worker in self.workers.values():
+            self._settle(worker)
+
+    def _settle(self, worker: Worker) -> None:
+        now = self.clock.now()
+        lapsed = now * 1000 > worker.lease_end_ms
+        for run in list(worker.runs.values()):
+            if run.ends_at <= now and run.ends_at * 1000 <= worker.lease_end_ms:
+                self._end(worker, run, run.how)
+            elif lapsed:
+                self._end(worker, run, EndKind.LAPSED)
+
+    def _end(self, worker: Worker, run: Run, how: EndKind) -> None:
+        self._end_one(worker, run, how)
+        step = run.task.rpartition(".")[0]
+        if not self.gang(step):
+            return
+        rest = EndKind.DONE if how is EndKind.DONE else EndKind.MEMBER_ENDED
+        for other in self.workers.values():
+            for each in list(other.runs.values()):
+                member = each.task.rpartition(".")[0] == step
+                if member and each.attempt == run.attempt:
+                    self._end_one(other, each, rest)
+
+    def _end_one(self, worker: Worker, run: Run, how: EndKind) -> None:
+        del worker.runs[run.task]
+        worker.void[run.task] = max(worker.void.get(run.task, 0), run.attempt)
+        worker.last_end += 1
+        if how is EndKind.DONE:
+            self.done.add(run.task)
+        worker.ended.append(
+            EndedTask(
+                number=worker.last_end,
+                task=run.task,
+                attempt=run.attempt,
+                how=how,
+                saved=f"saved-{run.task}-{run.attempt}",
+            )
+        )
+
+    def _reach(self, entry: WorkerEntry) -> Worker:
+        worker = self.workers[entry.worker]
+        if worker.silent:
+            raise WorkerUnreachable("no answer")
+        if worker.replaced:
+            raise WorkerReplaced(entry.worker)
+        return worker
--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -7,6 +7,7 @@
 the caller is told so and asks again with the same identity.
 """
 
+import asyncio
 import enum
 import logging
 from collections.abc import Callable
@@ -31,6 +32,7 @@
 )
 from cranberrycleat.workflow.ports import FeedTable, Queue
 from cranberrycleat.workflow.spec import WorkflowSpec
+from cranberrycleat.workflow.state import JobState
 
 LOG: Final[logging.Logger] = part_logger("door")
 MOST_STEPS: Final = 64
@@ -39,8 +41,13 @@
 """Bytes; the platform's page on jobs gives this limit."""
 LENGTHS_AGE_S: Final = 1.6
 """Queue lengths may be 2 s old."""
-OUTAGE_RETRY_S: Final = 2.0
-"""When to come back after a refusal for an outage."""
+OUTAGE_RETRY_S: Final = 1.0
+"""When to come back after a refusal for an outage. Callers wait 3 s in all, so
+that two more tries fit; nobody knows how long an outage lasts."""
+USABLE_SHARE: Final = 0.85
+"""Of the time that a caller waits, the share in which the door goes on trying
+to settle; the rest is for the answer's way."""
+AGAIN_S: Final = 0.1
 
 
 class DoorStatus(enum.Enum):
@@ -73,6 +80,14 @@
     retry_after_s: float = OUTAGE_RETRY_S
 
 
+@attrs.frozen(kw_only=True)
+class _Step:
+    """What one try came to; without an answer the door tries again."""
+
+    answer: DoorAnswer | None = None
+    maybe_stored: bool = False
+
+
 @attrs.define(kw_only=True, eq=False)
 class Door:
     """Answers callers.
@@ -81,10 +96,13 @@
         config: The configuration in force.
         store: The platform's table.
         peers: Calls to other hosts.
-        owner: Tells the owner if it is this process, else None.
+        owner: Tells the owner if it is this process and has taken over.
         owner_address: Tells where the owner answers; empty if not known.
+        own_address: Where this process answers its peers.
+        in_touch: Tells whether owner or table were heard of lately.
         clock: A steady clock.
-        lengths: The owner's newest digest, and when it came.
+        digest: The owner's newest digest.
+        digest_at: When it came.
     """
 
     config: ConfigFollower
@@ -92,6 +110,8 @@
     peers: PeerClient
     owner: Callable[[], Owner | None]
     owner_address: Callable[[], str]
+    own_address: str
+    in_touch: Callable[[], bool]
     clock: Clock
     digest: DigestReply | None = None
     digest_at: float = float("-inf")
@@ -105,38 +125,74 @@
 
     # --- handing in -----------------------------------------------------------
 
-    async def submit(self, queue: Queue, job_id: str, spec: WorkflowSpec) -> DoorAnswer:
-        """Take in a job."""
+    async def submit(
+        self, queue: Queue, job_id: str, spec: WorkflowSpec, *, limit_s: float
+    ) -> DoorAnswer:
+        """Take in a job, trying until it is settled or the time is up.
+
+        Args:
+            queue: The queue it is handed in at.
+            job_id: The caller's identity for it.
+            spec: The job.
+            limit_s: How long the caller waits for the answer.
+        """
         fault = check(spec)
         if fault:
             return DoorAnswer(status=DoorStatus.MALFORMED, reason=fault)
         req = SubmitRequest(job_id=job_id, queue=queue, spec=spec)
-        reply = await self._ask_owner(req)
+        until = self.clock.now() + limit_s * USABLE_SHARE
+        maybe_stored = False
+        while True:
+            if not self.in_touch() and not maybe_stored:
+                return DoorAnswer(status=DoorStatus.REFUSED, reason="cut off")
+            step = await self._submit_once(req)
+            if step.answer is not None and not (
+                maybe_stored and step.answer.status is DoorStatus.REFUSED
+            ):
+                return step.answer
+            maybe_stored = maybe_stored or step.maybe_stored
+            if self.clock.now() > until:
+                break
+            await asyncio.sleep(AGAIN_S)
+        status = DoorStatus.UNKNOWN if maybe_stored else DoorStatus.REFUSED
+        LOG.warning("Job %s is %s at the end of its time.", job_id, status.value)
+        return DoorAnswer(status=status, reason="the table did not settle it")
+
+    async def _submit_once(self, req: SubmitRequest) -> "_Step":
+        try:
+            reply = await self._to_owner(req)
+        except errors.NotSent:
+            return await self._to_inbox(req)
+        except errors.PeerUnavailable as exc:
+            LOG.info("The owner did not settle job %s: %s", req.job_id, exc)
+            step = await self._to_inbox(req)
+            return attrs.evolve(step, maybe_stored=True)
         if reply is None:
             return await self._to_inbox(req)
         if reply.accepted:
-            return DoorAnswer(status=DoorStatus.DONE)
-        LOG.info("Job %s refused: %s", job_id, reply.reason)
-        return DoorAnswer(
-            status=DoorStatus.REFUSED,
-            reason=reply.reason,
-            retry_after_s=reply.retry_after_s,
+            return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
+        if not reply.refused:
+            return _Step(maybe_stored=True)
+        LOG.info("Job %s refused: %s", req.job_id, reply.reason)
+        return _Step(
+            answer=DoorAnswer(
+                status=DoorStatus.REFUSED,
+                reason=reply.reason,
+                retry_after_s=reply.retry_after_s,
+            )
         )
 
-    async def _ask_owner(self, req: SubmitRequest) -> SubmitReply | None:
-        try:
-            owner = self.owner()
-            if owner is not None and owner.ready.is_set():
-                return await owner.submit(req)
-            address = self.owner_address()
-            if not address:
-                return None
-            return await self.peers.submit(address, req)
-        except errors.PeerUnavailable as exc:
-            LOG.info("The owner did not settle job %s: %s", req.job_id, exc)
+    async def _to_owner(self, req: SubmitRequest) -> SubmitReply | None:
+        """Return the owner's answer; None where no owner is known."""
+        owner = self.owner()
+        if owner is not None:
+            return await owner.submit(req)
+        address = self.owner_address()
+        if not address or address == self.own_address:
             return None
+        return await self.peers.submit(address, req)
 
-    async def _to_inbox(self, req: SubmitRequest) -> DoorAnswer:
+    async def _to_inbox(self, req: SubmitRequest) -> "_Step":
         row = rows.SpecRow(queue=req.queue, spec=req.spec, accepted_s=time_of_day())
         txn = Transaction(
             checks=(
@@ -146,12 +202,15 @@
             puts=(Put(key=rows.inbox_key(req.job_id), value=codec.encode_text(row)),),
         )
         try:
+            # Committed or in conflict: either way a row of the job exists.
             await self.store.commit(txn)
+        except errors.TableRefused as exc:
+            return _Step(answer=DoorAnswer(status=DoorStatus.REFUSED, reason=str(exc)))
         except errors.TableUnavailable as exc:
-            # The owner may have it, or the table: only asking again can tell.
-            return DoorAnswer(status=DoorStatus.UNKNOWN, reason=str(exc))
+            LOG.info("Job %s may be in the inbox: %s", req.job_id, exc)
+            return _Step(maybe_stored=True)
         LOG.info("Job %s was left in the inbox.", req.job_id)
-        return DoorAnswer(status=DoorStatus.DONE)
+        return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
 
     # --- asking ---------------------------------------------------------------
 
@@ -160,10 +219,12 @@
         answer = await self._owner_says(job_id, cancel=False)
         if answer is not None and answer.known:
             return DoorAnswer(status=DoorStatus.DONE, state=answer.state)
+        if not self.in_touch():
+            return DoorAnswer(status=DoorStatus.REFUSED, reason="cut off")
         try:
             return await self._stored_state(job_id)
         except (errors.TableUnavailable, errors.FindingsError) as exc:
-            return DoorAnswer(status=DoorStatus.UNKNOWN, reason=str(exc))
+            return DoorAnswer(status=DoorStatus.REFUSED, reason=str(exc))
 
     async def _stored_state(self, job_id: str) -> DoorAnswer:
         keys = (rows.job_key(job_id), rows.inbox_key(job_id))
@@ -172,11 +233,19 @@
             row = rows.read_row(found[keys[0]].value, keys[0])
             return DoorAnswer(status=DoorStatus.DONE, state=row.state().value)
         if keys[1] in found:
-            return DoorAnswer(status=DoorStatus.DONE, state="queued")
+            return DoorAnswer(status=DoorStatus.DONE, state=JobState.QUEUED.value)
         return DoorAnswer(status=DoorStatus.NO_JOB)
 
-    async def cancel(self, job_id: str) -> DoorAnswer:
-        """Cancel a job."""
+    async def cancel(self, job_id: str, *, limit_s: float) -> DoorAnswer:
+        """Cancel a job, trying until it is settled or the time is up."""
+        until = self.clock.now() + limit_s * USABLE_SHARE
+        while True:
+            answer = await self._cancel_once(job_id)
+            if answer.status is not DoorStatus.UNKNOWN or self.clock.now() > until:
+                return answer
+            await asyncio.sleep(AGAIN_S)
+
+    async def _cancel_once(self, job_id: str) -> DoorAnswer:
         answer = await self._owner_says(job_id, cancel=True)
         if answer is None:
             return DoorAnswer(status=DoorStatus.UNKNOWN, reason="no owner answers")
@@ -195,10 +264,10 @@
         req = JobQuestion(job_id=job_id)
         try:
             owner = self.owner()
-            if owner is not None and owner.ready.is_set():
+            if owner is not None:
                 return await owner.cancel(job_id) if cancel else owner.state(job_id)
             address = self.owner_address()
-            if not address:
+            if not address or address == self.own_address:
                 return None
             ask = self.peers.cancel if cancel else self.peers.state
             answer = await ask(address, req)
@@ -210,7 +279,7 @@
     def waiting(self, queue: Queue) -> DoorAnswer:
         """Return how many jobs of a queue have started nothing."""
         owner = self.owner()
-        if owner is not None and owner.ready.is_set():
+        if owner is not None:
             number = owner.board.waiting_of(queue.name)
             return DoorAnswer(status=DoorStatus.DONE, waiting=number)
         if self.digest is None or self.clock.now() - self.digest_at > LENGTHS_AGE_S:
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -29,9 +29,9 @@
 )
 
 LOG: Final[logging.Logger] = part_logger("link")
-WAIT_MS: Final = 1500
-"""How long a worker holds a sync open while nothing ends there. Four of them
-fit a lease; each sync is priced as a status check."""
+WAIT_SHARE: Final = 0.25
+"""How long a worker holds a sync open while nothing ends there, as a share of
+the lease; each sync is priced as a status check."""
 GAP_S: Final = 0.03
 """The pause between two syncs, so that ends that come together share one."""
 SILENT_PAUSE_S: Final = 0.25
@@ -125,7 +125,7 @@
             epoch=self.owner.epoch,
             ended_upto=worker.ended_upto,
             lease_end_ms=lease_end,
-            wait_ms=0 if first else WAIT_MS,
+            wait_ms=0 if first else round(self.lease_s * WAIT_SHARE * 1000),
         )
         match reply:
             case SyncReply():
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -24,20 +24,25 @@
 from cranberrycleat.workflow.adapter import Adapter
 from cranberrycleat.workflow.directory import ConfigFollower
 from cranberrycleat.workflow.door import Door
+from cranberrycleat.workflow.membership import Membership
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peer_api import peer_app
-from cranberrycleat.workflow.peering import Digest, PeerClient
+from cranberrycleat.workflow.peering import Digest, DigestReply, PeerClient
 from cranberrycleat.workflow.permit_desk import PermitDesk
 
 LOG: Final[logging.Logger] = part_logger("node")
 OWNER_KEY: Final = "owner/cell"
-CONFIG_WAIT_S: Final = 1.5
+CONFIG_WAIT_S: Final = 1.0
 """How long the table holds a question for a newer configuration open; a
 connection that went silent shows within this and the client's time limit."""
 PAUSE_S: Final = 0.2
 BALANCER_S: Final = 2.5
 """The balancer asks each second and sends no new callers after two misses."""
-IN_TOUCH_S: Final = 2.0
+OWNER_FRESH_S: Final = 1.2
+"""One digest may be missed: they come each 0.4 s and wait 0.4 s."""
+MOST_ASKED: Final = 2
+STORE_FRESH_S: Final = 1.8
+"""The table answers each second; a slowed one takes 0.3 s more."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -60,8 +65,12 @@
     _peers: PeerClient = attrs.field(init=False)
     _servers: list[HttpServer] = attrs.field(factory=list)
     _work: Background = attrs.field(factory=Background)
-    _live_peers: dict[str, float] = attrs.field(factory=dict)
+    _look: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _hint: DigestReply = DigestReply(owner=False)
+    _members: Membership = attrs.field(factory=Membership)
     _store_heard_at: float = float("-inf")
+    _owner_heard_at: float = float("-inf")
+    _peer_heard_at: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
         cfg = self.adapter.settings
@@ -79,8 +88,10 @@
             config=self._config,
             store=self.adapter.store,
             peers=self._peers,
-            owner=lambda: self.owner,
+            owner=self._held,
             owner_address=self.owner_address,
+            own_address=self.address,
+            in_touch=self.in_touch,
             clock=self.clock,
         )
 
@@ -92,19 +103,43 @@
         return f"http://{self.adapter.settings.front}"
 
     def is_ready(self) -> bool:
-        """Tell whether the balancer should send callers here."""
+        """Tell whether the balancer should send callers here.
+
+        A host that is cut off sends its callers elsewhere. In an outage of the
+        table no host serves better than another: then all stay ready.
+        """
+        now = self.clock.now()
+        connected = self.in_touch() or now - self._peer_heard_at < OWNER_FRESH_S
+        known = self._config.current is not None
+        return not self.draining and known and connected
+
+    def in_touch(self) -> bool:
+        """Tell whether the owner or the table were heard of lately."""
         now = self.clock.now()
-        heard_at = max(self._store_heard_at, self._door.digest_at)
-        in_touch = now - heard_at < IN_TOUCH_S or self._held() is not None
-        return not self.draining and self._config.current is not None and in_touch
+        return (
+            self._held() is not None
+            or now - self._owner_heard_at < OWNER_FRESH_S
+            or now - self._store_heard_at < STORE_FRESH_S
+        )
 
     def owner_address(self) -> str:
-        """Return where the owner answers, by the newest row seen."""
+        """Return where the owner answers, by the newest word of it."""
         row = self._lease.seen()
-        if row is None or row.released:
+        if row is None or row.epoch < self._hint.epoch:
+            return self._hint.owner_at
+        if row.released:
             return ""
         return row.holder.partition("@")[2].partition("#")[0]
 
+    def exchange(self, req: Digest) -> DigestReply:
+        """Answer another host's digest."""
+        owner = self._held()
+        if owner is not None:
+            return attrs.evolve(owner.digest(req), owner_at=self.address)
+        self._members.hear(req, self.clock.now())
+        epoch = max(self._lease.epoch, self._hint.epoch)
+        return DigestReply(owner=False, epoch=epoch, owner_at=self.owner_address())
+
     def _held(self) -> Owner | None:
         owner = self.owner
         return owner if owner is not None and owner.ready.is_set() else None
@@ -121,6 +156,8 @@
             (
                 peer_app(
                     owner=self._held,
+                    digest=self.exchange,
+                    look=self._look.set,
                     permits=self.adapter.permits,
                     metrics=metrics,
                     dump=self.dump,
@@ -141,8 +178,19 @@
         self.draining = True
         if self.owner is not None:
             await self.owner.hand_over()
+            await self._tell_peers()
         await asyncio.sleep(BALANCER_S)
 
+    async def _tell_peers(self) -> None:
+        """Have the others look at the owner's row now, not at their next look."""
+        found = await asyncio.gather(
+            *(self._peers.look(address) for address in self._peer_addresses()),
+            return_exceptions=True,
+        )
+        for exc in found:
+            if isinstance(exc, BaseException):
+                LOG.info("A peer was not told of the release: %r", exc)
+
     async def stop(self) -> None:
         """Finish requests in flight and close every connection."""
         await asyncio.gather(*(server.stop() for server in self._servers))
@@ -169,6 +217,11 @@
             try:
                 await self._config.follow(CONFIG_WAIT_S)
                 self._store_heard_at = self.clock.now()
+            except errors.TableRefused as exc:
+                # This host is not cut off, and others fare no better.
+                self._peer_heard_at = self.clock.now()
+                LOG.debug("The configuration was not read: %s", exc)
+                await asyncio.sleep(PAUSE_S)
             except errors.TableUnavailable as exc:
                 LOG.debug("The configuration was not read: %s", exc)
                 await asyncio.sleep(PAUSE_S)
@@ -180,7 +233,10 @@
                 with contextlib.suppress(errors.TableUnavailable):
                     if await self._lease.acquire():
                         await self._act()
-            await asyncio.sleep(options.LOOK_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(options.LOOK_S):
+                    await self._look.wait()
+            self._look.clear()
 
     async def _act(self) -> None:
         LOG.info("This host is the owner, epoch %d.", self._lease.epoch)
@@ -209,29 +265,55 @@
             clock=self.clock,
             leases=options.worker_leases(cfg.bounds),
             status_s=cfg.status_s,
-            peers=self._live_peers,
+            peers=self._members,
         )
 
     def _peer_addresses(self) -> tuple[str, ...]:
-        since = self.clock.now() - options.PEER_SILENT_S
-        return tuple(
-            address for address, heard in self._live_peers.items() if heard > since
-        )
+        live = self._members.live(self.clock.now())
+        return tuple(peer.address for peer in live if peer.address != self.address)
 
     async def _exchange(self) -> None:
         """Tell the owner of this host, and learn the queues' lengths."""
-        cfg = self.adapter.settings
-        digest = Digest(
-            name=cfg.name, address=self.address, data_centre=cfg.data_centre
-        )
         while True:
             address = self.owner_address()
-            if address and address != self.address and not self.draining:
-                try:
-                    reply = await self._peers.digest(address, digest)
-                    if reply.owner:
-                        self._door.digest = reply
-                        self._door.digest_at = self.clock.now()
-                except errors.PeerUnavailable as exc:
-                    LOG.debug("The owner did not answer: %s", exc)
+            if address != self.address and not self.draining:
+                if not address or not await self._ask_owner(address):
+                    await self._ask_elsewhere()
             await asyncio.sleep(options.DIGEST_S)
+
+    def _digest(self) -> Digest:
+        cfg = self.adapter.settings
+        return Digest(name=cfg.name, address=self.address, data_centre=cfg.data_centre)
+
+    async def _ask_owner(self, address: str) -> bool:
+        try:
+            reply = await self._peers.digest(address, self._digest())
+        except errors.PeerUnavailable as exc:
+            LOG.debug("The owner did not answer: %s", exc)
+            return False
+        now = self.clock.now()
+        self._take_hint(reply)
+        if reply.owner:
+            self._owner_heard_at = now
+            self._door.digest = reply
+            self._door.digest_at = now
+            self._members.learn(reply.peers, now)
+        return reply.owner
+
+    def _take_hint(self, reply: DigestReply) -> None:
+        """Learn of a later owner from a peer, where the table cannot be read."""
+        if reply.owner_at and reply.epoch > self._hint.epoch:
+            self._hint = reply
+
+    async def _ask_elsewhere(self) -> None:
+        """Find out whether any other data centre can be reached."""
+        cfg = self.adapter.settings
+        others = self._members.elsewhere(cfg.data_centre, self.address)
+        for address in others[:MOST_ASKED]:
+            try:
+                self._take_hint(await self._peers.digest(address, self._digest()))
+            except errors.PeerUnavailable as exc:
+                LOG.debug("A peer did not answer: %s", exc)
+                continue
+            self._peer_heard_at = self.clock.now()
+            return
--- a/cranberrycleat/workflow/options.py
+++ b/cranberrycleat/workflow/options.py
@@ -6,16 +6,18 @@
 
 from cranberrycleat.workflow.ports import LeaseBounds
 
-OWNER_LEASE_S: Final = 2.0
-"""Long enough for two tries at a store that is slowed 60 times (0.25 s each
-way), short enough that a successor is there before the workers' leases end."""
-LOOK_S: Final = 0.4
+OWNER_LEASE_S: Final = 0.9
+"""Short urgent work has 0.75 s to spare, so a dead owner must be followed at
+once; a takeover that was not needed costs about 30 ms. Long enough for two
+writes to a store that is slowed 60 times (0.25 s each)."""
+LOOK_S: Final = 0.25
 """How often a candidate looks at the owner's row; each look is a priced call."""
-RENEW_S: Final = 0.5
+RENEW_S: Final = 0.25
 """The longest time between two writes of an owner with nothing to store."""
 WORKER_LEASE_S: Final = 6.0
 """Must outlive an owner's death: the lease, two looks, and the way to the
-workers come to about 3.5 s. What is longer keeps work of a dead worker waiting."""
+workers come to about 1.5 s, and two owners may die in a row. What is longer
+keeps work of a dead worker waiting."""
 RENEW_AFTER_LAPSE_S: Final = 4.0
 """How long an owner without a store goes on renewing what runs. A successor
 waits this out for workers that it cannot reach."""
@@ -26,9 +28,10 @@
 DIRECTORY_S: Final = 0.5
 """How often the list of workers is read; leaving workers must get no work
 after 2 s."""
-INBOX_S: Final = 1.0
-DIGEST_S: Final = 0.6
-"""How often a host asks the owner for queue lengths, which may be 2 s old."""
+INBOX_S: Final = 0.6
+DIGEST_S: Final = 0.4
+"""How often a host asks the owner for queue lengths, which may be 2 s old; a
+host that is cut off notices by it, and sends its callers elsewhere."""
 PEER_SILENT_S: Final = 2.0
 FORGET_MARGIN_S: Final = 30.0
 FORGET_AT_ONCE: Final = 60
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -23,6 +23,7 @@
 from cranberrycleat.workflow.directory import Directory
 from cranberrycleat.workflow.fleet import FleetWorker, Placement, Standing
 from cranberrycleat.workflow.links import WorkerLink
+from cranberrycleat.workflow.membership import Membership
 from cranberrycleat.workflow.peering import (
     Digest,
     DigestReply,
@@ -40,6 +41,7 @@
 STORE_SILENT: Final = "the table does not answer"
 PERMIT_PAUSE_S: Final = 0.05
 PERMIT_TRIES: Final = 4
+HAND_OVER_S: Final = 1.5
 CHANGE_LIMIT_S: Final = 0.7
 """How long a caller's change may take to be stored before nobody waits for it."""
 
@@ -57,7 +59,7 @@
         clock: Counts suspended time.
         leases: How leases at workers are counted.
         status_s: How long an ended job's state is kept.
-        peers: Other hosts, and when each was heard last.
+        peers: The other hosts of the system.
         ready: Set once the rows were read.
     """
 
@@ -69,7 +71,7 @@
     clock: Clock
     leases: options.WorkerLeases
     status_s: float
-    peers: dict[str, float]
+    peers: Membership
     board: Board = attrs.field(factory=Board)
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
     ready: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -146,10 +148,17 @@
             await self._work.cancel()
 
     async def hand_over(self) -> None:
-        """Give up the ownership in order: stop ordering, then release."""
+        """Give up the ownership in order: stop ordering, store, release.
+
+        The release goes out after the transaction under way, never beside it:
+        both are conditional on the same row, and the loser would leave the
+        lease to run out.
+        """
         self.closing = True
-        with contextlib.suppress(errors.TableUnavailable, Deposed):
-            await self.lease.release()
+        self._changed.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(HAND_OVER_S):
+                await self._ended.wait()
         self._ended.set()
 
     async def _take_over(self) -> None:
@@ -233,6 +242,17 @@
                 return
             if self.board.dirty:
                 self._changed.set()
+            elif self.closing:
+                await self._release()
+
+    async def _release(self) -> None:
+        try:
+            await self.lease.release()
+        except (errors.TableUnavailable, Deposed) as exc:
+            LOG.warning("The ownership was not released: %r", exc)
+        else:
+            LOG.info("Released the ownership of epoch %d.", self.epoch)
+        self._ended.set()
 
     async def _store(self, batch: Batch) -> None:
         forget = self.board.forget_ended(
@@ -482,7 +502,8 @@
 
     def digest(self, req: Digest) -> DigestReply:
         """Exchange digests with another host."""
-        self.peers[req.address] = self.clock.now()
+        now = self.clock.now()
+        self.peers.hear(req, now)
         names = {job.queue.name for job in self.board.jobs.values()}
         return DigestReply(
             owner=self.lease.authority(),
@@ -492,6 +513,7 @@
                 for name in sorted(names)
                 if name
             ),
+            peers=self.peers.live(now),
         )
 
     def summary(self) -> dict[str, int]:
--- /dev/null
+++ b/cranberrycleat/workflow/patience.py
@@ -0,0 +1,51 @@
+"""How long to wait for an answer, learned from the answers that came.
+
+Answers two patterns of the platform's store: an answer that is lost (waiting
+long for it costs the owner its lease) and a store that is slow (giving up early
+loses every answer). The limit follows the mean and the deviation of the times
+seen, as a transport protocol's retransmission timer does, and doubles with each
+answer that did not come.
+"""
+
+from typing import Final
+
+import attrs
+
+LEAST_S: Final = 0.2
+"""Ten times what a calm store takes with its way, and more than a host that
+works five times slower needs to see the answer."""
+MOST_S: Final = 1.0
+"""A store slowed 60 times answers in 0.25 s; two of them queued in 0.5 s."""
+GAIN: Final = 0.2
+DEVIATIONS: Final = 6.0
+
+
+@attrs.define(kw_only=True)
+class Patience:
+    """A time limit that follows what was measured.
+
+    Attributes:
+        mean_s: The smoothed time of an answer.
+        deviation_s: Its smoothed deviation.
+        misses: Answers in a row that did not come.
+    """
+
+    mean_s: float = 0.02
+    deviation_s: float = 0.02
+    misses: int = 0
+
+    def limit_s(self) -> float:
+        """Return how long to wait for the next answer."""
+        wanted = max(LEAST_S, self.mean_s + DEVIATIONS * self.deviation_s)
+        return min(MOST_S, wanted * 2.0**self.misses)
+
+    def answered(self, seconds: float) -> None:
+        """Take in how long an answer took."""
+        self.misses = 0
+        error = seconds - self.mean_s
+        self.mean_s += GAIN * error
+        self.deviation_s += GAIN * (abs(error) - self.deviation_s)
+
+    def missed(self) -> None:
+        """Note that an answer did not come within the limit."""
+        self.misses = min(self.misses + 1, 4)
--- a/cranberrycleat/workflow/peer_api.py
+++ b/cranberrycleat/workflow/peer_api.py
@@ -1,7 +1,7 @@
 """The calls that other processes of the system make to this one."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 import litestar
 from litestar import Request, Response, post
@@ -15,6 +15,7 @@
     DigestReply,
     JobAnswer,
     JobQuestion,
+    Look,
     PermitReply,
     PermitRequest,
     SubmitReply,
@@ -23,13 +24,15 @@
 from cranberrycleat.workflow.ports import PermitClient, PermitUnavailable
 
 Req = Request[Any, Any, Any]
-NO_OWNER = "this host is not the owner"
-UNSETTLED = 504
+NO_OWNER: Final = 421
+UNSETTLED: Final = 504
 
 
 def peer_app(
     *,
     owner: Callable[[], Owner | None],
+    digest: Callable[[Digest], DigestReply],
+    look: Callable[[], None],
     permits: PermitClient,
     metrics: Metrics,
     dump: Callable[[], object],
@@ -38,6 +41,8 @@
 
     Args:
         owner: Tells the owner if it is this process and has taken over.
+        digest: Exchanges digests with another process.
+        look: Makes this process look at the owner's row at once.
         permits: The permit service as called from this host.
         metrics: This process's metrics.
         dump: Returns this process's state.
@@ -48,11 +53,11 @@
         req = codec.decode(await request.body(), SubmitRequest)
         held = owner()
         if held is None:
-            return json_response(SubmitReply(refused=False), status=UNSETTLED)
+            return json_response(SubmitReply(), status=NO_OWNER)
         try:
             return json_response(await held.submit(req))
         except errors.PeerUnavailable:
-            return json_response(SubmitReply(), status=UNSETTLED)
+            return json_response(SubmitReply())
 
     @post("/v1/state", status_code=200)
     async def state(request: Req) -> Response[bytes]:
@@ -74,12 +79,14 @@
             return json_response(JobAnswer(owner=True), status=UNSETTLED)
 
     @post("/v1/digest", status_code=200)
-    async def digest(request: Req) -> Response[bytes]:
+    async def take_digest(request: Req) -> Response[bytes]:
         req = codec.decode(await request.body(), Digest)
-        held = owner()
-        if held is None:
-            return json_response(DigestReply(owner=False))
-        return json_response(held.digest(req))
+        return json_response(digest(req))
+
+    @post("/v1/look", status_code=200)
+    async def look_now() -> Response[bytes]:
+        look()
+        return json_response(Look())
 
     @post("/v1/permits", status_code=200)
     async def ask_permits(request: Req) -> Response[bytes]:
@@ -92,5 +99,5 @@
             return json_response(PermitReply(answered=False))
         return json_response(PermitReply(answered=True, permits=found))
 
-    handlers = [submit, state, cancel, digest, ask_permits]
+    handlers = [submit, state, cancel, take_digest, look_now, ask_permits]
     return make_app([*handlers, *state_handlers(metrics, dump)])
--- a/cranberrycleat/workflow/peering.py
+++ b/cranberrycleat/workflow/peering.py
@@ -10,10 +10,13 @@
 from cranberrycleat.workflow.spec import WorkflowSpec
 
 T = TypeVar("T")
-TIMEOUT_S: Final = 0.8
+TIMEOUT_S: Final = 0.9
 """A whole answer takes about 15 ms, with a slowed store 0.5 s; a caller waits
 3 s and the door has a second way to go after this one."""
+DIGEST_TIMEOUT_S: Final = 0.4
+"""A digest waits for no store: what takes longer is a cut or a dead host."""
 STATUS_OK: Final = 200
+STATUS_NOT_OWNER: Final = 421
 
 
 @attrs.frozen(kw_only=True)
@@ -81,19 +84,36 @@
     waiting: int
 
 
+@attrs.frozen(kw_only=True)
+class PeerEntry:
+    """Another host of the system."""
+
+    address: str
+    data_centre: str
+
+
 @attrs.frozen(kw_only=True)
 class DigestReply:
-    """What the owner tells the others.
+    """What a process tells another, and the owner all others.
 
     Attributes:
         owner: Whether who answers is the owner.
-        epoch: Its epoch.
+        epoch: The highest epoch that it knows of.
+        owner_at: Where the owner of that epoch answers; empty: not known.
         lengths: The queues' lengths.
+        peers: The hosts that the owner has heard of lately.
     """
 
     owner: bool
     epoch: int = 0
+    owner_at: str = ""
     lengths: tuple[QueueLength, ...] = ()
+    peers: tuple[PeerEntry, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Look:
+    """The ownership has been released: look at its row."""
 
 
 @attrs.frozen(kw_only=True)
@@ -134,7 +154,13 @@
 
     async def digest(self, address: str, req: Digest) -> DigestReply:
         """Exchange digests; raises `errors.PeerUnavailable`."""
-        return await self._call(address, "digest", req, DigestReply)
+        return await self._call(
+            address, "digest", req, DigestReply, more_s=DIGEST_TIMEOUT_S - TIMEOUT_S
+        )
+
+    async def look(self, address: str) -> None:
+        """Have a peer look at the owner's row now; raises `PeerUnavailable`."""
+        await self._call(address, "look", Look(), Look)
 
     async def permits(self, address: str, req: PermitRequest) -> tuple[Permit, ...]:
         """Have a peer ask for permits; raises `PermitUnavailable`."""
@@ -165,7 +191,10 @@
                 timeout_s=self.timeout_s + more_s,
             )
         except NoAnswer as exc:
-            raise errors.PeerUnavailable(str(exc)) from exc
+            kind_of_fault = errors.PeerUnavailable if exc.sent else errors.NotSent
+            raise kind_of_fault(str(exc)) from exc
+        if reply.status == STATUS_NOT_OWNER:
+            raise errors.NotSent(f"{address} is not the owner")
         if reply.status != STATUS_OK:
             raise errors.PeerUnavailable(f"{address}: status {reply.status}")
         try:
--- /dev/null
+++ b/tests/cell.py
@@ -0,0 +1,223 @@
+"""A cell of nodes, table and workers in one process, for tests of stepped jobs."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+import attrs
+
+from cranberrycleat.amounts import Amounts
+from cranberrycleat.clock import Clock, MonotonicClock
+from cranberrycleat.http_client import HttpClient
+from cranberrycleat.lease import OwnershipLease
+from cranberrycleat.standins.feed_table import MemoryFeedTable
+from cranberrycleat.standins.fleet import StandinFleet
+from cranberrycleat.table import Put, Row, Transaction
+from cranberrycleat.workflow.directory import ConfigFollower, Directory
+from cranberrycleat.workflow.door import Door
+from cranberrycleat.workflow.membership import Membership
+from cranberrycleat.workflow.options import WorkerLeases
+from cranberrycleat.workflow.owner import Owner
+from cranberrycleat.workflow.peering import PeerClient, SubmitRequest
+from cranberrycleat.workflow.permit_desk import PermitDesk
+from cranberrycleat.workflow.ports import (
+    ClusterConfig,
+    LeaseBounds,
+    Permit,
+    PoolConfig,
+    Queue,
+    WorkerEntry,
+)
+from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
+
+POOL = "pool"
+BOUNDS = LeaseBounds(longest_lease_s=10.0, clock_error=0.02, stop_s=0.05)
+WORKER_LEASE_S = 0.8
+OWNER_LEASE_S = 0.5
+
+
+def queue(name: str = "q", **changes: object) -> Queue:
+    """Return a queue of the one pool."""
+    base = Queue(
+        name=name,
+        host="host.example",
+        prefix=f"/{name}/",
+        pool=POOL,
+        max_attempts=2,
+        stretch=2.0,
+        objective_s=1.0,
+    )
+    return attrs.evolve(base, **changes)  # type: ignore[arg-type]
+
+
+def step(count: int = 1, processors: int = 1000, **more: object) -> StepSpec:
+    """Return a step of like tasks."""
+    needs = Amounts(processors=processors, memory_mb=100)
+    base = StepSpec(count=count, needs=needs, estimate_s=0.05)
+    return attrs.evolve(base, **more)  # type: ignore[arg-type]
+
+
+def job(*steps: StepSpec) -> WorkflowSpec:
+    """Return a job of some steps."""
+    return WorkflowSpec(program="program", steps=steps)
+
+
+def entry(name: str, *, processors: int = 4000, rack: str = "r1") -> WorkerEntry:
+    """Return a worker's entry."""
+    return WorkerEntry(
+        worker=name,
+        pool=POOL,
+        address=f"{name}:1",
+        data_centre="dc",
+        leaving=False,
+        capacity=Amounts(processors=processors, memory_mb=4000),
+        labels=("a", rack),
+    )
+
+
+@attrs.define(kw_only=True, eq=False)
+class AllPermits:
+    """A permit service that allows every worker and counts its calls."""
+
+    calls: list[tuple[str, tuple[str, ...]]] = attrs.field(factory=list)
+
+    async def ask(
+        self, *, step: str, workers: tuple[str, ...], timeout_s: float
+    ) -> tuple[Permit, ...]:
+        """Allow every worker."""
+        self.calls.append((step, workers))
+        return tuple(Permit(worker=name, ticket=f"t-{name}") for name in workers)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Cell:
+    """Table, workers and as many owners as a test starts."""
+
+    table: MemoryFeedTable = attrs.field(factory=MemoryFeedTable)
+    fleet: StandinFleet = attrs.field(factory=StandinFleet)
+    clock: Clock = attrs.field(factory=MonotonicClock)
+    permits: AllPermits = attrs.field(factory=AllPermits)
+    entries: dict[str, WorkerEntry] = attrs.field(factory=dict)
+    http: HttpClient = attrs.field(factory=HttpClient)
+    tasks: "list[asyncio.Task[None]]" = attrs.field(factory=list)
+
+    def add_worker(self, name: str, **more: object) -> None:
+        """Add a worker that the platform lists."""
+        found = entry(name, **more)  # type: ignore[arg-type]
+        self.entries[name] = found
+        self.fleet.add(found)
+        self.list_worker(name)
+
+    def list_worker(self, name: str) -> None:
+        """Have the platform list a worker, as it is now."""
+        put = Put(key=f"servers/{name}", value=name)
+        self.table.apply(Transaction(puts=(put,)))
+
+    def unlist_worker(self, name: str) -> None:
+        """Have the platform no longer list a worker."""
+        self.table.apply(Transaction(deletes=(f"servers/{name}",)))
+
+    def read_worker(self, row: Row) -> WorkerEntry:
+        """Return the entry that a row names."""
+        return self.entries[row.value]
+
+    def make_owner(self, name: str) -> Owner:
+        """Return an owner that has not the lease yet."""
+        lease = OwnershipLease(
+            table=self.table,
+            clock=self.clock,
+            key="owner/cell",
+            holder=f"{name}@{name}:1#1",
+            lease_s=OWNER_LEASE_S,
+        )
+        peers = PeerClient(http=self.http)
+        return Owner(
+            lease=lease,
+            store=self.table,
+            directory=Directory(
+                store=self.table, table="servers", read=self.read_worker
+            ),
+            client=self.fleet,
+            desk=PermitDesk(
+                own=self.permits,
+                own_address=name,
+                peer_client=peers,
+                peers=tuple,
+                clock=self.clock,
+            ),
+            clock=self.clock,
+            leases=WorkerLeases(bounds=BOUNDS, length_s=WORKER_LEASE_S),
+            status_s=120.0,
+            peers=Membership(),
+        )
+
+    async def own(self, name: str = "one") -> Owner:
+        """Win the lease as one host, waiting for it, and take over."""
+        owner = self.make_owner(name)
+        while not await owner.lease.acquire():
+            await asyncio.sleep(0.02)
+        self.tasks.append(asyncio.create_task(owner.run()))
+        await owner.ready.wait()
+        return owner
+
+    def door(self, owner: Callable[[], Owner | None], **more: object) -> Door:
+        """Return a door beside an owner."""
+        config = ConfigFollower(
+            store=self.table, table="op", key="op/config", read=lambda row: CONFIG
+        )
+        config.current = CONFIG
+        given: dict[str, object] = {
+            "config": config,
+            "store": self.table,
+            "peers": PeerClient(http=self.http),
+            "owner": owner,
+            "owner_address": lambda: "",
+            "own_address": "here:1",
+            "in_touch": lambda: True,
+            "clock": self.clock,
+        }
+        return Door(**{**given, **more})  # type: ignore[arg-type]
+
+    async def close(self) -> None:
+        """End every owner at once, as a kill would."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.http.close()
+
+
+CONFIG = ClusterConfig(version=1, queues=(queue(),), pools=(PoolConfig(name=POOL),))
+
+
+@contextlib.asynccontextmanager
+async def cell(workers: int = 3, **more: object) -> AsyncIterator[Cell]:
+    """Run a cell with some workers."""
+    made = Cell(**more)  # type: ignore[arg-type]
+    for number in range(workers):
+        made.add_worker(f"w{number}")
+    try:
+        yield made
+    finally:
+        await made.close()
+
+
+async def submit(
+    owner: Owner, job_id: str, spec: WorkflowSpec, at: Queue | None = None
+) -> None:
+    """Hand a job to an owner; it must be accepted."""
+    req = SubmitRequest(job_id=job_id, queue=at or queue(), spec=spec)
+    reply = await owner.submit(req)
+    assert reply.accepted, reply
+
+
+async def until(condition: Callable[[], bool], limit_s: float = 8.0) -> None:
+    """Wait until something holds.
+
+    Raises:
+        AssertionError: It did not within the time.
+    """
+    loop = asyncio.get_running_loop()
+    end = loop.time() + limit_s
+    while not condition():
+        assert loop.time() < end, "it did not come about in time"
+        await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_workflow.py
@@ -0,0 +1,280 @@
+"""Jobs of several steps, through an owner, a table and workers in memory."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from cranberrycleat import errors
+from cranberrycleat.amounts import Amounts
+from cranberrycleat.standins.fleet import Work
+from cranberrycleat.workflow.door import DoorStatus
+from cranberrycleat.workflow.owner import Owner
+from cranberrycleat.workflow.ports import EndKind, PermitPolicy, Verdict
+from tests.cell import Cell, cell, job, queue, step, submit, until
+from tests.fakes import go
+
+
+def state(owner: Owner, job_id: str) -> str:
+    """Return the state that callers are told."""
+    return owner.state(job_id).state
+
+
+def test_steps_run_in_order() -> None:
+    """A step starts only after every task of the steps that it names is done."""
+
+    async def run() -> None:
+        async with cell() as made:
+            owner = await made.own()
+            await submit(owner, "a", job(step(4), step(3, after=(0,))))
+            await until(lambda: state(owner, "a") == "completed")
+            first = [each.at for each in made.fleet.starts if ".0.0." in each.task]
+            second = [each.at for each in made.fleet.starts if ".0.1." in each.task]
+            assert len(first) == 4 and len(second) == 3
+            assert min(second) > max(first)
+            assert made.fleet.faults == []
+
+    go(run())
+
+
+def test_gang_starts_whole_and_again_whole_after_a_failure() -> None:
+    """Members share an attempt; one that fails takes the others with it."""
+
+    def work(task: str, attempt: int) -> Work:
+        if attempt == 1 and task.endswith(".0"):
+            return Work(seconds=0.02, how=EndKind.FAILED)
+        return Work(seconds=0.2)
+
+    async def run() -> None:
+        async with cell() as made:
+            made.fleet.work = work
+            made.fleet.gang = lambda step: True
+            owner = await made.own()
+            await submit(owner, "g", job(step(6, gang=True, processors=2000)))
+            await until(lambda: state(owner, "g") == "completed")
+            attempts = {each.attempt for each in made.fleet.starts}
+            for attempt in attempts:
+                members = [s for s in made.fleet.starts if s.attempt == attempt]
+                assert len(members) == 6
+            assert len(attempts) == 2
+            assert made.fleet.faults == []
+
+    go(run())
+
+
+def test_failed_attempts_are_counted_and_end_the_job() -> None:
+    """A task that fails as often as its queue allows fails its job."""
+
+    async def run() -> None:
+        async with cell() as made:
+            made.fleet.work = lambda task, attempt: Work(
+                seconds=0.01, how=EndKind.FAILED
+            )
+            owner = await made.own()
+            await submit(owner, "f", job(step(1)))
+            await until(lambda: state(owner, "f") == "failed")
+            assert [each.attempt for each in made.fleet.starts] == [1, 2]
+
+    go(run())
+
+
+def test_never_over_capacity_when_much_waits() -> None:
+    """Workers that start whatever they are told are never told too much."""
+
+    async def run() -> None:
+        async with cell() as made:
+            made.fleet.needs = lambda task: Amounts(processors=1500, memory_mb=100)
+            owner = await made.own()
+            for number in range(12):
+                await submit(owner, f"j{number}", job(step(3, processors=1500)))
+            await until(
+                lambda: all(state(owner, f"j{n}") == "completed" for n in range(12))
+            )
+            assert made.fleet.faults == []
+
+    go(run())
+
+
+def test_order_without_answer_is_sent_again_and_runs_once() -> None:
+    """A start that got no answer and is carried out late changes nothing."""
+
+    async def run() -> None:
+        async with cell(workers=1) as made:
+            worker = made.fleet.workers["w0"]
+            worker.lose_starts = 1
+            owner = await made.own()
+            await submit(owner, "a", job(step(1)))
+            await until(lambda: state(owner, "a") == "completed")
+            verdict = made.fleet.carry_out(worker, worker.late[0]).verdict
+            assert verdict is Verdict.STALE_ATTEMPT
+            assert made.fleet.faults == []
+
+    go(run())
+
+
+def test_refused_after_no_answer_is_made_void_first() -> None:
+    """An earlier copy of a refused start can never run beside its successor."""
+
+    async def run() -> None:
+        async with cell(workers=2) as made:
+            for worker in made.fleet.workers.values():
+                worker.lose_starts = 1
+                worker.refuse = Verdict.UNHEALTHY
+            owner = await made.own()
+            await submit(owner, "a", job(step(1)))
+            await until(lambda: any(w.void for w in made.fleet.workers.values()))
+            for worker in made.fleet.workers.values():
+                worker.refuse = None
+                for order in worker.late:
+                    made.fleet.carry_out(worker, order)
+            await until(lambda: state(owner, "a") == "completed")
+            assert made.fleet.faults == []
+
+    go(run())
+
+
+@pytest.mark.parametrize("kept", [True, False])
+def test_successor_adopts_what_runs(kept: bool) -> None:
+    """After an owner's death nothing starts twice; a silent worker is waited for."""
+
+    async def run() -> None:
+        async with cell(workers=2) as made:
+            made.fleet.work = lambda task, attempt: Work(seconds=0.9)
+            first = await made.own("one")
+            await submit(first, "a", job(step(4, processors=2000)))
+            await until(lambda: len(made.fleet.starts) == 4)
+            made.tasks[0].cancel()
+            if not kept:
+                made.fleet.workers["w0"].silent = True
+            second = await made.own("two")
+            assert second.epoch == 2
+            await until(lambda: state(second, "a") == "completed", limit_s=15)
+            made.fleet.settle_all()
+            assert made.fleet.faults == []
+            if kept:
+                assert len(made.fleet.starts) == 4
+
+    go(run())
+
+
+def test_release_waits_for_the_transaction_under_way() -> None:
+    """An owner that is told to stop releases, so that nobody waits for a lease."""
+
+    async def run() -> None:
+        async with cell() as made:
+            made.table.faults.slow_s = 0.05
+            owner = await made.own("one")
+            accepted = asyncio.create_task(submit(owner, "a", job(step(1))))
+            await asyncio.sleep(0.04)
+            await owner.hand_over()
+            with contextlib.suppress(errors.PeerUnavailable, AssertionError):
+                await accepted
+            row = owner.lease.seen()
+            fresh = made.make_owner("two")
+            assert await fresh.lease.acquire(), row
+            assert not fresh.lease.takeover_silent
+
+    go(run())
+
+
+def test_a_cancelled_job_stops_and_never_starts_again() -> None:
+    """Cancelling is stored, running tasks are stopped, waiting ones never start."""
+
+    async def run() -> None:
+        async with cell(workers=1) as made:
+            made.fleet.work = lambda task, attempt: Work(seconds=5)
+            owner = await made.own()
+            await submit(owner, "c", job(step(6, processors=1000)))
+            await until(lambda: len(made.fleet.starts) == 4)
+            answer = await owner.cancel("c")
+            assert answer.state == "cancelled"
+            await until(lambda: not made.fleet.workers["w0"].runs)
+            await asyncio.sleep(0.2)
+            assert len(made.fleet.starts) == 4
+
+    go(run())
+
+
+def test_permits_are_had_before_a_start() -> None:
+    """A queue with permits starts only where and while one is valid."""
+    policy = PermitPolicy(decide_s=0.01, each_s=0.001, valid_s=0.6)
+
+    async def run() -> None:
+        async with cell(workers=1) as made:
+            made.fleet.work = lambda task, attempt: Work(seconds=0.9)
+            owner = await made.own()
+            rules = queue(permits=policy)
+            await submit(owner, "p", job(step(8, processors=1000)), rules)
+            await until(lambda: state(owner, "p") == "completed")
+            # Asked once for all workers, and once more when it had aged.
+            assert len(made.permits.calls) >= 2
+            assert made.fleet.faults == []
+
+    go(run())
+
+
+async def _lost_reply(made: Cell) -> None:
+    made.table.faults.lose_replies = 1
+
+
+async def _slow(made: Cell) -> None:
+    made.table.faults.slow_s = 0.3
+
+
+@pytest.mark.parametrize("fault", [_lost_reply, _slow])
+def test_a_door_settles_what_it_can(fault) -> None:  # type: ignore[no-untyped-def]
+    """A lost reply or a slow table does not leave the caller without an answer."""
+
+    async def run() -> None:
+        async with cell() as made:
+            owner = await made.own()
+            door = made.door(lambda: owner)
+            await fault(made)
+            answer = await door.submit(queue(), "d", job(step(1)), limit_s=3.0)
+            assert answer.status is DoorStatus.DONE
+
+    go(run())
+
+
+def test_a_door_without_owner_leaves_the_job_in_the_inbox() -> None:
+    """The next owner finds it there; a repeat is the same job."""
+
+    async def run() -> None:
+        async with cell() as made:
+            door = made.door(lambda: None)
+            for _ in range(2):
+                answer = await door.submit(queue(), "d", job(step(2)), limit_s=3.0)
+                assert answer.status is DoorStatus.DONE
+            assert (await door.state("d")).state == "queued"
+            owner = await made.own()
+            await until(lambda: state(owner, "d") == "completed")
+            assert len(made.fleet.starts) == 2
+
+    go(run())
+
+
+def test_a_door_that_is_cut_off_refuses_at_once() -> None:
+    """Nothing is sent, so the refusal is true, and the caller goes elsewhere."""
+
+    async def run() -> None:
+        async with cell() as made:
+            door = made.door(lambda: None, in_touch=lambda: False)
+            answer = await door.submit(queue(), "d", job(step(1)), limit_s=3.0)
+            assert answer.status is DoorStatus.REFUSED
+            assert not [key for key in made.table.rows if key.startswith("inbox/")]
+
+    go(run())
+
+
+def test_a_job_that_may_be_stored_is_never_refused() -> None:
+    """With the table down after a commit left, the answer is 'unknown'."""
+
+    async def run() -> None:
+        async with cell() as made:
+            owner = await made.own()
+            door = made.door(lambda: owner)
+            made.table.faults.lose_replies = 1000
+            answer = await door.submit(queue(), "d", job(step(1)), limit_s=0.6)
+            assert answer.status is DoorStatus.UNKNOWN
+
+    go(run())
