An owner that is cut off is not ready

Ruled out: the balancer (the zone's other host was being stopped). Change: an owner is in touch while the table answers it; tests with whole nodes. Conclusion: readiness follows evidence on every host alike.

--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -116,9 +116,11 @@
     def in_touch(self) -> bool:
         """Tell whether the owner or the table were heard of lately."""
         now = self.clock.now()
+        owner = self._held()
+        if owner is not None and owner.store_answers:
+            return True
         return (
-            self._held() is not None
-            or now - self._owner_heard_at < OWNER_FRESH_S
+            now - self._owner_heard_at < OWNER_FRESH_S
             or now - self._store_heard_at < STORE_FRESH_S
         )
 
@@ -276,8 +278,10 @@
         """Tell the owner of this host, and learn the queues' lengths."""
         while True:
             address = self.owner_address()
-            if address != self.address and not self.draining:
-                if not address or not await self._ask_owner(address):
+            own = address == self.address
+            calm = own and self.in_touch()
+            if not calm and not self.draining:
+                if not address or own or not await self._ask_owner(address):
                     await self._ask_elsewhere()
             await asyncio.sleep(options.DIGEST_S)
 
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,225 @@
+"""Whole nodes on loopback: callers' requests through any of them, and readiness."""
+
+import asyncio
+import contextlib
+import json
+import socket
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import attrs
+import pytest
+
+from cranberrycleat.http_client import HttpClient, HttpReply
+from cranberrycleat.platform.front import Front, Readiness
+from cranberrycleat.workflow.directory import ConfigFollower, Directory
+from cranberrycleat.workflow.door import Door
+from cranberrycleat.workflow.node import Node
+from cranberrycleat.workflow.ports import NodeSettings
+from tests.cell import BOUNDS, CONFIG, AllPermits, Cell, cell, until
+from tests.fakes import go
+
+JOB = {
+    "spec": "program",
+    "steps": [{"count": 2, "cpu": 500, "mem_mb": 64, "estimate_ms": 50}],
+}
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeAdapter:
+    """A platform in memory, shared by the nodes of one test.
+
+    Attributes:
+        settings: The node's own.
+        cell: Table and workers.
+        permits: The permit service.
+    """
+
+    settings: NodeSettings
+    cell: Cell
+    permits: AllPermits = attrs.field(factory=AllPermits)
+
+    @property
+    def store(self) -> Any:
+        """The shared table."""
+        return self.cell.table
+
+    @property
+    def workers(self) -> Any:
+        """The shared workers."""
+        return self.cell.fleet
+
+    def directory(self) -> Directory:
+        """Return a reader of the shared list."""
+        return Directory(store=self.store, table="servers", read=self.cell.read_worker)
+
+    def config_follower(self) -> ConfigFollower:
+        """Return a follower that has the configuration already."""
+        found = ConfigFollower(
+            store=self.store, table="op", key="op/config", read=lambda row: CONFIG
+        )
+        found.current = CONFIG
+        return found
+
+    def front(self, door: Door) -> Any:
+        """Return the platform's own front."""
+        return Front(door=door)
+
+    def readiness(self, is_ready: Callable[[], bool]) -> Any:
+        """Return the platform's own readiness app."""
+        return Readiness(is_ready=is_ready)
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+def settings(name: str, data_centre: str) -> NodeSettings:
+    """Return a node's settings on loopback."""
+    return NodeSettings(
+        name=name,
+        data_centre=data_centre,
+        ip="127.0.0.1",
+        peer_port=free_port(),
+        front=f"127.0.0.1:{free_port()}",
+        ready=f"127.0.0.1:{free_port()}",
+        store="",
+        permits="",
+        machines="",
+        bounds=BOUNDS,
+        spread_factor=3.0,
+        status_s=120.0,
+        grace_s=6.0,
+    )
+
+
+@contextlib.asynccontextmanager
+async def nodes(made: Cell, count: int = 2) -> AsyncIterator[list[Node]]:
+    """Run nodes, each in a data centre of its own; the first one owns."""
+    running: list[Node] = []
+    for number in range(count):
+        adapter = FakeAdapter(settings=settings(f"n{number}", f"dc{number}"), cell=made)
+        node = Node(adapter=adapter, http=HttpClient())
+        await node.start()
+        running.append(node)
+        if number == 0:
+            await until(lambda: node.owner is not None and node.owner.ready.is_set())
+    await until(lambda: all(node.is_ready() for node in running))
+    try:
+        yield running
+    finally:
+        await asyncio.gather(*(node.stop() for node in running))
+
+
+async def ask(node: Node, method: str, path: str, body: object = None) -> HttpReply:
+    """Send a caller's request to a node."""
+    data = None if body is None else json.dumps(body).encode()
+    http = HttpClient()
+    try:
+        return await http.call(
+            method,
+            f"http://{node.adapter.settings.front}{path}",
+            body=data,
+            headers={"Host": "host.example", "Deadline-Ms": "3000"},
+            timeout_s=5.0,
+        )
+    finally:
+        await http.close()
+
+
+@pytest.mark.parametrize("at", [0, 1])
+def test_any_node_answers(at: int) -> None:
+    """A job is handed in, asked for and finished through owner and other alike."""
+
+    async def run() -> None:
+        async with cell() as made, nodes(made) as running:
+            node = running[at]
+            assert (await ask(node, "POST", "/q/0a", JOB)).status == 200
+            assert (await ask(node, "POST", "/q/0a", JOB)).status == 200
+            for _ in range(100):
+                reply = await ask(node, "GET", "/q/0a")
+                if json.loads(reply.body)["state"] == "completed":
+                    break
+                await asyncio.sleep(0.05)
+            assert json.loads(reply.body) == {"state": "completed"}
+            assert len(made.fleet.starts) == 2
+            assert (await ask(node, "GET", "/q/0b")).status == 410
+            assert (await ask(node, "DELETE", "/q/0b")).status == 410
+            assert (await ask(node, "POST", "/no/0a", JOB)).status == 404
+            assert (await ask(node, "GET", "/q/")).body == b'{"waiting":0}'
+
+    go(run())
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        "text",
+        {"spec": "x"},
+        {"spec": "x", "steps": []},
+        {"spec": "x", "steps": [{"count": 0}]},
+        {"spec": "x", "steps": [{"count": 1, "after": [0]}]},
+        {"spec": 1, "steps": [{"count": 1}]},
+        {"spec": "x" * 5000, "steps": [{"count": 1}]},
+    ],
+)
+def test_bad_jobs_are_refused_with_the_place(body: object) -> None:
+    """A job that cannot be read, or can never be, is told so and not stored."""
+
+    async def run() -> None:
+        async with cell() as made, nodes(made, count=1) as running:
+            reply = await ask(running[0], "POST", "/q/0a", body)
+            assert reply.status == 400
+            assert json.loads(reply.body)["reason"]
+            assert not made.table.rows.get("jobs/0a")
+
+    go(run())
+
+
+def test_an_outage_of_the_table_leaves_all_ready() -> None:
+    """No host serves better than another then: callers are refused at once."""
+
+    async def run() -> None:
+        async with cell() as made, nodes(made) as running:
+            made.table.faults.down = True
+            await asyncio.sleep(2.5)
+            assert [node.is_ready() for node in running] == [True, True]
+            reply = await ask(running[1], "POST", "/q/0a", JOB)
+            assert reply.status == 503
+            made.table.faults.down = False
+            await asyncio.sleep(1.0)
+            assert (await ask(running[1], "POST", "/q/0a", JOB)).status == 200
+
+    go(run())
+
+
+def test_an_owner_that_is_cut_off_is_not_ready() -> None:
+    """It reaches neither table nor peers: its callers are better served elsewhere."""
+
+    async def run() -> None:
+        async with cell() as made, nodes(made) as running:
+            await asyncio.sleep(0.5)
+            made.table.faults.down = True
+            await running[1].stop()
+            await until(lambda: not running[0].is_ready(), limit_s=4.0)
+
+    go(run())
+
+
+def test_a_stopped_owner_is_followed_at_once() -> None:
+    """A drained owner releases and tells its peers, which take over."""
+
+    async def run() -> None:
+        async with cell() as made, nodes(made) as running:
+            await asyncio.sleep(0.5)
+            drained = asyncio.create_task(running[0].drain())
+            await until(lambda: running[1].owner is not None, limit_s=0.6)
+            await drained
+            assert not running[0].is_ready()
+            assert (await ask(running[0], "POST", "/q/0a", JOB)).status == 200
+
+    go(run())
