A slow store no longer collapses: inbox in a part of its own, permits by urgency

Change: one grouped write to the inbox under way per door, in a part of its own; a release without answer is sent again; one lost answer does not count as an outage; permit calls wait in order of urgency, two under way per host. Conclusion: the pattern was our own retries.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -20,10 +20,12 @@
 
 import attrs
 
-from cranberrycleat import codec
+from cranberrycleat import codec, errors
 from cranberrycleat.clock import Clock
 from cranberrycleat.table import ABSENT, Check, Put, Row, Table, Transaction
 
+RELEASE_TRIES: Final = 3
+"""A release without an answer is sent again: it saves a candidate the wait."""
 DRIFT: Final = 0.01
 """The largest difference in clock rates that is allowed for, as a share."""
 
@@ -175,9 +177,18 @@
         version = self._held_version
         self.depose()
         done = attrs.evolve(held, sequence=held.sequence + 1, released=True)
-        reply = await self.table.commit(self._transaction(version, done, Changes()))
-        if not reply.committed:
-            raise Deposed(self.key)
+        txn = self._transaction(version, done, Changes())
+        for attempt in range(RELEASE_TRIES):
+            try:
+                reply = await self.table.commit(txn)
+            except errors.TableUnavailable:
+                if attempt + 1 == RELEASE_TRIES:
+                    raise
+                continue
+            # After a lost reply a conflict may be with our own first copy.
+            if not reply.committed and not attempt:
+                raise Deposed(self.key)
+            return
 
     def _transaction(
         self, version: int, row: OwnerRow, changes: Changes
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -1,8 +1,8 @@
 """The platform's store as a `FeedTable`.
 
-A key of the product is `TABLE/KEY`. All rows of the system share one part, so
-that a transaction over several tables stays within a part and takes the
-shorter time; rows of the operator and of the workers have an empty part.
+A key of the product is `TABLE/KEY`. Rows that are written together share one
+part, so that a transaction over several tables stays within a part and takes
+the shorter time; rows of the operator and of the workers have an empty part.
 """
 
 import asyncio
@@ -20,6 +20,10 @@
 from cranberrycleat.workflow.ports import Feed, HistoryGone, Snapshot, TableChange
 
 PART: Final = "cell"
+PARTS_OF_THEIR_OWN: Final = frozenset({"inbox"})
+"""Tables that are never written together with others. A part carries out one
+transaction after another: in a slow store, what doors write must not keep the
+owner's writes waiting."""
 FOREIGN_TABLES: Final = frozenset({"op", "servers", "status"})
 """Tables whose rows have an empty part."""
 OK: Final = 200
@@ -223,7 +227,9 @@
 
 
 def _part(table: str) -> str:
-    return "" if table in FOREIGN_TABLES else PART
+    if table in FOREIGN_TABLES:
+        return ""
+    return table if table in PARTS_OF_THEIR_OWN else PART
 
 
 def _place(key: str) -> dict[str, str]:
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -77,7 +77,7 @@
         waiting: Steps with tasks that wait for a place, by name.
         shown: The stored state of each job: what callers are told.
         dirty: Jobs with changes that are not stored.
-        inbox: Jobs that a door stored itself and that have no row of their own.
+        inbox: Jobs whose row in the inbox is still to be removed.
     """
 
     time_of_day: Callable[[], float] = time_of_day
@@ -387,8 +387,6 @@
                 deletes.append(rows.spec_key(job.job_id))
             elif not job.spec_stored:
                 puts.append(rows.spec_put(job))
-            if job.job_id in self.inbox:
-                deletes.append(rows.inbox_key(job.job_id))
         heard: tuple[tuple[str, int], ...] = ()
         if not self.dirty:
             heard = tuple(
@@ -416,7 +414,6 @@
         for job, state in batch.jobs:
             job.spec_stored = True
             self.shown[job.job_id] = state
-            self.inbox.discard(job.job_id)
         for placement in batch.placements:
             placement.stored = True
         for name, number in batch.heard:
--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -18,7 +18,7 @@
 from cranberrycleat import codec, errors
 from cranberrycleat.clock import Clock, time_of_day
 from cranberrycleat.logs import part_logger
-from cranberrycleat.table import ABSENT, Check, Put, Transaction
+from cranberrycleat.table import ABSENT, Check, Put
 from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.directory import ConfigFollower
 from cranberrycleat.workflow.owner import Owner
@@ -33,6 +33,7 @@
 from cranberrycleat.workflow.ports import FeedTable, Queue
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import JobState
+from cranberrycleat.writer import Change, GroupedWriter, Lost, Unsettled, Untried, Won
 
 LOG: Final[logging.Logger] = part_logger("door")
 MOST_STEPS: Final = 64
@@ -48,6 +49,8 @@
 """Of the time that a caller waits, the share in which the door goes on trying
 to settle; the rest is for the answer's way."""
 AGAIN_S: Final = 0.1
+MOST_IN_INBOX_WRITE: Final = 40
+"""A transaction holds 100 entries, a job needs two."""
 
 
 class DoorStatus(enum.Enum):
@@ -95,6 +98,7 @@
     Attributes:
         config: The configuration in force.
         store: The platform's table.
+        inbox: Writes jobs to the inbox, grouped.
         peers: Calls to other hosts.
         owner: Tells the owner if it is this process and has taken over.
         owner_address: Tells where the owner answers; empty if not known.
@@ -107,6 +111,7 @@
 
     config: ConfigFollower
     store: FeedTable
+    inbox: GroupedWriter
     peers: PeerClient
     owner: Callable[[], Owner | None]
     owner_address: Callable[[], str]
@@ -194,23 +199,21 @@
 
     async def _to_inbox(self, req: SubmitRequest) -> "_Step":
         row = rows.SpecRow(queue=req.queue, spec=req.spec, accepted_s=time_of_day())
-        txn = Transaction(
-            checks=(
-                Check(key=rows.job_key(req.job_id), version=ABSENT),
-                Check(key=rows.inbox_key(req.job_id), version=ABSENT),
-            ),
-            puts=(Put(key=rows.inbox_key(req.job_id), value=codec.encode_text(row)),),
+        key = rows.inbox_key(req.job_id)
+        change = Change(
+            check=Check(key=key, version=ABSENT),
+            put=Put(key=key, value=codec.encode_text(row)),
         )
-        try:
-            # Committed or in conflict: either way a row of the job exists.
-            await self.store.commit(txn)
-        except errors.TableRefused as exc:
-            return _Step(answer=DoorAnswer(status=DoorStatus.REFUSED, reason=str(exc)))
-        except errors.TableUnavailable as exc:
-            LOG.info("Job %s may be in the inbox: %s", req.job_id, exc)
-            return _Step(maybe_stored=True)
-        LOG.info("Job %s was left in the inbox.", req.job_id)
-        return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
+        match await self.inbox.write(change):
+            case Won() | Lost():
+                # Lost: an earlier try of the caller left the job there.
+                LOG.info("Job %s was left in the inbox.", req.job_id)
+                return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
+            case Untried():
+                return _Step()
+            case Unsettled():
+                LOG.info("Job %s may be in the inbox.", req.job_id)
+                return _Step(maybe_stored=True)
 
     # --- asking ---------------------------------------------------------------
 
@@ -242,6 +245,12 @@
         while True:
             answer = await self._cancel_once(job_id)
             if answer.status is not DoorStatus.UNKNOWN or self.clock.now() > until:
+                LOG.info(
+                    "Cancel of job %s: %s %s",
+                    job_id,
+                    answer.status.value,
+                    answer.state or answer.reason,
+                )
                 return answer
             await asyncio.sleep(AGAIN_S)
 
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -23,12 +23,13 @@
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.adapter import Adapter
 from cranberrycleat.workflow.directory import ConfigFollower
-from cranberrycleat.workflow.door import Door
+from cranberrycleat.workflow.door import MOST_IN_INBOX_WRITE, Door
 from cranberrycleat.workflow.membership import Membership
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peer_api import peer_app
 from cranberrycleat.workflow.peering import Digest, DigestReply, PeerClient
 from cranberrycleat.workflow.permit_desk import PermitDesk
+from cranberrycleat.writer import GroupedWriter
 
 LOG: Final[logging.Logger] = part_logger("node")
 OWNER_KEY: Final = "owner/cell"
@@ -87,6 +88,9 @@
         self._door = Door(
             config=self._config,
             store=self.adapter.store,
+            inbox=GroupedWriter(
+                table=self.adapter.store, clock=self.clock, most=MOST_IN_INBOX_WRITE
+            ),
             peers=self._peers,
             owner=self._held,
             owner_address=self.owner_address,
--- a/cranberrycleat/workflow/options.py
+++ b/cranberrycleat/workflow/options.py
@@ -32,7 +32,9 @@
 DIGEST_S: Final = 0.4
 """How often a host asks the owner for queue lengths, which may be 2 s old; a
 host that is cut off notices by it, and sends its callers elsewhere."""
-PEER_SILENT_S: Final = 2.0
+PEER_SILENT_S: Final = 8.0
+"""A host that was not heard of for so long is not asked for permits. Longer
+than the gap between two owners: one that takes over needs the others at once."""
 FORGET_MARGIN_S: Final = 30.0
 FORGET_AT_ONCE: Final = 60
 
--- a/cranberrycleat/workflow/ordering.py
+++ b/cranberrycleat/workflow/ordering.py
@@ -35,11 +35,14 @@
     slack_s: float
     name: str
 
-    def key(self) -> tuple[int, int, float, str]:
+    def key(self) -> "Urgency":
         """Return what to sort by."""
         return (self.band, self.priority, self.slack_s, self.name)
 
 
+Urgency = tuple[int, int, float, str]
+
+
 def chain_s(job: Job, first: int = 0) -> float:
     """Return the run time of a job's longest chain of steps, as estimated."""
     lengths: list[float] = []
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -17,13 +17,14 @@
 from cranberrycleat.lease import Changes, Deposed, OwnershipLease
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.logs import part_logger
-from cranberrycleat.table import Row
+from cranberrycleat.table import Row, Transaction
 from cranberrycleat.workflow import options, rows
 from cranberrycleat.workflow.board import Batch, Board
 from cranberrycleat.workflow.directory import Directory
 from cranberrycleat.workflow.fleet import FleetWorker, Placement, Standing
 from cranberrycleat.workflow.links import WorkerLink
 from cranberrycleat.workflow.membership import Membership
+from cranberrycleat.workflow.ordering import Urgency, standing
 from cranberrycleat.workflow.peering import (
     Digest,
     DigestReply,
@@ -41,7 +42,9 @@
 STORE_SILENT: Final = "the table does not answer"
 PERMIT_PAUSE_S: Final = 0.05
 PERMIT_TRIES: Final = 4
-HAND_OVER_S: Final = 1.5
+HAND_OVER_S: Final = 2.0
+SILENT_S: Final = 0.8
+"""A table that left a transaction unanswered for so long counts as down."""
 CHANGE_LIMIT_S: Final = 0.7
 """How long a caller's change may take to be stored before nobody waits for it."""
 
@@ -260,14 +263,13 @@
             0 if batch.puts else options.FORGET_AT_ONCE,
         )
         changes = Changes(puts=batch.puts, deletes=(*batch.deletes, *forget))
+        since = self.clock.now()
         while True:
             try:
                 await self.lease.commit(changes)
                 break
             except errors.TableUnavailable as exc:
-                if self.store_answers:
-                    LOG.warning("The table does not answer: %s", exc)
-                self.store_answers = False
+                self._note_silence(exc, since)
                 await asyncio.sleep(options.STORE_RETRY_S)
         if not self.store_answers:
             LOG.info("The table answers again.")
@@ -276,6 +278,16 @@
         stored, self._stored = self._stored, asyncio.Event()
         stored.set()
 
+    def _note_silence(self, exc: errors.TableUnavailable, since: float) -> None:
+        """Refuse new work once the table is down, not at one lost answer."""
+        refused = isinstance(exc, errors.TableRefused)
+        if not refused and self.clock.now() - since < SILENT_S:
+            LOG.info("The table left a transaction unanswered: %s", exc)
+            return
+        if self.store_answers:
+            LOG.warning("The table does not answer: %s", exc)
+        self.store_answers = False
+
     # --- planning ---------------------------------------------------------------
 
     async def _plan_loop(self) -> None:
@@ -306,10 +318,14 @@
         permits = self.board.permits.get(wish.step.name)
         if permits is None:
             return
-        if not await self.desk.ask(wish.step.name, wish.workers, permits):
+        urgency = self._urgency(wish.step)
+        if not await self.desk.ask(wish.step.name, wish.workers, permits, urgency):
             await asyncio.sleep(options.TICK_S)
         self._plan_due.set()
 
+    def _urgency(self, step: StepRun) -> Urgency:
+        return standing(step, self.board.time_of_day()).key()
+
     async def _order(self, group: PlannedGroup) -> None:
         """Order the starts of a group once they are stored and permitted."""
         left = group.placements
@@ -355,7 +371,7 @@
         names = {worker.name for worker, _ in left}
         stale = tuple(name for name in sorted(names) if not permits.valid(name, now))
         if stale:
-            await self.desk.ask(step.name, stale, permits)
+            await self.desk.ask(step.name, stale, permits, self._urgency(step))
             now = self.clock.now()
         for worker, placement in left:
             placement.permit = permits.valid(worker.name, now)
@@ -432,20 +448,29 @@
 
     async def _inbox_loop(self) -> None:
         while True:
-            await asyncio.sleep(options.INBOX_S)
             try:
+                await self._clear_inbox()
                 found = await self.store.scan(prefix=f"{rows.INBOX}/")
             except errors.TableUnavailable as exc:
                 LOG.debug("The inbox was not read: %s", exc)
+                await asyncio.sleep(options.INBOX_S)
                 continue
-            fresh = [
-                row
-                for row in found
-                if row.key.partition("/")[2] not in self.board.inbox
-            ]
+            known = self.board.inbox
+            fresh = [row for row in found if row.key.partition("/")[2] not in known]
             if fresh:
                 self._take_inbox(tuple(fresh))
                 self.changed()
+            await asyncio.sleep(options.INBOX_S)
+
+    async def _clear_inbox(self) -> None:
+        """Remove the rows of jobs that have been stored as jobs."""
+        stored = [each for each in self.board.inbox if each in self.board.shown]
+        if not stored:
+            return
+        taken = stored[: options.FORGET_AT_ONCE]
+        deletes = tuple(rows.inbox_key(job_id) for job_id in taken)
+        await self.store.commit(Transaction(deletes=deletes))
+        self.board.inbox.difference_update(taken)
 
     # --- what doors ask -----------------------------------------------------------
 
--- a/cranberrycleat/workflow/permit_desk.py
+++ b/cranberrycleat/workflow/permit_desk.py
@@ -1,11 +1,14 @@
-"""Asks for placement permits, spread over the hosts.
+"""Asks for placement permits: the most urgent first, spread over the hosts.
 
 The permit service answers one call at a time for each calling host; at base
-load one host alone would keep it busy for 0.9 s of each second. So each call
-goes out from the host that has least of them under way.
+load one host alone would keep it busy for 0.9 s of each second, and it refuses
+when too many wait. So calls wait here, in the order of their urgency, and each
+host has at most two of them under way: one at work, one on its way.
 """
 
 import asyncio
+import heapq
+import itertools
 import logging
 from collections.abc import Callable
 from typing import Final
@@ -14,6 +17,7 @@
 
 from cranberrycleat.clock import Clock
 from cranberrycleat.logs import part_logger
+from cranberrycleat.workflow.ordering import Urgency
 from cranberrycleat.workflow.peering import PeerClient, PermitRequest
 from cranberrycleat.workflow.permits import StepPermits
 from cranberrycleat.workflow.ports import (
@@ -24,10 +28,12 @@
 )
 
 LOG: Final[logging.Logger] = part_logger("permits")
+LANE_DEPTH: Final = 2
 TRIES: Final = 3
-SLACK_S: Final = 0.6
+SLACK_S: Final = 0.5
 """What an answer may take beyond the service's own times."""
-BAD_PEER_S: Final = 2.0
+BAD_HOST_S: Final = 2.0
+"""A host that gave no answer is passed over this long."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -47,11 +53,20 @@
     peer_client: PeerClient
     peers: Callable[[], tuple[str, ...]]
     clock: Clock
-    _load_s: dict[str, float] = attrs.field(factory=dict)
+    _under_way: dict[str, float] = attrs.field(factory=dict)
+    _calls: dict[str, int] = attrs.field(factory=dict)
     _bad_until: dict[str, float] = attrs.field(factory=dict)
+    _waiting: "list[tuple[Urgency, int, asyncio.Future[str]]]" = attrs.field(
+        factory=list
+    )
+    _numbers: "itertools.count[int]" = attrs.field(factory=itertools.count)
 
     async def ask(
-        self, step: str, workers: tuple[str, ...], permits: StepPermits
+        self,
+        step: str,
+        workers: tuple[str, ...],
+        permits: StepPermits,
+        urgency: Urgency,
     ) -> bool:
         """Ask about some workers and take in the answer.
 
@@ -66,47 +81,90 @@
                 for at in range(0, len(workers), PERMITS_MOST_WORKERS)
             ]
             done = await asyncio.gather(
-                *(self._ask_part(step, part, permits) for part in parts)
+                *(self._ask_part(step, part, permits, urgency) for part in parts)
             )
             return all(done)
         finally:
             permits.calls -= 1
 
     async def _ask_part(
-        self, step: str, workers: tuple[str, ...], permits: StepPermits
+        self,
+        step: str,
+        workers: tuple[str, ...],
+        permits: StepPermits,
+        urgency: Urgency,
     ) -> bool:
+        work_s = permits.answer_s(len(workers))
         for _ in range(TRIES):
-            address = self._least_loaded()
-            work_s = permits.answer_s(len(workers))
-            waiting_s = self._load_s.get(address, 0.0)
-            limit_s = waiting_s + 1.5 * work_s + SLACK_S
-            self._load_s[address] = waiting_s + work_s
+            host = await self._lane(urgency)
+            limit_s = self._under_way.get(host, 0.0) + 1.5 * work_s + SLACK_S
+            self._under_way[host] = self._under_way.get(host, 0.0) + work_s
             try:
-                found = await self._send(address, step, workers, limit_s)
+                found = await self._send(host, step, workers, limit_s)
             except PermitUnavailable as exc:
-                LOG.info("No permits for %s by %s: %s", step, address, exc)
-                self._bad_until[address] = self.clock.now() + BAD_PEER_S
+                LOG.info("No permits for %s by %s: %s", step, host, exc)
+                self._bad_until[host] = self.clock.now() + BAD_HOST_S
                 continue
             finally:
-                self._load_s[address] -= work_s
+                self._under_way[host] -= work_s
+                self._leave(host)
             permits.take(workers, found, self.clock.now())
             return True
         permits.failed(workers)
         return False
 
-    def _least_loaded(self) -> str:
+    # --- lanes ------------------------------------------------------------------
+
+    async def _lane(self, urgency: Urgency) -> str:
+        """Wait, in the order of urgency, for a host with a free lane."""
+        host = self._free_host()
+        if host is not None and not self._waiting:
+            self._calls[host] = self._calls.get(host, 0) + 1
+            return host
+        fut: "asyncio.Future[str]" = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (urgency, next(self._numbers), fut))
+        self._serve()
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            if fut.done() and not fut.cancelled():
+                self._leave(fut.result())
+            raise
+
+    def _leave(self, host: str) -> None:
+        self._calls[host] -= 1
+        self._serve()
+
+    def _serve(self) -> None:
+        """Give free lanes to those that wait, the most urgent first."""
+        while self._waiting:
+            host = self._free_host()
+            if host is None:
+                return
+            _, _, fut = heapq.heappop(self._waiting)
+            if not fut.done():
+                self._calls[host] = self._calls.get(host, 0) + 1
+                fut.set_result(host)
+
+    def _free_host(self) -> str | None:
         now = self.clock.now()
-        addresses = {self.own_address, *self.peers()}
-        good = [each for each in addresses if self._bad_until.get(each, 0.0) <= now]
+        hosts = {self.own_address, *self.peers()}
+        good = [host for host in hosts if self._bad_until.get(host, 0.0) <= now]
+        free = [
+            host
+            for host in good or [self.own_address]
+            if self._calls.get(host, 0) < LANE_DEPTH
+        ]
         return min(
-            good or [self.own_address],
-            key=lambda each: (round(self._load_s.get(each, 0.0), 4), each),
+            free,
+            key=lambda host: (round(self._under_way.get(host, 0.0), 4), host),
+            default=None,
         )
 
     async def _send(
-        self, address: str, step: str, workers: tuple[str, ...], limit_s: float
+        self, host: str, step: str, workers: tuple[str, ...], limit_s: float
     ) -> tuple[Permit, ...]:
-        if address == self.own_address:
+        if host == self.own_address:
             return await self.own.ask(step=step, workers=workers, timeout_s=limit_s)
         req = PermitRequest(step=step, workers=workers, timeout_s=limit_s)
-        return await self.peer_client.permits(address, req)
+        return await self.peer_client.permits(host, req)
--- a/cranberrycleat/writer.py
+++ b/cranberrycleat/writer.py
@@ -56,6 +56,11 @@
     """No answer; the change may have taken effect, or may yet."""
 
 
+@attrs.frozen(kw_only=True)
+class Untried(Unsettled):
+    """No answer to others lately, so that this change was not even sent."""
+
+
 WriteResult = Won | Lost | Unsettled
 
 
@@ -72,6 +77,7 @@
     Attributes:
         table: The table to write to.
         gather_s: How long changes are gathered before a transaction leaves.
+        most: How many changes one transaction holds, a check and a put each.
         transactions: How many transactions were sent.
         clock: Where it gets the time from.
     """
@@ -79,6 +85,7 @@
     table: Table
     clock: Clock = attrs.field(factory=MonotonicClock)
     gather_s: float = 0.002
+    most: int = MAX_GROUP
     transactions: int = 0
     _waiting: list[_Waiting] = attrs.field(factory=list)
     _sender: "asyncio.Task[None] | None" = None
@@ -91,7 +98,7 @@
         tried: who asks then is told at once instead of waiting as well.
         """
         if self.clock.now() - self._failed_at < REST_S:
-            return Unsettled()
+            return Untried()
         fut: "asyncio.Future[WriteResult]" = asyncio.get_running_loop().create_future()
         self._waiting.append(_Waiting(change=change, result=fut))
         if self._sender is None or self._sender.done():
@@ -110,7 +117,7 @@
         keys: set[str] = set()
         for each in self._waiting:
             key = each.change.put.key
-            if key in keys or len(group) >= MAX_GROUP:
+            if key in keys or len(group) >= self.most:
                 left.append(each)
             else:
                 keys.add(key)
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -29,6 +29,7 @@
     WorkerEntry,
 )
 from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
+from cranberrycleat.writer import GroupedWriter
 
 POOL = "pool"
 BOUNDS = LeaseBounds(longest_lease_s=10.0, clock_error=0.02, stop_s=0.05)
@@ -169,6 +170,7 @@
         given: dict[str, object] = {
             "config": config,
             "store": self.table,
+            "inbox": GroupedWriter(table=self.table, clock=self.clock),
             "peers": PeerClient(http=self.http),
             "owner": owner,
             "owner_address": lambda: "",
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -8,6 +8,7 @@
 from cranberrycleat import errors
 from cranberrycleat.clock import ManualClock
 from cranberrycleat.lease import Changes, Deposed, OwnershipLease
+from cranberrycleat.standin_table import MemoryTable
 from cranberrycleat.table import Put
 from tests.fakes import LateTable, go
 
@@ -217,3 +218,25 @@
     max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
 )
 test_any_order_of_events = LeaseMachine.TestCase
+
+
+@pytest.mark.parametrize("lost", [0, 1, 2])
+def test_a_release_without_answer_is_sent_again(lost: int) -> None:
+    """A candidate need not wait for the lease only because replies were lost."""
+
+    async def run() -> None:
+        table = MemoryTable()
+        clock = ManualClock()
+        leases = [
+            OwnershipLease(
+                table=table, clock=clock, key="owner", holder=name, lease_s=5.0
+            )
+            for name in ("one", "two")
+        ]
+        assert await leases[0].acquire()
+        table.faults.lose_replies = lost
+        await leases[0].release()
+        assert await leases[1].acquire()
+        assert not leases[1].takeover_silent
+
+    go(run())
--- /dev/null
+++ b/tests/test_permit_desk.py
@@ -0,0 +1,117 @@
+"""Asking for permits: urgency, spread over hosts, hosts that do not answer."""
+
+import asyncio
+
+import attrs
+
+from cranberrycleat.clock import MonotonicClock
+from cranberrycleat.http_client import HttpClient
+from cranberrycleat.workflow.peering import PeerClient, PermitRequest
+from cranberrycleat.workflow.permit_desk import LANE_DEPTH, PermitDesk
+from cranberrycleat.workflow.permits import StepPermits
+from cranberrycleat.workflow.ports import Permit, PermitPolicy, PermitUnavailable
+from tests.fakes import go
+
+POLICY = PermitPolicy(decide_s=0.02, each_s=0.0, valid_s=5.0)
+
+
+@attrs.define(kw_only=True, eq=False)
+class OneAtATime:
+    """A permit service as one host sees it: it refuses when too many wait."""
+
+    most: int = 0
+    waiting: int = 0
+    steps: list[str] = attrs.field(factory=list)
+    down: bool = False
+
+    async def ask(
+        self, *, step: str, workers: tuple[str, ...], timeout_s: float
+    ) -> tuple[Permit, ...]:
+        """Allow every worker, slowly."""
+        if self.down:
+            raise PermitUnavailable("down")
+        self.waiting += 1
+        self.most = max(self.most, self.waiting)
+        await asyncio.sleep(POLICY.decide_s * self.waiting)
+        self.waiting -= 1
+        self.steps.append(step)
+        return tuple(Permit(worker=name, ticket="t") for name in workers)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Peers(PeerClient):
+    """Other hosts, each with its own way to the service."""
+
+    hosts: dict[str, OneAtATime] = attrs.field(factory=dict)
+
+    async def permits(self, address: str, req: PermitRequest) -> tuple[Permit, ...]:
+        """Ask from another host."""
+        return await self.hosts[address].ask(
+            step=req.step, workers=req.workers, timeout_s=req.timeout_s
+        )
+
+
+def desk(own: OneAtATime, others: dict[str, OneAtATime]) -> PermitDesk:
+    """Return a desk with some other hosts."""
+    return PermitDesk(
+        own=own,
+        own_address="own",
+        peer_client=Peers(http=HttpClient(), hosts=others),
+        peers=lambda: tuple(others),
+        clock=MonotonicClock(),
+    )
+
+
+def test_a_burst_never_floods_one_host_and_urgent_steps_go_first() -> None:
+    """After a takeover every waiting step asks at once, and only one host is known."""
+    own = OneAtATime()
+
+    async def run() -> None:
+        made = desk(own, {})
+        asks = [
+            made.ask(
+                f"s{number}",
+                ("w",),
+                StepPermits(policy=POLICY),
+                (0, 2 if number < 8 else 0, 0.0, f"s{number}"),
+            )
+            for number in range(12)
+        ]
+        assert all(await asyncio.gather(*asks))
+
+    go(run())
+    assert own.most <= LANE_DEPTH
+    # The first two lanes were taken before the urgent ones came.
+    assert set(own.steps[LANE_DEPTH : LANE_DEPTH + 4]) == {"s8", "s9", "s10", "s11"}
+
+
+def test_calls_are_spread_over_the_hosts() -> None:
+    """With other hosts at hand, one host does not do all the asking."""
+    own, other = OneAtATime(), OneAtATime()
+
+    async def run() -> None:
+        made = desk(own, {"other": other})
+        permits = [StepPermits(policy=POLICY) for _ in range(8)]
+        asks = [
+            made.ask(f"s{n}", ("w",), each, (0, 0, 0.0, ""))
+            for n, each in enumerate(permits)
+        ]
+        assert all(await asyncio.gather(*asks))
+        assert all(each.valid("w", MonotonicClock().now()) for each in permits)
+
+    go(run())
+    assert len(own.steps) == len(other.steps) == 4
+
+
+def test_a_host_without_answer_is_passed_over() -> None:
+    """The call goes out again from another host."""
+    own, other = OneAtATime(), OneAtATime(down=True)
+
+    async def run() -> None:
+        made = desk(own, {"another": other})
+        for number in range(4):
+            permits = StepPermits(policy=POLICY)
+            assert await made.ask(f"s{number}", ("w",), permits, (0, 0, 0.0, ""))
+
+    go(run())
+    assert len(own.steps) == 4
