A node starts without litestar, clients and benches

Cause: after all hosts lost power every 0.1 s of a start leaves two callers more without a connection; imports were most of a start. Ruled out: work at start (reading settings, configuration and rows: 30 ms).

--- /dev/null
+++ b/cranberrycleat/asgi.py
@@ -0,0 +1,100 @@
+"""Plain ASGI: the few lines that a process with fixed calls needs of HTTP.
+
+For the node, which is restarted often on small hosts: litestar adds 0.2 s to
+each start (docs/PLATFORM.md) and costs twice the time a request.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, TypeVar
+
+import attrs
+
+from cranberrycleat import codec, errors
+
+MOST_BODY: Final = 4 * 1024 * 1024
+OK: Final = 200
+NOT_FOUND: Final = 404
+BAD_REQUEST: Final = 400
+T = TypeVar("T")
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """An answer: a message, sent as JSON, and headers beside the usual ones."""
+
+    message: object
+    status: int = OK
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """The body of an answer to a request that cannot be served."""
+
+    reason: str
+
+
+Handler = Callable[[bytes], Awaitable[Answer]]
+
+
+async def read_body(receive: Any, *, most: int = MOST_BODY) -> bytes | None:
+    """Return a request's whole body, or None if it is too large."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] != "http.request":
+            return b"".join(parts)
+        part = message.get("body", b"")
+        size += len(part)
+        if size <= most:
+            parts.append(part)
+        if not message.get("more_body"):
+            return b"".join(parts) if size <= most else None
+
+
+async def send_answer(send: Any, answer: Answer) -> None:
+    """Send a whole answer."""
+    message = answer.message
+    data = message if isinstance(message, bytes) else codec.encode(message)
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(data)).encode()),
+        *answer.headers,
+    ]
+    start = {
+        "type": "http.response.start",
+        "status": answer.status,
+        "headers": headers,
+    }
+    await send(start)
+    await send({"type": "http.response.body", "body": data})
+
+
+@attrs.define(kw_only=True, eq=False)
+class Calls:
+    """An ASGI app of fixed calls, each with one message in and one out.
+
+    Attributes:
+        handlers: What answers each path.
+    """
+
+    handlers: dict[str, Handler]
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        body = await read_body(receive)
+        await send_answer(send, await self._answer(scope["path"], body))
+
+    async def _answer(self, path: str, body: bytes | None) -> Answer:
+        handler = self.handlers.get(path)
+        if handler is None:
+            return Answer(message=Fault(reason="no such call"), status=NOT_FOUND)
+        if body is None:
+            return Answer(message=Fault(reason="too large"), status=BAD_REQUEST)
+        try:
+            return await handler(body)
+        except errors.FindingsError as exc:
+            return Answer(message=Fault(reason=str(exc)), status=BAD_REQUEST)
--- a/cranberrycleat/bench_control.py
+++ b/cranberrycleat/bench_control.py
@@ -20,9 +20,9 @@
 from cranberrycleat.bench_routing import Hub, Router
 from cranberrycleat.cell import LOOPBACK
 from cranberrycleat.http_calls import make_client
+from cranberrycleat.http_server import HttpServer
 from cranberrycleat.jobs import JobSpec, Kind, Program
 from cranberrycleat.messages import Endpoint, HostEntry, SeenSet, SyncOrder
-from cranberrycleat.serve import HttpServer
 from cranberrycleat.standin_platform import PlatformStandin
 from cranberrycleat.standin_worker import WorkerStandin
 from cranberrycleat.table_http import HttpPlatform
--- a/cranberrycleat/bench_parts.py
+++ b/cranberrycleat/bench_parts.py
@@ -19,7 +19,8 @@
 from litestar import Request, Response, route
 
 from cranberrycleat import codec
-from cranberrycleat.serve import HttpServer, make_app
+from cranberrycleat.http_server import HttpServer
+from cranberrycleat.serve import make_app
 from cranberrycleat.standin_service import NOT_STARTED
 
 LOOPBACK: Final = "127.0.0.1"
--- a/cranberrycleat/bench_routing.py
+++ b/cranberrycleat/bench_routing.py
@@ -21,8 +21,9 @@
 from cranberrycleat.bench_load import LoadPlan, LoadResult
 from cranberrycleat.bench_parts import LOOPBACK, SLOTS, EndpointCounts, EndpointKind
 from cranberrycleat.http_calls import call, make_client
+from cranberrycleat.http_server import HttpServer
 from cranberrycleat.messages import Digest, DigestReply, Endpoint, EndpointSet
-from cranberrycleat.serve import HttpServer, json_response, make_app
+from cranberrycleat.serve import json_response, make_app
 from cranberrycleat.standin_platform import PlatformStandin
 
 ANSWER_S: Final = 0.2
--- a/cranberrycleat/cli.py
+++ b/cranberrycleat/cli.py
@@ -5,16 +5,15 @@
 """
 
 import asyncio
+import importlib
 import sys
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final, NoReturn
 
 import attrs
 import click
 
-from cranberrycleat import __version__, errors, lifecycle, logs, plugins, settings
-from cranberrycleat.cli_bench import bench, demo
-from cranberrycleat.cli_operator import fail, operator_commands
+from cranberrycleat import __version__, errors, lifecycle, logs, settings
 from cranberrycleat.options import (
     GatewayOptions,
     NodeOptions,
@@ -23,10 +22,36 @@
     WorkerOptions,
 )
 
-assert plugins
+LAZY: Final = {
+    "bench": "cranberrycleat.cli_bench",
+    "demo": "cranberrycleat.cli_bench",
+    "job": "cranberrycleat.cli_operator",
+    "worker": "cranberrycleat.cli_operator",
+    "config": "cranberrycleat.cli_operator",
+    "status": "cranberrycleat.cli_operator",
+    "dump": "cranberrycleat.cli_operator",
+}
+"""Commands whose modules are imported only when they are called: a daemon that
+is restarted does not load the clients and benches (0.3 s of its start)."""
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+class LazyGroup(click.Group):
+    """A group some of whose commands are imported at their first use."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return every command's name."""
+        return sorted({*super().list_commands(ctx), *LAZY})
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Return a command, imported if need be."""
+        module = LAZY.get(cmd_name)
+        if module is None:
+            return super().get_command(ctx, cmd_name)
+        found: click.Command = getattr(importlib.import_module(module), cmd_name)
+        return found
+
+
+@click.group(cls=LazyGroup, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, prog_name="cranberrycleat")
 def main() -> None:
     """A cluster scheduler for services, batch and all-at-once jobs.
@@ -40,6 +65,13 @@
     """
 
 
+def fail(findings: tuple[errors.Finding, ...]) -> NoReturn:
+    """Print findings, one a line, and exit."""
+    for each in findings:
+        click.echo(f"error: {each}", err=True)
+    sys.exit(errors.EXIT_USAGE)
+
+
 def daemon(cls: type[Any], help_text: str) -> Callable[[Any], click.Command]:
     """Make a command whose flags are the fields of an options class.
 
@@ -91,15 +123,19 @@
 
 @daemon(GatewayOptions, "Take callers' requests and route them to endpoints.")
 def run_gateway(cfg: GatewayOptions) -> lifecycle.Part:
+    from cranberrycleat import plugins
     from cranberrycleat.gateway import Gateway
 
+    assert plugins
     return Gateway(cfg=cfg)
 
 
 @daemon(SchedulerOptions, "Serve operators, and own this data centre's workers.")
 def run_scheduler(cfg: SchedulerOptions) -> lifecycle.Part:
+    from cranberrycleat import plugins
     from cranberrycleat.scheduler import Scheduler
 
+    assert plugins
     return Scheduler(cfg=cfg)
 
 
@@ -138,7 +174,3 @@
 main.add_command(run_scheduler)
 main.add_command(run_node)
 main.add_command(standin)
-main.add_command(demo)
-main.add_command(bench)
-for _command in operator_commands():
-    main.add_command(_command)
--- a/cranberrycleat/cli_operator.py
+++ b/cranberrycleat/cli_operator.py
@@ -5,11 +5,12 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any, Final, NoReturn, TypeVar
+from typing import Any, Final, TypeVar
 
 import click
 
 from cranberrycleat import codec, errors, settings
+from cranberrycleat.cli import fail
 from cranberrycleat.config import Configuration
 from cranberrycleat.documents import load_configuration, load_jobs
 from cranberrycleat.jobs import JobStatusWords
@@ -21,18 +22,6 @@
 WAIT_STEP_S: Final = 0.2
 
 
-def operator_commands() -> tuple[click.Command, ...]:
-    """Return the operator's commands."""
-    return (job, worker, config, status, dump)
-
-
-def fail(findings: tuple[errors.Finding, ...]) -> NoReturn:
-    """Print findings, one a line, and exit."""
-    for each in findings:
-        click.echo(f"error: {each}", err=True)
-    sys.exit(errors.EXIT_USAGE)
-
-
 def _scheduler_option(command: Callable[..., Any]) -> Callable[..., Any]:
     return click.option(
         "--scheduler",
--- a/cranberrycleat/gateway.py
+++ b/cranberrycleat/gateway.py
@@ -43,6 +43,7 @@
     Unknown,
 )
 from cranberrycleat.gateway_api import gateway_handlers
+from cranberrycleat.http_server import HttpServer
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.logs import part_logger
 from cranberrycleat.messages import Digest, DigestReply
@@ -51,7 +52,7 @@
 from cranberrycleat.peers import Peers
 from cranberrycleat.retry import RetryBudget
 from cranberrycleat.routing import RoutingPolicy
-from cranberrycleat.serve import HttpServer, make_app
+from cranberrycleat.serve import make_app
 from cranberrycleat.table_http import Platform
 from cranberrycleat.watcher import ConfigWatcher
 from cranberrycleat.writer import GroupedWriter
--- /dev/null
+++ b/cranberrycleat/http_server.py
@@ -0,0 +1,93 @@
+"""Runs an ASGI app on uvicorn until it is told to stop.
+
+A server that stops lets requests in flight finish first.
+"""
+
+import asyncio
+import contextlib
+from typing import Any, Final
+
+import attrs
+import uvicorn
+
+DRAIN_S: Final = 30.0
+KEEP_ALIVE_S: Final = 75
+
+
+@attrs.define(kw_only=True, eq=False)
+class HttpServer:
+    """One listening HTTP server in the running event loop.
+
+    Attributes:
+        app: The ASGI app.
+        host: The address to listen on.
+        port: The port, 0 for any free one; set once it listens.
+    """
+
+    app: Any
+    host: str
+    port: int
+    _server: uvicorn.Server | None = None
+    _task: "asyncio.Task[None] | None" = None
+
+    async def start(self) -> None:
+        """Begin to listen.
+
+        Raises:
+            OSError: The address cannot be listened on.
+        """
+        cfg = uvicorn.Config(
+            self.app,
+            host=self.host,
+            port=self.port,
+            log_config=None,
+            access_log=False,
+            date_header=False,
+            server_header=False,
+            lifespan="off",
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=int(DRAIN_S),
+        )
+        server = _QuietServer(cfg)
+        self._server = server
+        self._task = asyncio.create_task(server.serve())
+        while not server.started:
+            if self._task.done():
+                raise OSError(f"cannot listen on {self.host}:{self.port}")
+            await asyncio.sleep(0.005)
+        self.port = server.servers[0].sockets[0].getsockname()[1]
+
+    @property
+    def url(self) -> str:
+        """The base URL it answers at."""
+        return f"http://{self.host}:{self.port}"
+
+    async def stop(self) -> None:
+        """Stop listening and let requests in flight finish."""
+        if self._server is not None and self._task is not None:
+            self._server.should_exit = True
+            await asyncio.wait([self._task], timeout=DRAIN_S + 1)
+
+    async def kill(self) -> None:
+        """Stop at once, breaking off requests in flight."""
+        if self._server is not None and self._task is not None:
+            self._server.should_exit = True
+            self._server.force_exit = True
+            for conn in list(self._server.server_state.connections):
+                conn.transport.abort()
+            await asyncio.wait([self._task], timeout=DRAIN_S)
+
+
+class _QuietServer(uvicorn.Server):
+    """A server that leaves signals to the process and never exits it."""
+
+    def capture_signals(self) -> Any:
+        """Capture nothing; `lifecycle` handles signals."""
+        return contextlib.nullcontext()
+
+    async def serve(self, sockets: Any = None) -> None:
+        """Serve, and turn uvicorn's exit on a bad address into an end."""
+        try:
+            await super().serve(sockets)
+        except SystemExit:
+            return
--- a/cranberrycleat/platform/front.py
+++ b/cranberrycleat/platform/front.py
@@ -7,11 +7,13 @@
 
 import logging
 import math
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
 
-from cranberrycleat import codec, errors
+from cranberrycleat import errors
+from cranberrycleat.asgi import Answer, read_body, send_answer
 from cranberrycleat.logs import part_logger
 from cranberrycleat.platform.jobs import (
     DEADLINE_HEADER,
@@ -31,6 +33,8 @@
     DoorStatus.REFUSED: 503,
     DoorStatus.UNKNOWN: 504,
 }
+READY: Final = 200
+NOT_READY: Final = 503
 DEFAULT_LIMIT_S: Final = 3.0
 """For a caller that does not say how long it waits; the sites' own limit."""
 MOST_BODY: Final = 262_144
@@ -62,7 +66,7 @@
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
         path = scope["path"]
         queue = self.door.queue(host, path)
-        body = await _read(receive)
+        body = await read_body(receive, most=MOST_BODY)
         if isinstance(queue, DoorAnswer):
             answer = queue
         elif body is None:
@@ -71,9 +75,8 @@
             job_id = path[len(queue.prefix) :]
             limit_s = _limit_s(headers)
             answer = await self._answer(scope["method"], queue, job_id, body, limit_s)
-        await _send(
-            send, answer, is_queue=isinstance(queue, Queue) and path == queue.prefix
-        )
+        is_queue = isinstance(queue, Queue) and path == queue.prefix
+        await send_answer(send, _message(answer, is_queue=is_queue))
 
     async def _answer(
         self, method: str, queue: Queue, job_id: str, body: bytes, limit_s: float
@@ -107,61 +110,29 @@
     return int(text) / 1000 if text.isdigit() else DEFAULT_LIMIT_S
 
 
-async def _read(receive: Any) -> bytes | None:
-    """Return the whole body, or None if it is too large."""
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] != "http.request":
-            return b"".join(parts)
-        part = message.get("body", b"")
-        size += len(part)
-        if size <= MOST_BODY:
-            parts.append(part)
-        if not message.get("more_body"):
-            return b"".join(parts) if size <= MOST_BODY else None
-
-
-async def _send(send: Any, answer: DoorAnswer, *, is_queue: bool) -> None:
-    body: object = ReasonAnswer(reason=answer.reason or answer.status.value)
+def _message(answer: DoorAnswer, *, is_queue: bool) -> Answer:
+    status = STATUSES[answer.status]
     if answer.status is DoorStatus.DONE:
-        body = StateAnswer(state=answer.state)
         if is_queue:
-            body = QueueAnswer(waiting=answer.waiting)
-    data = codec.encode(body)
-    headers = [
-        (b"content-type", b"application/json"),
-        (b"content-length", str(len(data)).encode()),
-    ]
-    if answer.status is DoorStatus.REFUSED:
-        seconds = max(1, math.ceil(answer.retry_after_s))
-        headers.append((b"retry-after", str(seconds).encode()))
-    start = {
-        "type": "http.response.start",
-        "status": STATUSES[answer.status],
-        "headers": headers,
-    }
-    await send(start)
-    await send({"type": "http.response.body", "body": data})
+            return Answer(message=QueueAnswer(waiting=answer.waiting))
+        return Answer(message=StateAnswer(state=answer.state))
+    reason = ReasonAnswer(reason=answer.reason or answer.status.value)
+    if answer.status is not DoorStatus.REFUSED:
+        return Answer(message=reason, status=status)
+    seconds = max(1, math.ceil(answer.retry_after_s))
+    later = (b"retry-after", str(seconds).encode())
+    return Answer(message=reason, status=status, headers=(later,))
 
 
 @attrs.define(kw_only=True, eq=False)
 class Readiness:
     """The ASGI app that the balancer asks every second."""
 
-    is_ready: Any
+    is_ready: Callable[[], bool]
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request."""
         if scope["type"] != "http":
             return
-        status = 200 if self.is_ready() else 503
-        data = b"{}"
-        headers = [
-            (b"content-type", b"application/json"),
-            (b"content-length", b"2"),
-        ]
-        start = {"type": "http.response.start", "status": status, "headers": headers}
-        await send(start)
-        await send({"type": "http.response.body", "body": data})
+        status = READY if self.is_ready() else NOT_READY
+        await send_answer(send, Answer(message=b"{}", status=status))
--- a/cranberrycleat/scheduler.py
+++ b/cranberrycleat/scheduler.py
@@ -18,6 +18,7 @@
 from cranberrycleat.amounts import NOTHING
 from cranberrycleat.clock import Clock, MonotonicClock
 from cranberrycleat.config import Configuration
+from cranberrycleat.http_server import HttpServer
 from cranberrycleat.keys import SHARD, inbox_prefix, owner_key
 from cranberrycleat.lease import Changes, ConditionFailed, Deposed, OwnershipLease
 from cranberrycleat.lifecycle import Background
@@ -37,7 +38,7 @@
 from cranberrycleat.peers import Peers
 from cranberrycleat.rounds import WEIGHTS, Plan, TeamUse
 from cranberrycleat.scheduler_api import scheduler_handlers
-from cranberrycleat.serve import HttpServer, make_app
+from cranberrycleat.serve import make_app
 from cranberrycleat.shard import Shard
 from cranberrycleat.table import Row
 from cranberrycleat.table_http import Platform
--- a/cranberrycleat/serve.py
+++ b/cranberrycleat/serve.py
@@ -1,18 +1,15 @@
-"""The HTTP edge that every process shares: litestar on uvicorn.
+"""The HTTP edge of the daemons with many routes: litestar.
 
-`make_app` turns problems into RFC 9457 documents and bounds bodies; `serve`
-runs an app until it is told to stop, then lets requests in flight finish.
+`make_app` turns problems into RFC 9457 documents and bounds bodies; it is
+served by `http_server`.
 """
 
-import asyncio
-import contextlib
 import math
 from collections.abc import Callable, Sequence
 from typing import Any, Final
 
 import attrs
 import litestar
-import uvicorn
 from litestar import MediaType, Request, Response, get
 
 from cranberrycleat import codec, errors
@@ -20,8 +17,6 @@
 
 PROBLEM_TYPE: Final = "application/problem+json"
 MAX_BODY: Final = 4 * 1024 * 1024
-DRAIN_S: Final = 30.0
-KEEP_ALIVE_S: Final = 75
 
 
 @attrs.frozen(kw_only=True)
@@ -119,82 +114,3 @@
             errors.TableUnavailable: _on_unavailable,
         },
     )
-
-
-@attrs.define(kw_only=True, eq=False)
-class HttpServer:
-    """One listening HTTP server in the running event loop.
-
-    Attributes:
-        app: The ASGI app.
-        host: The address to listen on.
-        port: The port, 0 for any free one; set once it listens.
-    """
-
-    app: Any
-    host: str
-    port: int
-    _server: uvicorn.Server | None = None
-    _task: "asyncio.Task[None] | None" = None
-
-    async def start(self) -> None:
-        """Begin to listen.
-
-        Raises:
-            OSError: The address cannot be listened on.
-        """
-        cfg = uvicorn.Config(
-            self.app,
-            host=self.host,
-            port=self.port,
-            log_config=None,
-            access_log=False,
-            date_header=False,
-            server_header=False,
-            lifespan="off",
-            timeout_keep_alive=KEEP_ALIVE_S,
-            timeout_graceful_shutdown=int(DRAIN_S),
-        )
-        server = _QuietServer(cfg)
-        self._server = server
-        self._task = asyncio.create_task(server.serve())
-        while not server.started:
-            if self._task.done():
-                raise OSError(f"cannot listen on {self.host}:{self.port}")
-            await asyncio.sleep(0.005)
-        self.port = server.servers[0].sockets[0].getsockname()[1]
-
-    @property
-    def url(self) -> str:
-        """The base URL it answers at."""
-        return f"http://{self.host}:{self.port}"
-
-    async def stop(self) -> None:
-        """Stop listening and let requests in flight finish."""
-        if self._server is not None and self._task is not None:
-            self._server.should_exit = True
-            await asyncio.wait([self._task], timeout=DRAIN_S + 1)
-
-    async def kill(self) -> None:
-        """Stop at once, breaking off requests in flight."""
-        if self._server is not None and self._task is not None:
-            self._server.should_exit = True
-            self._server.force_exit = True
-            for conn in list(self._server.server_state.connections):
-                conn.transport.abort()
-            await asyncio.wait([self._task], timeout=DRAIN_S)
-
-
-class _QuietServer(uvicorn.Server):
-    """A server that leaves signals to the process and never exits it."""
-
-    def capture_signals(self) -> Any:
-        """Capture nothing; `lifecycle` handles signals."""
-        return contextlib.nullcontext()
-
-    async def serve(self, sockets: Any = None) -> None:
-        """Serve, and turn uvicorn's exit on a bad address into an end."""
-        try:
-            await super().serve(sockets)
-        except SystemExit:
-            return
--- a/cranberrycleat/standin_platform.py
+++ b/cranberrycleat/standin_platform.py
@@ -12,6 +12,7 @@
 from litestar.params import FromPath
 
 from cranberrycleat import codec, errors
+from cranberrycleat.http_server import HttpServer
 from cranberrycleat.messages import (
     HostEntry,
     HostList,
@@ -21,7 +22,7 @@
     Rows,
 )
 from cranberrycleat.metrics import Metrics
-from cranberrycleat.serve import HttpServer, json_response, make_app, state_handlers
+from cranberrycleat.serve import json_response, make_app, state_handlers
 from cranberrycleat.standin_table import MemoryTable, TableFaults
 from cranberrycleat.table import Transaction
 
--- a/cranberrycleat/standin_worker.py
+++ b/cranberrycleat/standin_worker.py
@@ -17,6 +17,7 @@
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.clock import Clock, MonotonicClock
 from cranberrycleat.http_calls import call, make_client
+from cranberrycleat.http_server import HttpServer
 from cranberrycleat.jobs import Yield
 from cranberrycleat.messages import (
     HostEntry,
@@ -31,7 +32,7 @@
     TaskReport,
 )
 from cranberrycleat.metrics import Metrics
-from cranberrycleat.serve import HttpServer, json_response, make_app, state_handlers
+from cranberrycleat.serve import json_response, make_app, state_handlers
 from cranberrycleat.standin_service import RequestLog, ServiceStandin
 
 AnyRequest = Request[Any, Any, Any]
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -15,18 +15,18 @@
 from cranberrycleat import errors
 from cranberrycleat.clock import BootClock, Clock
 from cranberrycleat.http_client import HttpClient
+from cranberrycleat.http_server import HttpServer
 from cranberrycleat.lease import OwnershipLease
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.logs import part_logger
 from cranberrycleat.metrics import Metrics
-from cranberrycleat.serve import HttpServer
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.adapter import Adapter
 from cranberrycleat.workflow.directory import ConfigFollower
 from cranberrycleat.workflow.door import MOST_IN_INBOX_WRITE, Door
 from cranberrycleat.workflow.membership import Membership
 from cranberrycleat.workflow.owner import Owner
-from cranberrycleat.workflow.peer_api import peer_app
+from cranberrycleat.workflow.peer_api import PeerApi
 from cranberrycleat.workflow.peering import Digest, DigestReply, PeerClient
 from cranberrycleat.workflow.permit_desk import PermitDesk
 from cranberrycleat.writer import GroupedWriter
@@ -196,14 +196,14 @@
             (self.adapter.front(self._door), cfg.front),
             (self.adapter.readiness(self.is_ready), cfg.ready),
             (
-                peer_app(
+                PeerApi(
                     owner=self._held,
                     digest=self.exchange,
                     look=self._look.set,
                     permits=self.adapter.permits,
                     metrics=metrics,
                     dump=self.dump,
-                ),
+                ).app(),
                 self.address,
             ),
         ]
--- a/cranberrycleat/workflow/peer_api.py
+++ b/cranberrycleat/workflow/peer_api.py
@@ -1,16 +1,16 @@
 """The calls that other processes of the system make to this one."""
 
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
-import litestar
-from litestar import Request, Response, post
+import attrs
 
 from cranberrycleat import codec, errors
+from cranberrycleat.asgi import Answer, Calls
 from cranberrycleat.metrics import Metrics
-from cranberrycleat.serve import json_response, make_app, state_handlers
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peering import (
+    STATUS_NOT_OWNER,
     Digest,
     DigestReply,
     JobAnswer,
@@ -23,23 +23,14 @@
 )
 from cranberrycleat.workflow.ports import PermitClient, PermitUnavailable
 
-Req = Request[Any, Any, Any]
-NO_OWNER: Final = 421
 UNSETTLED: Final = 504
 
 
-def peer_app(
-    *,
-    owner: Callable[[], Owner | None],
-    digest: Callable[[Digest], DigestReply],
-    look: Callable[[], None],
-    permits: PermitClient,
-    metrics: Metrics,
-    dump: Callable[[], object],
-) -> litestar.Litestar:
-    """Build the app on a host's peer address.
+@attrs.define(kw_only=True, eq=False)
+class PeerApi:
+    """Answers the other processes.
 
-    Args:
+    Attributes:
         owner: Tells the owner if it is this process and has taken over.
         digest: Exchanges digests with another process.
         look: Makes this process look at the owner's row at once.
@@ -48,56 +39,74 @@
         dump: Returns this process's state.
     """
 
-    @post("/v1/submit", status_code=200)
-    async def submit(request: Req) -> Response[bytes]:
-        req = codec.decode(await request.body(), SubmitRequest)
-        held = owner()
+    owner: Callable[[], Owner | None]
+    digest: Callable[[Digest], DigestReply]
+    look: Callable[[], None]
+    permits: PermitClient
+    metrics: Metrics
+    dump: Callable[[], object]
+
+    def app(self) -> Calls:
+        """Return the ASGI app."""
+        return Calls(
+            handlers={
+                "/v1/submit": self._submit,
+                "/v1/state": self._state,
+                "/v1/cancel": self._cancel,
+                "/v1/digest": self._digest,
+                "/v1/look": self._look_now,
+                "/v1/permits": self._permits,
+                "/v1/metrics": self._metrics,
+                "/v1/dump": self._dump,
+            }
+        )
+
+    async def _submit(self, body: bytes) -> Answer:
+        req = codec.decode(body, SubmitRequest)
+        held = self.owner()
         if held is None:
-            return json_response(SubmitReply(), status=NO_OWNER)
+            return Answer(message=SubmitReply(), status=STATUS_NOT_OWNER)
         try:
-            return json_response(await held.submit(req))
+            return Answer(message=await held.submit(req))
         except errors.PeerUnavailable:
-            return json_response(SubmitReply())
+            return Answer(message=SubmitReply())
 
-    @post("/v1/state", status_code=200)
-    async def state(request: Req) -> Response[bytes]:
-        req = codec.decode(await request.body(), JobQuestion)
-        held = owner()
+    async def _state(self, body: bytes) -> Answer:
+        req = codec.decode(body, JobQuestion)
+        held = self.owner()
         if held is None:
-            return json_response(JobAnswer(owner=False))
-        return json_response(held.state(req.job_id))
+            return Answer(message=JobAnswer(owner=False))
+        return Answer(message=held.state(req.job_id))
 
-    @post("/v1/cancel", status_code=200)
-    async def cancel(request: Req) -> Response[bytes]:
-        req = codec.decode(await request.body(), JobQuestion)
-        held = owner()
+    async def _cancel(self, body: bytes) -> Answer:
+        req = codec.decode(body, JobQuestion)
+        held = self.owner()
         if held is None:
-            return json_response(JobAnswer(owner=False))
+            return Answer(message=JobAnswer(owner=False))
         try:
-            return json_response(await held.cancel(req.job_id))
+            return Answer(message=await held.cancel(req.job_id))
         except errors.PeerUnavailable:
-            return json_response(JobAnswer(owner=True), status=UNSETTLED)
+            return Answer(message=JobAnswer(owner=True), status=UNSETTLED)
 
-    @post("/v1/digest", status_code=200)
-    async def take_digest(request: Req) -> Response[bytes]:
-        req = codec.decode(await request.body(), Digest)
-        return json_response(digest(req))
+    async def _digest(self, body: bytes) -> Answer:
+        return Answer(message=self.digest(codec.decode(body, Digest)))
 
-    @post("/v1/look", status_code=200)
-    async def look_now() -> Response[bytes]:
-        look()
-        return json_response(Look())
+    async def _look_now(self, body: bytes) -> Answer:
+        self.look()
+        return Answer(message=Look())
 
-    @post("/v1/permits", status_code=200)
-    async def ask_permits(request: Req) -> Response[bytes]:
-        req = codec.decode(await request.body(), PermitRequest)
+    async def _permits(self, body: bytes) -> Answer:
+        req = codec.decode(body, PermitRequest)
         try:
-            found = await permits.ask(
+            found = await self.permits.ask(
                 step=req.step, workers=req.workers, timeout_s=req.timeout_s
             )
         except PermitUnavailable:
-            return json_response(PermitReply(answered=False))
-        return json_response(PermitReply(answered=True, permits=found))
+            return Answer(message=PermitReply(answered=False))
+        return Answer(message=PermitReply(answered=True, permits=found))
+
+    async def _metrics(self, body: bytes) -> Answer:
+        return Answer(message=self.metrics.read())
 
-    handlers = [submit, state, cancel, take_digest, look_now, ask_permits]
-    return make_app([*handlers, *state_handlers(metrics, dump)])
+    async def _dump(self, body: bytes) -> Answer:
+        return Answer(message=self.dump())
