A silent worker is asked without offering it a lease

Each sync and each repeated start to a silent worker counted a fresh lease as granted, so the end of its leases moved on for ever and its tasks were never given up. Ruled out: the store's outage at that time (5.6 to 10.1 s); the takeover. Change: a worker that does not answer is only asked; a start without answer is sent again unchanged, with the bound that it had. Conclusion: three tests fail without the change.

--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -118,7 +118,9 @@
         first = worker.standing is not Standing.LIVE
         sent_at = self.clock.now()
         lease_end = None
-        if worker.clock_at and self.owner.may_renew():
+        # A silent worker is only asked: each lease offered would have to be
+        # waited out, and its tasks could never be given up.
+        if not first and self.owner.may_renew():
             lease_end = worker.grant(self.lease_s, sent_at, self.bounds.clock_error)
         reply = await self.client.sync(
             worker.entry,
@@ -173,12 +175,17 @@
     async def start(self, placement: Placement) -> None:
         """Order a start until it is settled."""
         unanswered = False
+        order: StartOrder | None = None
         while self._counted(placement) and not placement.stopping:
-            if not self.owner.may_order():
+            silent = self.worker.standing is not Standing.LIVE
+            if not self.owner.may_order() or (silent and order is None):
                 await asyncio.sleep(ORDER_PAUSE_S)
                 continue
+            if order is None or not unanswered:
+                order = self._start_order(placement)
             try:
-                reply = await self._send_start(placement)
+                placement.ordered = True
+                reply = await self.client.start(self.worker.entry, order)
             except WorkerReplaced:
                 self._end_of_life()
                 return
@@ -196,10 +203,10 @@
         elif self._counted(placement):
             self._order_stops()
 
-    async def _send_start(self, placement: Placement) -> OrderReply:
+    def _start_order(self, placement: Placement) -> StartOrder:
         now = self.clock.now()
         error = self.bounds.clock_error
-        order = StartOrder(
+        return StartOrder(
             task=placement.task,
             attempt=placement.attempt,
             program=placement.program,
@@ -208,8 +215,6 @@
             saved=placement.saved,
             permit=placement.permit,
         )
-        placement.ordered = True
-        return await self.client.start(self.worker.entry, order)
 
     def _settled(
         self, placement: Placement, reply: OrderReply, unanswered: bool
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -157,6 +157,47 @@
     go(run())
 
 
+@pytest.mark.parametrize("listed", [True, False])
+def test_a_worker_gone_silent_gives_up_its_tasks(listed: bool) -> None:
+    """Its leases run out, asking it again and again does not renew them."""
+
+    async def run() -> None:
+        async with cell(workers=2) as made:
+            made.fleet.work = lambda task, attempt: Work(seconds=0.3)
+            owner = await made.own()
+            await submit(owner, "a", job(step(4, processors=2000)))
+            await until(lambda: len(made.fleet.starts) == 4)
+            made.fleet.workers["w0"].silent = True
+            if not listed:
+                made.unlist_worker("w0")
+            await until(lambda: state(owner, "a") == "completed")
+            made.fleet.settle_all()
+            assert {each.worker for each in made.fleet.starts[4:]} == {"w1"}
+            # What ended unseen before its lease was over may run once more.
+            assert not [each for each in made.fleet.faults if "twice" in each]
+
+    go(run())
+
+
+def test_a_start_to_a_silent_worker_is_not_renewed_for_ever() -> None:
+    """The order is sent again unchanged: its bound passes, the task goes elsewhere."""
+
+    async def run() -> None:
+        async with cell(workers=1) as made:
+            made.fleet.workers["w0"].lose_starts = 10_000
+            owner = await made.own()
+            await submit(owner, "a", job(step(1)))
+            await until(lambda: len(made.fleet.workers["w0"].late) > 2)
+            made.fleet.workers["w0"].silent = True
+            made.add_worker("w1")
+            await until(lambda: state(owner, "a") == "completed")
+            bounds = {each.lease_end_ms for each in made.fleet.workers["w0"].late}
+            assert len(bounds) == 1
+            assert made.fleet.faults == []
+
+    go(run())
+
+
 def test_release_waits_for_the_transaction_under_way() -> None:
     """An owner that is told to stop releases, so that nobody waits for a lease."""
 
