Submits are hedged to the inbox; unsent jobs are withdrawn; doubted workers draw nothing

Change: past the learned time of an answer a job goes to the inbox beside, and the owner is told; an owner refuses what it never sent to the table; a worker that left an order unanswered, or whose data centre is silent, draws nothing; starts that were never ordered are given up at once. Tests for each, and of the adapter against a stand-in of the published protocol. Conclusion: what is left in an outage of the table are refusals.

--- a/cranberrycleat/platform/workers.py
+++ b/cranberrycleat/platform/workers.py
@@ -28,9 +28,9 @@
 CONFLICT: Final = 409
 REPLACED: Final = 421
 UNHEALTHY: Final = frozenset({429, 503})
-TIMEOUT_S: Final = 1.0
-"""An answer takes a few milliseconds; an order that was left unanswered is
-sent again after this long."""
+TIMEOUT_S: Final = 0.5
+"""An answer takes a few milliseconds, on a host that works five times slower
+some tens; an order that was left unanswered is sent again after this long."""
 REASONS: Final = {
     "fence": Verdict.STALE_EPOCH,
     "old": Verdict.STALE_ATTEMPT,
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -103,6 +103,27 @@
         self.open_due(job)
         return job
 
+    def withdraw(self, job_id: str) -> bool:
+        """Forget a job that was never offered to the table.
+
+        Returns:
+            Whether it is forgotten; else the table may have it.
+        """
+        job = self.jobs.get(job_id)
+        if job is None or job.offered or job_id in self.inbox:
+            return False
+        for occurrence in job.open.values():
+            for step in occurrence.steps:
+                self._drop_step(step)
+        for worker in self.fleet.workers.values():
+            for placement in list(worker.placements.values()):
+                if placement.task.startswith(f"{job_id}."):
+                    worker.uncount(placement)
+        self._scheduled.discard(job_id)
+        self.dirty.pop(job_id, None)
+        del self.jobs[job_id]
+        return True
+
     def restore(self, job: Job) -> None:
         """Take in a job that an earlier owner stored."""
         self.jobs[job.job_id] = job
@@ -382,6 +403,7 @@
         deletes: list[str] = []
         for job in chosen:
             del self.dirty[job.job_id]
+            job.offered = True
             puts.append(rows.job_put(job))
             if job.verdict is not None:
                 deletes.append(rows.spec_key(job.job_id))
--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -22,6 +22,7 @@
 from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.directory import ConfigFollower
 from cranberrycleat.workflow.owner import Owner
+from cranberrycleat.workflow.patience import Patience
 from cranberrycleat.workflow.peering import (
     DigestReply,
     JobAnswer,
@@ -85,10 +86,31 @@
 
 @attrs.frozen(kw_only=True)
 class _Step:
-    """What one try came to; without an answer the door tries again."""
+    """What one try came to; without an answer the door tries again.
+
+    Attributes:
+        answer: The caller's answer, if it is settled.
+        maybe_stored: The job may have been stored, or may yet be.
+        with_owner: An owner that answers has it and is storing it.
+    """
 
     answer: DoorAnswer | None = None
     maybe_stored: bool = False
+    with_owner: bool = False
+
+
+async def _first_done(tries: "set[asyncio.Task[_Step]]") -> _Step:
+    """Return the first try that stored the job; else, that it may be stored."""
+    pending = tries
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for each in done:
+            answer = each.result().answer
+            if answer is not None and answer.status is DoorStatus.DONE:
+                for late in pending:
+                    late.cancel()
+                return each.result()
+    return _Step(maybe_stored=True)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -105,6 +127,8 @@
         own_address: Where this process answers its peers.
         in_touch: Tells whether owner or table were heard of lately.
         refused: Told when nobody listens where the owner should be.
+        left_in_inbox: Told when a job was left in the inbox.
+        patience: How long the owner's answer is waited for alone.
         clock: A steady clock.
         digest: The owner's newest digest.
         digest_at: When it came.
@@ -119,7 +143,9 @@
     own_address: str
     in_touch: Callable[[], bool]
     refused: Callable[[], None]
+    left_in_inbox: Callable[[], None]
     clock: Clock
+    patience: Patience = attrs.field(factory=Patience)
     digest: DigestReply | None = None
     digest_at: float = float("-inf")
 
@@ -150,8 +176,8 @@
         until = self.clock.now() + limit_s * USABLE_SHARE
         maybe_stored = False
         while True:
-            if not self.in_touch() and not maybe_stored:
-                return DoorAnswer(status=DoorStatus.REFUSED, reason="cut off")
+            if not self.in_touch():
+                break
             step = await self._submit_once(req)
             if step.answer is not None and not (
                 maybe_stored and step.answer.status is DoorStatus.REFUSED
@@ -162,27 +188,49 @@
                 break
             await asyncio.sleep(AGAIN_S)
         status = DoorStatus.UNKNOWN if maybe_stored else DoorStatus.REFUSED
-        LOG.warning("Job %s is %s at the end of its time.", job_id, status.value)
-        return DoorAnswer(status=status, reason="the table did not settle it")
+        reason = "not settled in time" if self.in_touch() else "cut off"
+        LOG.warning("Job %s is given up as %s: %s.", job_id, status.value, reason)
+        return DoorAnswer(status=status, reason=reason)
 
     async def _submit_once(self, req: SubmitRequest) -> "_Step":
+        """Hand a job to the owner; where it is slow to answer, to the inbox too.
+
+        Both may take it: an identity is one job. So a dead owner costs a
+        caller the time of an answer, not that of a lease.
+        """
+        began = self.clock.now()
+        owner = asyncio.create_task(self._owner_step(req))
+        done, _ = await asyncio.wait({owner}, timeout=self.patience.limit_s())
+        if done:
+            step = owner.result()
+            self.patience.answered(self.clock.now() - began)
+            if step.answer is not None or step.with_owner:
+                return step
+            kept = await self._to_inbox(req)
+            return attrs.evolve(
+                kept, maybe_stored=kept.maybe_stored or step.maybe_stored
+            )
+        self.patience.missed()
+        inbox = asyncio.create_task(self._to_inbox(req))
+        return await _first_done({owner, inbox})
+
+    async def _owner_step(self, req: SubmitRequest) -> "_Step":
         try:
             reply = await self._to_owner(req)
         except errors.NotOwner:
-            return await self._to_inbox(req)
+            return _Step()
         except errors.NotSent:
             self.refused()
-            return await self._to_inbox(req)
+            return _Step()
         except errors.PeerUnavailable as exc:
             LOG.info("The owner did not settle job %s: %s", req.job_id, exc)
-            step = await self._to_inbox(req)
-            return attrs.evolve(step, maybe_stored=True)
+            return _Step(maybe_stored=True)
         if reply is None:
-            return await self._to_inbox(req)
+            return _Step()
         if reply.accepted:
             return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
         if not reply.refused:
-            return _Step(maybe_stored=True)
+            return _Step(maybe_stored=True, with_owner=True)
         LOG.info("Job %s refused: %s", req.job_id, reply.reason)
         return _Step(
             answer=DoorAnswer(
@@ -213,6 +261,7 @@
             case Won() | Lost():
                 # Lost: an earlier try of the caller left the job there.
                 LOG.info("Job %s was left in the inbox.", req.job_id)
+                self.left_in_inbox()
                 return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
             case Untried():
                 return _Step()
@@ -223,10 +272,15 @@
     # --- asking ---------------------------------------------------------------
 
     async def state(self, job_id: str) -> DoorAnswer:
-        """Return a job's state."""
-        answer = await self._owner_says(job_id, cancel=False)
-        if answer is not None and answer.known:
-            return DoorAnswer(status=DoorStatus.DONE, state=answer.state)
+        """Return a job's state: the owner's word, or the table's if that is late."""
+        asked = asyncio.create_task(self._owner_says(job_id, cancel=False))
+        done, _ = await asyncio.wait({asked}, timeout=self.patience.limit_s())
+        if done:
+            answer = asked.result()
+            if answer is not None and answer.known:
+                return DoorAnswer(status=DoorStatus.DONE, state=answer.state)
+        else:
+            asked.cancel()
         if not self.in_touch():
             return DoorAnswer(status=DoorStatus.REFUSED, reason="cut off")
         try:
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -100,6 +100,8 @@
         ended_upto: The newest end that was stored.
         heard_upto: The newest end that was taken in.
         listed: Whether the platform lists it.
+        doubted: An order to it had no answer, or its data centre is silent; it
+            draws no work until it answers again.
         failures: Failures in a row.
         failed_jobs: The jobs that these were of.
         rests_until: It draws no work before this time.
@@ -118,6 +120,7 @@
     ended_upto: int = 0
     heard_upto: int = 0
     listed: bool = True
+    doubted: bool = False
     failures: int = 0
     failed_jobs: set[str] = attrs.field(factory=set)
     rests_until: float = 0.0
@@ -138,6 +141,7 @@
             self.standing is Standing.LIVE
             and self.listed
             and not self.entry.leaving
+            and not self.doubted
             and now >= self.rests_until
             and not (self.probing and self.placements)
         )
@@ -165,6 +169,7 @@
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_at = now
+            self.doubted = False
 
     def grant(self, lease_s: float, now: float, clock_error: float) -> int:
         """Return a lease's end on the worker's clock, and count it as granted."""
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -178,7 +178,9 @@
         order: StartOrder | None = None
         while self._counted(placement) and not placement.stopping:
             silent = self.worker.standing is not Standing.LIVE
-            if not self.owner.may_order() or (silent and order is None):
+            if order is None and (silent or self.worker.doubted):
+                break
+            if not self.owner.may_order():
                 await asyncio.sleep(ORDER_PAUSE_S)
                 continue
             if order is None or not unanswered:
@@ -192,6 +194,7 @@
             except WorkerUnreachable as exc:
                 LOG.debug("Start of %s unanswered: %s", placement.task, exc)
                 unanswered = True
+                self.worker.doubted = True
                 await asyncio.sleep(ORDER_PAUSE_S)
                 continue
             if self._settled(placement, reply, unanswered):
--- a/cranberrycleat/workflow/membership.py
+++ b/cranberrycleat/workflow/membership.py
@@ -44,3 +44,15 @@
             for peer, _ in known
             if peer.data_centre != data_centre and peer.address != own
         )
+
+    def silent_places(self, now: float) -> tuple[str, ...]:
+        """Return the data centres all of whose known hosts fell silent of late."""
+        heard: dict[str, float] = {}
+        for peer, at in self.entries.values():
+            place = peer.data_centre
+            heard[place] = max(heard.get(place, float("-inf")), at)
+        return tuple(
+            place
+            for place, at in heard.items()
+            if options.PLACE_SILENT_S < now - at < options.PEER_SILENT_S
+        )
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -39,11 +39,11 @@
 PAUSE_S: Final = 0.2
 BALANCER_S: Final = 2.5
 """The balancer asks each second and sends no new callers after two misses."""
-OWNER_FRESH_S: Final = 1.2
-"""One digest may be missed: they come each 0.4 s and wait 0.4 s."""
+OWNER_FRESH_S: Final = 0.9
+"""One digest may be missed: they come each 0.3 s and wait 0.3 s."""
 MOST_ASKED: Final = 2
-STORE_FRESH_S: Final = 1.8
-"""The table answers each second; a slowed one takes 0.3 s more."""
+STORE_FRESH_S: Final = 1.0
+"""Looks at the owner's row come each 0.25 s; a slowed table takes 0.5 s more."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -100,6 +100,7 @@
             own_address=self.address,
             in_touch=self.in_touch,
             refused=self._suspect_owner,
+            left_in_inbox=self._tell_owner,
             clock=self.clock,
         )
 
@@ -199,7 +200,7 @@
                 PeerApi(
                     owner=self._held,
                     digest=self.exchange,
-                    look=self._look.set,
+                    look=self._look_now,
                     permits=self.adapter.permits,
                     metrics=metrics,
                     dump=self.dump,
@@ -223,6 +224,27 @@
             await self._tell_peers()
         await asyncio.sleep(BALANCER_S)
 
+    def _look_now(self) -> None:
+        """A peer says that the owner's row, or the inbox, has changed."""
+        self._look.set()
+        owner = self._held()
+        if owner is not None:
+            owner.inbox_due.set()
+
+    def _tell_owner(self) -> None:
+        """Have the owner look into the inbox now."""
+        address = self.owner_address()
+        if self._held() is not None:
+            self._look_now()
+        elif address:
+            self._work.spawn(self._tell(address))
+
+    async def _tell(self, address: str) -> None:
+        try:
+            await self._peers.look(address)
+        except errors.PeerUnavailable as exc:
+            LOG.debug("The owner was not told of the inbox: %s", exc)
+
     async def _tell_peers(self) -> None:
         """Have the others look at the owner's row now, not at their next look."""
         found = await asyncio.gather(
@@ -273,7 +295,9 @@
         while True:
             if not self.draining:
                 with contextlib.suppress(errors.TableUnavailable):
-                    if await self._lease.acquire():
+                    won = await self._lease.acquire()
+                    self._store_heard_at = self.clock.now()
+                    if won:
                         await self._act()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(options.LOOK_S):
--- a/cranberrycleat/workflow/options.py
+++ b/cranberrycleat/workflow/options.py
@@ -29,12 +29,14 @@
 """How often the list of workers is read; leaving workers must get no work
 after 2 s."""
 INBOX_S: Final = 0.6
-DIGEST_S: Final = 0.4
+DIGEST_S: Final = 0.3
 """How often a host asks the owner for queue lengths, which may be 2 s old; a
 host that is cut off notices by it, and sends its callers elsewhere."""
 PEER_SILENT_S: Final = 8.0
 """A host that was not heard of for so long is not asked for permits. Longer
 than the gap between two owners: one that takes over needs the others at once."""
+PLACE_SILENT_S: Final = 0.8
+"""Two digests in a row are missing from every host of a data centre."""
 FORGET_MARGIN_S: Final = 30.0
 FORGET_AT_ONCE: Final = 60
 
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -43,6 +43,7 @@
 PERMIT_PAUSE_S: Final = 0.05
 PERMIT_TRIES: Final = 4
 HAND_OVER_S: Final = 2.0
+DOUBT_S: Final = 0.4
 SILENT_S: Final = 0.8
 """A table that left a transaction unanswered for so long counts as down."""
 CHANGE_LIMIT_S: Final = 0.7
@@ -64,6 +65,9 @@
         status_s: How long an ended job's state is kept.
         peers: The other hosts of the system.
         ready: Set once the rows were read.
+        inbox_due: Set when a door has left a job in the inbox.
+        store_answers: Whether the table answered of late.
+        closing: Whether the ownership is being handed over.
     """
 
     lease: OwnershipLease
@@ -78,6 +82,7 @@
     board: Board = attrs.field(factory=Board)
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
     ready: asyncio.Event = attrs.field(factory=asyncio.Event)
+    inbox_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     store_answers: bool = True
     closing: bool = False
     _planner: Planner = attrs.field(
@@ -423,6 +428,7 @@
         while True:
             await asyncio.sleep(options.TICK_S)
             now = self.clock.now()
+            self._doubt_places(now)
             for worker in list(self.board.fleet.workers.values()):
                 self._check_worker(worker, now)
             due = self.board.next_due_s()
@@ -432,6 +438,19 @@
             if self.board.waiting:
                 self._plan_due.set()
 
+    def _doubt_places(self, now: float) -> None:
+        """Give no work to a data centre from which no host is heard any more.
+
+        Answers a data centre that is cut off: its workers are found silent one
+        by one over two seconds, and whatever is placed there meanwhile waits
+        for a whole lease.
+        """
+        for place in self.peers.silent_places(now):
+            for worker in self.board.fleet.workers.values():
+                silent_s = now - worker.clock_at
+                if worker.entry.data_centre == place and silent_s > DOUBT_S:
+                    worker.doubted = True
+
     def _check_worker(self, worker: FleetWorker, now: float) -> None:
         if worker.standing is Standing.LIVE:
             return
@@ -460,7 +479,10 @@
             if fresh:
                 self._take_inbox(tuple(fresh))
                 self.changed()
-            await asyncio.sleep(options.INBOX_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(options.INBOX_S):
+                    await self.inbox_due.wait()
+            self.inbox_due.clear()
 
     async def _clear_inbox(self) -> None:
         """Remove the rows of jobs that have been stored as jobs."""
@@ -489,6 +511,8 @@
             self.changed()
         if await self._until_shown(req.job_id):
             return SubmitReply(accepted=True)
+        if not self.store_answers and self.board.withdraw(req.job_id):
+            return SubmitReply(refused=True, reason=STORE_SILENT)
         raise errors.PeerUnavailable("not known to be stored")
 
     async def _until_shown(self, job_id: str) -> bool:
--- a/cranberrycleat/workflow/peering.py
+++ b/cranberrycleat/workflow/peering.py
@@ -13,7 +13,7 @@
 TIMEOUT_S: Final = 0.9
 """A whole answer takes about 15 ms, with a slowed store 0.5 s; a caller waits
 3 s and the door has a second way to go after this one."""
-DIGEST_TIMEOUT_S: Final = 0.4
+DIGEST_TIMEOUT_S: Final = 0.3
 """A digest waits for no store: what takes longer is a cut or a dead host."""
 STATUS_OK: Final = 200
 STATUS_NOT_OWNER: Final = 421
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -139,6 +139,7 @@
         next_occurrence: The first occurrence that has not been opened.
         open: Occurrences that are due and not done.
         spec_stored: Whether the row of its unchanging part was written.
+        offered: Whether any transaction with it was sent.
     """
 
     job_id: str
@@ -151,6 +152,7 @@
     next_occurrence: int = 0
     open: dict[int, Occurrence] = attrs.field(factory=dict)
     spec_stored: bool = False
+    offered: bool = False
 
     def state(self) -> JobState:
         """Return what callers are told."""
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -177,6 +177,7 @@
             "own_address": "here:1",
             "in_touch": lambda: True,
             "refused": lambda: None,
+            "left_in_inbox": lambda: None,
             "clock": self.clock,
         }
         return Door(**{**given, **more})  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,448 @@
+"""The adapter to the users' platform, against a stand-in of its published protocol."""
+
+import asyncio
+import base64
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qsl
+
+import attrs
+import pytest
+
+from cranberrycleat import errors
+from cranberrycleat.amounts import Amounts
+from cranberrycleat.asgi import Answer, read_body, send_answer
+from cranberrycleat.http_client import HttpClient
+from cranberrycleat.http_server import HttpServer
+from cranberrycleat.platform.jobs import read_job
+from cranberrycleat.platform.records import read_config, read_worker
+from cranberrycleat.platform.settings import read_settings
+from cranberrycleat.platform.store import PlatformStore
+from cranberrycleat.platform.workers import PlatformPermits, PlatformWorkers
+from cranberrycleat.table import Check, Put, Row, Transaction
+from cranberrycleat.workflow.ports import (
+    EndKind,
+    HistoryGone,
+    OrderReply,
+    PermitUnavailable,
+    StartOrder,
+    SyncReply,
+    Verdict,
+    WorkerEntry,
+    WorkerReplaced,
+    WorkerUnreachable,
+)
+from tests.fakes import go
+
+PAGE = 3
+
+
+@attrs.define(kw_only=True, eq=False)
+class Stand:
+    """An HTTP stand-in: a store by the platform's page, and canned answers.
+
+    Attributes:
+        rows: The rows by table, part and key.
+        version: The store's one counter.
+        canned: Answers by path; they go before the store's own.
+        seen: Bodies and headers that came, by path.
+    """
+
+    rows: dict[tuple[str, str, str], dict[str, Any]] = attrs.field(factory=dict)
+    version: int = 0
+    canned: dict[str, tuple[int, Any]] = attrs.field(factory=dict)
+    seen: list[tuple[str, Any, dict[bytes, bytes]]] = attrs.field(factory=list)
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request."""
+        body = await read_body(receive) or b""
+        sent = json.loads(body) if body else None
+        self.seen.append((scope["path"], sent, dict(scope["headers"])))
+        args = dict(parse_qsl(scope["query_string"].decode()))
+        status, message = self.canned.get(scope["path"]) or self.answer(
+            scope["path"], sent, args
+        )
+        data = json.dumps(message).encode()
+        await send_answer(send, Answer(message=data, status=status))
+
+    def answer(self, path: str, sent: Any, args: dict[str, str]) -> tuple[int, Any]:
+        """Carry out a call to the store."""
+        match path:
+            case "/api/rows-tx":
+                return self.transact(sent)
+            case "/api/rows-get":
+                return 200, self.range(args)
+            case "/api/rows-feed":
+                after = int(args["after"])
+                found = [
+                    row
+                    for key, row in sorted(self.rows.items())
+                    if key[0] == args["table"] and row["schema_ver"] > after
+                ]
+                return 200, {"rows": found, "schema_ver": self.version}
+        return 404, {}
+
+    def transact(self, sent: Any) -> tuple[int, Any]:
+        """Apply a transaction if its conditions hold."""
+        for each in sent["expect_rev"]:
+            key = (each["table"], each["part"], each["key"])
+            if self.rows.get(key, {}).get("schema_ver", 0) != each["schema_ver"]:
+                return 412, {"rows": [self.rows[key]] if key in self.rows else []}
+        self.version += 1
+        for each in sent["writes"]:
+            key = (each["table"], each["part"], each["key"])
+            self.rows[key] = {**each, "schema_ver": self.version}
+        for each in sent["remove"]:
+            self.rows.pop((each["table"], each["part"], each["key"]), None)
+        return 200, {"schema_ver": self.version, "now_ms": 1}
+
+    def range(self, args: dict[str, str]) -> Any:
+        """Return a page of a table's part."""
+        found = [
+            row
+            for key, row in sorted(self.rows.items())
+            if key[:2] == (args["table"], args.get("part", ""))
+            and key[2] >= args.get("from", "")
+            and ("to" not in args or key[2] < args["to"])
+        ]
+        return {
+            "rows": found[:PAGE],
+            "truncated": len(found) > PAGE,
+            "schema_ver": self.version,
+        }
+
+
+@contextlib.asynccontextmanager
+async def stand() -> AsyncIterator[tuple[Stand, str, HttpClient]]:
+    """Run a stand-in on loopback."""
+    made = Stand()
+    server = HttpServer(app=made, host="127.0.0.1", port=0)
+    await server.start()
+    http = HttpClient()
+    try:
+        yield made, f"127.0.0.1:{server.port}", http
+    finally:
+        await http.close()
+        await server.stop()
+
+
+def put(key: str, value: str = "v") -> Transaction:
+    """Return a write of a row that must not exist."""
+    return Transaction(
+        checks=(Check(key=key, version=0),), puts=(Put(key=key, value=value),)
+    )
+
+
+def test_rows_are_written_once_and_read_page_by_page() -> None:
+    """Conditions, conflicts, pages and deletions, as the page on the store says."""
+
+    async def run() -> None:
+        async with stand() as (made, address, http):
+            store = PlatformStore(address=address, http=http)
+            for number in range(7):
+                reply = await store.commit(put(f"jobs/{number}", f"täxt {number}"))
+                assert reply.committed and reply.version == number + 1
+            again = await store.commit(put("jobs/3"))
+            assert not again.committed and again.conflicts == ("jobs/3",)
+            rows = await store.scan(prefix="jobs/")
+            assert [row.key for row in rows] == [f"jobs/{n}" for n in range(7)]
+            assert rows[2].value == "täxt 2"
+            await store.commit(Transaction(deletes=("jobs/0",)))
+            assert [row.key for row in await store.read(keys=("jobs/0", "jobs/1"))] == [
+                "jobs/1"
+            ]
+
+    go(run())
+
+
+def test_the_inbox_has_a_part_of_its_own() -> None:
+    """What doors write must not keep the owner's transactions waiting."""
+
+    async def run() -> None:
+        async with stand() as (made, address, http):
+            store = PlatformStore(address=address, http=http)
+            for key in ("inbox/a", "jobs/a", "owner/cell", "specs/a"):
+                await store.commit(put(key))
+            parts = {table: part for table, part, _ in made.rows}
+            assert parts["inbox"] != parts["jobs"]
+            assert parts["jobs"] == parts["owner"] == parts["specs"]
+
+    go(run())
+
+
+@pytest.mark.parametrize(
+    ("status", "expected"),
+    [
+        (429, errors.TableRefused),
+        (503, errors.TableRefused),
+        (500, errors.TableUnavailable),
+        (410, HistoryGone),
+    ],
+)
+def test_what_a_store_that_does_not_serve_means(
+    status: int, expected: type[Exception]
+) -> None:
+    """A refusal did nothing; anything else may have."""
+
+    async def run() -> None:
+        async with stand() as (made, address, http):
+            store = PlatformStore(address=address, http=http)
+            made.canned["/api/rows-feed"] = (status, {})
+            with pytest.raises(expected):
+                await store.follow(table="op", after=3, wait_s=0.0)
+
+    go(run())
+
+
+ENTRY = WorkerEntry(
+    worker="i-1",
+    pool="p",
+    address="",
+    data_centre="dc",
+    leaving=False,
+    capacity=Amounts(),
+    labels=(),
+)
+ORDER = StartOrder(
+    task="a.0.0.1", attempt=2, program="x", lease_end_ms=99, epoch=7, permit="t"
+)
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "expected"),
+    [
+        (200, {"clock_ms": 5}, OrderReply(verdict=Verdict.ACCEPTED, clock_ms=5)),
+        (409, {"clock_ms": 5, "reason": "fence"}, Verdict.STALE_EPOCH),
+        (409, {"clock_ms": 5, "reason": "old"}, Verdict.STALE_ATTEMPT),
+        (409, {"clock_ms": 5, "reason": "late"}, Verdict.TOO_LATE),
+        (409, {"clock_ms": 5, "reason": "room"}, Verdict.NO_ROOM),
+        (409, {"clock_ms": 5, "reason": "ticket"}, Verdict.NO_PERMIT),
+        (400, {"clock_ms": 5}, Verdict.MALFORMED),
+        (429, {}, Verdict.UNHEALTHY),
+        (503, {}, Verdict.UNHEALTHY),
+        (421, {}, WorkerReplaced),
+        (409, {"clock_ms": 5, "reason": "new words"}, WorkerUnreachable),
+        (500, {}, WorkerUnreachable),
+        (200, "no object", WorkerUnreachable),
+    ],
+)
+def test_a_worker_s_answers(status: int, body: Any, expected: Any) -> None:
+    """Every answer of the page, and some that it does not have."""
+
+    async def run() -> None:
+        async with stand() as (made, address, http):
+            client = PlatformWorkers(http=http)
+            made.canned["/api/run-start"] = (status, body)
+            entry = attrs.evolve(ENTRY, address=address)
+            if isinstance(expected, type):
+                with pytest.raises(expected):
+                    await client.start(entry, ORDER)
+                return
+            reply = await client.start(entry, ORDER)
+            assert expected in (reply, reply.verdict)
+            path, sent, headers = made.seen[0]
+            assert headers[b"expect-instance"] == b"i-1"
+            assert sent == {
+                "task": "a.0.0.1",
+                "run": 2,
+                "fencing_token": 7,
+                "spec": "x",
+                "until_ms": 99,
+                "ticket": "t",
+            }
+
+    go(run())
+
+
+def test_a_worker_s_lists() -> None:
+    """Both lists, with and without the fifth entry."""
+
+    async def run() -> None:
+        async with stand() as (made, address, http):
+            client = PlatformWorkers(http=http)
+            made.canned["/api/hold"] = (
+                200,
+                {
+                    "clock_ms": 10,
+                    "running": [["a.0.0.0", 1, "s", 40], ["a.0.0.1", 1, "", 100, 250]],
+                    "ended": [[3, "b.0.0.0", 2, "broken", ""]],
+                },
+            )
+            entry = attrs.evolve(ENTRY, address=address)
+            reply = await client.sync(
+                entry, epoch=1, ended_upto=2, lease_end_ms=None, wait_ms=0
+            )
+            assert isinstance(reply, SyncReply)
+            assert [each.reading for each in reply.running] == [None, 250]
+            assert reply.ended[0].how is EndKind.MEMBER_ENDED
+            assert "until_ms" not in made.seen[0][1]
+
+    go(run())
+
+
+def test_permits_and_their_absence() -> None:
+    """Good workers with tickets; an answer that is none raises."""
+
+    async def run() -> None:
+        async with stand() as (made, address, http):
+            client = PlatformPermits(address=address, http=http)
+            made.canned["/api/advise"] = (200, {"good": [["i-1", "t-1"]]})
+            found = await client.ask(step="a.0.0", workers=("i-1",), timeout_s=1)
+            assert found[0].ticket == "t-1"
+            made.canned["/api/advise"] = (429, {})
+            with pytest.raises(PermitUnavailable):
+                await client.ask(step="a.0.0", workers=("i-1",), timeout_s=1)
+
+    go(run())
+
+
+def row(key: str, value: object) -> Row:
+    """Return a row as the store gives it."""
+    text = value if isinstance(value, str) else json.dumps(value)
+    return Row(key=key, version=1, value=text)
+
+
+def test_configuration_and_worker_rows() -> None:
+    """Fields that are zero are left out; unknown ones are passed over."""
+    config = read_config(
+        row(
+            "op/config",
+            {
+                "version": 7,
+                "routes": [
+                    {
+                        "name": "r",
+                        "host": "h",
+                        "prefix": "/p/",
+                        "service": "s",
+                        "slo_ms": 250,
+                        "advice": {"decide_ms": 8.7, "each_ms": 0.1, "valid_ms": 1500},
+                        "new": 1,
+                    }
+                ],
+                "services": [{"name": "s"}],
+            },
+        )
+    )
+    assert config.queues[0].objective_s == 0.25
+    assert config.queues[0].permits is not None
+    assert config.queues[0].permits.valid_s == 1.5
+    entry = read_worker(
+        row(
+            "servers/i-1",
+            {
+                "service": "s",
+                "addr": "10.0.0.1:80",
+                "zone": "z",
+                "state": "draining",
+                "capacity": {"cpu": 16000, "mem_mb": 100},
+                "labels": ["a", "r1-3"],
+            },
+        )
+    )
+    assert entry.worker == "i-1" and entry.leaving
+    assert entry.capacity == Amounts(processors=16000, memory_mb=100)
+
+
+@pytest.mark.parametrize("value", ["", "{", "[]", {"version": "x"}, {"routes": [1]}])
+def test_a_bad_configuration_row_gives_its_place(value: object) -> None:
+    """The finding names the row."""
+    with pytest.raises(errors.FindingsError) as caught:
+        read_config(row("op/config", value))
+    assert caught.value.findings[0].place == "op/config"
+
+
+def test_a_job_s_body() -> None:
+    """Every field of the page on jobs reaches the product's own names."""
+    spec = read_job(
+        json.dumps(
+            {
+                "spec": "x",
+                "max_runs": 3,
+                "first_ms": 5000,
+                "period_ms": 2000,
+                "steps": [
+                    {
+                        "count": 4,
+                        "cpu": 500,
+                        "mem_mb": 256,
+                        "gpu": 1,
+                        "estimate_ms": 900,
+                        "affinity": "r1-3",
+                        "required_label": "a",
+                        "anti_affinity": 2,
+                        "gang": True,
+                        "same_rack": True,
+                        "long_running": True,
+                        "may_miss": 1,
+                        "checkpoint": True,
+                        "image": "i",
+                        "target_ms": 80,
+                        "fills": True,
+                        "speculative": True,
+                    }
+                ],
+            }
+        ).encode()
+    )
+    step = spec.steps[0]
+    assert spec.schedule is not None and spec.schedule.due_s(2) == 9.0
+    assert step.needs == Amounts(processors=500, memory_mb=256, accelerators=1)
+    assert (step.data_rack, step.label, step.most_per_worker) == ("r1-3", "a", 2)
+    assert step.gang and step.same_rack and step.service and step.filler
+    assert (step.may_be_away, step.tail_limit_ms, step.estimate_s) == (1, 80, 0.9)
+
+
+SETTINGS = """
+node = "n1"
+ip = "10.1.0.13"
+zone = "z1"
+port_range = [7720, 7735]
+advice = "10.200.1.9:8169"
+[listen]
+front = "10.1.0.13:8161"
+ready = "10.1.0.13:8167"
+[bounds]
+hold_max_ms = 10000
+stop_ms = 200
+[platform]
+addr = "10.200.1.7:8169"
+"""
+
+
+def test_settings_are_read(tmp_path: Path) -> None:
+    """The platform's file, and what it leaves out."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    cfg = read_settings(str(path))
+    assert cfg.peer_port == 7720 and cfg.bounds.longest_lease_s == 10.0
+    assert cfg.grace_s == 6.0 and cfg.machines == ""
+
+
+@pytest.mark.parametrize(
+    "text", ["", "node = 1", "= x", SETTINGS.replace("[platform]", "[other]")]
+)
+def test_bad_settings_give_their_place(tmp_path: Path, text: str) -> None:
+    """The finding names the file."""
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    with pytest.raises(errors.FindingsError) as caught:
+        read_settings(str(path))
+    assert caught.value.findings[0].place == str(path)
+
+
+def test_values_are_base64_on_the_wire() -> None:
+    """Rows hold text; the platform holds bytes."""
+
+    async def run() -> None:
+        async with stand() as (made, address, http):
+            store = PlatformStore(address=address, http=http)
+            await store.commit(put("jobs/a", "text"))
+            sent = made.seen[0][1]["writes"][0]["value"]
+            assert base64.b64decode(sent) == b"text"
+            await asyncio.sleep(0)
+
+    go(run())
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from typing import cast
 
 import pytest
 
@@ -10,6 +11,12 @@
 from cranberrycleat.standins.fleet import Work
 from cranberrycleat.workflow.door import DoorStatus
 from cranberrycleat.workflow.owner import Owner
+from cranberrycleat.workflow.peering import (
+    Digest,
+    JobAnswer,
+    SubmitReply,
+    SubmitRequest,
+)
 from cranberrycleat.workflow.ports import EndKind, PermitPolicy, Verdict
 from tests.cell import Cell, cell, job, queue, step, submit, until
 from tests.fakes import go
@@ -319,3 +326,90 @@
             assert answer.status is DoorStatus.UNKNOWN
 
     go(run())
+
+
+class _NeverAnswers:
+    """An owner that took a job and gives no answer, as one that just died."""
+
+    async def submit(self, req: SubmitRequest) -> SubmitReply:
+        """Answer nothing for longer than any caller waits."""
+        await asyncio.sleep(60)
+        return SubmitReply()
+
+    def state(self, job_id: str) -> JobAnswer:
+        """Know nothing."""
+        return JobAnswer(owner=True)
+
+
+def test_a_dead_owner_does_not_cost_a_caller_its_time() -> None:
+    """The job goes to the inbox beside, where the next owner finds it."""
+
+    async def run() -> None:
+        async with cell() as made:
+            door = made.door(lambda: cast(Owner, _NeverAnswers()))
+            answer = await door.submit(queue(), "d", job(step(1)), limit_s=3.0)
+            assert answer.status is DoorStatus.DONE
+            owner = await made.own()
+            await until(lambda: state(owner, "d") == "completed")
+
+    go(run())
+
+
+def test_a_job_that_was_never_sent_to_the_table_is_refused() -> None:
+    """With the table down, only jobs of the transaction under way are unknown."""
+
+    async def run() -> None:
+        async with cell() as made:
+            owner = await made.own()
+            made.table.faults.down = True
+            await until(lambda: not owner.store_answers)
+            owner.store_answers = True  # as if the outage had just begun
+            req = SubmitRequest(job_id="d", queue=queue(), spec=job(step(2)))
+            reply = await owner.submit(req)
+            assert reply.refused
+            made.table.faults.down = False
+            await asyncio.sleep(0.6)
+            assert not made.table.rows.get("jobs/d")
+            assert made.fleet.starts == []
+            await submit(owner, "d", job(step(2)))
+            await until(lambda: state(owner, "d") == "completed")
+
+    go(run())
+
+
+def test_a_worker_that_left_an_order_unanswered_draws_nothing_more() -> None:
+    """What would be placed there meanwhile had to wait for a whole lease."""
+
+    async def run() -> None:
+        async with cell(workers=1) as made:
+            owner = await made.own()
+            worker = made.fleet.workers["w0"]
+            worker.lose_starts = 1
+            made.fleet.work = lambda task, attempt: Work(seconds=1.0)
+            await submit(owner, "a", job(step(1)))
+            await until(lambda: owner.board.fleet.workers["w0"].doubted)
+            worker.silent = True
+            made.add_worker("w1")
+            await submit(owner, "b", job(step(1)))
+            await until(lambda: state(owner, "b") == "completed")
+            assert {s.worker for s in made.fleet.starts} == {"w1"}
+
+    go(run())
+
+
+def test_workers_of_a_silent_data_centre_draw_nothing() -> None:
+    """No host there is heard any more: it is cut off, and so are its workers."""
+
+    async def run() -> None:
+        async with cell(workers=2) as made:
+            owner = await made.own()
+            owner.peers.hear(Digest(name="n", address="n:1", data_centre="dc"), 0.0)
+            now = made.clock.now()
+            peer, _ = owner.peers.entries["n:1"]
+            owner.peers.entries["n:1"] = (peer, now - 1.5)
+            for worker in owner.board.fleet.workers.values():
+                worker.clock_at = now - 1.0
+            owner._doubt_places(now)
+            assert all(w.doubted for w in owner.board.fleet.workers.values())
+
+    go(run())
