--- /dev/null
+++ b/cranberrycleat/events.py
@@ -0,0 +1,466 @@
+"""Every event that the node logs: a typed message each, with a stable name.
+
+An event is one decision that touches a request or changes what a process
+believes, with the inputs that decided it and the outcome. docs/OPERATIONS.md
+lists them; a test compares that table with this module. Times are in seconds;
+`job` is the caller's identity for a job, `task` ID.OCCURRENCE.STEP.INDEX.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final, TypeVar, dataclass_transform
+
+import attrs
+
+T = TypeVar("T")
+
+
+@attrs.frozen(kw_only=True)
+class EventKind:
+    """What is known of one kind of event.
+
+    Attributes:
+        name: The stable name.
+        doc: What it tells, in one line.
+        kept: It is never among the first to be left out of a full log.
+    """
+
+    name: str
+    doc: str
+    kept: bool
+
+
+KINDS: Final[dict[type[Any], EventKind]] = {}
+
+
+@dataclass_transform(kw_only_default=True, frozen_default=True)
+def event(name: str, *, kept: bool = False) -> Callable[[type[T]], type[T]]:
+    """Return a decorator that makes a class an event of that name."""
+
+    def make(cls: type[T]) -> type[T]:
+        made = attrs.frozen(kw_only=True)(cls)
+        doc = (cls.__doc__ or "").strip().splitlines()[0]
+        KINDS[made] = EventKind(name=name, doc=doc, kept=kept)
+        return made
+
+    return make
+
+
+# --- a job's way -----------------------------------------------------------------
+
+
+@event("job.accepted")
+class JobAccepted:
+    """The owner took a job in; it is not stored yet."""
+
+    job: str
+    queue: str
+    steps: int
+    tasks: int
+    runs: int
+    due_in_s: float
+    labels: tuple[str, ...]
+    objective_s: float
+
+
+@event("job.stored")
+class JobStored:
+    """The table has a new job: the caller may be told that it is accepted."""
+
+    job: str
+    after_s: float
+
+
+@event("job.refused", kept=True)
+class JobRefused:
+    """A door refused a job; nothing of it was sent on or stored."""
+
+    job: str
+    queue: str
+    reason: str
+    retry_after_s: float
+
+
+@event("job.malformed", kept=True)
+class JobMalformed:
+    """A job cannot be read, or asks for what can never be."""
+
+    job: str
+    queue: str
+    reason: str
+
+
+@event("job.unknown", kept=True)
+class JobUnknown:
+    """A door gave up settling whether a job was stored."""
+
+    job: str
+    queue: str
+    reason: str
+    after_s: float
+
+
+@event("job.unsettled")
+class JobUnsettled:
+    """The owner did not say whether it stored a job; the door goes on."""
+
+    job: str
+    owner: str
+    reason: str
+
+
+@event("job.inbox")
+class JobInInbox:
+    """A door stored a job in the inbox, beside or instead of the owner."""
+
+    job: str
+    outcome: str
+
+
+@event("job.found")
+class JobFound:
+    """The owner found a job in the inbox."""
+
+    job: str
+
+
+@event("job.withdrawn", kept=True)
+class JobWithdrawn:
+    """The owner gave a job back: no transaction with it was ever sent."""
+
+    job: str
+    after_s: float
+
+
+@event("job.cancelled")
+class JobCancelled:
+    """A caller cancelled a job; `state` is what it is in now."""
+
+    job: str
+    state: str
+
+
+@event("job.ended", kept=True)
+class JobEnded:
+    """A job became final; `late` tells whether it missed its objective."""
+
+    job: str
+    queue: str
+    state: str
+    after_s: float
+    objective_s: float
+    late: bool
+    attempts: int
+
+
+@event("job.shown")
+class JobShown:
+    """The table has a job's final state: callers are told from now on."""
+
+    job: str
+    state: str
+    after_end_s: float
+
+
+# --- permits and placing ---------------------------------------------------------
+
+
+@event("permits.had")
+class PermitsHad:
+    """The permit service answered for a step."""
+
+    step: str
+    asked: int
+    allowed: int
+    host: str
+    waited_s: float
+    took_s: float
+
+
+@event("permits.failed")
+class PermitsFailed:
+    """A call to the permit service had no answer."""
+
+    step: str
+    host: str
+    reason: str
+
+
+@event("step.waiting")
+class StepWaiting:
+    """A step is left waiting; said once for each reason."""
+
+    step: str
+    reason: str
+    pending: int
+    candidates: int
+    waited_s: float
+    slack_s: float
+
+
+@event("step.hopeless", kept=True)
+class StepHopeless:
+    """No known worker could ever hold a step's tasks, or all were ruled out."""
+
+    step: str
+    reason: str
+
+
+@event("task.placed")
+class TaskPlaced:
+    """A task was given a worker; it is ordered once that is stored."""
+
+    task: str
+    attempt: int
+    worker: str
+    waited_s: float
+    saved: bool
+
+
+@event("task.started")
+class TaskStarted:
+    """A worker accepted an order to start."""
+
+    task: str
+    attempt: int
+    worker: str
+    after_s: float
+    sent: int
+
+
+@event("task.unanswered")
+class TaskUnanswered:
+    """An order to start had no answer; it is sent again unchanged."""
+
+    task: str
+    attempt: int
+    worker: str
+    reason: str
+
+
+@event("task.refused")
+class TaskRefused:
+    """A worker refused an order to start."""
+
+    task: str
+    attempt: int
+    worker: str
+    verdict: str
+
+
+@event("task.ended")
+class TaskEnded:
+    """A worker listed the end of an attempt."""
+
+    task: str
+    attempt: int
+    worker: str
+    how: str
+    ran_s: float
+    current: bool
+
+
+@event("task.stopping")
+class TaskStopping:
+    """An attempt is to stop."""
+
+    task: str
+    attempt: int
+    worker: str
+    reason: str
+
+
+@event("task.given_up")
+class TaskGivenUp:
+    """An attempt is proved not to run; its task waits again."""
+
+    task: str
+    attempt: int
+    worker: str
+    reason: str
+
+
+# --- the owner ---------------------------------------------------------------------
+
+
+@event("owner.won", kept=True)
+class OwnerWon:
+    """This host holds the ownership now."""
+
+    epoch: int
+    silent: bool
+
+
+@event("owner.took_over", kept=True)
+class OwnerTookOver:
+    """The owner has read everything; workers out of reach are waited for."""
+
+    epoch: int
+    jobs: int
+    placed: int
+    workers: int
+    waits_s: float
+    took_s: float
+
+
+@event("owner.lost", kept=True)
+class OwnerLost:
+    """This host no longer holds the ownership."""
+
+    epoch: int
+    reason: str
+
+
+@event("owner.released", kept=True)
+class OwnerReleased:
+    """The owner handed the ownership over in order."""
+
+    epoch: int
+
+
+@event("owner.suspected", kept=True)
+class OwnerSuspected:
+    """The owner seen last is taken to be dead."""
+
+    holder: str
+    evidence: str
+
+
+@event("table.silent", kept=True)
+class TableSilent:
+    """A transaction has no answer; `down` tells whether new work is refused."""
+
+    reason: str
+    down: bool
+
+
+@event("table.back", kept=True)
+class TableBack:
+    """The table answers transactions again."""
+
+    after_s: float
+
+
+# --- workers -------------------------------------------------------------------------
+
+
+@event("worker.joined")
+class WorkerJoined:
+    """The platform lists a new worker."""
+
+    worker: str
+    data_centre: str
+    labels: tuple[str, ...]
+    processors: int
+
+
+@event("worker.answers")
+class WorkerAnswers:
+    """A worker answered, for the first time or again: it may draw work."""
+
+    worker: str
+
+
+@event("worker.silent")
+class WorkerSilent:
+    """A worker does not answer; what runs there counts until its leases end."""
+
+    worker: str
+    tasks: int
+    reason: str
+
+
+@event("worker.leaving")
+class WorkerLeaving:
+    """A worker says that it is leaving; it draws no more work."""
+
+    worker: str
+    tasks: int
+
+
+@event("worker.unlisted")
+class WorkerUnlisted:
+    """The platform no longer lists a worker."""
+
+    worker: str
+    tasks: int
+
+
+@event("worker.leases_over")
+class WorkerLeasesOver:
+    """Every lease at a silent worker is over; its tasks wait again."""
+
+    worker: str
+    tasks: int
+
+
+@event("worker.replaced")
+class WorkerIsReplaced:
+    """Another life answers at a worker's address; its tasks wait again."""
+
+    worker: str
+    tasks: int
+
+
+@event("worker.rests")
+class WorkerRests:
+    """A worker failed what it started; it draws nothing for a while."""
+
+    worker: str
+    rest_s: float
+
+
+# --- the process ---------------------------------------------------------------------
+
+
+@event("config.taken", kept=True)
+class ConfigTaken:
+    """A newer configuration is in force."""
+
+    version: int
+    queues: int
+
+
+@event("config.unreadable", kept=True)
+class ConfigUnreadable:
+    """The configuration's row cannot be read; the last stays in force."""
+
+    findings: str
+
+
+@event("row.unreadable", kept=True)
+class RowUnreadable:
+    """A row of the table cannot be read; it is left as it is."""
+
+    findings: str
+
+
+@event("host.touch", kept=True)
+class HostTouch:
+    """This host gained or lost touch with owner, table and other places."""
+
+    ready: bool
+    owner_s: float
+    table_s: float
+
+
+@event("process.draining", kept=True)
+class ProcessDraining:
+    """The process was told to stop."""
+
+    owner: bool
+
+
+@event("process.started", kept=True)
+class ProcessStarted:
+    """The process listens."""
+
+    name: str
+    data_centre: str
+
+
+@event("log.left_out", kept=True)
+class LogLeftOut:
+    """Lines that were left out since the last such line, by event."""
+
+    lines: int
+    by_event: dict[str, int]
--- a/cranberrycleat/logs.py
+++ b/cranberrycleat/logs.py
@@ -1,30 +1,50 @@
-"""Logging: short sentences behind a fixed prefix for each part.
+"""Logging: events as JSON lines, and short sentences behind a part's prefix.
 
-Each part takes its logger from `part_logger`; the prefix is the part's name.
-The text form is for people, the JSON form for collectors.
+`emit` logs a typed event (see `events`); `part_logger` returns the logger of a
+part for everything else. In JSON form both go through one bounded sink to
+standard output, which never blocks the process; in text form, for people at a
+terminal, sentences and events go to standard error.
 """
 
 import logging
 import sys
-from typing import Final
+import time
+from typing import Any, Final
 
 import attrs
 
-from cranberrycleat import codec
+from cranberrycleat import codec, events
+from cranberrycleat.log_sink import LogSink
 
 ROOT: Final = "cranberrycleat"
+EVENTS: Final[logging.Logger] = logging.getLogger(f"{ROOT}.events")
+MESSAGE: Final = "message"
+"""The event name of a sentence that is no typed event."""
 
 
 @attrs.frozen(kw_only=True)
 class LogLine:
-    """One log line in JSON form; `time` in seconds since the epoch."""
+    """One sentence in JSON form; `time` in seconds since the epoch."""
 
     time: float
+    event: str
+    host: str
     level: str
     part: str
     message: str
 
 
+@attrs.define(kw_only=True)
+class _State:
+    """Where this process logs to; set once at start."""
+
+    sink: LogSink | None = None
+    host: str = ""
+
+
+_STATE: Final = _State()
+
+
 class _TextFormatter(logging.Formatter):
     def format(self, record: logging.LogRecord) -> str:
         part = record.name.removeprefix(ROOT + ".")
@@ -35,35 +55,91 @@
         return text
 
 
-class _JsonFormatter(logging.Formatter):
-    def format(self, record: logging.LogRecord) -> str:
+class _SinkHandler(logging.Handler):
+    """Sends sentences to the sink as JSON lines."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Send one sentence."""
         message = record.getMessage()
         if record.exc_info:
-            message += "\n" + self.formatException(record.exc_info)
+            message += "\n" + logging.Formatter().formatException(record.exc_info)
         line = LogLine(
             time=record.created,
+            event=MESSAGE,
+            host=_STATE.host,
             level=record.levelname.lower(),
             part=record.name.removeprefix(ROOT + "."),
             message=message,
         )
-        return codec.encode_text(line)
+        kept = record.levelno >= logging.WARNING
+        if _STATE.sink is not None:
+            _STATE.sink.put(MESSAGE, codec.encode(line) + b"\n", kept=kept)
 
 
-def set_up(*, level: str, form: str) -> None:
-    """Send the project's logs to standard error.
+def set_up(*, level: str, form: str, host: str = "") -> None:
+    """Send the project's logs out.
 
     Args:
         level: A level name of `logging`, in lower case.
         form: `text` or `json`.
+        host: This process's name, put on every JSON line.
     """
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(_JsonFormatter() if form == "json" else _TextFormatter())
+    handler: logging.Handler
+    _STATE.host = host
+    if form == "json":
+        _STATE.sink = LogSink(fd=sys.stdout.fileno(), report=_left_out)
+        handler = _SinkHandler()
+    else:
+        _STATE.sink = None
+        handler = logging.StreamHandler(sys.stderr)
+        handler.setFormatter(_TextFormatter())
     logger = logging.getLogger(ROOT)
     logger.handlers[:] = [handler]
     logger.setLevel(level.upper())
     logger.propagate = False
 
 
+def name_host(host: str) -> None:
+    """Set the name that every JSON line of this process carries."""
+    _STATE.host = host
+
+
+def flush() -> None:
+    """Write what is waiting, as far as the reader takes it."""
+    if _STATE.sink is not None:
+        _STATE.sink.flush()
+
+
+def lines_left_out() -> int:
+    """Return how many lines were left out since the start."""
+    return 0 if _STATE.sink is None else _STATE.sink.left_out_ever
+
+
 def part_logger(part: str) -> logging.Logger:
     """Return the logger of one part."""
     return logging.getLogger(f"{ROOT}.{part}")
+
+
+def emit(event: Any) -> None:
+    """Log one typed event of `events`."""
+    kind = events.KINDS[type(event)]
+    if _STATE.sink is not None:
+        if EVENTS.isEnabledFor(logging.INFO):
+            line = encode_event(event, kind.name, time.time(), _STATE.host)
+            _STATE.sink.put(kind.name, line, kept=kind.kept)
+    elif EVENTS.isEnabledFor(logging.INFO):
+        EVENTS.info("%s %s", kind.name, codec.encode_text(event))
+
+
+def encode_event(event: Any, name: str, at: float, host: str) -> bytes:
+    """Return an event's line: its fields behind time, name and host."""
+    head = f'{{"time":{at:.4f},"event":"{name}","host":"{host}"'
+    fields = codec.encode(event)
+    joint = b"" if fields == b"{}" else b","
+    return head.encode() + joint + fields[1:] + b"\n"
+
+
+def _left_out(by_event: dict[str, int]) -> bytes:
+    event = events.LogLeftOut(lines=sum(by_event.values()), by_event=by_event)
+    kind = events.KINDS[events.LogLeftOut]
+    return encode_event(event, kind.name, time.time(), _STATE.host)
--- a/cranberrycleat/platform/front.py
+++ b/cranberrycleat/platform/front.py
@@ -5,16 +5,15 @@
 against 0.27 ms).
 """
 
-import logging
 import math
 from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
 
-from cranberrycleat import errors
+from cranberrycleat import errors, events
 from cranberrycleat.asgi import Answer, read_body, send_answer
-from cranberrycleat.logs import part_logger
+from cranberrycleat.logs import emit
 from cranberrycleat.platform.jobs import (
     DEADLINE_HEADER,
     QueueAnswer,
@@ -24,7 +23,6 @@
 from cranberrycleat.workflow.door import Door, DoorAnswer, DoorStatus
 from cranberrycleat.workflow.ports import Queue
 
-LOG: Final[logging.Logger] = part_logger("front")
 STATUSES: Final = {
     DoorStatus.DONE: 200,
     DoorStatus.NO_QUEUE: 404,
@@ -99,7 +97,7 @@
         try:
             spec = read_job(body)
         except errors.FindingsError as exc:
-            LOG.info("Job %s cannot be read: %s", job_id, exc)
+            emit(events.JobMalformed(job=job_id, queue=queue.name, reason=str(exc)))
             return DoorAnswer(status=DoorStatus.MALFORMED, reason=str(exc))
         return await self.door.submit(queue, job_id, spec, limit_s=limit_s)
 
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -5,14 +5,14 @@
 tells a caller. `take_batch` and `stored` are the two ends of that.
 """
 
-import logging
 from collections.abc import Callable, Iterable, Iterator
 from typing import Final
 
 import attrs
 
-from cranberrycleat.clock import time_of_day
-from cranberrycleat.logs import part_logger
+from cranberrycleat import events
+from cranberrycleat.clock import BootClock, time_of_day
+from cranberrycleat.logs import emit
 from cranberrycleat.table import Put
 from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.fleet import (
@@ -21,8 +21,10 @@
     Key,
     Placement,
     Standing,
+    counted,
     listed_attempts,
 )
+from cranberrycleat.workflow.ordering import objective_s
 from cranberrycleat.workflow.permits import StepPermits
 from cranberrycleat.workflow.ports import (
     EndedTask,
@@ -33,9 +35,8 @@
     WorkerEntry,
 )
 from cranberrycleat.workflow.spec import WorkflowSpec
-from cranberrycleat.workflow.state import Job, JobState, StepRun, Task, TaskState
+from cranberrycleat.workflow.state import FINAL, Job, JobState, StepRun, Task, TaskState
 
-LOG: Final[logging.Logger] = part_logger("board")
 MOST_ENDS: Final = 500
 """A worker lists this many ends at a time."""
 MOST_JOBS_A_BATCH: Final = 30
@@ -71,6 +72,7 @@
 
     Attributes:
         time_of_day: Tells the time in seconds since 1970.
+        now: Tells the owner's clock.
         jobs: Every job whose state callers may ask for, by identity.
         fleet: The workers.
         permits: What is known of permits, by step name.
@@ -81,6 +83,7 @@
     """
 
     time_of_day: Callable[[], float] = time_of_day
+    now: Callable[[], float] = attrs.field(factory=lambda: BootClock().now)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     fleet: Fleet = attrs.field(factory=Fleet)
     permits: dict[str, StepPermits] = attrs.field(factory=dict)
@@ -99,6 +102,18 @@
             return known
         job = Job(job_id=job_id, queue=queue, spec=spec, accepted_s=self.time_of_day())
         self.jobs[job_id] = job
+        emit(
+            events.JobAccepted(
+                job=job_id,
+                queue=queue.name,
+                steps=len(spec.steps),
+                tasks=sum(step.count for step in spec.steps),
+                runs=spec.occurrences(),
+                due_in_s=round((job.opens_at() or 0.0) - job.accepted_s, 3),
+                labels=tuple(sorted({each.label for each in spec.steps if each.label})),
+                objective_s=round(objective_s(job), 3),
+            )
+        )
         self._note(job)
         self.open_due(job)
         return job
@@ -165,6 +180,7 @@
     def _close(self, job: Job, verdict: JobState) -> None:
         job.verdict = verdict
         job.ended_s = self.time_of_day()
+        self._tell_ended(job)
         self._note(job)
         for occurrence in job.open.values():
             for step in occurrence.steps:
@@ -174,6 +190,22 @@
             placement.stopping = True
             placement.stop_reason = verdict.value
 
+    def _tell_ended(self, job: Job) -> None:
+        assert job.verdict is not None
+        after_s = job.ended_s - job.accepted_s
+        objective = objective_s(job)
+        emit(
+            events.JobEnded(
+                job=job.job_id,
+                queue=job.queue.name,
+                state=job.verdict.value,
+                after_s=round(after_s, 3),
+                objective_s=round(objective, 3),
+                late=after_s > objective,
+                attempts=job.attempts,
+            )
+        )
+
     def _drop_step(self, step: StepRun) -> None:
         self.waiting.pop(step.name, None)
         self.permits.pop(step.name, None)
@@ -193,6 +225,8 @@
         for occurrence in job.open.values():
             for step in occurrence.ready_steps():
                 if step.done < len(step.tasks) and job.verdict is None:
+                    if step.name not in self.waiting and not step.last_attempt:
+                        step.ready_at = self.now()
                     self.waiting[step.name] = step
 
     def waiting_of(self, queue: str) -> int:
@@ -217,7 +251,7 @@
         placement = Placement(
             task=task.name,
             attempt=attempt,
-            needs=task.step.spec.needs,
+            needs=counted(task.step.spec),
             subject=task,
             program=job.spec.program,
             saved=task.saved,
@@ -225,6 +259,15 @@
         )
         worker.count(placement)
         self._note(job)
+        emit(
+            events.TaskPlaced(
+                task=task.name,
+                attempt=attempt,
+                worker=worker.name,
+                waited_s=round(now - task.step.ready_at, 4),
+                saved=bool(task.saved),
+            )
+        )
         return placement
 
     def adopt(self, now: float) -> None:
@@ -245,7 +288,7 @@
                 address="",
                 data_centre="",
                 leaving=True,
-                capacity=task.step.spec.needs,
+                capacity=counted(task.step.spec),
                 labels=(),
             )
             worker = FleetWorker(entry=entry, listed=False, standing=Standing.SILENT)
@@ -254,7 +297,7 @@
             Placement(
                 task=task.name,
                 attempt=task.attempt,
-                needs=task.step.spec.needs,
+                needs=counted(task.step.spec),
                 subject=task,
                 program=task.step.job.spec.program,
                 planned_at=now,
@@ -265,9 +308,17 @@
             )
         )
 
-    def give_up(self, worker: FleetWorker, placement: Placement) -> None:
+    def give_up(self, worker: FleetWorker, placement: Placement, reason: str) -> None:
         """An attempt is proved not to run: its task waits again."""
         worker.uncount(placement)
+        emit(
+            events.TaskGivenUp(
+                task=placement.task,
+                attempt=placement.attempt,
+                worker=worker.name,
+                reason=reason,
+            )
+        )
         task = placement.subject
         if task is not None and placement.is_current:
             job = task.step.job
@@ -280,7 +331,7 @@
         """Every lease there is over: give up all; return how many."""
         placements = list(worker.placements.values())
         for placement in placements:
-            self.give_up(worker, placement)
+            self.give_up(worker, placement, "its leases are over")
         return len(placements)
 
     # --- what workers say -----------------------------------------------------
@@ -324,7 +375,7 @@
         placement = Placement(
             task=run.task,
             attempt=run.attempt,
-            needs=worker.free if task is None else task.step.spec.needs,
+            needs=worker.free if task is None else counted(task.step.spec),
             subject=None,
             stored=True,
             ordered=True,
@@ -342,7 +393,7 @@
             if key in listed or not placement.running:
                 continue
             if placement.running_since < sent_at:
-                self.give_up(worker, placement)
+                self.give_up(worker, placement, "in neither list")
 
     def _ended(self, worker: FleetWorker, end: EndedTask, now: float) -> None:
         placement = worker.placements.get((end.task, end.attempt))
@@ -350,6 +401,16 @@
             worker.uncount(placement)
         job = self.jobs.get(end.task.partition(".")[0])
         task = None if job is None else job.find(end.task)
+        emit(
+            events.TaskEnded(
+                task=end.task,
+                attempt=end.attempt,
+                worker=worker.name,
+                how=end.how.value,
+                ran_s=round(placement.ran_s(now), 3) if placement else 0.0,
+                current=placement is not None and placement.is_current,
+            )
+        )
         self._judge(worker, end, now)
         if job is None or task is None or job.verdict is not None:
             return
@@ -369,7 +430,7 @@
             worker.note_success()
         elif end.how is EndKind.FAILED:
             if worker.note_failure(end.task.partition(".")[0], now):
-                LOG.info("Worker %s rests for %.0f s.", worker.name, worker.rest_s)
+                emit(events.WorkerRests(worker=worker.name, rest_s=worker.rest_s))
 
     def _after_end(self, job: Job, step: StepRun) -> None:
         if job.verdict is not None:
@@ -434,6 +495,7 @@
     def stored(self, batch: Batch) -> None:
         """Note that the table has a batch."""
         for job, state in batch.jobs:
+            self._tell_stored(job, state)
             job.spec_stored = True
             self.shown[job.job_id] = state
         for placement in batch.placements:
@@ -443,6 +505,18 @@
             if worker is not None:
                 worker.ended_upto = max(worker.ended_upto, number)
 
+    def _tell_stored(self, job: Job, state: JobState) -> None:
+        now_s = self.time_of_day()
+        if not job.spec_stored:
+            after_s = round(now_s - job.accepted_s, 4)
+            emit(events.JobStored(job=job.job_id, after_s=after_s))
+        if state in FINAL and self.shown.get(job.job_id) is not state:
+            after_s = round(now_s - job.ended_s, 4)
+            shown = events.JobShown(
+                job=job.job_id, state=state.value, after_end_s=after_s
+            )
+            emit(shown)
+
     def forget_ended(self, before_s: float, most: int) -> tuple[str, ...]:
         """Forget jobs that ended before a time; return their rows' keys."""
         old = [
--- a/cranberrycleat/workflow/directory.py
+++ b/cranberrycleat/workflow/directory.py
@@ -5,14 +5,12 @@
 logged with its place and leaves what was known.
 """
 
-import logging
 from collections.abc import Callable
-from typing import Final
 
 import attrs
 
-from cranberrycleat import errors
-from cranberrycleat.logs import part_logger
+from cranberrycleat import errors, events
+from cranberrycleat.logs import emit
 from cranberrycleat.table import Row
 from cranberrycleat.workflow.ports import (
     ClusterConfig,
@@ -22,8 +20,6 @@
     WorkerEntry,
 )
 
-LOG: Final[logging.Logger] = part_logger("directory")
-
 
 @attrs.define(kw_only=True, eq=False)
 class Directory:
@@ -75,7 +71,7 @@
         try:
             entry = self.read(row)
         except errors.FindingsError as exc:
-            LOG.warning("An entry of a worker cannot be read: %s", exc)
+            emit(events.RowUnreadable(findings=str(exc)))
             return
         self.entries[entry.worker] = entry
 
@@ -126,12 +122,12 @@
         try:
             config = self.read(row)
         except errors.FindingsError as exc:
-            LOG.error("The configuration cannot be read; the last stays: %s", exc)
+            emit(events.ConfigUnreadable(findings=str(exc)))
             return False
         if self.current is not None and config.version <= self.current.version:
             return False
         self.current = config
-        LOG.info("Configuration %d is in force.", config.version)
+        emit(events.ConfigTaken(version=config.version, queues=len(config.queues)))
         return True
 
     def find(self, host: str, path: str) -> Queue | None:
--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -15,9 +15,9 @@
 
 import attrs
 
-from cranberrycleat import codec, errors
+from cranberrycleat import codec, errors, events
 from cranberrycleat.clock import Clock, time_of_day
-from cranberrycleat.logs import part_logger
+from cranberrycleat.logs import emit, part_logger
 from cranberrycleat.table import ABSENT, Check, Put
 from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.directory import ConfigFollower
@@ -171,6 +171,7 @@
         """
         fault = check(spec)
         if fault:
+            emit(events.JobMalformed(job=job_id, queue=queue.name, reason=fault))
             return DoorAnswer(status=DoorStatus.MALFORMED, reason=fault)
         req = SubmitRequest(job_id=job_id, queue=queue, spec=spec)
         until = self.clock.now() + limit_s * USABLE_SHARE
@@ -187,10 +188,34 @@
             if self.clock.now() > until:
                 break
             await asyncio.sleep(AGAIN_S)
-        status = DoorStatus.UNKNOWN if maybe_stored else DoorStatus.REFUSED
+        return self._give_up(req, maybe_stored, limit_s)
+
+    def _give_up(
+        self, req: SubmitRequest, maybe_stored: bool, limit_s: float
+    ) -> DoorAnswer:
         reason = "not settled in time" if self.in_touch() else "cut off"
-        LOG.warning("Job %s is given up as %s: %s.", job_id, status.value, reason)
-        return DoorAnswer(status=status, reason=reason)
+        if not maybe_stored:
+            return self._refused(req, reason, OUTAGE_RETRY_S)
+        emit(
+            events.JobUnknown(
+                job=req.job_id, queue=req.queue.name, reason=reason, after_s=limit_s
+            )
+        )
+        return DoorAnswer(status=DoorStatus.UNKNOWN, reason=reason)
+
+    @staticmethod
+    def _refused(req: SubmitRequest, reason: str, retry_s: float) -> DoorAnswer:
+        emit(
+            events.JobRefused(
+                job=req.job_id,
+                queue=req.queue.name,
+                reason=reason,
+                retry_after_s=retry_s,
+            )
+        )
+        return DoorAnswer(
+            status=DoorStatus.REFUSED, reason=reason, retry_after_s=retry_s
+        )
 
     async def _submit_once(self, req: SubmitRequest) -> "_Step":
         """Hand a job to the owner; where it is slow to answer, to the inbox too.
@@ -223,7 +248,11 @@
             self.refused()
             return _Step()
         except errors.PeerUnavailable as exc:
-            LOG.info("The owner did not settle job %s: %s", req.job_id, exc)
+            emit(
+                events.JobUnsettled(
+                    job=req.job_id, owner=self.owner_address(), reason=str(exc)
+                )
+            )
             return _Step(maybe_stored=True)
         if reply is None:
             return _Step()
@@ -231,14 +260,8 @@
             return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
         if not reply.refused:
             return _Step(maybe_stored=True, with_owner=True)
-        LOG.info("Job %s refused: %s", req.job_id, reply.reason)
-        return _Step(
-            answer=DoorAnswer(
-                status=DoorStatus.REFUSED,
-                reason=reply.reason,
-                retry_after_s=reply.retry_after_s,
-            )
-        )
+        answer = self._refused(req, reply.reason, reply.retry_after_s)
+        return _Step(answer=answer)
 
     async def _to_owner(self, req: SubmitRequest) -> SubmitReply | None:
         """Return the owner's answer; None where no owner is known."""
@@ -260,13 +283,13 @@
         match await self.inbox.write(change):
             case Won() | Lost():
                 # Lost: an earlier try of the caller left the job there.
-                LOG.info("Job %s was left in the inbox.", req.job_id)
+                emit(events.JobInInbox(job=req.job_id, outcome="stored"))
                 self.left_in_inbox()
                 return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
             case Untried():
                 return _Step()
             case Unsettled():
-                LOG.info("Job %s may be in the inbox.", req.job_id)
+                emit(events.JobInInbox(job=req.job_id, outcome="unknown"))
                 return _Step(maybe_stored=True)
 
     # --- asking ---------------------------------------------------------------
@@ -304,12 +327,8 @@
         while True:
             answer = await self._cancel_once(job_id)
             if answer.status is not DoorStatus.UNKNOWN or self.clock.now() > until:
-                LOG.info(
-                    "Cancel of job %s: %s %s",
-                    job_id,
-                    answer.status.value,
-                    answer.state or answer.reason,
-                )
+                told = answer.state or answer.reason or answer.status.value
+                emit(events.JobCancelled(job=job_id, state=told))
                 return answer
             await asyncio.sleep(AGAIN_S)
 
--- /dev/null
+++ b/cranberrycleat/workflow/feasibility.py
@@ -0,0 +1,42 @@
+"""Tells work that can never run from work that has to wait.
+
+Answers jobs that ask for more than any worker has, for a label that none has,
+or for a gang wider than the whole pool: waiting for them is in vain, and their
+callers are told so at once. Only what the platform lists counts, whatever it is
+doing now; a pool of which nothing is known rules nothing out.
+"""
+
+from typing import Final
+
+from cranberrycleat.workflow.fleet import FleetWorker, counted, times
+from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
+
+RETRY_S: Final = 10.0
+"""When to come back: the platform adds workers over seconds, not at once."""
+
+
+def why_hopeless(spec: WorkflowSpec, workers: list[FleetWorker]) -> str:
+    """Return why a job can never run on these workers, or nothing."""
+    if not workers:
+        return ""
+    for number, step in enumerate(spec.steps):
+        reason = _why_step(step, workers)
+        if reason:
+            return f"step {number}: {reason}"
+    return ""
+
+
+def _why_step(step: StepSpec, workers: list[FleetWorker]) -> str:
+    labelled = [
+        each for each in workers if not step.label or step.label in each.entry.labels
+    ]
+    if not labelled:
+        return f"no worker has the label {step.label!r}"
+    needs = counted(step)
+    seats = [times(needs, each.entry.capacity) for each in labelled]
+    if not any(seats):
+        return "no worker has that much"
+    most = step.most_per_worker or step.count
+    if step.gang and sum(min(most, each) for each in seats) < step.count:
+        return "all workers together cannot hold the gang"
+    return ""
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -12,17 +12,44 @@
 
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.workflow.ports import RunningTask, WorkerEntry
+from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.state import Task
 
 FAILURES_TO_REST: Final = 3
 """Failures in a row, of several jobs, before a worker draws no more work: three
 of three at a failure rate of 2% by jobs' own fault is one in 100,000."""
+UNBOUNDED: Final = 1000
+"""How many tasks that need nothing a worker is given."""
 FIRST_REST_S: Final = 2.0
 LONGEST_REST_S: Final = 8.0
 """A failing worker is tried again after 2 s, then 4 s, then 8 s: disturbances
 last 3 to 10 s on the platform's standard days."""
 
 
+def counted(step: StepSpec) -> Amounts:
+    """Return what a task of a step is counted with on its worker.
+
+    A filler takes only processors that others leave, so that it counts with none.
+    """
+    if step.filler:
+        return attrs.evolve(step.needs, processors=0)
+    return step.needs
+
+
+def times(needs: Amounts, room: Amounts) -> int:
+    """Return how often the needs fit into the room."""
+    counts = [
+        have // need
+        for need, have in (
+            (needs.processors, room.processors),
+            (needs.memory_mb, room.memory_mb),
+            (needs.accelerators, room.accelerators),
+        )
+        if need > 0
+    ]
+    return max(0, min(counts, default=UNBOUNDED))
+
+
 class Standing(enum.Enum):
     """Whether a worker may draw work."""
 
@@ -74,6 +101,10 @@
     reading: float | None = None
     throttle: int = 100
 
+    def ran_s(self, now: float) -> float:
+        """Return how long it has run, as far as is known."""
+        return max(0.0, now - self.running_since) if self.running else 0.0
+
     @property
     def is_current(self) -> bool:
         """Whether its task still stands placed with this attempt."""
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -12,9 +12,10 @@
 
 import attrs
 
+from cranberrycleat import events
 from cranberrycleat.clock import Clock
 from cranberrycleat.lifecycle import Background
-from cranberrycleat.logs import part_logger
+from cranberrycleat.logs import emit, part_logger
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.fleet import FleetWorker, Placement, Standing
 from cranberrycleat.workflow.ports import (
@@ -143,28 +144,30 @@
         now = self.clock.now()
         fresh = self.board.sync(worker, reply, sent_at=sent_at, now=now)
         if worker.standing is not Standing.LIVE:
-            LOG.info("Worker %s answers.", worker.name)
+            emit(events.WorkerAnswers(worker=worker.name))
             worker.standing = Standing.LIVE
             self.owner.changed()
-        for end in fresh:
-            LOG.debug(
-                "Task %s attempt %d ended as %s on %s.",
-                end.task,
-                end.attempt,
-                end.how.value,
-                worker.name,
-            )
         if fresh:
             self.owner.changed()
 
     def _silent(self, reason: str) -> None:
         if self.worker.standing is Standing.LIVE:
-            LOG.warning("Worker %s does not answer: %s", self.worker.name, reason)
+            emit(
+                events.WorkerSilent(
+                    worker=self.worker.name,
+                    tasks=len(self.worker.placements),
+                    reason=reason,
+                )
+            )
             self.worker.standing = Standing.SILENT
 
     def _end_of_life(self) -> None:
         """Another life answers: nothing of this one runs any more."""
-        LOG.info("Worker %s has been replaced.", self.worker.name)
+        emit(
+            events.WorkerIsReplaced(
+                worker=self.worker.name, tasks=len(self.worker.placements)
+            )
+        )
         self.over = True
         self.worker.standing = Standing.GONE
         if self.board.lapse(self.worker):
@@ -174,7 +177,7 @@
 
     async def start(self, placement: Placement) -> None:
         """Order a start until it is settled."""
-        unanswered = False
+        unanswered = 0
         order: StartOrder | None = None
         while self._counted(placement) and not placement.stopping:
             silent = self.worker.standing is not Standing.LIVE
@@ -192,16 +195,23 @@
                 self._end_of_life()
                 return
             except WorkerUnreachable as exc:
-                LOG.debug("Start of %s unanswered: %s", placement.task, exc)
-                unanswered = True
+                emit(
+                    events.TaskUnanswered(
+                        task=placement.task,
+                        attempt=placement.attempt,
+                        worker=self.worker.name,
+                        reason=str(exc),
+                    )
+                )
+                unanswered += 1
                 self.worker.doubted = True
                 await asyncio.sleep(ORDER_PAUSE_S)
                 continue
-            if self._settled(placement, reply, unanswered):
+            if self._settled(placement, reply, unanswered + 1):
                 return
             await asyncio.sleep(ORDER_PAUSE_S)
         if self._counted(placement) and not placement.ordered:
-            self.board.give_up(self.worker, placement)
+            self.board.give_up(self.worker, placement, "never ordered")
             self.owner.changed()
         elif self._counted(placement):
             self._order_stops()
@@ -219,9 +229,8 @@
             permit=placement.permit,
         )
 
-    def _settled(
-        self, placement: Placement, reply: OrderReply, unanswered: bool
-    ) -> bool:
+    def _settled(self, placement: Placement, reply: OrderReply, sent: int) -> bool:
+        unanswered = sent > 1
         now = self.clock.now()
         if reply.clock_ms is not None:
             self.worker.heard_clock(reply.clock_ms, now)
@@ -230,6 +239,15 @@
                 # A stale attempt is over there; the next lists tell how.
                 placement.running = True
                 placement.running_since = now
+                emit(
+                    events.TaskStarted(
+                        task=placement.task,
+                        attempt=placement.attempt,
+                        worker=self.worker.name,
+                        after_s=round(now - placement.planned_at, 4),
+                        sent=sent,
+                    )
+                )
                 return True
             case Verdict.STALE_EPOCH:
                 self.owner.fenced()
@@ -240,11 +258,13 @@
                 self.worker.rests_until = now + REFUSED_REST_S
             case _:
                 pass
-        LOG.info(
-            "Start of %s on %s refused: %s",
-            placement.task,
-            self.worker.name,
-            reply.verdict.value,
+        emit(
+            events.TaskRefused(
+                task=placement.task,
+                attempt=placement.attempt,
+                worker=self.worker.name,
+                verdict=reply.verdict.value,
+            )
         )
         if unanswered:
             # An earlier copy may still be carried out: a stop makes it void.
@@ -252,7 +272,7 @@
             placement.stop_reason = "refused after no answer"
             self._order_stops()
         else:
-            self.board.give_up(self.worker, placement)
+            self.board.give_up(self.worker, placement, "refused")
             self.owner.changed()
         return True
 
@@ -268,6 +288,14 @@
                 continue
             if placement.ordered:
                 self._stops.add(key)
+                emit(
+                    events.TaskStopping(
+                        task=placement.task,
+                        attempt=placement.attempt,
+                        worker=self.worker.name,
+                        reason=placement.stop_reason,
+                    )
+                )
                 self.orders.spawn(self._stop(placement))
 
     def stop_soon(self) -> None:
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -12,13 +12,13 @@
 
 import attrs
 
-from cranberrycleat import errors
+from cranberrycleat import errors, events
 from cranberrycleat.clock import BootClock, Clock
 from cranberrycleat.http_client import HttpClient
 from cranberrycleat.http_server import HttpServer
 from cranberrycleat.lease import OwnershipLease
 from cranberrycleat.lifecycle import Background
-from cranberrycleat.logs import part_logger
+from cranberrycleat.logs import emit, name_host, part_logger
 from cranberrycleat.metrics import Metrics
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.adapter import Adapter
@@ -42,6 +42,8 @@
 OWNER_FRESH_S: Final = 0.9
 """One digest may be missed: they come each 0.3 s and wait 0.3 s."""
 MOST_ASKED: Final = 2
+FAR_S: Final = 3600.0
+"""What is logged for 'never'."""
 STORE_FRESH_S: Final = 1.0
 """Looks at the owner's row come each 0.25 s; a slowed table takes 0.5 s more."""
 
@@ -67,6 +69,7 @@
     _servers: list[HttpServer] = attrs.field(factory=list)
     _work: Background = attrs.field(factory=Background)
     _look: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _was_ready: bool = False
     _dead: set[str] = attrs.field(factory=set)
     _hint: DigestReply = DigestReply(owner=False)
     _members: Membership = attrs.field(factory=Membership)
@@ -121,7 +124,17 @@
         now = self.clock.now()
         connected = self.in_touch() or now - self._peer_heard_at < OWNER_FRESH_S
         known = self._config.current is not None
-        return not self.draining and known and connected
+        ready = not self.draining and known and connected
+        if ready is not self._was_ready:
+            self._was_ready = ready
+            emit(
+                events.HostTouch(
+                    ready=ready,
+                    owner_s=round(min(now - self._owner_heard_at, FAR_S), 2),
+                    table_s=round(min(now - self._store_heard_at, FAR_S), 2),
+                )
+            )
+        return ready
 
     def in_touch(self) -> bool:
         """Tell whether the owner or the table were heard of lately."""
@@ -179,7 +192,8 @@
         place, _, _ = row.holder.partition("#")
         if answered and answered.partition("#")[0] != place:
             return
-        LOG.info("The owner %s is taken to be dead.", row.holder)
+        evidence = "another incarnation answers" if answered else "nobody listens"
+        emit(events.OwnerSuspected(holder=row.holder, evidence=evidence))
         self._dead = {row.holder}
         self._look.set()
 
@@ -213,12 +227,15 @@
             server = HttpServer(app=app, host=host, port=int(port))
             await server.start()
             self._servers.append(server)
+        name_host(cfg.name)
+        emit(events.ProcessStarted(name=cfg.name, data_centre=cfg.data_centre))
         for work in (self._follow_config(), self._stand(), self._exchange()):
             self._work.spawn(work)
 
     async def drain(self) -> None:
         """Take no new callers, hand the ownership over, finish what is open."""
         self.draining = True
+        emit(events.ProcessDraining(owner=self.owner is not None))
         if self.owner is not None:
             await self.owner.hand_over()
             await self._tell_peers()
@@ -305,13 +322,14 @@
             self._look.clear()
 
     async def _act(self) -> None:
-        LOG.info("This host is the owner, epoch %d.", self._lease.epoch)
+        emit(
+            events.OwnerWon(epoch=self._lease.epoch, silent=self._lease.takeover_silent)
+        )
         self.owner = self._make_owner()
         try:
             await self.owner.run()
         finally:
             self.owner = None
-            LOG.info("This host is no longer the owner.")
 
     def _make_owner(self) -> Owner:
         cfg = self.adapter.settings
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -12,15 +12,16 @@
 
 import attrs
 
-from cranberrycleat import codec, errors
+from cranberrycleat import codec, errors, events
 from cranberrycleat.clock import Clock
 from cranberrycleat.lease import Changes, Deposed, OwnershipLease
 from cranberrycleat.lifecycle import Background
-from cranberrycleat.logs import part_logger
+from cranberrycleat.logs import emit, part_logger
 from cranberrycleat.table import Row, Transaction
 from cranberrycleat.workflow import options, rows
 from cranberrycleat.workflow.board import Batch, Board
 from cranberrycleat.workflow.directory import Directory
+from cranberrycleat.workflow.feasibility import RETRY_S, why_hopeless
 from cranberrycleat.workflow.fleet import FleetWorker, Placement, Standing
 from cranberrycleat.workflow.links import WorkerLink
 from cranberrycleat.workflow.membership import Membership
@@ -119,7 +120,7 @@
 
     def fenced(self) -> None:
         """A worker has seen a later owner."""
-        LOG.warning("A worker has seen an epoch later than %d.", self.epoch)
+        emit(events.OwnerLost(epoch=self.epoch, reason="a worker saw a later one"))
         self.lease.depose()
         self._ended.set()
 
@@ -171,7 +172,8 @@
 
     async def _take_over(self) -> None:
         waits_s = self.leases.successor_waits_s(released=not self.lease.takeover_silent)
-        self._old_leases_over_at = self.clock.now() + waits_s
+        began = self.clock.now()
+        self._old_leases_over_at = began + waits_s
         while True:
             try:
                 found = await asyncio.gather(
@@ -192,12 +194,16 @@
         self.board.adopt(self.clock.now())
         for worker in self.board.fleet.workers.values():
             worker.leases_over_at = self._old_leases_over_at
-        LOG.info(
-            "Took over as epoch %d: %d jobs, %d workers, unreachable ones wait %.1f s.",
-            self.epoch,
-            len(self.board.jobs),
-            len(self.links),
-            waits_s,
+        workers = self.board.fleet.workers.values()
+        emit(
+            events.OwnerTookOver(
+                epoch=self.epoch,
+                jobs=len(self.board.jobs),
+                placed=sum(len(each.placements) for each in workers),
+                workers=len(self.links),
+                waits_s=round(waits_s, 2),
+                took_s=round(self.clock.now() - began, 4),
+            )
         )
 
     async def _renew_quietly(self) -> None:
@@ -217,7 +223,7 @@
                 unchanging = codec.decode(spec.value, rows.SpecRow, place=spec.key)
                 self.board.restore(rows.restore(job_id, unchanging, progress))
             except errors.FindingsError as exc:
-                LOG.error("A job cannot be read and is left alone: %s", exc)
+                emit(events.RowUnreadable(findings=str(exc)))
 
     def _take_inbox(self, found: tuple[Row, ...]) -> None:
         for row in found:
@@ -225,12 +231,12 @@
             try:
                 kept = codec.decode(row.value, rows.SpecRow, place=row.key)
             except errors.FindingsError as exc:
-                LOG.error("A job cannot be read and is left alone: %s", exc)
+                emit(events.RowUnreadable(findings=str(exc)))
                 continue
             job = self.board.accept(job_id, kept.queue, kept.spec)
             self.board.inbox.add(job_id)
             self.board.dirty[job_id] = job
-            LOG.info("Job %s was found in the inbox.", job_id)
+            emit(events.JobFound(job=job_id))
 
     # --- storing ----------------------------------------------------------------
 
@@ -245,7 +251,7 @@
             try:
                 await self._store(batch)
             except Deposed:
-                LOG.warning("Epoch %d was deposed.", self.epoch)
+                emit(events.OwnerLost(epoch=self.epoch, reason="the row has another"))
                 self._ended.set()
                 return
             if self.board.dirty:
@@ -259,7 +265,7 @@
         except (errors.TableUnavailable, Deposed) as exc:
             LOG.warning("The ownership was not released: %r", exc)
         else:
-            LOG.info("Released the ownership of epoch %d.", self.epoch)
+            emit(events.OwnerReleased(epoch=self.epoch))
         self._ended.set()
 
     async def _store(self, batch: Batch) -> None:
@@ -277,7 +283,7 @@
                 self._note_silence(exc, since)
                 await asyncio.sleep(options.STORE_RETRY_S)
         if not self.store_answers:
-            LOG.info("The table answers again.")
+            emit(events.TableBack(after_s=round(self.clock.now() - since, 2)))
         self.store_answers = True
         self.board.stored(batch)
         stored, self._stored = self._stored, asyncio.Event()
@@ -287,10 +293,10 @@
         """Refuse new work once the table is down, not at one lost answer."""
         refused = isinstance(exc, errors.TableRefused)
         if not refused and self.clock.now() - since < SILENT_S:
-            LOG.info("The table left a transaction unanswered: %s", exc)
+            emit(events.TableSilent(reason=str(exc), down=False))
             return
         if self.store_answers:
-            LOG.warning("The table does not answer: %s", exc)
+            emit(events.TableSilent(reason=str(exc), down=True))
         self.store_answers = False
 
     # --- planning ---------------------------------------------------------------
@@ -345,9 +351,8 @@
             if not left:
                 return
             await asyncio.sleep(PERMIT_PAUSE_S)
-        LOG.info("No permits for %s: placed anew.", group.step.name)
         for worker, placement in left:
-            self.board.give_up(worker, placement)
+            self.board.give_up(worker, placement, "no permits")
         self.changed()
 
     async def _until_stored(self, left: list[tuple[FleetWorker, Placement]]) -> None:
@@ -400,15 +405,30 @@
             if known is None:
                 workers[entry.worker] = FleetWorker(entry=entry)
                 self._link(workers[entry.worker])
-                LOG.info("Worker %s joins.", entry.worker)
+                emit(
+                    events.WorkerJoined(
+                        worker=entry.worker,
+                        data_centre=entry.data_centre,
+                        labels=entry.labels,
+                        processors=entry.capacity.processors,
+                    )
+                )
             elif known.entry != entry or not known.listed:
                 if entry.leaving and not known.entry.leaving:
-                    LOG.info("Worker %s is leaving.", entry.worker)
+                    emit(
+                        events.WorkerLeaving(
+                            worker=entry.worker, tasks=len(known.placements)
+                        )
+                    )
                 known.update(entry)
                 known.listed = True
         for worker in workers.values():
             if worker.listed and worker.name not in self.directory.entries:
-                LOG.info("Worker %s is no longer listed.", worker.name)
+                emit(
+                    events.WorkerUnlisted(
+                        worker=worker.name, tasks=len(worker.placements)
+                    )
+                )
                 worker.listed = False
 
     def _link(self, worker: FleetWorker) -> None:
@@ -457,7 +477,7 @@
         if now > worker.leases_over_at or worker.standing is Standing.GONE:
             lost = self.board.lapse(worker)
             if lost:
-                LOG.warning("%d leases at %s are over.", lost, worker.name)
+                emit(events.WorkerLeasesOver(worker=worker.name, tasks=lost))
                 self.changed()
             if not worker.listed or worker.standing is Standing.GONE:
                 del self.board.fleet.workers[worker.name]
@@ -507,11 +527,17 @@
         if req.job_id not in self.board.jobs:
             if not self.store_answers or not self.may_order():
                 return SubmitReply(refused=True, reason=STORE_SILENT)
+            hopeless = why_hopeless(req.spec, self.board.fleet.of_pool(req.queue.pool))
+            if hopeless:
+                return SubmitReply(refused=True, reason=hopeless, retry_after_s=RETRY_S)
             self.board.accept(req.job_id, req.queue, req.spec)
             self.changed()
+        began = self.clock.now()
         if await self._until_shown(req.job_id):
             return SubmitReply(accepted=True)
         if not self.store_answers and self.board.withdraw(req.job_id):
+            waited_s = round(self.clock.now() - began, 3)
+            emit(events.JobWithdrawn(job=req.job_id, after_s=waited_s))
             return SubmitReply(refused=True, reason=STORE_SILENT)
         raise errors.PeerUnavailable("not known to be stored")
 
--- a/cranberrycleat/workflow/permit_desk.py
+++ b/cranberrycleat/workflow/permit_desk.py
@@ -9,14 +9,14 @@
 import asyncio
 import heapq
 import itertools
-import logging
 from collections.abc import Callable
 from typing import Final
 
 import attrs
 
+from cranberrycleat import events
 from cranberrycleat.clock import Clock
-from cranberrycleat.logs import part_logger
+from cranberrycleat.logs import emit
 from cranberrycleat.workflow.ordering import Urgency
 from cranberrycleat.workflow.peering import PeerClient, PermitRequest
 from cranberrycleat.workflow.permits import StepPermits
@@ -27,7 +27,6 @@
     PermitUnavailable,
 )
 
-LOG: Final[logging.Logger] = part_logger("permits")
 LANE_DEPTH: Final = 2
 TRIES: Final = 3
 SLACK_S: Final = 0.5
@@ -95,20 +94,32 @@
         urgency: Urgency,
     ) -> bool:
         work_s = permits.answer_s(len(workers))
+        came_at = self.clock.now()
         for _ in range(TRIES):
             host = await self._lane(urgency)
+            sent_at = self.clock.now()
             limit_s = self._under_way.get(host, 0.0) + 1.5 * work_s + SLACK_S
             self._under_way[host] = self._under_way.get(host, 0.0) + work_s
             try:
                 found = await self._send(host, step, workers, limit_s)
             except PermitUnavailable as exc:
-                LOG.info("No permits for %s by %s: %s", step, host, exc)
+                emit(events.PermitsFailed(step=step, host=host, reason=str(exc)))
                 self._bad_until[host] = self.clock.now() + BAD_HOST_S
                 continue
             finally:
                 self._under_way[host] -= work_s
                 self._leave(host)
             permits.take(workers, found, self.clock.now())
+            emit(
+                events.PermitsHad(
+                    step=step,
+                    asked=len(workers),
+                    allowed=len(found),
+                    host=host,
+                    waited_s=round(sent_at - came_at, 4),
+                    took_s=round(self.clock.now() - sent_at, 4),
+                )
+            )
             return True
         permits.failed(workers)
         return False
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -11,9 +11,11 @@
 
 import attrs
 
+from cranberrycleat import events
 from cranberrycleat.amounts import NOTHING, Amounts
+from cranberrycleat.logs import emit
 from cranberrycleat.workflow.board import Board
-from cranberrycleat.workflow.fleet import FleetWorker, Placement
+from cranberrycleat.workflow.fleet import FleetWorker, Placement, counted, times
 from cranberrycleat.workflow.ordering import standing
 from cranberrycleat.workflow.permits import StepPermits
 from cranberrycleat.workflow.state import StepRun, Task, TaskState
@@ -71,15 +73,45 @@
             if not tasks:
                 continue
             candidates = self._candidates(step, now, plan)
-            if step.spec.gang:
-                if not self._place_gang(step, tasks, candidates, now, plan):
-                    if held < MOST_HELD:
-                        self._hold(step, candidates)
-                        held += 1
-            else:
+            if not step.spec.gang:
                 self._place_single(step, tasks, candidates, now, plan)
+            elif not self._place_gang(step, tasks, candidates, now, plan):
+                if held < MOST_HELD:
+                    self._hold(step, candidates)
+                    held += 1
+            self._tell_waiting(step, candidates, now, now_s)
         return plan
 
+    def _tell_waiting(
+        self,
+        step: StepRun,
+        candidates: list[FleetWorker],
+        now: float,
+        now_s: float,
+    ) -> None:
+        """Log why a step is left waiting, once for each reason."""
+        pending = sum(task.state is TaskState.PENDING for task in step.tasks)
+        if not pending:
+            return
+        reason = "no room"
+        if not candidates:
+            permits = self.board.permits.get(step.name)
+            asking = permits is not None and (permits.calls or not permits.asked)
+            reason = "permits are being asked for" if asking else "no worker may"
+        if reason == step.wait_reason:
+            return
+        step.wait_reason = reason
+        emit(
+            events.StepWaiting(
+                step=step.name,
+                reason=reason,
+                pending=pending,
+                candidates=len(candidates),
+                waited_s=round(now - step.ready_at, 3),
+                slack_s=round(standing(step, now_s).slack_s, 3),
+            )
+        )
+
     def _ordered(self, now_s: float) -> list[StepRun]:
         for name, step in list(self.board.waiting.items()):
             if not any(task.state is TaskState.PENDING for task in step.tasks):
@@ -111,7 +143,7 @@
             for worker in self.board.fleet.of_pool(queue.pool)
             if worker.may_draw(now)
             and (not spec.label or spec.label in worker.entry.labels)
-            and spec.needs.fits_in(worker.entry.capacity)
+            and counted(spec).fits_in(worker.entry.capacity)
         ]
         if queue.permits is None:
             return workers
@@ -140,7 +172,7 @@
         now: float,
         plan: Plan,
     ) -> None:
-        needs = step.spec.needs
+        needs = counted(step.spec)
         group = PlannedGroup(step=step)
         most = step.spec.most_per_worker
         for task in tasks:
@@ -172,7 +204,7 @@
         now: float,
         plan: Plan,
     ) -> bool:
-        needs = step.spec.needs
+        needs = counted(step.spec)
         for group_of in self._rack_choices(step, candidates):
             seats = self._seats(step, group_of, needs, len(tasks), now)
             if len(seats) == len(tasks):
@@ -209,7 +241,7 @@
         most = step.spec.most_per_worker or count
         for worker in sorted(candidates, key=lambda each: self._preference(step, each)):
             room = self._room(worker, needs)
-            fits = min(most, count - len(seats), _times(needs, room))
+            fits = min(most, count - len(seats), times(needs, room))
             if worker.probing:
                 fits = min(fits, 1)
             seats += [worker] * fits
@@ -219,11 +251,11 @@
 
     def _hold(self, step: StepRun, candidates: list[FleetWorker]) -> None:
         """Keep room for a gang on the workers that it will fit on soonest."""
-        needs = step.spec.needs
+        needs = counted(step.spec)
         left = len(step.tasks)
         by_free = sorted(candidates, key=lambda each: -each.free.processors)
         for worker in by_free:
-            seats = min(left, _times(needs, worker.entry.capacity))
+            seats = min(left, times(needs, worker.entry.capacity))
             if seats <= 0:
                 continue
             held = self._held.get(worker.name, NOTHING)
@@ -245,17 +277,3 @@
     ) -> None:
         placement = self.board.place(task, worker, attempt, now=now)
         group.placements.append((worker, placement))
-
-
-def _times(needs: Amounts, room: Amounts) -> int:
-    """Return how often the needs fit into the room."""
-    counts = [
-        have // need
-        for need, have in (
-            (needs.processors, room.processors),
-            (needs.memory_mb, room.memory_mb),
-            (needs.accelerators, room.accelerators),
-        )
-        if need > 0
-    ]
-    return max(0, min(counts, default=1000))
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -76,6 +76,9 @@
         last_attempt: The highest attempt number of any of its tasks.
         gang_failures: Attempts of the whole gang that ended as failed.
         failed_attempt: The gang's attempt that was counted last as failed.
+        done: How many tasks have ended as done.
+        ready_at: When the step could begin, on the owner's clock.
+        wait_reason: Why it was left waiting last, for logs.
     """
 
     job: "Job"
@@ -87,6 +90,8 @@
     gang_failures: int = 0
     failed_attempt: int = 0
     done: int = 0
+    ready_at: float = 0.0
+    wait_reason: str = ""
 
     @property
     def name(self) -> str:
@@ -140,6 +145,7 @@
         open: Occurrences that are due and not done.
         spec_stored: Whether the row of its unchanging part was written.
         offered: Whether any transaction with it was sent.
+        attempts: Attempts of its tasks that this owner placed.
     """
 
     job_id: str
@@ -153,6 +159,7 @@
     open: dict[int, Occurrence] = attrs.field(factory=dict)
     spec_stored: bool = False
     offered: bool = False
+    attempts: int = 0
 
     def state(self) -> JobState:
         """Return what callers are told."""
@@ -198,6 +205,7 @@
         task.attempt = attempt
         task.step.last_attempt = max(task.step.last_attempt, attempt)
         self.started = True
+        self.attempts += 1
 
     def unplace(self, task: Task) -> None:
         """Note that an attempt is over without an end that counts."""
