Services, fillers, leaving workers, upkeep waves

The front closes channels while its host is not ready; limits at the store end at 0.7 s. Conclusion: moves between pools and copies of stragglers are not built.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -409,6 +409,42 @@
     rest_s: float
 
 
+@event("wave.seen", kept=True)
+class WaveSeen:
+    """The operator asked for a wave of upkeep."""
+
+    wave: int
+    machines: int
+
+
+@event("wave.told", kept=True)
+class WaveTold:
+    """A wave's state was written for the operator."""
+
+    wave: int
+    state: str
+
+
+@event("upkeep.ordered")
+class UpkeepOrdered:
+    """A machine's upkeep was ordered."""
+
+    wave: int
+    machine: str
+    verdict: str
+
+
+@event("task.throttled")
+class TaskThrottled:
+    """A filler was told to work at another share of its speed."""
+
+    task: str
+    attempt: int
+    worker: str
+    percent: int
+    pressure: float
+
+
 # --- the process ---------------------------------------------------------------------
 
 
--- a/cranberrycleat/platform/adapter.py
+++ b/cranberrycleat/platform/adapter.py
@@ -8,9 +8,11 @@
 from cranberrycleat.http_client import HttpClient
 from cranberrycleat.platform import records
 from cranberrycleat.platform.front import Front, Readiness
+from cranberrycleat.platform.machines import PlatformMachines, read_wave, wave_status
 from cranberrycleat.platform.settings import read_settings
 from cranberrycleat.platform.store import PlatformStore
 from cranberrycleat.platform.workers import PlatformPermits, PlatformWorkers
+from cranberrycleat.table import Put
 from cranberrycleat.workflow.directory import ConfigFollower, Directory
 from cranberrycleat.workflow.door import Door
 from cranberrycleat.workflow.ports import NodeSettings
@@ -24,6 +26,11 @@
     store: PlatformStore
     workers: PlatformWorkers
     permits: PlatformPermits
+    machines: PlatformMachines | None
+
+    def wave_status(self, number: int, state: str) -> Put:
+        """Return the write that tells the operator of a wave's state."""
+        return wave_status(number, state)
 
     def directory(self) -> Directory:
         """Return a reader of the list of workers."""
@@ -38,11 +45,12 @@
             table=records.CONFIG_TABLE,
             key=records.CONFIG_KEY,
             read=records.read_config,
+            read_wave=read_wave,
         )
 
-    def front(self, door: Door) -> Any:
+    def front(self, door: Door, is_ready: Callable[[], bool]) -> Any:
         """Return the ASGI app that callers reach."""
-        return Front(door=door)
+        return Front(door=door, is_ready=is_ready)
 
     def readiness(self, is_ready: Callable[[], bool]) -> Any:
         """Return the ASGI app that the balancer asks."""
@@ -61,4 +69,7 @@
         store=PlatformStore(address=cfg.store, http=http),
         workers=PlatformWorkers(http=http),
         permits=PlatformPermits(address=cfg.permits, http=http),
+        machines=(
+            PlatformMachines(address=cfg.machines, http=http) if cfg.machines else None
+        ),
     )
--- a/cranberrycleat/platform/front.py
+++ b/cranberrycleat/platform/front.py
@@ -52,9 +52,11 @@
 
     Attributes:
         door: Decides.
+        is_ready: Tells whether the balancer should send callers here.
     """
 
     door: Door
+    is_ready: Callable[[], bool]
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request."""
@@ -74,7 +76,12 @@
             limit_s = _limit_s(headers)
             answer = await self._answer(scope["method"], queue, job_id, body, limit_s)
         is_queue = isinstance(queue, Queue) and path == queue.prefix
-        await send_answer(send, _message(answer, is_queue=is_queue))
+        message = _message(answer, is_queue=is_queue)
+        if not self.is_ready():
+            # The caller's next try then comes to a host that can serve it.
+            close = (b"connection", b"close")
+            message = attrs.evolve(message, headers=(*message.headers, close))
+        await send_answer(send, message)
 
     async def _answer(
         self, method: str, queue: Queue, job_id: str, body: bytes, limit_s: float
--- a/cranberrycleat/platform/records.py
+++ b/cranberrycleat/platform/records.py
@@ -81,6 +81,7 @@
     capacity: WireAmounts = WireAmounts()
     labels: tuple[str, ...] = ()
     clock_ms: float = 0.0
+    remaining_ms: float | None = None
 
 
 def read_config(row: Row) -> ClusterConfig:
@@ -139,4 +140,5 @@
         capacity=wire.capacity.amounts(),
         labels=wire.labels,
         clock_ms=round(wire.clock_ms),
+        leaves_in_s=(None if wire.remaining_ms is None else wire.remaining_ms / 1000),
     )
--- a/cranberrycleat/standins/fleet.py
+++ b/cranberrycleat/standins/fleet.py
@@ -98,6 +98,9 @@
         clock: The workers' clock.
         starts: Every start that was carried out.
         faults: What the record shows that must never be.
+        done: Tasks that ended as done.
+        counts_done: Whether a task that was done may not start again; a
+            service's may.
     """
 
     work: Callable[[str, int], Work] = lambda task, attempt: Work()
@@ -108,6 +111,7 @@
     starts: list[Started] = attrs.field(factory=list)
     faults: list[str] = attrs.field(factory=list)
     done: set[str] = attrs.field(factory=set)
+    counts_done: bool = True
 
     def add(self, entry: WorkerEntry) -> Worker:
         """Take in a worker."""
@@ -270,7 +274,7 @@
         del worker.runs[run.task]
         worker.void[run.task] = max(worker.void.get(run.task, 0), run.attempt)
         worker.last_end += 1
-        if how is EndKind.DONE:
+        if how is EndKind.DONE and self.counts_done:
             self.done.add(run.task)
         worker.ended.append(
             EndedTask(
--- a/cranberrycleat/workflow/adapter.py
+++ b/cranberrycleat/workflow/adapter.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from cranberrycleat.table import Put
 from cranberrycleat.workflow.directory import ConfigFollower, Directory
 from cranberrycleat.workflow.door import Door
 from cranberrycleat.workflow.ports import (
@@ -11,6 +12,7 @@
     PermitClient,
     WorkerClient,
 )
+from cranberrycleat.workflow.upkeep import MachineClient
 
 
 class Adapter(Protocol):
@@ -32,13 +34,20 @@
     def permits(self) -> PermitClient:
         """The permit service."""
 
+    @property
+    def machines(self) -> MachineClient | None:
+        """The platform's interface to machines, where it has one."""
+
+    def wave_status(self, number: int, state: str) -> Put:
+        """Return the write that tells the operator of a wave's state."""
+
     def directory(self) -> Directory:
         """Return a reader of the list of workers."""
 
     def config_follower(self) -> ConfigFollower:
         """Return a follower of the configuration."""
 
-    def front(self, door: Door) -> Any:
+    def front(self, door: Door, is_ready: Callable[[], bool]) -> Any:
         """Return the ASGI app that callers reach."""
 
     def readiness(self, is_ready: Callable[[], bool]) -> Any:
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -41,6 +41,8 @@
 """A worker lists this many ends at a time."""
 MOST_JOBS_A_BATCH: Final = 30
 """A transaction holds 100 entries, a job needs up to three."""
+AT_WORK: Final = 100
+"""Percent at which a member of a service counts as at work."""
 RETRY_S: Final = 0.3
 """The pause after a first failed attempt of a task; it doubles up to 2.4 s. A
 faulty worker fails within milliseconds and would use up all attempts."""
@@ -365,6 +367,8 @@
         placement.percent = run.percent
         placement.reading = run.reading
         task = placement.subject
+        if task is not None and placement.is_current:
+            task.at_work = run.percent >= AT_WORK
         if run.saved and task is not None and placement.is_current:
             task.step.job.note_saved(task, run.saved)
 
--- a/cranberrycleat/workflow/directory.py
+++ b/cranberrycleat/workflow/directory.py
@@ -19,6 +19,7 @@
     Queue,
     WorkerEntry,
 )
+from cranberrycleat.workflow.upkeep import Wave
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -85,14 +86,18 @@
         table: The table of the configuration's row.
         key: The row's key.
         read: Turns the row into the configuration.
+        read_wave: Turns a row into a wave of upkeep, if it is one.
         current: The configuration in force; None before the first.
+        waves: The waves that the operator asked for, by number.
     """
 
     store: FeedTable
     table: str
     key: str
     read: Callable[[Row], ClusterConfig]
+    read_wave: Callable[[Row], Wave | None] = lambda row: None
     current: ClusterConfig | None = None
+    waves: dict[int, Wave] = attrs.field(factory=dict)
     _after: int | None = None
 
     async def follow(self, wait_s: float) -> bool:
@@ -118,6 +123,7 @@
 
     def _take(self, row: Row) -> bool:
         if row.key != self.key:
+            self._take_wave(row)
             return False
         try:
             config = self.read(row)
@@ -130,6 +136,15 @@
         emit(events.ConfigTaken(version=config.version, queues=len(config.queues)))
         return True
 
+    def _take_wave(self, row: Row) -> None:
+        try:
+            wave = self.read_wave(row)
+        except errors.FindingsError as exc:
+            emit(events.RowUnreadable(findings=str(exc)))
+            return
+        if wave is not None:
+            self.waves[wave.number] = wave
+
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue of the longest prefix that a path begins with."""
         if self.current is None:
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -133,6 +133,9 @@
         listed: Whether the platform lists it.
         doubted: An order to it had no answer, or its data centre is silent; it
             draws no work until it answers again.
+        held: It is being emptied for its machine's upkeep.
+        filler_percent: The share at which its fillers are to work.
+        filler_changed_at: When that was changed last.
         failures: Failures in a row.
         failed_jobs: The jobs that these were of.
         rests_until: It draws no work before this time.
@@ -152,6 +155,9 @@
     heard_upto: int = 0
     listed: bool = True
     doubted: bool = False
+    held: bool = False
+    filler_percent: int = 100
+    filler_changed_at: float = float("-inf")
     failures: int = 0
     failed_jobs: set[str] = attrs.field(factory=set)
     rests_until: float = 0.0
@@ -173,6 +179,7 @@
             and self.listed
             and not self.entry.leaving
             and not self.doubted
+            and not self.held
             and now >= self.rests_until
             and not (self.probing and self.placements)
         )
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -17,6 +17,7 @@
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.logs import emit, part_logger
 from cranberrycleat.workflow.board import Board
+from cranberrycleat.workflow.evacuation import to_stop
 from cranberrycleat.workflow.fleet import FleetWorker, Placement, Standing
 from cranberrycleat.workflow.ports import (
     LeaseBounds,
@@ -28,11 +29,20 @@
     WorkerReplaced,
     WorkerUnreachable,
 )
+from cranberrycleat.workflow.serving import (
+    ThrottleOrder,
+    fills,
+    pressure,
+    serves,
+    throttle_orders,
+)
 
 LOG: Final[logging.Logger] = part_logger("link")
 WAIT_SHARE: Final = 0.25
 """How long a worker holds a sync open while nothing ends there, as a share of
 the lease; each sync is priced as a status check."""
+READINGS_MS: Final = 500
+"""The same beside fillers: readings of serving tasks cover half a second."""
 GAP_S: Final = 0.03
 """The pause between two syncs, so that ends that come together share one."""
 SILENT_PAUSE_S: Final = 0.25
@@ -109,6 +119,8 @@
             self._silent(str(exc))
             await asyncio.sleep(SILENT_PAUSE_S)
         else:
+            self._evacuate()
+            self._order_throttles()
             self._order_stops()
             await asyncio.sleep(GAP_S)
             if self.worker.heard_upto > self.worker.ended_upto:
@@ -128,7 +140,7 @@
             epoch=self.owner.epoch,
             ended_upto=worker.ended_upto,
             lease_end_ms=lease_end,
-            wait_ms=0 if first else round(self.lease_s * WAIT_SHARE * 1000),
+            wait_ms=0 if first else self._wait_ms(),
         )
         match reply:
             case SyncReply():
@@ -139,6 +151,13 @@
             case OrderReply(verdict=verdict):
                 raise WorkerUnreachable(f"{worker.name}: sync refused: {verdict.value}")
 
+    def _wait_ms(self) -> int:
+        """Return how long a sync may stay open; readings are wanted more often."""
+        placements = self.worker.placements.values()
+        if any(map(serves, placements)) and any(map(fills, placements)):
+            return READINGS_MS
+        return round(self.lease_s * WAIT_SHARE * 1000)
+
     def _heard(self, reply: SyncReply, sent_at: float) -> None:
         worker = self.worker
         now = self.clock.now()
@@ -280,6 +299,39 @@
         key = (placement.task, placement.attempt)
         return self.worker.placements.get(key) is placement
 
+    # --- throttling -----------------------------------------------------------
+
+    def _order_throttles(self) -> None:
+        for order in throttle_orders(self.worker, self.clock.now()):
+            self.orders.spawn(self._throttle(order))
+
+    async def _throttle(self, order: ThrottleOrder) -> None:
+        placement = order.placement
+        if not self.owner.may_order():
+            return
+        try:
+            reply = await self.client.throttle(
+                self.worker.entry,
+                placement.task,
+                placement.attempt,
+                order.percent,
+                self.owner.epoch,
+            )
+        except (WorkerReplaced, WorkerUnreachable) as exc:
+            LOG.info("Throttling of %s unanswered: %r", placement.task, exc)
+            return
+        if reply.verdict is Verdict.ACCEPTED:
+            placement.throttle = order.percent
+            emit(
+                events.TaskThrottled(
+                    task=placement.task,
+                    attempt=placement.attempt,
+                    worker=self.worker.name,
+                    percent=order.percent,
+                    pressure=round(pressure(self.worker), 3),
+                )
+            )
+
     # --- stops ----------------------------------------------------------------
 
     def _order_stops(self) -> None:
@@ -298,6 +350,12 @@
                 )
                 self.orders.spawn(self._stop(placement))
 
+    def _evacuate(self) -> None:
+        """Mark what is to leave a leaving worker."""
+        for placement in to_stop(self.worker, self.clock.now()):
+            placement.stopping = True
+            placement.stop_reason = "worker leaves"
+
     def stop_soon(self) -> None:
         """Order the stops that the board asks for, now."""
         self._order_stops()
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -29,6 +29,7 @@
 from cranberrycleat.workflow.peer_api import PeerApi
 from cranberrycleat.workflow.peering import Digest, DigestReply, PeerClient
 from cranberrycleat.workflow.permit_desk import PermitDesk
+from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 from cranberrycleat.writer import GroupedWriter
 
 LOG: Final[logging.Logger] = part_logger("node")
@@ -208,7 +209,7 @@
         cfg = self.adapter.settings
         metrics = Metrics(role="node", name=cfg.name)
         apps: list[tuple[Any, str]] = [
-            (self.adapter.front(self._door), cfg.front),
+            (self.adapter.front(self._door, self.is_ready), cfg.front),
             (self.adapter.readiness(self.is_ready), cfg.ready),
             (
                 PeerApi(
@@ -340,7 +341,7 @@
             peers=self._peer_addresses,
             clock=self.clock,
         )
-        return Owner(
+        owner = Owner(
             lease=self._lease,
             store=self.adapter.store,
             directory=self.adapter.directory(),
@@ -351,6 +352,25 @@
             status_s=cfg.status_s,
             peers=self._members,
         )
+        owner.director = self._make_director(owner)
+        return owner
+
+    def _make_director(self, owner: Owner) -> UpkeepDirector | None:
+        machines = self.adapter.machines
+        if machines is None:
+            return None
+        return UpkeepDirector(
+            client=machines,
+            writer=self.adapter.store,
+            status=self.adapter.wave_status,
+            waves=lambda: self._config.waves,
+            board=owner.board,
+            holder=self.adapter.settings.name,
+            epoch=lambda: owner.epoch,
+            may_order=owner.may_order,
+            stop_soon=owner.stop_soon,
+            clock=self.clock,
+        )
 
     def _peer_addresses(self) -> tuple[str, ...]:
         live = self._members.live(self.clock.now())
--- a/cranberrycleat/workflow/ordering.py
+++ b/cranberrycleat/workflow/ordering.py
@@ -19,12 +19,17 @@
 (the platform's page on benefit)."""
 
 
+SERVICES: Final = -1
+"""A service earns only while its members are at work."""
+
+
 @attrs.frozen(kw_only=True)
 class Standing:
     """A step's place in the order; smaller goes first.
 
     Attributes:
-        band: 0 may meet its objective, 1 is late, 2 is worth nothing any more.
+        band: Services go first; 0 may meet its objective, 1 is late, 2 is worth
+            nothing any more.
         priority: Its queue's priority.
         slack_s: Time left before it must start.
         name: The step's name, so that the order is the same each time.
@@ -82,7 +87,9 @@
     objective = objective_s(job)
     slack = due_s(step) + objective - remaining_s(step) - now_s
     late_slack = slack + (LATE_FACTOR - 1) * objective
-    if slack >= 0 or any(each.service for each in job.spec.steps):
+    if step.spec.service:
+        band = SERVICES
+    elif slack >= 0:
         band = 0
     else:
         band = 1 if late_slack >= 0 else 2
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -38,6 +38,7 @@
 from cranberrycleat.workflow.planner import PermitWish, PlannedGroup, Planner
 from cranberrycleat.workflow.ports import FeedTable, WorkerClient
 from cranberrycleat.workflow.state import JobState, StepRun, TaskState
+from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 
 LOG: Final[logging.Logger] = part_logger("owner")
 STORE_SILENT: Final = "the table does not answer"
@@ -65,6 +66,7 @@
         leases: How leases at workers are counted.
         status_s: How long an ended job's state is kept.
         peers: The other hosts of the system.
+        director: Carries out upkeep waves, where there are machines.
         ready: Set once the rows were read.
         inbox_due: Set when a door has left a job in the inbox.
         store_answers: Whether the table answered of late.
@@ -80,6 +82,7 @@
     leases: options.WorkerLeases
     status_s: float
     peers: Membership
+    director: UpkeepDirector | None = None
     board: Board = attrs.field(factory=Board)
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
     ready: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -150,6 +153,8 @@
                 self._tick_loop(),
             ):
                 self._work.spawn(work)
+            if self.director is not None:
+                self._work.spawn(self.director.run())
             self.ready.set()
             self.changed()
             await self._ended.wait()
@@ -319,6 +324,7 @@
             self._work.spawn(self._ask_permits(wish))
         for group in plan.groups:
             self._work.spawn(self._order(group))
+        self.stop_soon()
         if plan.groups:
             self._changed.set()
         if plan.retry_at is not None:
@@ -565,8 +571,7 @@
         if job is None:
             return JobAnswer(owner=True)
         self.changed()
-        for link in self.links.values():
-            link.stop_soon()
+        self.stop_soon()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CHANGE_LIMIT_S):
                 while self.board.shown.get(job_id) is not job.verdict:
@@ -575,13 +580,18 @@
             raise errors.PeerUnavailable("not known to be stored")
         return JobAnswer(owner=True, known=True, state=job.state().value)
 
+    def stop_soon(self) -> None:
+        """Order the stops that the board asks for, now."""
+        for link in self.links.values():
+            link.stop_soon()
+
     def digest(self, req: Digest) -> DigestReply:
         """Exchange digests with another host."""
         now = self.clock.now()
         self.peers.hear(req, now)
         names = {job.queue.name for job in self.board.jobs.values()}
         return DigestReply(
-            owner=self.lease.authority(),
+            owner=self.lease.is_holder,
             epoch=self.epoch,
             lengths=tuple(
                 QueueLength(queue=name, waiting=self.board.waiting_of(name))
--- a/cranberrycleat/workflow/patience.py
+++ b/cranberrycleat/workflow/patience.py
@@ -14,8 +14,9 @@
 LEAST_S: Final = 0.2
 """Ten times what a calm store takes with its way, and more than a host that
 works five times slower needs to see the answer."""
-MOST_S: Final = 1.0
-"""A store slowed 60 times answers in 0.25 s; two of them queued in 0.5 s."""
+MOST_S: Final = 0.7
+"""A store slowed 60 times answers in 0.25 s, two of them queued in 0.5 s. Longer
+limits delay the first call after an outage: 0.7 s is what that costs now."""
 GAIN: Final = 0.2
 DEVIATIONS: Final = 6.0
 
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -16,8 +16,10 @@
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.fleet import FleetWorker, Placement, counted, times
+from cranberrycleat.workflow.making_room import PATIENCE_S, victims
 from cranberrycleat.workflow.ordering import standing
 from cranberrycleat.workflow.permits import StepPermits
+from cranberrycleat.workflow.serving import serves
 from cranberrycleat.workflow.state import StepRun, Task, TaskState
 
 MOST_HELD: Final = 3
@@ -79,9 +81,26 @@
                 if held < MOST_HELD:
                     self._hold(step, candidates)
                     held += 1
+            if step.spec.service:
+                self._make_room(step, candidates, now)
             self._tell_waiting(step, candidates, now, now_s)
         return plan
 
+    def _make_room(
+        self, step: StepRun, candidates: list[FleetWorker], now: float
+    ) -> None:
+        """Have lesser work stop where members of a service wait for room."""
+        if not step.pending():
+            step.waits_since = 0.0
+            return
+        if not step.waits_since:
+            step.waits_since = now
+        if now - step.waits_since < PATIENCE_S:
+            return
+        for placement in victims(counted(step.spec), candidates):
+            placement.stopping = True
+            placement.stop_reason = f"makes room for {step.name}"
+
     def _tell_waiting(
         self,
         step: StepRun,
@@ -190,11 +209,22 @@
         if group.placements:
             plan.groups.append(group)
 
-    def _preference(self, step: StepRun, worker: FleetWorker) -> tuple[bool, int, str]:
+    def _preference(
+        self, step: StepRun, worker: FleetWorker
+    ) -> tuple[bool, int, int, str]:
         away = bool(step.spec.data_rack) and (
             step.spec.data_rack not in worker.entry.labels
         )
-        return (away, worker.free.processors, worker.name)
+        crowd = self._crowd(step, worker)
+        return (away, crowd, worker.free.processors, worker.name)
+
+    @staticmethod
+    def _crowd(step: StepRun, worker: FleetWorker) -> int:
+        """Return how much there disturbs the step, or is disturbed by it."""
+        spec = step.spec
+        if spec.tail_limit_ms or spec.service or spec.filler:
+            return sum(serves(each) for each in worker.placements.values())
+        return 0
 
     def _place_gang(
         self,
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -88,6 +88,7 @@
         address: IP and port.
         data_centre: Where it stands.
         leaving: It draws no more work and will stop.
+        leaves_in_s: How long it stays at least, once it is leaving; None: not told.
         capacity: What it has.
         labels: Its kind and its rack.
         clock_ms: Its own clock when it wrote the entry.
@@ -101,6 +102,7 @@
     capacity: Amounts
     labels: tuple[str, ...]
     clock_ms: int = 0
+    leaves_in_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -46,6 +46,7 @@
         failures: Attempts that ended as failed.
         saved: The newest saved progress; empty for none.
         not_before: When it may be placed again, on the owner's clock.
+        at_work: It has started up and works at full speed.
     """
 
     step: "StepRun"
@@ -56,6 +57,7 @@
     failures: int = 0
     saved: str = ""
     not_before: float = 0.0
+    at_work: bool = False
 
     @property
     def name(self) -> str:
@@ -78,6 +80,7 @@
         failed_attempt: The gang's attempt that was counted last as failed.
         done: How many tasks have ended as done.
         ready_at: When the step could begin, on the owner's clock.
+        waits_since: Since when members of a service have waited for room.
         wait_reason: Why it was left waiting last, for logs.
     """
 
@@ -92,6 +95,7 @@
     done: int = 0
     ready_at: float = 0.0
     wait_reason: str = ""
+    waits_since: float = 0.0
 
     @property
     def name(self) -> str:
@@ -201,6 +205,7 @@
     def place(self, task: Task, worker: str, attempt: int) -> None:
         """Note that an attempt of a task was given a worker."""
         task.state = TaskState.PLACED
+        task.at_work = False
         task.worker = worker
         task.attempt = attempt
         task.step.last_attempt = max(task.step.last_attempt, attempt)
@@ -210,6 +215,7 @@
     def unplace(self, task: Task) -> None:
         """Note that an attempt is over without an end that counts."""
         task.state = TaskState.PENDING
+        task.at_work = False
         task.worker = ""
 
     def end(self, task: Task, how: EndKind, saved: str) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,11 +7,13 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
+import aiohttp
 import attrs
 import pytest
 
 from cranberrycleat.http_client import HttpClient, HttpReply
 from cranberrycleat.platform.front import Front, Readiness
+from cranberrycleat.table import Put
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.directory import ConfigFollower, Directory
 from cranberrycleat.workflow.door import Door
@@ -52,6 +54,15 @@
         """The shared workers."""
         return self.cell.fleet
 
+    @property
+    def machines(self) -> None:
+        """There is no interface to machines."""
+        return None
+
+    def wave_status(self, number: int, state: str) -> Put:
+        """Return a write that no test looks at."""
+        return Put(key=f"status/wave/{number}", value=state)
+
     def directory(self) -> Directory:
         """Return a reader of the shared list."""
         return Directory(store=self.store, table="servers", read=self.cell.read_worker)
@@ -64,9 +75,9 @@
         found.current = CONFIG
         return found
 
-    def front(self, door: Door) -> Any:
+    def front(self, door: Door, is_ready: Callable[[], bool]) -> Any:
         """Return the platform's own front."""
-        return Front(door=door)
+        return Front(door=door, is_ready=is_ready)
 
     def readiness(self, is_ready: Callable[[], bool]) -> Any:
         """Return the platform's own readiness app."""
@@ -273,3 +284,17 @@
                 await again.stop()
 
     go(run())
+
+
+def test_a_host_that_is_not_ready_closes_its_callers_channels() -> None:
+    """An open channel stays with its host; the next try must go elsewhere."""
+
+    async def run() -> None:
+        async with cell() as made, nodes(made, count=1) as running:
+            running[0].draining = True
+            async with aiohttp.ClientSession() as session:
+                url = f"http://{running[0].adapter.settings.front}/q/0b"
+                async with session.get(url, headers={"Host": "host.example"}) as res:
+                    assert res.headers["connection"] == "close"
+
+    go(run())
