--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -591,7 +591,7 @@
         self.peers.hear(req, now)
         names = {job.queue.name for job in self.board.jobs.values()}
         return DigestReply(
-            owner=self.lease.is_holder,
+            owner=self.lease.authority(),
             epoch=self.epoch,
             lengths=tuple(
                 QueueLength(queue=name, waiting=self.board.waiting_of(name))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -298,3 +298,19 @@
                     assert res.headers["connection"] == "close"
 
     go(run())
+
+
+def test_a_host_beside_an_owner_that_is_cut_off_is_not_ready() -> None:
+    """An owner without authority is no reason to keep callers in a cut place."""
+
+    async def run() -> None:
+        async with cell() as made, nodes(made) as running:
+            other = running[1]
+            other.adapter.settings = attrs.evolve(  # type: ignore[misc]
+                other.adapter.settings, data_centre="dc0"
+            )
+            await asyncio.sleep(0.5)
+            made.table.faults.down = True
+            await until(lambda: not other.is_ready(), limit_s=6.0)
+
+    go(run())
