--- a/cranberrycleat/audit.py
+++ b/cranberrycleat/audit.py
@@ -12,7 +12,7 @@
 
 from cranberrycleat import errors
 from cranberrycleat.caller import CallNote, Told
-from cranberrycleat.standin_worker import WorkerRecord
+from cranberrycleat.standins.worker import WorkerRecord
 
 TWO_PLACES: Final = "two-places"
 OVER_CAPACITY: Final = "over-capacity"
--- /dev/null
+++ b/cranberrycleat/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements beside their baselines: placement, routing, control."""
--- a/cranberrycleat/bench_control.py
+++ b/cranberrycleat/bench/control.py
@@ -17,14 +17,14 @@
 from cranberrycleat import codec
 from cranberrycleat.acceptance import Acceptance
 from cranberrycleat.amounts import Amounts
-from cranberrycleat.bench_routing import Hub, Router
+from cranberrycleat.bench.routing import Hub, Router
 from cranberrycleat.cell import LOOPBACK
 from cranberrycleat.http_calls import make_client
 from cranberrycleat.http_server import HttpServer
 from cranberrycleat.jobs import JobSpec, Kind, Program
 from cranberrycleat.messages import Endpoint, HostEntry, SeenSet, SyncOrder
-from cranberrycleat.standin_platform import PlatformStandin
-from cranberrycleat.standin_worker import WorkerStandin
+from cranberrycleat.standins.platform import PlatformStandin
+from cranberrycleat.standins.worker import WorkerStandin
 from cranberrycleat.table_http import HttpPlatform
 
 SHARD_WORKERS: Final = 208
--- a/cranberrycleat/bench_parts.py
+++ b/cranberrycleat/bench/parts.py
@@ -5,7 +5,7 @@
 * The baseline: a plain pass-through of litestar and httpx, round robin with
   three retries, as one would write it in an afternoon.
 
-Callers are in `bench_load`.
+Callers are in `bench.load`.
 """
 
 import asyncio
@@ -21,7 +21,7 @@
 from cranberrycleat import codec
 from cranberrycleat.http_server import HttpServer
 from cranberrycleat.serve import make_app
-from cranberrycleat.standin_service import NOT_STARTED
+from cranberrycleat.standins.service import NOT_STARTED
 
 LOOPBACK: Final = "127.0.0.1"
 SLOTS: Final = 8
--- a/cranberrycleat/bench_placement.py
+++ b/cranberrycleat/bench/placement.py
@@ -15,9 +15,9 @@
 
 from cranberrycleat import plugins
 from cranberrycleat.amounts import MILLI, NOTHING, Amounts
-from cranberrycleat.bench_policies import ShortestFirst, baseline
-from cranberrycleat.bench_run import BenchRun, RunFigures, make_book
-from cranberrycleat.bench_workload import BadDay, BenchCell, BenchJob, WorkloadMaker
+from cranberrycleat.bench.policies import ShortestFirst, baseline
+from cranberrycleat.bench.run import BenchRun, RunFigures, make_book
+from cranberrycleat.bench.workload import BadDay, BenchCell, BenchJob, WorkloadMaker
 from cranberrycleat.book import CapacityBook
 from cranberrycleat.jobs import JobRow, JobSpec, Kind, TaskRecord, TaskState
 from cranberrycleat.logs import part_logger
--- a/cranberrycleat/bench_routing.py
+++ b/cranberrycleat/bench/routing.py
@@ -18,13 +18,13 @@
 from litestar import Request, Response, post
 
 from cranberrycleat import codec, errors
-from cranberrycleat.bench_load import LoadPlan, LoadResult
-from cranberrycleat.bench_parts import LOOPBACK, SLOTS, EndpointCounts, EndpointKind
+from cranberrycleat.bench.load import LoadPlan, LoadResult
+from cranberrycleat.bench.parts import LOOPBACK, SLOTS, EndpointCounts, EndpointKind
 from cranberrycleat.http_calls import call, make_client
 from cranberrycleat.http_server import HttpServer
 from cranberrycleat.messages import Digest, DigestReply, Endpoint, EndpointSet
 from cranberrycleat.serve import json_response, make_app
-from cranberrycleat.standin_platform import PlatformStandin
+from cranberrycleat.standins.platform import PlatformStandin
 
 ANSWER_S: Final = 0.2
 SLOW_S: Final = 1.0
@@ -272,7 +272,7 @@
         return [self._part("naive", text) for _ in range(GATEWAYS)]
 
     def _part(self, role: str, text: str) -> "subprocess.Popen[str]":
-        module = "bench_load" if role == "load" else "bench_parts"
+        module = "bench.load" if role == "load" else "bench.parts"
         process = _spawn("-m", f"cranberrycleat.{module}", role, text, str(self.seed))
         self.started.append(process)
         return process
--- a/cranberrycleat/bench_run.py
+++ b/cranberrycleat/bench/run.py
@@ -14,7 +14,7 @@
 
 from cranberrycleat import selectors
 from cranberrycleat.amounts import NOTHING, Amounts
-from cranberrycleat.bench_workload import GPU_LABEL, BadDay, BenchCell, BenchJob
+from cranberrycleat.bench.workload import GPU_LABEL, BadDay, BenchCell, BenchJob
 from cranberrycleat.book import BookWorker, CapacityBook, WorkerState
 from cranberrycleat.jobs import Kind, Yield
 from cranberrycleat.placement import Ask, why_never
--- a/cranberrycleat/cell.py
+++ b/cranberrycleat/cell.py
@@ -13,11 +13,13 @@
 from cranberrycleat.amounts import MILLI, Amounts
 from cranberrycleat.documents import read_document
 from cranberrycleat.gateway import Gateway
+from cranberrycleat.gateway_api import gateway_handlers
 from cranberrycleat.messages import HostEntry
 from cranberrycleat.options import GatewayOptions, SchedulerOptions
 from cranberrycleat.scheduler import Scheduler
-from cranberrycleat.standin_platform import PlatformStandin
-from cranberrycleat.standin_worker import WorkerStandin
+from cranberrycleat.scheduler_api import scheduler_handlers
+from cranberrycleat.standins.platform import PlatformStandin
+from cranberrycleat.standins.worker import WorkerStandin
 
 LOOPBACK: Final = "127.0.0.1"
 
@@ -157,7 +159,7 @@
             leave_s=times.leave_s,
             release_after_s=1.0,
         )
-        scheduler = Scheduler(cfg=cfg)
+        scheduler = Scheduler(cfg=cfg, handlers=scheduler_handlers)
         await scheduler.start()
         self.schedulers.append(scheduler)
         return scheduler
@@ -177,7 +179,7 @@
             config_poll_s=times.config_poll_s,
             drain_s=times.drain_s,
         )
-        gateway = Gateway(cfg=cfg)
+        gateway = Gateway(cfg=cfg, handlers=gateway_handlers)
         await gateway.start()
         for earlier in self.gateways:
             earlier.add_peer(gateway.url)
--- a/cranberrycleat/cli.py
+++ b/cranberrycleat/cli.py
@@ -30,6 +30,7 @@
     "config": "cranberrycleat.cli_operator",
     "status": "cranberrycleat.cli_operator",
     "dump": "cranberrycleat.cli_operator",
+    "explain": "cranberrycleat.cli_explain",
 }
 """Commands whose modules are imported only when they are called: a daemon that
 is restarted does not load the clients and benches (0.3 s of its start)."""
@@ -125,18 +126,20 @@
 def run_gateway(cfg: GatewayOptions) -> lifecycle.Part:
     from cranberrycleat import plugins
     from cranberrycleat.gateway import Gateway
+    from cranberrycleat.gateway_api import gateway_handlers
 
     assert plugins
-    return Gateway(cfg=cfg)
+    return Gateway(cfg=cfg, handlers=gateway_handlers)
 
 
 @daemon(SchedulerOptions, "Serve operators, and own this data centre's workers.")
 def run_scheduler(cfg: SchedulerOptions) -> lifecycle.Part:
     from cranberrycleat import plugins
     from cranberrycleat.scheduler import Scheduler
+    from cranberrycleat.scheduler_api import scheduler_handlers
 
     assert plugins
-    return Scheduler(cfg=cfg)
+    return Scheduler(cfg=cfg, handlers=scheduler_handlers)
 
 
 @daemon(NodeOptions, "Serve callers on a host of the platform; may own its workers.")
@@ -156,14 +159,14 @@
 
 @daemon(PlatformOptions, "The platform's table, object store and host list.")
 def run_platform(cfg: PlatformOptions) -> lifecycle.Part:
-    from cranberrycleat.standin_parts import platform_part
+    from cranberrycleat.standins.parts import platform_part
 
     return platform_part(cfg)
 
 
 @daemon(WorkerOptions, "A worker that runs tasks under leases.")
 def run_worker(cfg: WorkerOptions) -> lifecycle.Part:
-    from cranberrycleat.standin_parts import worker_part
+    from cranberrycleat.standins.parts import worker_part
 
     return worker_part(cfg)
 
--- a/cranberrycleat/cli_bench.py
+++ b/cranberrycleat/cli_bench.py
@@ -47,7 +47,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 def bench_routing(seed: int, quick: bool, as_json: bool) -> None:
     """Gateways under 0.5 to 4 times capacity, beside a naive pass-through."""
-    from cranberrycleat.bench_routing import RoutingBench
+    from cranberrycleat.bench.routing import RoutingBench
 
     logs.set_up(level="error", form="text")
     seconds = QUICK_ROUTING_S if quick else FULL_ROUTING_S
@@ -68,7 +68,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 def bench_placement(seed: int, quick: bool, as_json: bool) -> None:
     """Waiting, packing and the cost of deciding, beside baselines and a bound."""
-    from cranberrycleat.bench_placement import run_placement_bench
+    from cranberrycleat.bench.placement import run_placement_bench
 
     logs.set_up(level="info", form="text")
     report = run_placement_bench(seed, quick=quick)
@@ -85,7 +85,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 def bench_control(quick: bool, as_json: bool) -> None:
     """Memory, processor time, bytes and table calls of upkeep, as slopes."""
-    from cranberrycleat.bench_control import ControlBench
+    from cranberrycleat.bench.control import ControlBench
 
     logs.set_up(level="error", form="text")
     seconds = QUICK_CONTROL_S if quick else FULL_CONTROL_S
--- /dev/null
+++ b/cranberrycleat/cli_explain.py
@@ -0,0 +1,69 @@
+"""The command `explain`."""
+
+import sys
+from collections import Counter
+from typing import TextIO
+
+import click
+
+from cranberrycleat import errors
+from cranberrycleat.explain import Cause, Entry, cause, job_of, lost, read_lines, story
+
+
+@click.command()
+@click.argument("job", required=False)
+@click.argument("files", nargs=-1, type=click.File("r"))
+@click.option("--losses", is_flag=True, help="Sum up every job that was lost or late.")
+@click.option("--log", "logs", multiple=True, type=click.File("r"), help="A log file.")
+def explain(
+    job: str | None, files: tuple[TextIO, ...], losses: bool, logs: tuple[TextIO, ...]
+) -> None:
+    """Tell a job's story from logs, and the decision that cost it.
+
+    Reads the files, or standard input: JSON lines of any number of processes
+    in any order, also behind a test bench's prefixes. With --losses no JOB is
+    given: name files by --log.
+    """
+    sources = [*files, *logs] or [sys.stdin]
+    entries = read_lines(line for source in sources for line in source)
+    if losses:
+        _print_losses(entries)
+        return
+    if job is None:
+        raise click.UsageError("name a JOB, or give --losses")
+    told = story(entries, job)
+    if not told.own:
+        click.echo(f"error: no line is about job {job!r}", err=True)
+        sys.exit(errors.EXIT_FAILED)
+    for entry in sorted([*told.own, *told.context], key=lambda each: each.at):
+        click.echo(entry.text())
+    _print_cause(cause(told))
+
+
+def _print_cause(found: Cause) -> None:
+    click.echo(f"cause: {found.text}")
+    if found.entry is not None:
+        click.echo(found.entry.text())
+
+
+def _print_losses(entries: list[Entry]) -> None:
+    by_job: dict[str, list[Entry]] = {}
+    for entry in entries:
+        name = job_of(entry.event)
+        if name:
+            by_job.setdefault(name, []).append(entry)
+    causes: Counter[str] = Counter()
+    unexplained = 0
+    for job in by_job:
+        told = story(entries, job)
+        if not lost(told):
+            continue
+        found = cause(told)
+        causes[found.text.partition(" (")[0]] += 1
+        unexplained += found.entry is None
+    total = sum(causes.values())
+    for text, number in causes.most_common():
+        click.echo(f"{number:6} {text}")
+    click.echo(
+        f"{total:6} jobs lost or late of {len(by_job)}; {unexplained} unexplained"
+    )
--- a/cranberrycleat/cli_operator.py
+++ b/cranberrycleat/cli_operator.py
@@ -16,7 +16,7 @@
 from cranberrycleat.jobs import JobStatusWords
 from cranberrycleat.messages import ConfigChange, JobStatus
 from cranberrycleat.operator_client import OperatorClient
-from cranberrycleat.standin_parts import parse_labels
+from cranberrycleat.standins.parts import parse_labels
 
 T = TypeVar("T")
 WAIT_STEP_S: Final = 0.2
--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -171,7 +171,7 @@
     step: str
     asked: int
     allowed: int
-    host: str
+    via: str
     waited_s: float
     took_s: float
 
@@ -181,7 +181,7 @@
     """A call to the permit service had no answer."""
 
     step: str
-    host: str
+    via: str
     reason: str
 
 
@@ -494,6 +494,20 @@
     data_centre: str
 
 
+@event("settings.reread", kept=True)
+class SettingsReread:
+    """The settings file was read again; addresses to listen on stay as they are."""
+
+    changed: tuple[str, ...]
+
+
+@event("settings.unreadable", kept=True)
+class SettingsUnreadable:
+    """The settings file cannot be read; the last settings stay in force."""
+
+    findings: str
+
+
 @event("log.left_out", kept=True)
 class LogLeftOut:
     """Lines that were left out since the last such line, by event."""
--- /dev/null
+++ b/cranberrycleat/explain.py
@@ -0,0 +1,236 @@
+"""Tells a job's story from logs, and the decision that cost it.
+
+Reads JSON lines of any number of processes in any order, also behind prefixes
+such as a test bench's. Lines that are no events are passed over and counted.
+"""
+
+import json
+from collections.abc import Iterable
+from typing import Any, Final
+
+import attrs
+import msgspec
+
+from cranberrycleat import codec, events
+
+PREFIX_TIME_PARTS: Final = 3
+SLOW_S: Final = 0.25
+"""A stage longer than this is worth naming: short work has 0.5 s to spare."""
+BY_NAME: Final = {kind.name: cls for cls, kind in events.KINDS.items()}
+CONTEXT: Final = (
+    events.OwnerWon,
+    events.OwnerLost,
+    events.OwnerReleased,
+    events.OwnerSuspected,
+    events.OwnerTookOver,
+    events.TableSilent,
+    events.TableBack,
+    events.WorkerSilent,
+    events.WorkerLeasesOver,
+)
+"""Events of no job that may be why a job waited."""
+
+
+@attrs.frozen(kw_only=True)
+class Entry:
+    """One event of a log.
+
+    Attributes:
+        at: Seconds, by the line's prefix if it has one, else since 1970.
+        host: Who logged it.
+        event: The typed event.
+    """
+
+    at: float
+    host: str
+    event: Any
+
+    def text(self) -> str:
+        """Return the entry as one line."""
+        name = events.KINDS[type(self.event)].name
+        return (
+            f"{self.at:14.4f} {self.host:26} {name:18} {codec.encode_text(self.event)}"
+        )
+
+
+@attrs.define(kw_only=True)
+class Story:
+    """A job's entries in order, and what else happened meanwhile."""
+
+    job: str
+    own: list[Entry] = attrs.field(factory=list)
+    context: list[Entry] = attrs.field(factory=list)
+
+
+@attrs.frozen(kw_only=True)
+class Cause:
+    """The decision that cost a job; `entry` is None where none was found."""
+
+    text: str
+    entry: Entry | None = None
+
+
+def read_lines(lines: Iterable[str]) -> list[Entry]:
+    """Return every event among some lines, in the order of time."""
+    found = [entry for line in lines if (entry := read_line(line)) is not None]
+    return sorted(found, key=lambda entry: entry.at)
+
+
+def read_line(line: str) -> Entry | None:
+    """Return the event of a line, or None if it has none."""
+    start = line.find("{")
+    if start < 0:
+        return None
+    try:
+        fields = json.loads(line[start:])
+        cls = BY_NAME.get(fields.get("event"))
+        if cls is None:
+            return None
+        event = msgspec.convert(fields, cls)
+        at, host = float(fields["time"]), str(fields["host"])
+    except (ValueError, KeyError, AttributeError, msgspec.ValidationError):
+        return None
+    prefix = line[:start].split()
+    if len(prefix) == PREFIX_TIME_PARTS - 1:
+        try:
+            at = float(prefix[0])
+        except ValueError:
+            pass
+    return Entry(at=at, host=host, event=event)
+
+
+def job_of(event: Any) -> str:
+    """Return the job that an event is about; empty for none."""
+    name: str = getattr(event, "job", "") or getattr(event, "task", "")
+    name = name or getattr(event, "step", "")
+    return name.partition(".")[0]
+
+
+def story(entries: list[Entry], job: str) -> Story:
+    """Return the entries of one job and of its time."""
+    found = Story(job=job)
+    found.own = [entry for entry in entries if job_of(entry.event) == job]
+    if found.own:
+        first, last = found.own[0].at, found.own[-1].at
+        found.context = [
+            entry
+            for entry in entries
+            if isinstance(entry.event, CONTEXT) and first - 2 <= entry.at <= last
+        ]
+    return found
+
+
+def lost(told: Story) -> bool:
+    """Tell whether a job earned less than it could: refused, late, unfinished."""
+    ended = [e for e in told.own if isinstance(e.event, events.JobEnded)]
+    if not ended:
+        return not any(isinstance(e.event, events.JobCancelled) for e in told.own)
+    event: events.JobEnded = ended[-1].event
+    return event.late or event.state == "failed"
+
+
+def cause(told: Story) -> Cause:
+    """Return the decision that cost a job most."""
+    accepted = any(isinstance(e.event, events.JobStored) for e in told.own)
+    if not accepted:
+        return _door_cause(told)
+    return _stage_cause(told)
+
+
+def _door_cause(told: Story) -> Cause:
+    for entry in reversed(told.own):
+        match entry.event:
+            case events.JobRefused(reason=reason):
+                return Cause(text=f"refused at the door: {reason}", entry=entry)
+            case events.JobUnknown(reason=reason):
+                return Cause(text=f"given up by the door: {reason}", entry=entry)
+            case events.JobMalformed(reason=reason):
+                return Cause(text=f"not a job: {reason}", entry=entry)
+            case events.JobWithdrawn():
+                return Cause(text="withdrawn: never sent to the table", entry=entry)
+            case events.JobUnsettled(reason=reason):
+                return Cause(text=f"the owner gave no answer: {reason}", entry=entry)
+            case events.JobInInbox() | events.JobAccepted():
+                return Cause(text="taken in, but nobody stored it", entry=entry)
+    return Cause(text="no line of it says why")
+
+
+@attrs.define(kw_only=True)
+class _Stage:
+    """A stage of an accepted job, with the time that it took too long."""
+
+    seconds: float
+    text: str
+    entry: Entry
+
+
+def _stage_cause(told: Story) -> Cause:
+    stages = [*_attempt_stages(told), *_gap_stages(told)]
+    worst = max(stages, key=lambda stage: stage.seconds, default=None)
+    if worst is None or worst.seconds < SLOW_S:
+        ended = [e for e in told.own if isinstance(e.event, events.JobEnded)]
+        if ended:
+            text = "its tasks ran longer than estimated; no stage was slow"
+            return Cause(text=text, entry=ended[-1])
+        return _unfinished(told)
+    return Cause(text=f"{worst.text} ({worst.seconds:.2f} s)", entry=worst.entry)
+
+
+def _unfinished(told: Story) -> Cause:
+    if not told.own:
+        return Cause(text="no line of it says why")
+    last = told.own[-1]
+    return Cause(text="the logs end before it does; its last line", entry=last)
+
+
+def _attempt_stages(told: Story) -> list[_Stage]:
+    stages: list[_Stage] = []
+    for entry in told.own:
+        match entry.event:
+            case events.TaskEnded(how=how, ran_s=ran_s) if how != "done":
+                stages.append(
+                    _Stage(seconds=ran_s + SLOW_S, text=f"attempt {how}", entry=entry)
+                )
+            case events.TaskPlaced(waited_s=waited_s, attempt=1):
+                text = f"waited for a place: {_why_waited(told, entry)}"
+                stages.append(_Stage(seconds=waited_s, text=text, entry=entry))
+            case events.TaskStarted(after_s=after_s):
+                text = "placed, but its start came late"
+                stages.append(_Stage(seconds=after_s, text=text, entry=entry))
+            case events.JobShown(after_end_s=after_s):
+                text = "ended, but its end was stored late"
+                stages.append(_Stage(seconds=after_s, text=text, entry=entry))
+            case events.JobStored(after_s=after_s):
+                text = "stored late"
+                stages.append(_Stage(seconds=after_s, text=text, entry=entry))
+            case events.PermitsHad(waited_s=waited_s, took_s=took_s):
+                text = "the permit service's answer came late"
+                stages.append(_Stage(seconds=waited_s + took_s, text=text, entry=entry))
+    return stages
+
+
+def _why_waited(told: Story, placed: Entry) -> str:
+    """Return the reason that was logged last before a task was placed."""
+    step = placed.event.task.rpartition(".")[0]
+    reasons = [
+        entry.event.reason
+        for entry in told.own
+        if isinstance(entry.event, events.StepWaiting)
+        and entry.event.step == step
+        and entry.at <= placed.at
+    ]
+    return reasons[-1] if reasons else "no owner planned"
+
+
+def _gap_stages(told: Story) -> list[_Stage]:
+    """Return times without an owner or a table within the job's time."""
+    stages: list[_Stage] = []
+    for before, after in zip(told.own, told.own[1:], strict=False):
+        between = [entry for entry in told.context if before.at <= entry.at <= after.at]
+        gap_s = after.at - before.at
+        if between and gap_s > SLOW_S:
+            name = events.KINDS[type(between[0].event)].name
+            stages.append(
+                _Stage(seconds=gap_s, text=f"held up around {name}", entry=between[0])
+            )
+    return stages
--- a/cranberrycleat/forward.py
+++ b/cranberrycleat/forward.py
@@ -17,7 +17,7 @@
 import httpx
 
 from cranberrycleat.http_calls import tls_context
-from cranberrycleat.standin_service import LEAVING, NOT_STARTED
+from cranberrycleat.standins.service import LEAVING, NOT_STARTED
 
 MAX_ANSWER: Final = 8 * 1024 * 1024
 CONNECT_S: Final = 1.0
--- a/cranberrycleat/gateway.py
+++ b/cranberrycleat/gateway.py
@@ -10,7 +10,8 @@
 import base64
 import logging
 import secrets
-from typing import Final
+from collections.abc import Callable
+from typing import Any, Final
 
 import attrs
 
@@ -42,7 +43,6 @@
     NotRun,
     Unknown,
 )
-from cranberrycleat.gateway_api import gateway_handlers
 from cranberrycleat.http_server import HttpServer
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.logs import part_logger
@@ -78,6 +78,7 @@
 
     Attributes:
         cfg: Its options.
+        handlers: Builds the route handlers of its HTTP interface (`gateway_api`).
         clock: Its clock.
         book: The endpoints that it knows.
         routing: The part of the configuration that it goes by.
@@ -86,6 +87,7 @@
     """
 
     cfg: GatewayOptions
+    handlers: Callable[["Gateway"], list[Any]]
     clock: Clock = attrs.field(factory=MonotonicClock)
     incarnation: str = attrs.field(factory=lambda: secrets.token_hex(4))
     config: Configuration = Configuration()
@@ -117,7 +119,7 @@
         )
         self.metrics = Metrics(role="gateway", name=cfg.name)
         self.metrics.watch("in_flight", lambda: float(self.in_flight))
-        app = make_app(gateway_handlers(self))
+        app = make_app(self.handlers(self))
         self._server = HttpServer(app=app, host=cfg.listen, port=cfg.port)
 
     @property
--- a/cranberrycleat/gateway_api.py
+++ b/cranberrycleat/gateway_api.py
@@ -6,7 +6,7 @@
 """
 
 import secrets
-from typing import TYPE_CHECKING, Any, Final
+from typing import Any, Final
 
 import attrs
 from litestar import Request, Response, asgi, get, post
@@ -14,6 +14,7 @@
 from cranberrycleat import codec, errors
 from cranberrycleat.admission import RequestClass
 from cranberrycleat.forward import REPEATABLE, Answered, CallerRequest, strip_headers
+from cranberrycleat.gateway import Gateway
 from cranberrycleat.messages import Digest, Readiness
 from cranberrycleat.serve import (
     MAX_BODY,
@@ -24,9 +25,6 @@
     state_handlers,
 )
 
-if TYPE_CHECKING:
-    from cranberrycleat.gateway import Gateway
-
 AnyRequest = Request[Any, Any, Any]
 MOUNT: Final = "/call"
 KEY_HEADER: Final = b"idempotency-key"
@@ -48,7 +46,7 @@
     wait_s: float
 
 
-def gateway_handlers(gateway: "Gateway") -> list[Any]:
+def gateway_handlers(gateway: Gateway) -> list[Any]:
     """Return the route handlers of a gateway."""
 
     @asgi(MOUNT, is_mount=True, copy_scope=True)
@@ -71,7 +69,7 @@
     return [call, digest, ready, *shown]
 
 
-async def serve_caller(gateway: "Gateway", scope: Any, receive: Any, send: Any) -> None:
+async def serve_caller(gateway: Gateway, scope: Any, receive: Any, send: Any) -> None:
     """Serve one caller's request from its first byte to its final answer."""
     if scope["type"] != "http":
         return
@@ -213,7 +211,7 @@
     await send({"type": "http.response.body", "body": body})
 
 
-def gateway_dump(gateway: "Gateway") -> dict[str, Any]:
+def gateway_dump(gateway: Gateway) -> dict[str, Any]:
     """Return everything that the gateway holds, for people."""
     return {
         "options": gateway.cfg,
--- a/cranberrycleat/lifecycle.py
+++ b/cranberrycleat/lifecycle.py
@@ -10,7 +10,7 @@
 import logging
 import signal
 from collections.abc import Coroutine
-from typing import Any, Final, Protocol
+from typing import Any, Final, Protocol, runtime_checkable
 
 import attrs
 
@@ -64,6 +64,22 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+@runtime_checkable
+class Rereads(Protocol):
+    """A part whose settings may change while it runs."""
+
+    def reread(self) -> None:
+        """Take in settings that may have changed."""
+
+
+def _reread(part: Part) -> None:
+    """Answer SIGHUP."""
+    if isinstance(part, Rereads):
+        part.reread()
+        return
+    LOG.info("Told to read settings again; flags and environment stay.")
+
+
 async def run(part: Part, *, announce: str) -> None:
     """Run a part until the process is told to stop.
 
@@ -79,6 +95,8 @@
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
+    # Without a handler the signal would end the process.
+    loop.add_signal_handler(signal.SIGHUP, _reread, part)
     await part.start()
     print(f"{announce} listening on {part.url}", flush=True)
     await told.wait()
--- a/cranberrycleat/logs.py
+++ b/cranberrycleat/logs.py
@@ -9,6 +9,7 @@
 import logging
 import sys
 import time
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -40,6 +41,7 @@
 
     sink: LogSink | None = None
     host: str = ""
+    observer: Callable[[Any], None] | None = None
 
 
 _STATE: Final = _State()
@@ -104,6 +106,11 @@
     _STATE.host = host
 
 
+def observe(observer: Callable[[Any], None] | None) -> None:
+    """Have every event also go to a function, as the metrics do."""
+    _STATE.observer = observer
+
+
 def flush() -> None:
     """Write what is waiting, as far as the reader takes it."""
     if _STATE.sink is not None:
@@ -123,6 +130,8 @@
 def emit(event: Any) -> None:
     """Log one typed event of `events`."""
     kind = events.KINDS[type(event)]
+    if _STATE.observer is not None:
+        _STATE.observer(event)
     if _STATE.sink is not None:
         if EVENTS.isEnabledFor(logging.INFO):
             line = encode_event(event, kind.name, time.time(), _STATE.host)
--- a/cranberrycleat/messages.py
+++ b/cranberrycleat/messages.py
@@ -87,7 +87,7 @@
 
 @attrs.frozen(kw_only=True)
 class PlatformFaults:
-    """Sets the platform stand-in's faults (see `standin_table.TableFaults`)."""
+    """Sets the platform stand-in's faults (see `standins.table.TableFaults`)."""
 
     down: bool = False
     slow_s: float = 0.0
--- a/cranberrycleat/metrics.py
+++ b/cranberrycleat/metrics.py
@@ -16,6 +16,8 @@
 from cranberrycleat.registry import PluginKind, register
 
 IN_MEMORY: Final = "in-memory"
+BUCKETS_S: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
+"""Bounds of the histograms' buckets, in seconds."""
 
 
 @register(PluginKind.METRICS, IN_MEMORY)
@@ -38,6 +40,7 @@
     _reader: InMemoryMetricReader = attrs.field(factory=in_memory_reader)
     _provider: MeterProvider = attrs.field(init=False)
     _counters: dict[str, Any] = attrs.field(factory=dict)
+    _histograms: dict[str, Any] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         resource = Resource(
@@ -49,13 +52,25 @@
             shutdown_on_exit=False,
         )
 
-    def count(self, name: str, number: int = 1) -> None:
-        """Add to a counter."""
+    def count(self, name: str, number: int = 1, **labels: str) -> None:
+        """Add to a counter, with labels that tell its kinds apart."""
         counter = self._counters.get(name)
         if counter is None:
             counter = self._meter().create_counter(f"cranberrycleat.{name}")
             self._counters[name] = counter
-        counter.add(number)
+        counter.add(number, labels)
+
+    def record(self, name: str, seconds: float, **labels: str) -> None:
+        """Add a duration to a histogram."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._meter().create_histogram(
+                f"cranberrycleat.{name}",
+                unit="s",
+                explicit_bucket_boundaries_advisory=BUCKETS_S,
+            )
+            self._histograms[name] = histogram
+        histogram.record(seconds, labels)
 
     def watch(self, name: str, read: Callable[[], float]) -> None:
         """Have a gauge read by a function whenever the metrics are read."""
@@ -72,5 +87,40 @@
         data = self._reader.get_metrics_data()
         return b"{}" if data is None else data.to_json(indent=None).encode()
 
+    def text(self) -> str:
+        """Return every metric in the text form that scrapers read."""
+        data = self._reader.get_metrics_data()
+        lines: list[str] = []
+        for resource in () if data is None else data.resource_metrics:
+            for scope in resource.scope_metrics:
+                for metric in scope.metrics:
+                    lines += _metric_lines(metric)
+        return "\n".join(lines) + "\n"
+
     def _meter(self) -> Any:
         return self._provider.get_meter("cranberrycleat")
+
+
+def _metric_lines(metric: Any) -> list[str]:
+    name = metric.name.replace(".", "_")
+    lines: list[str] = []
+    for point in metric.data.data_points:
+        labels = dict(point.attributes or {})
+        if not hasattr(point, "bucket_counts"):
+            lines.append(f"{name}{_labels(labels)} {point.value}")
+            continue
+        total = 0
+        bounds = [*(f"{bound:g}" for bound in point.explicit_bounds), "+Inf"]
+        for bound, count in zip(bounds, point.bucket_counts, strict=True):
+            total += count
+            lines.append(f"{name}_bucket{_labels({**labels, 'le': bound})} {total}")
+        lines.append(f"{name}_sum{_labels(labels)} {point.sum:g}")
+        lines.append(f"{name}_count{_labels(labels)} {point.count}")
+    return lines
+
+
+def _labels(labels: dict[str, Any]) -> str:
+    if not labels:
+        return ""
+    parts = (f'{key}="{value}"' for key, value in sorted(labels.items()))
+    return "{" + ",".join(parts) + "}"
--- a/cranberrycleat/platform/adapter.py
+++ b/cranberrycleat/platform/adapter.py
@@ -28,6 +28,21 @@
     permits: PlatformPermits
     machines: PlatformMachines | None
 
+    def reread(self) -> tuple[str, ...]:
+        """Read the settings file again; return what changed."""
+        fresh = read_settings()
+        changed = tuple(
+            field.name
+            for field in attrs.fields(NodeSettings)
+            if getattr(fresh, field.name) != getattr(self.settings, field.name)
+        )
+        self.settings = fresh
+        self.store.address = fresh.store
+        self.permits.address = fresh.permits
+        if self.machines is not None:
+            self.machines.address = fresh.machines
+        return changed
+
     def wave_status(self, number: int, state: str) -> Put:
         """Return the write that tells the operator of a wave's state."""
         return wave_status(number, state)
--- a/cranberrycleat/scheduler.py
+++ b/cranberrycleat/scheduler.py
@@ -9,7 +9,8 @@
 import asyncio
 import logging
 import secrets
-from typing import Final
+from collections.abc import Callable
+from typing import Any, Final
 
 import attrs
 
@@ -37,7 +38,6 @@
 from cranberrycleat.orders import endpoints, start_orders, stop_orders
 from cranberrycleat.peers import Peers
 from cranberrycleat.rounds import WEIGHTS, Plan, TeamUse
-from cranberrycleat.scheduler_api import scheduler_handlers
 from cranberrycleat.serve import make_app
 from cranberrycleat.shard import Shard
 from cranberrycleat.table import Row
@@ -71,6 +71,7 @@
 
     Attributes:
         cfg: Its options.
+        handlers: Builds the route handlers of its HTTP interface (`scheduler_api`).
         clock: Its clock.
         platform: The platform's table and host list.
         lease: Its view of the shard's ownership lease.
@@ -80,6 +81,7 @@
     """
 
     cfg: SchedulerOptions
+    handlers: Callable[["Scheduler"], list[Any]]
     clock: Clock = attrs.field(factory=MonotonicClock)
     incarnation: str = attrs.field(factory=lambda: secrets.token_hex(4))
     shard: Shard | None = None
@@ -128,7 +130,7 @@
         self.metrics = Metrics(role="scheduler", name=self.cfg.name)
         self.metrics.watch("owner", lambda: float(self.lease.authority()))
         self.metrics.watch("workers", lambda: float(len(self.links)))
-        app = make_app(scheduler_handlers(self))
+        app = make_app(self.handlers(self))
         self._server = HttpServer(app=app, host=self.cfg.listen, port=self.cfg.port)
 
     @property
--- a/cranberrycleat/scheduler_api.py
+++ b/cranberrycleat/scheduler_api.py
@@ -4,7 +4,7 @@
 Refusals travel as `ProblemError` and become problem documents in `serve`.
 """
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 from litestar import Request, Response, delete, get, post
@@ -26,15 +26,13 @@
     WorkerList,
     WorkerStatus,
 )
+from cranberrycleat.scheduler import Scheduler
 from cranberrycleat.serve import json_response, state_handlers
 
-if TYPE_CHECKING:
-    from cranberrycleat.scheduler import Scheduler
-
 AnyRequest = Request[Any, Any, Any]
 
 
-def scheduler_handlers(scheduler: "Scheduler") -> list[Any]:
+def scheduler_handlers(scheduler: Scheduler) -> list[Any]:
     """Return the route handlers of a scheduler."""
     return [
         *_job_handlers(scheduler),
@@ -56,7 +54,7 @@
     return unwrap(parse_job(await _json_body(request), place="body"))
 
 
-def _job_handlers(scheduler: "Scheduler") -> list[Any]:
+def _job_handlers(scheduler: Scheduler) -> list[Any]:
     @post("/v1/jobs")
     async def submit(request: AnyRequest) -> Response[bytes]:
         _refuse_if_draining(scheduler)
@@ -79,12 +77,12 @@
     return [submit, status, cancel]
 
 
-def _refuse_if_draining(scheduler: "Scheduler") -> None:
+def _refuse_if_draining(scheduler: Scheduler) -> None:
     if scheduler.draining:
         raise errors.ProblemError(status=503, code=errors.DRAINING, retry_after_s=1)
 
 
-async def job_status(scheduler: "Scheduler", name: str) -> JobStatus:
+async def job_status(scheduler: Scheduler, name: str) -> JobStatus:
     """Return what the table has of a job.
 
     Raises:
@@ -114,7 +112,7 @@
     )
 
 
-def _worker_handlers(scheduler: "Scheduler") -> list[Any]:
+def _worker_handlers(scheduler: Scheduler) -> list[Any]:
     @get("/v1/workers")
     async def listing() -> Response[bytes]:
         return json_response(worker_list(scheduler))
@@ -136,7 +134,7 @@
     return [listing, label, dead]
 
 
-def worker_list(scheduler: "Scheduler") -> WorkerList:
+def worker_list(scheduler: Scheduler) -> WorkerList:
     """Return the workers of the shard that this process owns, if any."""
     workers = scheduler.shard.book.workers.values() if scheduler.shard else ()
     return WorkerList(
@@ -157,7 +155,7 @@
     )
 
 
-def _config_handlers(scheduler: "Scheduler") -> list[Any]:
+def _config_handlers(scheduler: Scheduler) -> list[Any]:
     @get("/v1/config")
     async def show() -> Response[bytes]:
         await scheduler.watcher.poll()
@@ -186,7 +184,7 @@
     return unwrap(parse_configuration(data, place="document"))
 
 
-def _state_handlers(scheduler: "Scheduler") -> list[Any]:
+def _state_handlers(scheduler: Scheduler) -> list[Any]:
     @post("/v1/digest")
     async def digest(request: AnyRequest) -> Response[bytes]:
         asked = codec.decode(await request.body(), Digest)
@@ -208,7 +206,7 @@
     return [digest, status, ready, *shown]
 
 
-def scheduler_status(scheduler: "Scheduler") -> SchedulerStatus:
+def scheduler_status(scheduler: Scheduler) -> SchedulerStatus:
     """Return the scheduler in a few numbers."""
     jobs = scheduler.shard.jobs.values() if scheduler.shard else ()
     states = [record.state for job in jobs for record in job.tasks]
@@ -225,7 +223,7 @@
     )
 
 
-def scheduler_dump(scheduler: "Scheduler") -> dict[str, Any]:
+def scheduler_dump(scheduler: Scheduler) -> dict[str, Any]:
     """Return everything that the scheduler holds, for people."""
     shard = scheduler.shard
     return {
--- a/cranberrycleat/standins/feed_table.py
+++ b/cranberrycleat/standins/feed_table.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from cranberrycleat.standin_table import MemoryTable
+from cranberrycleat.standins.table import MemoryTable
 from cranberrycleat.table import CommitReply, Row, Transaction
 from cranberrycleat.workflow.ports import Feed, HistoryGone, Snapshot, TableChange
 
--- a/cranberrycleat/standin_parts.py
+++ b/cranberrycleat/standins/parts.py
@@ -4,8 +4,8 @@
 from cranberrycleat.amounts import MILLI, Amounts
 from cranberrycleat.messages import HostEntry
 from cranberrycleat.options import PlatformOptions, WorkerOptions
-from cranberrycleat.standin_platform import PlatformStandin
-from cranberrycleat.standin_worker import WorkerStandin
+from cranberrycleat.standins.platform import PlatformStandin
+from cranberrycleat.standins.worker import WorkerStandin
 
 
 def platform_part(cfg: PlatformOptions) -> PlatformStandin:
--- a/cranberrycleat/standin_platform.py
+++ b/cranberrycleat/standins/platform.py
@@ -23,7 +23,7 @@
 )
 from cranberrycleat.metrics import Metrics
 from cranberrycleat.serve import json_response, make_app, state_handlers
-from cranberrycleat.standin_table import MemoryTable, TableFaults
+from cranberrycleat.standins.table import MemoryTable, TableFaults
 from cranberrycleat.table import Transaction
 
 AnyRequest = Request[Any, Any, Any]
--- a/cranberrycleat/standin_worker.py
+++ b/cranberrycleat/standins/worker.py
@@ -33,7 +33,7 @@
 )
 from cranberrycleat.metrics import Metrics
 from cranberrycleat.serve import json_response, make_app, state_handlers
-from cranberrycleat.standin_service import RequestLog, ServiceStandin
+from cranberrycleat.standins.service import RequestLog, ServiceStandin
 
 AnyRequest = Request[Any, Any, Any]
 TICK_S: Final = 0.02
--- a/cranberrycleat/table.py
+++ b/cranberrycleat/table.py
@@ -1,7 +1,7 @@
 """The platform's transactional table, as the project sees it.
 
 `Table` is the one narrow interface to it; `table_http` is the adapter that the
-daemons use and `standin_table` the in-memory stand-in. Every row has a version
+daemons use and `standins.table` the in-memory stand-in. Every row has a version
 that changes with each write to it; a transaction is a set of conditions on
 versions and a set of writes, and takes effect whole or not at all.
 """
--- a/cranberrycleat/workflow/adapter.py
+++ b/cranberrycleat/workflow/adapter.py
@@ -22,6 +22,13 @@
     def settings(self) -> NodeSettings:
         """What this process was told at its start."""
 
+    def reread(self) -> tuple[str, ...]:
+        """Read the settings again; return the names of those that changed.
+
+        Raises:
+            FindingsError: They cannot be read; the last stay in force.
+        """
+
     @property
     def store(self) -> FeedTable:
         """The platform's table."""
--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -183,7 +183,7 @@
             if step.answer is not None and not (
                 maybe_stored and step.answer.status is DoorStatus.REFUSED
             ):
-                return step.answer
+                return self._tell_refused(req, step.answer)
             maybe_stored = maybe_stored or step.maybe_stored
             if self.clock.now() > until:
                 break
@@ -195,7 +195,8 @@
     ) -> DoorAnswer:
         reason = "not settled in time" if self.in_touch() else "cut off"
         if not maybe_stored:
-            return self._refused(req, reason, OUTAGE_RETRY_S)
+            answer = DoorAnswer(status=DoorStatus.REFUSED, reason=reason)
+            return self._tell_refused(req, answer)
         emit(
             events.JobUnknown(
                 job=req.job_id, queue=req.queue.name, reason=reason, after_s=limit_s
@@ -204,18 +205,18 @@
         return DoorAnswer(status=DoorStatus.UNKNOWN, reason=reason)
 
     @staticmethod
-    def _refused(req: SubmitRequest, reason: str, retry_s: float) -> DoorAnswer:
-        emit(
-            events.JobRefused(
-                job=req.job_id,
-                queue=req.queue.name,
-                reason=reason,
-                retry_after_s=retry_s,
+    def _tell_refused(req: SubmitRequest, answer: DoorAnswer) -> DoorAnswer:
+        """Log a refusal as it leaves; return the answer."""
+        if answer.status is DoorStatus.REFUSED:
+            emit(
+                events.JobRefused(
+                    job=req.job_id,
+                    queue=req.queue.name,
+                    reason=answer.reason,
+                    retry_after_s=answer.retry_after_s,
+                )
             )
-        )
-        return DoorAnswer(
-            status=DoorStatus.REFUSED, reason=reason, retry_after_s=retry_s
-        )
+        return answer
 
     async def _submit_once(self, req: SubmitRequest) -> "_Step":
         """Hand a job to the owner; where it is slow to answer, to the inbox too.
@@ -260,8 +261,13 @@
             return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
         if not reply.refused:
             return _Step(maybe_stored=True, with_owner=True)
-        answer = self._refused(req, reply.reason, reply.retry_after_s)
-        return _Step(answer=answer)
+        return _Step(
+            answer=DoorAnswer(
+                status=DoorStatus.REFUSED,
+                reason=reply.reason,
+                retry_after_s=reply.retry_after_s,
+            )
+        )
 
     async def _to_owner(self, req: SubmitRequest) -> SubmitReply | None:
         """Return the owner's answer; None where no owner is known."""
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -18,7 +18,7 @@
 from cranberrycleat.http_server import HttpServer
 from cranberrycleat.lease import OwnershipLease
 from cranberrycleat.lifecycle import Background
-from cranberrycleat.logs import emit, name_host, part_logger
+from cranberrycleat.logs import emit, lines_left_out, name_host, observe, part_logger
 from cranberrycleat.metrics import Metrics
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.adapter import Adapter
@@ -29,6 +29,7 @@
 from cranberrycleat.workflow.peer_api import PeerApi
 from cranberrycleat.workflow.peering import Digest, DigestReply, PeerClient
 from cranberrycleat.workflow.permit_desk import PermitDesk
+from cranberrycleat.workflow.telemetry import Telemetry
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 from cranberrycleat.writer import GroupedWriter
 
@@ -42,6 +43,8 @@
 """The balancer asks each second and sends no new callers after two misses."""
 OWNER_FRESH_S: Final = 0.9
 """One digest may be missed: they come each 0.3 s and wait 0.3 s."""
+SETTINGS_S: Final = 5.0
+"""How often the settings file is read; it takes a millisecond."""
 MOST_ASKED: Final = 2
 FAR_S: Final = 3600.0
 """What is logged for 'never'."""
@@ -208,6 +211,8 @@
         """Begin to serve; raises OSError where an address is taken."""
         cfg = self.adapter.settings
         metrics = Metrics(role="node", name=cfg.name)
+        observe(Telemetry(metrics=metrics).take)
+        self._watch(metrics)
         apps: list[tuple[Any, str]] = [
             (self.adapter.front(self._door, self.is_ready), cfg.front),
             (self.adapter.readiness(self.is_ready), cfg.ready),
@@ -230,9 +235,37 @@
             self._servers.append(server)
         name_host(cfg.name)
         emit(events.ProcessStarted(name=cfg.name, data_centre=cfg.data_centre))
-        for work in (self._follow_config(), self._stand(), self._exchange()):
+        for work in (
+            self._follow_config(),
+            self._follow_settings(),
+            self._stand(),
+            self._exchange(),
+        ):
             self._work.spawn(work)
 
+    def _watch(self, metrics: Metrics) -> None:
+        """Have gauges read this process's state."""
+        metrics.watch("log.lines.left_out", lambda: float(lines_left_out()))
+        metrics.watch("owner.epoch", lambda: float(self._lease.epoch))
+        metrics.watch("host.ready", lambda: float(self.is_ready()))
+        metrics.watch(
+            "config.version",
+            lambda: float(self._config.current.version if self._config.current else 0),
+        )
+        metrics.watch("owner.lease.left", self._lease_left)
+        metrics.watch("tasks.pending", lambda: self._owned("pending"))
+        metrics.watch("tasks.held", lambda: self._owned("placed"))
+        metrics.watch("jobs.open", lambda: self._owned("open"))
+
+    def _lease_left(self) -> float:
+        if not self._lease.is_holder:
+            return 0.0
+        return max(0.0, self._lease.valid_until() - self.clock.now())
+
+    def _owned(self, what: str) -> float:
+        owner = self._held()
+        return 0.0 if owner is None else float(owner.summary()[what])
+
     async def drain(self) -> None:
         """Take no new callers, hand the ownership over, finish what is open."""
         self.draining = True
@@ -279,6 +312,27 @@
         await self._work.cancel()
         await self.http.close()
 
+    def reread(self) -> None:
+        """Take in the platform's settings file anew."""
+        try:
+            changed = self.adapter.reread()
+        except errors.FindingsError as exc:
+            emit(events.SettingsUnreadable(findings=str(exc)))
+            return
+        emit(events.SettingsReread(changed=changed))
+
+    async def _follow_settings(self) -> None:
+        """Notice changes of the settings file that no signal tells of."""
+        while True:
+            await asyncio.sleep(SETTINGS_S)
+            try:
+                changed = self.adapter.reread()
+            except errors.FindingsError as exc:
+                emit(events.SettingsUnreadable(findings=str(exc)))
+                continue
+            if changed:
+                emit(events.SettingsReread(changed=changed))
+
     def dump(self) -> object:
         """Return this process's state."""
         config = self._config.current
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -22,10 +22,9 @@
 from cranberrycleat.workflow.board import Batch, Board
 from cranberrycleat.workflow.directory import Directory
 from cranberrycleat.workflow.feasibility import RETRY_S, why_hopeless
-from cranberrycleat.workflow.fleet import FleetWorker, Placement, Standing
+from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.links import WorkerLink
 from cranberrycleat.workflow.membership import Membership
-from cranberrycleat.workflow.ordering import Urgency, standing
 from cranberrycleat.workflow.peering import (
     Digest,
     DigestReply,
@@ -35,17 +34,16 @@
     SubmitRequest,
 )
 from cranberrycleat.workflow.permit_desk import PermitDesk
-from cranberrycleat.workflow.planner import PermitWish, PlannedGroup, Planner
 from cranberrycleat.workflow.ports import FeedTable, WorkerClient
-from cranberrycleat.workflow.state import JobState, StepRun, TaskState
+from cranberrycleat.workflow.roster import Roster
+from cranberrycleat.workflow.signal import Signal
+from cranberrycleat.workflow.starts import Starts
+from cranberrycleat.workflow.state import JobState, TaskState
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 
 LOG: Final[logging.Logger] = part_logger("owner")
 STORE_SILENT: Final = "the table does not answer"
-PERMIT_PAUSE_S: Final = 0.05
-PERMIT_TRIES: Final = 4
 HAND_OVER_S: Final = 2.0
-DOUBT_S: Final = 0.4
 SILENT_S: Final = 0.8
 """A table that left a transaction unanswered for so long counts as down."""
 CHANGE_LIMIT_S: Final = 0.7
@@ -89,15 +87,34 @@
     inbox_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     store_answers: bool = True
     closing: bool = False
-    _planner: Planner = attrs.field(
-        default=attrs.Factory(lambda self: Planner(board=self.board), takes_self=True)
-    )
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _plan_due: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _stored: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _stored: Signal = attrs.field(factory=Signal)
     _ended: asyncio.Event = attrs.field(factory=asyncio.Event)
     _work: Background = attrs.field(factory=Background)
     _old_leases_over_at: float = 0.0
+    roster: Roster = attrs.field(init=False)
+    starts: Starts = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.roster = Roster(
+            board=self.board,
+            directory=self.directory,
+            members=self.peers,
+            links=self.links,
+            join=self._link,
+            changed=self.changed,
+        )
+        self.starts = Starts(
+            board=self.board,
+            desk=self.desk,
+            links=self.links,
+            clock=self.clock,
+            changed=self.changed,
+            stored=self._stored,
+            work=self._work,
+            plan_due=self._plan_due,
+        )
 
     # --- authority ------------------------------------------------------------
 
@@ -195,7 +212,7 @@
         specs, jobs, inbox, _ = found
         self._restore(specs, jobs)
         self._take_inbox(inbox)
-        self._meet_workers()
+        self.roster.meet()
         self.board.adopt(self.clock.now())
         for worker in self.board.fleet.workers.values():
             worker.leases_over_at = self._old_leases_over_at
@@ -291,8 +308,7 @@
             emit(events.TableBack(after_s=round(self.clock.now() - since, 2)))
         self.store_answers = True
         self.board.stored(batch)
-        stored, self._stored = self._stored, asyncio.Event()
-        stored.set()
+        self._stored.fire()
 
     def _note_silence(self, exc: errors.TableUnavailable, since: float) -> None:
         """Refuse new work once the table is down, not at one lost answer."""
@@ -314,84 +330,10 @@
                 await asyncio.sleep(options.TICK_S)
                 self._plan_due.set()
                 continue
-            self._plan()
+            self.starts.plan()
+            self.stop_soon()
             await asyncio.sleep(options.GATHER_S)
 
-    def _plan(self) -> None:
-        now = self.clock.now()
-        plan = self._planner.plan(now=now, now_s=self.board.time_of_day())
-        for wish in plan.wishes:
-            self._work.spawn(self._ask_permits(wish))
-        for group in plan.groups:
-            self._work.spawn(self._order(group))
-        self.stop_soon()
-        if plan.groups:
-            self._changed.set()
-        if plan.retry_at is not None:
-            loop = asyncio.get_running_loop()
-            loop.call_later(max(0.0, plan.retry_at - now), self._plan_due.set)
-
-    async def _ask_permits(self, wish: PermitWish) -> None:
-        permits = self.board.permits.get(wish.step.name)
-        if permits is None:
-            return
-        urgency = self._urgency(wish.step)
-        if not await self.desk.ask(wish.step.name, wish.workers, permits, urgency):
-            await asyncio.sleep(options.TICK_S)
-        self._plan_due.set()
-
-    def _urgency(self, step: StepRun) -> Urgency:
-        return standing(step, self.board.time_of_day()).key()
-
-    async def _order(self, group: PlannedGroup) -> None:
-        """Order the starts of a group once they are stored and permitted."""
-        left = group.placements
-        for _ in range(PERMIT_TRIES):
-            await self._until_stored(left)
-            await self._permit(group.step, left)
-            ready = [pair for pair in left if self._permitted(group.step, pair[1])]
-            if group.step.spec.gang and len(ready) < len(left):
-                ready = []
-            self._send(ready)
-            left = [pair for pair in left if pair not in ready]
-            if not left:
-                return
-            await asyncio.sleep(PERMIT_PAUSE_S)
-        for worker, placement in left:
-            self.board.give_up(worker, placement, "no permits")
-        self.changed()
-
-    async def _until_stored(self, left: list[tuple[FleetWorker, Placement]]) -> None:
-        while not all(placement.stored for _, placement in left):
-            await self._stored.wait()
-
-    @staticmethod
-    def _permitted(step: StepRun, placement: Placement) -> bool:
-        needless = step.job.queue.permits is None
-        return needless or bool(placement.permit) or placement.stopping
-
-    def _send(self, ready: list[tuple[FleetWorker, Placement]]) -> None:
-        for worker, placement in ready:
-            link = self.links.get(worker.name)
-            if link is not None:
-                self._work.spawn(link.start(placement))
-
-    async def _permit(
-        self, step: StepRun, left: list[tuple[FleetWorker, Placement]]
-    ) -> None:
-        """Give every placement a permit that is valid now, as far as possible."""
-        permits = self.board.permits.get(step.name)
-        if step.job.queue.permits is None or permits is None:
-            return
-        now = self.clock.now()
-        names = {worker.name for worker, _ in left}
-        stale = tuple(name for name in sorted(names) if not permits.valid(name, now))
-        if stale:
-            await self.desk.ask(step.name, stale, permits, self._urgency(step))
-            now = self.clock.now()
-        for worker, placement in left:
-            placement.permit = permits.valid(worker.name, now)
-
     # --- workers ----------------------------------------------------------------
 
     async def _directory_loop(self) -> None:
@@ -399,44 +341,11 @@
             await asyncio.sleep(options.DIRECTORY_S)
             try:
                 if await self.directory.refresh():
-                    self._meet_workers()
+                    self.roster.meet()
                     self._plan_due.set()
             except errors.TableUnavailable as exc:
                 LOG.debug("The list of workers was not read: %s", exc)
 
-    def _meet_workers(self) -> None:
-        workers = self.board.fleet.workers
-        for entry in self.directory.entries.values():
-            known = workers.get(entry.worker)
-            if known is None:
-                workers[entry.worker] = FleetWorker(entry=entry)
-                self._link(workers[entry.worker])
-                emit(
-                    events.WorkerJoined(
-                        worker=entry.worker,
-                        data_centre=entry.data_centre,
-                        labels=entry.labels,
-                        processors=entry.capacity.processors,
-                    )
-                )
-            elif known.entry != entry or not known.listed:
-                if entry.leaving and not known.entry.leaving:
-                    emit(
-                        events.WorkerLeaving(
-                            worker=entry.worker, tasks=len(known.placements)
-                        )
-                    )
-                known.update(entry)
-                known.listed = True
-        for worker in workers.values():
-            if worker.listed and worker.name not in self.directory.entries:
-                emit(
-                    events.WorkerUnlisted(
-                        worker=worker.name, tasks=len(worker.placements)
-                    )
-                )
-                worker.listed = False
-
     def _link(self, worker: FleetWorker) -> None:
         link = WorkerLink(
             worker=worker,
@@ -454,9 +363,7 @@
         while True:
             await asyncio.sleep(options.TICK_S)
             now = self.clock.now()
-            self._doubt_places(now)
-            for worker in list(self.board.fleet.workers.values()):
-                self._check_worker(worker, now)
+            self.roster.check_all(now)
             due = self.board.next_due_s()
             if due is not None and due <= self.board.time_of_day():
                 self.board.open_all_due()
@@ -464,33 +371,6 @@
             if self.board.waiting:
                 self._plan_due.set()
 
-    def _doubt_places(self, now: float) -> None:
-        """Give no work to a data centre from which no host is heard any more.
-
-        Answers a data centre that is cut off: its workers are found silent one
-        by one over two seconds, and whatever is placed there meanwhile waits
-        for a whole lease.
-        """
-        for place in self.peers.silent_places(now):
-            for worker in self.board.fleet.workers.values():
-                silent_s = now - worker.clock_at
-                if worker.entry.data_centre == place and silent_s > DOUBT_S:
-                    worker.doubted = True
-
-    def _check_worker(self, worker: FleetWorker, now: float) -> None:
-        if worker.standing is Standing.LIVE:
-            return
-        if now > worker.leases_over_at or worker.standing is Standing.GONE:
-            lost = self.board.lapse(worker)
-            if lost:
-                emit(events.WorkerLeasesOver(worker=worker.name, tasks=lost))
-                self.changed()
-            if not worker.listed or worker.standing is Standing.GONE:
-                del self.board.fleet.workers[worker.name]
-                link = self.links.pop(worker.name, None)
-                if link is not None:
-                    link.over = True
-
     async def _inbox_loop(self) -> None:
         while True:
             try:
--- a/cranberrycleat/workflow/peer_api.py
+++ b/cranberrycleat/workflow/peer_api.py
@@ -57,6 +57,7 @@
                 "/v1/look": self._look_now,
                 "/v1/permits": self._permits,
                 "/v1/metrics": self._metrics,
+                "/metrics": self._metrics_text,
                 "/v1/dump": self._dump,
             }
         )
@@ -108,5 +109,8 @@
     async def _metrics(self, body: bytes) -> Answer:
         return Answer(message=self.metrics.read())
 
+    async def _metrics_text(self, body: bytes) -> Answer:
+        return Answer(message=self.metrics.text().encode())
+
     async def _dump(self, body: bytes) -> Answer:
         return Answer(message=self.dump())
--- a/cranberrycleat/workflow/permit_desk.py
+++ b/cranberrycleat/workflow/permit_desk.py
@@ -103,7 +103,7 @@
             try:
                 found = await self._send(host, step, workers, limit_s)
             except PermitUnavailable as exc:
-                emit(events.PermitsFailed(step=step, host=host, reason=str(exc)))
+                emit(events.PermitsFailed(step=step, via=host, reason=str(exc)))
                 self._bad_until[host] = self.clock.now() + BAD_HOST_S
                 continue
             finally:
@@ -115,7 +115,7 @@
                     step=step,
                     asked=len(workers),
                     allowed=len(found),
-                    host=host,
+                    via=host,
                     waited_s=round(sent_at - came_at, 4),
                     took_s=round(self.clock.now() - sent_at, 4),
                 )
--- /dev/null
+++ b/cranberrycleat/workflow/roster.py
@@ -0,0 +1,109 @@
+"""Which workers there are: joining, leaving, silent, gone.
+
+Keeps the fleet in step with the platform's list and with what the links find.
+A worker stays in the fleet until nothing that was granted there can still run.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from cranberrycleat import events
+from cranberrycleat.logs import emit
+from cranberrycleat.workflow.board import Board
+from cranberrycleat.workflow.directory import Directory
+from cranberrycleat.workflow.fleet import FleetWorker, Standing
+from cranberrycleat.workflow.links import WorkerLink
+from cranberrycleat.workflow.membership import Membership
+
+DOUBT_S: Final = 0.4
+
+
+@attrs.define(kw_only=True, eq=False)
+class Roster:
+    """Keeps the fleet in step with the platform's list.
+
+    Attributes:
+        board: The owner's memory.
+        directory: Reads the list.
+        members: The other hosts of the system.
+        links: The links to workers, by identity.
+        join: Begins a link to a new worker.
+        changed: Told when the board has changed.
+    """
+
+    board: Board
+    directory: Directory
+    members: Membership
+    links: dict[str, WorkerLink]
+    join: Callable[[FleetWorker], None]
+    changed: Callable[[], None]
+
+    def meet(self) -> None:
+        """Take in the list as it is now."""
+        workers = self.board.fleet.workers
+        for entry in self.directory.entries.values():
+            known = workers.get(entry.worker)
+            if known is None:
+                workers[entry.worker] = FleetWorker(entry=entry)
+                self.join(workers[entry.worker])
+                emit(
+                    events.WorkerJoined(
+                        worker=entry.worker,
+                        data_centre=entry.data_centre,
+                        labels=entry.labels,
+                        processors=entry.capacity.processors,
+                    )
+                )
+            elif known.entry != entry or not known.listed:
+                if entry.leaving and not known.entry.leaving:
+                    emit(
+                        events.WorkerLeaving(
+                            worker=entry.worker, tasks=len(known.placements)
+                        )
+                    )
+                known.update(entry)
+                known.listed = True
+        for worker in workers.values():
+            if worker.listed and worker.name not in self.directory.entries:
+                emit(
+                    events.WorkerUnlisted(
+                        worker=worker.name, tasks=len(worker.placements)
+                    )
+                )
+                worker.listed = False
+
+    def check_all(self, now: float) -> None:
+        """Look for places and workers that fell silent."""
+        self.doubt_places(now)
+        for worker in list(self.board.fleet.workers.values()):
+            self.check(worker, now)
+
+    def doubt_places(self, now: float) -> None:
+        """Give no work to a data centre from which no host is heard any more.
+
+        Answers a data centre that is cut off: its workers are found silent one
+        by one over two seconds, and whatever is placed there meanwhile waits
+        for a whole lease.
+        """
+        for place in self.members.silent_places(now):
+            for worker in self.board.fleet.workers.values():
+                silent_s = now - worker.clock_at
+                if worker.entry.data_centre == place and silent_s > DOUBT_S:
+                    worker.doubted = True
+
+    def check(self, worker: FleetWorker, now: float) -> None:
+        """Give up what ran on a worker whose leases are all over."""
+        if worker.standing is Standing.LIVE:
+            return
+        if now > worker.leases_over_at or worker.standing is Standing.GONE:
+            lost = self.board.lapse(worker)
+            if lost:
+                emit(events.WorkerLeasesOver(worker=worker.name, tasks=lost))
+                self.changed()
+            if not worker.listed or worker.standing is Standing.GONE:
+                del self.board.fleet.workers[worker.name]
+                link = self.links.pop(worker.name, None)
+                if link is not None:
+                    link.over = True
--- /dev/null
+++ b/cranberrycleat/workflow/telemetry.py
@@ -0,0 +1,88 @@
+"""Metrics of a node, counted from its events.
+
+What is logged is what is counted, so that the two cannot disagree. Names follow
+OpenTelemetry's conventions: a noun, its event, seconds where they are times.
+"""
+
+from typing import Any
+
+import attrs
+
+from cranberrycleat import events
+from cranberrycleat.metrics import Metrics
+
+
+@attrs.define(kw_only=True, eq=False)
+class Telemetry:
+    """Counts events.
+
+    Attributes:
+        metrics: The process's metrics.
+    """
+
+    metrics: Metrics
+
+    def take(self, event: Any) -> None:
+        """Count one event."""
+        self._jobs(event)
+        self._tasks(event)
+        self._owner(event)
+
+    def _jobs(self, event: Any) -> None:
+        metrics = self.metrics
+        match event:
+            case events.JobAccepted(queue=queue):
+                metrics.count("jobs.accepted", queue=queue)
+            case events.JobRefused(queue=queue, reason=reason):
+                metrics.count("jobs.refused", queue=queue, reason=reason)
+            case events.JobUnknown(queue=queue):
+                metrics.count("jobs.unknown", queue=queue)
+            case events.JobMalformed(queue=queue):
+                metrics.count("jobs.malformed", queue=queue)
+            case events.JobStored(after_s=after_s):
+                metrics.record("jobs.stored.duration", after_s)
+            case events.JobEnded(queue=queue, state=state, after_s=after_s, late=late):
+                metrics.count(
+                    "jobs.ended", queue=queue, state=state, late=str(late).lower()
+                )
+                metrics.record("jobs.duration", after_s, queue=queue)
+            case events.JobShown(after_end_s=after_s):
+                metrics.record("jobs.shown.duration", after_s)
+
+    def _tasks(self, event: Any) -> None:
+        metrics = self.metrics
+        match event:
+            case events.TaskPlaced(waited_s=waited_s, saved=saved):
+                cause = "resumed" if saved else "fresh"
+                metrics.count("tasks.placed", cause=cause)
+                metrics.record("tasks.waited.duration", max(0.0, waited_s))
+            case events.TaskStarted(after_s=after_s):
+                metrics.record("tasks.started.duration", after_s)
+            case events.TaskUnanswered():
+                metrics.count("tasks.unanswered")
+            case events.TaskRefused(verdict=verdict):
+                metrics.count("tasks.refused", verdict=verdict)
+            case events.TaskEnded(how=how, ran_s=ran_s):
+                metrics.count("tasks.ended", how=how)
+                if how != "done":
+                    metrics.record("tasks.thrown_away.duration", ran_s, how=how)
+            case events.PermitsHad(took_s=took_s, waited_s=waited_s):
+                metrics.record("permits.duration", took_s)
+                metrics.record("permits.waited.duration", waited_s)
+            case events.PermitsFailed():
+                metrics.count("permits.failed")
+
+    def _owner(self, event: Any) -> None:
+        metrics = self.metrics
+        match event:
+            case events.OwnerTookOver(took_s=took_s):
+                metrics.count("owner.takeovers")
+                metrics.record("owner.takeover.duration", took_s)
+            case events.OwnerLost(reason=reason):
+                metrics.count("owner.lost", reason=reason)
+            case events.TableSilent(down=down):
+                metrics.count("table.silent", down=str(down).lower())
+            case events.WorkerSilent():
+                metrics.count("workers.silent")
+            case events.WorkerLeasesOver(tasks=tasks):
+                metrics.count("workers.leases_over.tasks", tasks)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -11,8 +11,8 @@
 from cranberrycleat.clock import ManualClock
 from cranberrycleat.messages import HostEntry, HostList, SyncOrder, SyncReply
 from cranberrycleat.registry import PluginKind, register
-from cranberrycleat.standin_table import MemoryTable
-from cranberrycleat.standin_worker import WorkerStandin
+from cranberrycleat.standins.table import MemoryTable
+from cranberrycleat.standins.worker import WorkerStandin
 from cranberrycleat.table import CommitReply, Row, Transaction
 
 T = TypeVar("T")
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -32,6 +32,10 @@
         """Let it go on."""
         self.process.send_signal(signal.SIGCONT)
 
+    def hang_up(self) -> None:
+        """Tell it that its settings may have changed."""
+        self.process.send_signal(signal.SIGHUP)
+
     def kill(self) -> None:
         """End it at once."""
         self.process.kill()
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -109,7 +109,7 @@
     Row(
         promise="2 one place",
         what="the end of a worker's lease by itself",
-        file="standin_worker.py",
+        file="standins/worker.py",
         text="if now >= running.lease_until:",
         instead="if False:",
         test="tests/test_link.py",
@@ -149,7 +149,7 @@
     Row(
         promise="2 one place",
         what="the order's bound on the worker's clock",
-        file="standin_worker.py",
+        file="standins/worker.py",
         text="late = self.clock.now() > order.not_after",
         instead="late = False",
         test="tests/test_link.py",
@@ -157,7 +157,7 @@
     Row(
         promise="2 one place",
         what="the fence by epoch",
-        file="standin_worker.py",
+        file="standins/worker.py",
         text="if order.epoch < self.epoch:",
         instead="if False:",
         test="tests/test_link.py",
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -16,7 +16,7 @@
 from cranberrycleat import codec
 from cranberrycleat.audit import audit
 from cranberrycleat.caller import OUTCOME, CallNote, Told
-from cranberrycleat.standin_worker import WorkerRecord
+from cranberrycleat.standins.worker import WorkerRecord
 from tests.processes import Fleet, Program, until
 from tests.relay import Relay
 
@@ -366,3 +366,20 @@
         assert world.call(gateway, "x").told is Told.ANSWERED
     assert len(world.record(world.workers[0]).requests) == before
     world.audit()
+
+
+def test_a_hangup_ends_no_process() -> None:
+    """SIGHUP says that settings may have changed; its default would be the end."""
+    with Fleet() as fleet:
+        platform = fleet.platform()
+        scheduler = fleet.scheduler("s1", platform)
+        for program in (platform, scheduler):
+            program.hang_up()
+        until(
+            lambda: httpx.get(
+                scheduler.url + "/v1/dump", trust_env=False, timeout=5
+            ).is_success,
+            what="an answer after the hangup",
+        )
+        assert platform.process.poll() is None
+        assert scheduler.process.poll() is None
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,6 +13,7 @@
 from cranberrycleat.endpoints import EndpointState, ServiceEndpoints, Verdict, judge
 from cranberrycleat.forward import CallerRequest
 from cranberrycleat.gateway import Gateway
+from cranberrycleat.gateway_api import gateway_handlers
 from cranberrycleat.messages import Digest, DigestReply, Endpoint, EndpointSet
 from cranberrycleat.options import GatewayOptions
 from cranberrycleat.retry import BURST, RetryBudget
@@ -34,7 +35,7 @@
         table_client="memory",
         routing="round-robin",
     )
-    return Gateway(cfg=cfg)
+    return Gateway(cfg=cfg, handlers=gateway_handlers)
 
 
 def endpoint_set(*urls: str, revision: int = 1, slots: int = 4) -> EndpointSet:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -8,7 +8,7 @@
 from cranberrycleat import errors
 from cranberrycleat.clock import ManualClock
 from cranberrycleat.lease import Changes, Deposed, OwnershipLease
-from cranberrycleat.standin_table import MemoryTable
+from cranberrycleat.standins.table import MemoryTable
 from cranberrycleat.table import Put
 from tests.fakes import LateTable, go
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -13,7 +13,7 @@
 from cranberrycleat.link import LinkTimes, WorkerLink, inherited_leases
 from cranberrycleat.messages import InboxEntry, JobPart, Outcome
 from cranberrycleat.shard import Shard
-from cranberrycleat.standin_table import MemoryTable
+from cranberrycleat.standins.table import MemoryTable
 from tests.fakes import DirectWorker, direct_worker, go
 
 LEASE_S = 10.0
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,231 @@
+"""Events, the sink that never blocks, metrics from events, and `explain`."""
+
+import asyncio
+import json
+import os
+import re
+from pathlib import Path
+
+import attrs
+import pytest
+from click.testing import CliRunner
+
+from cranberrycleat import events
+from cranberrycleat.cli import main
+from cranberrycleat.explain import cause, read_line, read_lines, story
+from cranberrycleat.log_sink import LogSink
+from cranberrycleat.logs import encode_event
+from cranberrycleat.metrics import Metrics
+from cranberrycleat.workflow.telemetry import Telemetry
+
+DOCS = Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
+
+
+def test_the_table_of_events_agrees_with_the_module() -> None:
+    """docs/OPERATIONS.md lists every event with its doc line, and no other."""
+    text = DOCS.read_text()
+    table = text[text.index("### Logs") : text.index("### Finding a cause")]
+    rows = re.findall(r"^\| `([a-z]+\.[a-z_]+)` \| (.+?) \|$", table, re.M)
+    assert dict(rows) == {kind.name: kind.doc for kind in events.KINDS.values()}
+
+
+def test_names_are_unique_and_fields_do_not_hide_the_line_s_own() -> None:
+    """A line's time, event and host come first; no event has such a field."""
+    names = [kind.name for kind in events.KINDS.values()]
+    assert len(names) == len(set(names))
+    for cls in events.KINDS:
+        fields = {field.name for field in attrs.fields(cls)}
+        assert not fields & {"time", "event", "host"}, cls
+
+
+def _report(by_event: dict[str, int]) -> bytes:
+    return json.dumps({"event": "log.left_out", "by_event": by_event}).encode() + b"\n"
+
+
+def test_a_pipe_that_nobody_reads_does_not_stop_the_process() -> None:
+    """Writing goes on at once; what matters least is left out and counted."""
+    reader, writer = os.pipe()
+
+    async def run() -> None:
+        sink = LogSink(fd=writer, report=_report, most_bytes=50_000)
+        line = b"x" * 99 + b"\n"
+        for number in range(20_000):
+            sink.put("often", line, kept=False)
+            if number % 1000 == 0:
+                sink.put("refused", b"kept %d\n" % number, kept=True)
+                await asyncio.sleep(0)
+        assert sink.left_out_ever > 15_000
+        assert set(sink.left_out) == {"often"}
+        os.set_blocking(reader, False)
+        seen = b""
+        for _ in range(200):
+            try:
+                seen += os.read(reader, 1 << 20)
+            except BlockingIOError:
+                await asyncio.sleep(0.02)
+            if b"left_out" in seen:
+                break
+        for number in range(0, 20_000, 1000):
+            assert b"kept %d\n" % number in seen
+        assert b'"often"' in seen
+
+    asyncio.run(run())
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_reader_that_goes_away_is_survived() -> None:
+    """A closed pipe is no reason to stop."""
+    reader, writer = os.pipe()
+    os.close(reader)
+
+    async def run() -> None:
+        sink = LogSink(fd=writer, report=_report)
+        for _ in range(10):
+            sink.put("a", b"line\n", kept=True)
+            await asyncio.sleep(0.06)
+
+    asyncio.run(run())
+    os.close(writer)
+
+
+def line(event: object, at: float = 1.0, host: str = "h1") -> str:
+    """Return an event's line as a process writes it."""
+    return encode_event(event, events.KINDS[type(event)].name, at, host).decode()
+
+
+ACCEPTED = events.JobAccepted(
+    job="a", queue="q", steps=1, tasks=1, runs=1, due_in_s=0, labels=(), objective_s=1
+)
+STORED = events.JobStored(job="a", after_s=0.01)
+ENDED = events.JobEnded(
+    job="a",
+    queue="q",
+    state="completed",
+    after_s=4.0,
+    objective_s=1.0,
+    late=True,
+    attempts=1,
+)
+
+
+def placed(waited_s: float) -> events.TaskPlaced:
+    """Return a placement that waited."""
+    return events.TaskPlaced(
+        task="a.0.0.0", attempt=1, worker="w", waited_s=waited_s, saved=False
+    )
+
+
+def waiting(reason: str) -> events.StepWaiting:
+    """Return a step that is left waiting."""
+    return events.StepWaiting(
+        step="a.0.0", reason=reason, pending=1, candidates=0, waited_s=0, slack_s=1
+    )
+
+
+@pytest.mark.parametrize(
+    ("told", "expected"),
+    [
+        (
+            [events.JobRefused(job="a", queue="q", reason="cut off", retry_after_s=1)],
+            "refused at the door: cut off",
+        ),
+        (
+            [events.JobUnknown(job="a", queue="q", reason="no time", after_s=2.5)],
+            "given up by the door: no time",
+        ),
+        ([events.JobMalformed(job="a", queue="q", reason="x")], "not a job: x"),
+        ([events.JobWithdrawn(job="a", after_s=1)], "withdrawn"),
+        (
+            [ACCEPTED, STORED, waiting("no room"), placed(3.0), ENDED],
+            "waited for a place: no room",
+        ),
+        (
+            [
+                ACCEPTED,
+                STORED,
+                placed(0.01),
+                events.TaskEnded(
+                    task="a.0.0.0",
+                    attempt=1,
+                    worker="w",
+                    how="failed",
+                    ran_s=2.0,
+                    current=True,
+                ),
+                ENDED,
+            ],
+            "attempt failed",
+        ),
+        (
+            [
+                ACCEPTED,
+                STORED,
+                placed(0.01),
+                events.OwnerWon(epoch=2, silent=True),
+                ENDED,
+            ],
+            "held up around owner.won",
+        ),
+        (
+            [ACCEPTED, STORED, placed(0.01), ENDED],
+            "its tasks ran longer than estimated",
+        ),
+        ([ACCEPTED, STORED, placed(0.01)], "the logs end before it does"),
+        (
+            [
+                ACCEPTED,
+                STORED,
+                ENDED,
+                events.JobShown(job="a", state="completed", after_end_s=2.0),
+            ],
+            "its end was stored late",
+        ),
+    ],
+)
+def test_explain_names_the_deciding_line(told: list[object], expected: str) -> None:
+    """Each way to lose a job is told from its lines, in any order."""
+    lines = [line(event, at=float(at)) for at, event in enumerate(told)]
+    found = cause(story(read_lines(reversed(lines)), "a"))
+    assert expected in found.text
+    assert found.entry is not None
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "no json", "{", "[1]", '{"event":"job.stored"}', '{"event":"what.is.it"}'],
+)
+def test_lines_that_are_no_events_are_passed_over(text: str) -> None:
+    """Also half lines and lines of others."""
+    assert read_line(text) is None
+
+
+def test_a_prefix_with_the_bench_s_time_is_understood() -> None:
+    """Simulated time goes before the process's own."""
+    entry = read_line("  12.5 frontend-1 " + line(STORED, at=99.0))
+    assert entry is not None and entry.at == 12.5
+
+
+def test_the_command_reads_files_and_sums_up(tmp_path: Path) -> None:
+    """One job's story, and all losses."""
+    path = tmp_path / "log"
+    path.write_text(line(ACCEPTED) + line(STORED) + line(placed(3.0)) + line(ENDED))
+    one = CliRunner().invoke(main, ["explain", "a", str(path)])
+    assert one.exit_code == 0 and "cause: waited for a place" in one.output
+    none = CliRunner().invoke(main, ["explain", "zz", str(path)])
+    assert none.exit_code == 1
+    summed = CliRunner().invoke(main, ["explain", "--losses", "--log", str(path)])
+    assert "1 jobs lost or late of 1; 0 unexplained" in summed.output
+
+
+def test_events_are_counted_as_metrics() -> None:
+    """Counters with labels and histograms in seconds, as text."""
+    metrics = Metrics(role="node", name="n")
+    telemetry = Telemetry(metrics=metrics)
+    for event in (ACCEPTED, ENDED, placed(0.2), waiting("no room")):
+        telemetry.take(event)
+    text = metrics.text()
+    assert 'cranberrycleat_jobs_accepted{queue="q"} 1' in text
+    assert 'jobs_ended{late="true",queue="q",state="completed"} 1' in text
+    assert 'cranberrycleat_tasks_waited_duration_bucket{le="0.25"} 1' in text
+    assert "cranberrycleat_tasks_waited_duration_count 1" in text
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -54,6 +54,10 @@
         """The shared workers."""
         return self.cell.fleet
 
+    def reread(self) -> tuple[str, ...]:
+        """Nothing changes."""
+        return ()
+
     @property
     def machines(self) -> None:
         """There is no interface to machines."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,7 @@
 from cranberrycleat.asgi import Answer, read_body, send_answer
 from cranberrycleat.http_client import HttpClient
 from cranberrycleat.http_server import HttpServer
+from cranberrycleat.platform.adapter import make_adapter
 from cranberrycleat.platform.jobs import read_job
 from cranberrycleat.platform.records import read_config, read_worker
 from cranberrycleat.platform.settings import read_settings
@@ -422,6 +423,24 @@
     assert cfg.grace_s == 6.0 and cfg.machines == ""
 
 
+def test_settings_are_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A change is taken in; a file that cannot be read changes nothing."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    monkeypatch.setenv("CRANBERRYCLEAT_NODE_FILE", str(path))
+    adapter = make_adapter(HttpClient())
+    assert adapter.reread() == ()
+    path.write_text(SETTINGS.replace("10.200.1.7", "10.200.1.8"))
+    assert adapter.reread() == ("store",)
+    assert adapter.store.address == "10.200.1.8:8169"
+    path.write_text("= broken")
+    with pytest.raises(errors.FindingsError):
+        adapter.reread()
+    assert adapter.store.address == "10.200.1.8:8169"
+
+
 @pytest.mark.parametrize(
     "text", ["", "node = 1", "= x", SETTINGS.replace("[platform]", "[other]")]
 )
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -12,6 +12,7 @@
 from cranberrycleat.messages import InboxEntry, JobPart
 from cranberrycleat.options import SchedulerOptions
 from cranberrycleat.scheduler import Scheduler
+from cranberrycleat.scheduler_api import scheduler_handlers
 from cranberrycleat.table import Put, Transaction
 from tests.fakes import MemoryPlatform, go
 
@@ -27,7 +28,7 @@
         table_client="memory",
         drain_s=0.0,
     )
-    scheduler = Scheduler(cfg=cfg)
+    scheduler = Scheduler(cfg=cfg, handlers=scheduler_handlers)
     assert isinstance(scheduler.platform, MemoryPlatform)
     return scheduler, scheduler.platform
 
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -409,7 +409,7 @@
             owner.peers.entries["n:1"] = (peer, now - 1.5)
             for worker in owner.board.fleet.workers.values():
                 worker.clock_at = now - 1.0
-            owner._doubt_places(now)
+            owner.roster.doubt_places(now)
             assert all(w.doubted for w in owner.board.fleet.workers.values())
 
     go(run())
--- a/tests/test_writes.py
+++ b/tests/test_writes.py
@@ -8,7 +8,7 @@
 from cranberrycleat.claims import Claim, Claims, Replay, kept
 from cranberrycleat.clock import ManualClock
 from cranberrycleat.messages import ConfigDocument
-from cranberrycleat.standin_table import MemoryTable
+from cranberrycleat.standins.table import MemoryTable
 from cranberrycleat.table import ABSENT, Check, Put
 from cranberrycleat.watcher import HEAD_KEY, ConfigWatcher
 from cranberrycleat.writer import REST_S, Change, GroupedWriter, Lost, Unsettled, Won
