Times of workers have a name of our own

Cause: the platform's spelling of a worker's clock stood outside platform/. Change: worker_time_ms. No behaviour changes; tests as before.

--- a/cranberrycleat/platform/records.py
+++ b/cranberrycleat/platform/records.py
@@ -139,6 +139,6 @@
         leaving=wire.state != "ready",
         capacity=wire.capacity.amounts(),
         labels=wire.labels,
-        clock_ms=round(wire.clock_ms),
+        worker_time_ms=round(wire.clock_ms),
         leaves_in_s=(None if wire.remaining_ms is None else wire.remaining_ms / 1000),
     )
--- a/cranberrycleat/platform/workers.py
+++ b/cranberrycleat/platform/workers.py
@@ -167,7 +167,7 @@
             return _verdict(reply, entry)
         lists = _decode(reply, _WireLists, entry)
         return SyncReply(
-            clock_ms=round(lists.clock_ms),
+            worker_time_ms=round(lists.clock_ms),
             running=tuple(_running(each) for each in lists.running),
             ended=tuple(
                 EndedTask(
@@ -204,11 +204,11 @@
     wire = _decode(reply, _WireVerdict, entry)
     clock = None if wire.clock_ms is None else round(wire.clock_ms)
     if reply.status == OK:
-        return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=clock)
+        return OrderReply(verdict=Verdict.ACCEPTED, worker_time_ms=clock)
     if reply.status == CONFLICT and wire.reason in REASONS:
-        return OrderReply(verdict=REASONS[wire.reason], clock_ms=clock)
+        return OrderReply(verdict=REASONS[wire.reason], worker_time_ms=clock)
     if reply.status == BAD_REQUEST:
-        return OrderReply(verdict=Verdict.MALFORMED, clock_ms=clock)
+        return OrderReply(verdict=Verdict.MALFORMED, worker_time_ms=clock)
     raise WorkerUnreachable(f"{entry.worker}: status {reply.status} {wire.reason}")
 
 
--- a/cranberrycleat/standins/fleet.py
+++ b/cranberrycleat/standins/fleet.py
@@ -140,7 +140,7 @@
         if verdict is Verdict.ACCEPTED and order.task not in worker.runs:
             self._begin(worker, order)
         worker.lease_end_ms = max(worker.lease_end_ms, order.lease_end_ms)
-        return OrderReply(verdict=verdict, clock_ms=now)
+        return OrderReply(verdict=verdict, worker_time_ms=now)
 
     def _verdict(self, worker: Worker, order: StartOrder, now: int) -> Verdict:
         if order.epoch < worker.epoch:
@@ -193,20 +193,20 @@
         """Stop an attempt, or make one void that has not come yet."""
         worker = self._reach(entry)
         if epoch < worker.epoch:
-            return OrderReply(verdict=Verdict.STALE_EPOCH, clock_ms=self.now_ms())
+            return OrderReply(verdict=Verdict.STALE_EPOCH, worker_time_ms=self.now_ms())
         worker.epoch = epoch
         worker.void[task] = max(worker.void.get(task, 0), attempt)
         run = worker.runs.get(task)
         if run is not None and run.attempt <= attempt:
             self._end(worker, run, EndKind.STOPPED)
-        return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=self.now_ms())
+        return OrderReply(verdict=Verdict.ACCEPTED, worker_time_ms=self.now_ms())
 
     async def throttle(
         self, entry: WorkerEntry, task: str, attempt: int, percent: int, epoch: int
     ) -> OrderReply:
         """Take note of nothing: these tasks disturb nobody."""
         self._reach(entry)
-        return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=self.now_ms())
+        return OrderReply(verdict=Verdict.ACCEPTED, worker_time_ms=self.now_ms())
 
     async def sync(
         self,
@@ -220,7 +220,7 @@
         """Renew the lease and return both lists, waiting for an end."""
         worker = self._reach(entry)
         if epoch < worker.epoch:
-            return OrderReply(verdict=Verdict.STALE_EPOCH, clock_ms=self.now_ms())
+            return OrderReply(verdict=Verdict.STALE_EPOCH, worker_time_ms=self.now_ms())
         worker.epoch = epoch
         worker.ended = [end for end in worker.ended if end.number > ended_upto]
         if lease_end_ms is not None:
@@ -232,7 +232,7 @@
             self._reach(entry)
             self._settle(worker)
         return SyncReply(
-            clock_ms=self.now_ms(),
+            worker_time_ms=self.now_ms(),
             running=tuple(
                 RunningTask(
                     task=run.task, attempt=run.attempt, saved=run.saved, percent=100
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -342,7 +342,7 @@
         self, worker: FleetWorker, reply: SyncReply, *, sent_at: float, now: float
     ) -> list[EndedTask]:
         """Take in a worker's lists; return the ends that are new."""
-        worker.heard_clock(reply.clock_ms, now)
+        worker.heard_time(reply.worker_time_ms, now)
         fresh = [end for end in reply.ended if end.number > worker.heard_upto]
         for end in fresh:
             self._ended(worker, end, now)
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -125,7 +125,7 @@
         placements: What counts on it, by task and attempt.
         used: The sum of what counts.
         free: What is left.
-        clock_ms: Its clock at its last answer.
+        worker_time_ms: Its clock at its last answer.
         clock_at: When that answer came, on the owner's clock.
         leases_over_at: When every lease granted there is over, at the latest.
         ended_upto: The newest end that was stored.
@@ -148,7 +148,7 @@
     placements: dict[Key, Placement] = attrs.field(factory=dict)
     used: Amounts = NOTHING
     free: Amounts = NOTHING
-    clock_ms: int = 0
+    worker_time_ms: int = 0
     clock_at: float = 0.0
     leases_over_at: float = 0.0
     ended_upto: int = 0
@@ -202,17 +202,17 @@
         self.entry = entry
         self.free = entry.capacity.minus(self.used)
 
-    def heard_clock(self, clock_ms: int, now: float) -> None:
+    def heard_time(self, worker_time_ms: int, now: float) -> None:
         """Note the worker's clock, as an answer told it."""
-        if clock_ms >= self.clock_ms:
-            self.clock_ms = clock_ms
+        if worker_time_ms >= self.worker_time_ms:
+            self.worker_time_ms = worker_time_ms
             self.clock_at = now
             self.doubted = False
 
     def grant(self, lease_s: float, now: float, clock_error: float) -> int:
         """Return a lease's end on the worker's clock, and count it as granted."""
         since = now - self.clock_at
-        end_ms = self.clock_ms + round((since + lease_s) * 1000)
+        end_ms = self.worker_time_ms + round((since + lease_s) * 1000)
         longest = (since + lease_s) / (1 - clock_error)
         self.leases_over_at = max(self.leases_over_at, self.clock_at + longest)
         return end_ms
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -251,8 +251,8 @@
     def _settled(self, placement: Placement, reply: OrderReply, sent: int) -> bool:
         unanswered = sent > 1
         now = self.clock.now()
-        if reply.clock_ms is not None:
-            self.worker.heard_clock(reply.clock_ms, now)
+        if reply.worker_time_ms is not None:
+            self.worker.heard_time(reply.worker_time_ms, now)
         match reply.verdict:
             case Verdict.ACCEPTED | Verdict.STALE_ATTEMPT:
                 # A stale attempt is over there; the next lists tell how.
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -91,7 +91,7 @@
         leaves_in_s: How long it stays at least, once it is leaving; None: not told.
         capacity: What it has.
         labels: Its kind and its rack.
-        clock_ms: Its own clock when it wrote the entry.
+        worker_time_ms: Its own clock when it wrote the entry.
     """
 
     worker: str
@@ -101,7 +101,7 @@
     leaving: bool
     capacity: Amounts
     labels: tuple[str, ...]
-    clock_ms: int = 0
+    worker_time_ms: int = 0
     leaves_in_s: float | None = None
 
 
@@ -193,7 +193,7 @@
     """A worker's verdict and its clock (None: not told)."""
 
     verdict: Verdict
-    clock_ms: int | None = None
+    worker_time_ms: int | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -243,7 +243,7 @@
 class SyncReply:
     """All that runs on a worker, and all ends that were not acknowledged."""
 
-    clock_ms: int
+    worker_time_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -215,7 +215,7 @@
 @pytest.mark.parametrize(
     ("status", "body", "expected"),
     [
-        (200, {"clock_ms": 5}, OrderReply(verdict=Verdict.ACCEPTED, clock_ms=5)),
+        (200, {"clock_ms": 5}, OrderReply(verdict=Verdict.ACCEPTED, worker_time_ms=5)),
         (409, {"clock_ms": 5, "reason": "fence"}, Verdict.STALE_EPOCH),
         (409, {"clock_ms": 5, "reason": "old"}, Verdict.STALE_ATTEMPT),
         (409, {"clock_ms": 5, "reason": "late"}, Verdict.TOO_LATE),
