Unforeseen faults end no loop; answers that are not what the page says lose nothing

Cause: reading the code for what ends a host's standing: a Deposed in a takeover ended the task that stands for the ownership for good, and a word that a worker's list does not have (KeyError) ended that worker's link. Change: loops begin again after a logged fault; a fault while storing gives the ownership up and reads anew; lists, machines and rows are checked where they are decoded. Conclusion: a fault costs its loop half a second.

--- a/cranberrycleat/lifecycle.py
+++ b/cranberrycleat/lifecycle.py
@@ -9,7 +9,7 @@
 import gc
 import logging
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Final, Protocol, runtime_checkable
 
 import attrs
@@ -17,6 +17,8 @@
 from cranberrycleat.logs import part_logger
 
 LOG: Final[logging.Logger] = part_logger("process")
+AGAIN_S: Final = 0.5
+"""The pause before a task that failed begins again."""
 GC_THRESHOLD: Final = 20_000
 """Allocations between collections; each looks through what a shard holds."""
 
@@ -51,6 +53,19 @@
         task.add_done_callback(self._ended)
         return task
 
+    def keep(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run work until `cancel`; where it fails, log that and begin it again."""
+        self.spawn(self._again(work))
+
+    async def _again(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        while True:
+            try:
+                await work()
+                return
+            except Exception:
+                LOG.exception("A task failed and begins again.")
+            await asyncio.sleep(AGAIN_S)
+
     def _ended(self, task: "asyncio.Task[None]") -> None:
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/cranberrycleat/platform/machines.py
+++ b/cranberrycleat/platform/machines.py
@@ -85,7 +85,10 @@
             if reply.status != OK:
                 raise MachinesUnavailable(f"status {reply.status}")
             page = _decode(reply, _WirePage)
-            found += [_machine(each) for each in page.machines]
+            try:
+                found += [_machine(each) for each in page.machines]
+            except ValueError as exc:
+                raise MachinesUnavailable(f"a machine's state: {exc}") from exc
             if page.next_token is None:
                 return tuple(found)
             params = {"page_token": str(page.next_token)}
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import binascii
 from typing import Final
 
 import attrs
@@ -249,5 +250,17 @@
     return Row(
         key=f"{wire.table}/{wire.key}",
         version=wire.schema_ver,
-        value=base64.b64decode(wire.value).decode(),
+        value=_unpack(wire.value),
     )
+
+
+def _unpack(value: str) -> str:
+    """Return a row's text; nothing where it is none.
+
+    Whoever reads the row then finds that it is not of its form, and says so
+    with its place; one bad row must not hide all others.
+    """
+    try:
+        return base64.b64decode(value).decode()
+    except (binascii.Error, UnicodeDecodeError):
+        return ""
--- a/cranberrycleat/platform/workers.py
+++ b/cranberrycleat/platform/workers.py
@@ -166,16 +166,10 @@
         if reply.status != OK:
             return _verdict(reply, entry)
         lists = _decode(reply, _WireLists, entry)
-        return SyncReply(
-            worker_time_ms=round(lists.clock_ms),
-            running=tuple(_running(each) for each in lists.running),
-            ended=tuple(
-                EndedTask(
-                    number=number, task=task, attempt=run, how=ENDS[how], saved=saved
-                )
-                for number, task, run, how, saved in lists.ended
-            ),
-        )
+        try:
+            return _sync_reply(lists)
+        except (KeyError, TypeError, ValueError) as exc:
+            raise WorkerUnreachable(f"{entry.worker}: a list's row: {exc!r}") from exc
 
     async def _order(self, entry: WorkerEntry, path: str, body: object) -> OrderReply:
         return _verdict(await self._call(entry, path, body, 0.0), entry)
@@ -219,6 +213,18 @@
         raise WorkerUnreachable(f"{entry.worker}: {exc}") from exc
 
 
+def _sync_reply(lists: _WireLists) -> SyncReply:
+    """Return both lists; raises where a row is not what the page says."""
+    return SyncReply(
+        worker_time_ms=round(lists.clock_ms),
+        running=tuple(_running(each) for each in lists.running),
+        ended=tuple(
+            EndedTask(number=number, task=task, attempt=run, how=ENDS[how], saved=saved)
+            for number, task, run, how, saved in lists.ended
+        ),
+    )
+
+
 def _running(wire: list[Any]) -> RunningTask:
     task, run, saved, percent = wire[:4]
     return RunningTask(
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -109,6 +109,7 @@
                 await self._round()
         finally:
             await self.orders.cancel()
+            self._stops.clear()
 
     async def _round(self) -> None:
         try:
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -236,12 +236,12 @@
         name_host(cfg.name)
         emit(events.ProcessStarted(name=cfg.name, data_centre=cfg.data_centre))
         for work in (
-            self._follow_config(),
-            self._follow_settings(),
-            self._stand(),
-            self._exchange(),
+            self._follow_config,
+            self._follow_settings,
+            self._stand,
+            self._exchange,
         ):
-            self._work.spawn(work)
+            self._work.keep(work)
 
     def _watch(self, metrics: Metrics) -> None:
         """Have gauges read this process's state."""
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -163,18 +163,20 @@
         try:
             await self._take_over()
             for work in (
-                self._store_loop(),
-                self._plan_loop(),
-                self._directory_loop(),
-                self._inbox_loop(),
-                self._tick_loop(),
+                self._store_loop,
+                self._plan_loop,
+                self._directory_loop,
+                self._inbox_loop,
+                self._tick_loop,
             ):
-                self._work.spawn(work)
+                self._work.keep(work)
             if self.director is not None:
-                self._work.spawn(self.director.run())
+                self._work.keep(self.director.run)
             self.ready.set()
             self.changed()
             await self._ended.wait()
+        except Deposed:
+            emit(events.OwnerLost(epoch=self.epoch, reason="deposed in its takeover"))
         finally:
             await self._work.cancel()
 
@@ -276,6 +278,12 @@
                 emit(events.OwnerLost(epoch=self.epoch, reason="the row has another"))
                 self._ended.set()
                 return
+            except Exception:
+                # What the batch changed is no longer dirty: only the table's
+                # rows can be trusted, so they are read anew in a new epoch.
+                LOG.exception("Storing failed; the ownership is given up.")
+                await self._release()
+                return
             if self.board.dirty:
                 self._changed.set()
             elif self.closing:
@@ -357,7 +365,7 @@
             lease_s=self.leases.length_s,
         )
         self.links[worker.name] = link
-        self._work.spawn(link.run())
+        self._work.keep(link.run)
 
     async def _tick_loop(self) -> None:
         while True:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -284,6 +284,56 @@
     go(run())
 
 
+@pytest.mark.parametrize(
+    "lists",
+    [
+        {"running": [["a.0.0.0", 1]]},
+        {"running": [["a.0.0.0", "x", "", 1]]},
+        {"ended": [[3, "b.0.0.0", 2, "some new word", ""]]},
+        {"ended": [[3, "b.0.0.0"]]},
+        {"ended": "none"},
+    ],
+)
+def test_lists_that_are_not_what_the_page_says(lists: dict[str, Any]) -> None:
+    """They count as no answer, with the reason, and nothing is lost by them."""
+
+    async def run() -> None:
+        async with stand() as (made, address, http):
+            client = PlatformWorkers(http=http)
+            made.canned["/api/hold"] = (200, {"clock_ms": 10, **lists})
+            entry = attrs.evolve(ENTRY, address=address)
+            with pytest.raises(WorkerUnreachable, match="i-1"):
+                await client.sync(
+                    entry, epoch=1, ended_upto=0, lease_end_ms=None, wait_ms=0
+                )
+
+    go(run())
+
+
+def test_one_row_that_is_no_text_does_not_hide_the_others() -> None:
+    """Its reader gives the finding with its place."""
+
+    async def run() -> None:
+        async with stand() as (made, address, http):
+            store = PlatformStore(address=address, http=http)
+            for number, value in enumerate(["/w==", "not base64!", "e30="]):
+                key = ("servers", "", f"i-{number}")
+                made.rows[key] = {
+                    "table": "servers",
+                    "part": "",
+                    "key": f"i-{number}",
+                    "value": value,
+                    "schema_ver": 1,
+                }
+            found = await store.scan(prefix="servers/")
+            assert [each.value for each in found] == ["", "", "{}"]
+            with pytest.raises(errors.FindingsError) as caught:
+                read_worker(found[0])
+            assert caught.value.findings[0].place == "servers/i-0"
+
+    go(run())
+
+
 def test_permits_and_their_absence() -> None:
     """Good workers with tickets; an answer that is none raises."""
 
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -8,7 +8,9 @@
 
 from cranberrycleat import errors
 from cranberrycleat.amounts import Amounts
+from cranberrycleat.lifecycle import Background
 from cranberrycleat.standins.fleet import Work
+from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.door import DoorStatus
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peering import (
@@ -413,3 +415,44 @@
             assert all(w.doubted for w in owner.board.fleet.workers.values())
 
     go(run())
+
+
+def test_a_task_that_fails_begins_again() -> None:
+    """An unforeseen fault ends neither a loop nor the process."""
+    runs: list[int] = []
+
+    async def work() -> None:
+        runs.append(1)
+        if len(runs) == 1:
+            raise RuntimeError("unforeseen")
+
+    async def run() -> None:
+        background = Background()
+        background.keep(work)
+        await until(lambda: len(runs) == 2)
+        await background.cancel()
+
+    go(run())
+
+
+def test_a_fault_while_storing_loses_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The owner gives up, and what was stored goes on in a new epoch."""
+
+    async def run() -> None:
+        async with cell() as made:
+            made.fleet.work = lambda task, attempt: Work(seconds=0.5)
+            owner = await made.own("one")
+            await submit(owner, "a", job(step(2)))
+
+            def fail(batch: object) -> None:
+                raise RuntimeError("unforeseen")
+
+            monkeypatch.setattr(Board, "stored", lambda self, batch: fail(batch))
+            await until(lambda: made.tasks[0].done())
+            monkeypatch.undo()
+            again = await made.own("one")
+            assert again.epoch == 2
+            await until(lambda: state(again, "a") == "completed")
+            assert made.fleet.faults == []
+
+    go(run())
