A suspicion of a dead owner does not last; touch.py and batches.py by concern

Cause: reading node.py and board.py as a newcomer: evidence of what was heard stood in five fields of the node, storing in the middle of the memory; and a holder that was once suspected wrongly would have been taken over at each look.

--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -2,10 +2,10 @@
 
 No network and no clock of its own. A change marks its job dirty; the owner
 stores dirty jobs and only then acts: orders a start, acknowledges an end,
-tells a caller. `take_batch` and `stored` are the two ends of that.
+tells a caller (see `batches`).
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import attrs
@@ -13,8 +13,6 @@
 from cranberrycleat import events
 from cranberrycleat.clock import BootClock, time_of_day
 from cranberrycleat.logs import emit
-from cranberrycleat.table import Put
-from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.fleet import (
     Fleet,
     FleetWorker,
@@ -35,12 +33,10 @@
     WorkerEntry,
 )
 from cranberrycleat.workflow.spec import WorkflowSpec
-from cranberrycleat.workflow.state import FINAL, Job, JobState, StepRun, Task, TaskState
+from cranberrycleat.workflow.state import Job, JobState, StepRun, Task, TaskState
 
 MOST_ENDS: Final = 500
 """A worker lists this many ends at a time."""
-MOST_JOBS_A_BATCH: Final = 30
-"""A transaction holds 100 entries, a job needs up to three."""
 AT_WORK: Final = 100
 """Percent at which a member of a service counts as at work."""
 RETRY_S: Final = 0.3
@@ -49,25 +45,6 @@
 LONGEST_RETRY_S: Final = 2.4
 
 
-@attrs.frozen(kw_only=True)
-class Batch:
-    """What one transaction stores.
-
-    Attributes:
-        jobs: The jobs whose rows it writes, and the state it stores of each.
-        puts: The writes.
-        deletes: Rows that go away.
-        placements: Placements that are stored by it.
-        heard: The ends that may be acknowledged after it, by worker.
-    """
-
-    jobs: tuple[tuple[Job, JobState], ...]
-    puts: tuple[Put, ...]
-    deletes: tuple[str, ...]
-    placements: tuple[Placement, ...]
-    heard: tuple[tuple[str, int], ...]
-
-
 @attrs.define(kw_only=True, eq=False)
 class Board:
     """Jobs, workers and placements of one owner.
@@ -458,77 +435,3 @@
             if placement is not None and not placement.stopping:
                 placement.stopping = True
                 placement.stop_reason = "gang lost a member"
-
-    # --- storing --------------------------------------------------------------
-
-    def take_batch(self) -> Batch:
-        """Return what to store next; the rest stays dirty."""
-        chosen = list(self.dirty.values())[:MOST_JOBS_A_BATCH]
-        puts: list[Put] = []
-        deletes: list[str] = []
-        for job in chosen:
-            del self.dirty[job.job_id]
-            job.offered = True
-            puts.append(rows.job_put(job))
-            if job.verdict is not None:
-                deletes.append(rows.spec_key(job.job_id))
-            elif not job.spec_stored:
-                puts.append(rows.spec_put(job))
-        heard: tuple[tuple[str, int], ...] = ()
-        if not self.dirty:
-            heard = tuple(
-                (each.name, each.heard_upto)
-                for each in self.fleet.workers.values()
-                if each.heard_upto > each.ended_upto
-            )
-        return Batch(
-            jobs=tuple((job, job.state()) for job in chosen),
-            puts=tuple(puts),
-            deletes=tuple(deletes),
-            placements=tuple(self._unstored(chosen)),
-            heard=heard,
-        )
-
-    def _unstored(self, chosen: Iterable[Job]) -> Iterator[Placement]:
-        names = {job.job_id for job in chosen}
-        for worker in self.fleet.workers.values():
-            for placement in worker.placements.values():
-                if not placement.stored and placement.task.partition(".")[0] in names:
-                    yield placement
-
-    def stored(self, batch: Batch) -> None:
-        """Note that the table has a batch."""
-        for job, state in batch.jobs:
-            self._tell_stored(job, state)
-            job.spec_stored = True
-            self.shown[job.job_id] = state
-        for placement in batch.placements:
-            placement.stored = True
-        for name, number in batch.heard:
-            worker = self.fleet.workers.get(name)
-            if worker is not None:
-                worker.ended_upto = max(worker.ended_upto, number)
-
-    def _tell_stored(self, job: Job, state: JobState) -> None:
-        now_s = self.time_of_day()
-        if not job.spec_stored:
-            after_s = round(now_s - job.accepted_s, 4)
-            emit(events.JobStored(job=job.job_id, after_s=after_s))
-        if state in FINAL and self.shown.get(job.job_id) is not state:
-            after_s = round(now_s - job.ended_s, 4)
-            shown = events.JobShown(
-                job=job.job_id, state=state.value, after_end_s=after_s
-            )
-            emit(shown)
-
-    def forget_ended(self, before_s: float, most: int) -> tuple[str, ...]:
-        """Forget jobs that ended before a time; return their rows' keys."""
-        old = [
-            job.job_id
-            for job in self.jobs.values()
-            if job.verdict is not None and 0 < job.ended_s < before_s
-        ][:most]
-        for job_id in old:
-            del self.jobs[job_id]
-            self.shown.pop(job_id, None)
-        return tuple(rows.job_key(job_id) for job_id in old)
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -30,6 +30,7 @@
 from cranberrycleat.workflow.peering import Digest, DigestReply, PeerClient
 from cranberrycleat.workflow.permit_desk import PermitDesk
 from cranberrycleat.workflow.telemetry import Telemetry
+from cranberrycleat.workflow.touch import Touch
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 from cranberrycleat.writer import GroupedWriter
 
@@ -41,15 +42,9 @@
 PAUSE_S: Final = 0.2
 BALANCER_S: Final = 2.5
 """The balancer asks each second and sends no new callers after two misses."""
-OWNER_FRESH_S: Final = 0.9
-"""One digest may be missed: they come each 0.3 s and wait 0.3 s."""
 SETTINGS_S: Final = 5.0
 """How often the settings file is read; it takes a millisecond."""
 MOST_ASKED: Final = 2
-FAR_S: Final = 3600.0
-"""What is logged for 'never'."""
-STORE_FRESH_S: Final = 1.0
-"""Looks at the owner's row come each 0.25 s; a slowed table takes 0.5 s more."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -74,18 +69,15 @@
     _work: Background = attrs.field(factory=Background)
     _look: asyncio.Event = attrs.field(factory=asyncio.Event)
     _was_ready: bool = False
-    _dead: set[str] = attrs.field(factory=set)
-    _hint: DigestReply = DigestReply(owner=False)
     _members: Membership = attrs.field(factory=Membership)
-    _store_heard_at: float = float("-inf")
-    _owner_heard_at: float = float("-inf")
-    _peer_heard_at: float = float("-inf")
+    _touch: Touch = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         cfg = self.adapter.settings
         self.address = f"{cfg.ip}:{cfg.peer_port}"
         self._place = f"{cfg.name}@{self.address}"
         self._peers = PeerClient(http=self.http)
+        self._touch = Touch(clock=self.clock)
         self._config = self.adapter.config_follower()
         self._lease = OwnershipLease(
             table=self.adapter.store,
@@ -125,8 +117,7 @@
         A host that is cut off sends its callers elsewhere. In an outage of the
         table no host serves better than another: then all stay ready.
         """
-        now = self.clock.now()
-        connected = self.in_touch() or now - self._peer_heard_at < OWNER_FRESH_S
+        connected = self.in_touch() or self._touch.connected()
         known = self._config.current is not None
         ready = not self.draining and known and connected
         if ready is not self._was_ready:
@@ -134,28 +125,23 @@
             emit(
                 events.HostTouch(
                     ready=ready,
-                    owner_s=round(min(now - self._owner_heard_at, FAR_S), 2),
-                    table_s=round(min(now - self._store_heard_at, FAR_S), 2),
+                    owner_s=round(self._touch.owner_age_s(), 2),
+                    table_s=round(self._touch.table_age_s(), 2),
                 )
             )
         return ready
 
     def in_touch(self) -> bool:
         """Tell whether the owner or the table were heard of lately."""
-        now = self.clock.now()
         owner = self._held()
-        if owner is not None and owner.store_answers:
-            return True
-        return (
-            now - self._owner_heard_at < OWNER_FRESH_S
-            or now - self._store_heard_at < STORE_FRESH_S
-        )
+        owns = owner is not None and owner.store_answers
+        return owns or self._touch.served()
 
     def owner_address(self) -> str:
         """Return where the owner answers, by the newest word of it."""
         row = self._lease.seen()
-        if row is None or row.epoch < self._hint.epoch:
-            return self._hint.owner_at
+        if row is None or row.epoch < self._touch.hint.epoch:
+            return self._touch.hint.owner_at
         if row.released:
             return ""
         return row.holder.partition("@")[2].partition("#")[0]
@@ -171,7 +157,7 @@
         return DigestReply(
             owner=False,
             holder=self._lease.holder,
-            epoch=max(self._lease.epoch, self._hint.epoch),
+            epoch=max(self._lease.epoch, self._touch.hint.epoch),
             owner_at=self.owner_address(),
         )
 
@@ -186,7 +172,7 @@
         """
         place, _, _ = holder.partition("#")
         mine = place == self._place and holder != self._lease.holder
-        return mine or holder in self._dead
+        return mine or self._touch.suspects(holder)
 
     def _suspect_owner(self, answered: str = "") -> None:
         """Note that the holder seen last does not run, and look at the row."""
@@ -198,7 +184,7 @@
             return
         evidence = "another incarnation answers" if answered else "nobody listens"
         emit(events.OwnerSuspected(holder=row.holder, evidence=evidence))
-        self._dead = {row.holder}
+        self._touch.suspect(row.holder)
         self._look.set()
 
     def _held(self) -> Owner | None:
@@ -319,19 +305,14 @@
         except errors.FindingsError as exc:
             emit(events.SettingsUnreadable(findings=str(exc)))
             return
-        emit(events.SettingsReread(changed=changed))
+        if changed:
+            emit(events.SettingsReread(changed=changed))
 
     async def _follow_settings(self) -> None:
         """Notice changes of the settings file that no signal tells of."""
         while True:
             await asyncio.sleep(SETTINGS_S)
-            try:
-                changed = self.adapter.reread()
-            except errors.FindingsError as exc:
-                emit(events.SettingsUnreadable(findings=str(exc)))
-                continue
-            if changed:
-                emit(events.SettingsReread(changed=changed))
+            self.reread()
 
     def dump(self) -> object:
         """Return this process's state."""
@@ -352,10 +333,10 @@
         while True:
             try:
                 await self._config.follow(CONFIG_WAIT_S)
-                self._store_heard_at = self.clock.now()
+                self._touch.heard_table()
             except errors.TableRefused as exc:
                 # This host is not cut off, and others fare no better.
-                self._peer_heard_at = self.clock.now()
+                self._touch.heard_place()
                 LOG.debug("The configuration was not read: %s", exc)
                 await asyncio.sleep(PAUSE_S)
             except errors.TableUnavailable as exc:
@@ -368,7 +349,7 @@
             if not self.draining:
                 with contextlib.suppress(errors.TableUnavailable):
                     won = await self._lease.acquire()
-                    self._store_heard_at = self.clock.now()
+                    self._touch.heard_table()
                     if won:
                         await self._act()
             with contextlib.suppress(TimeoutError):
@@ -457,28 +438,23 @@
         if not reply.owner and reply.holder:
             self._suspect_owner(reply.holder)
         now = self.clock.now()
-        self._take_hint(reply)
+        self._touch.take_hint(reply)
         if reply.owner:
-            self._owner_heard_at = now
+            self._touch.heard_owner()
             self._door.digest = reply
             self._door.digest_at = now
             self._members.learn(reply.peers, now)
         return reply.owner
 
-    def _take_hint(self, reply: DigestReply) -> None:
-        """Learn of a later owner from a peer, where the table cannot be read."""
-        if reply.owner_at and reply.epoch > self._hint.epoch:
-            self._hint = reply
-
     async def _ask_elsewhere(self) -> None:
         """Find out whether any other data centre can be reached."""
         cfg = self.adapter.settings
         others = self._members.elsewhere(cfg.data_centre, self.address)
         for address in others[:MOST_ASKED]:
             try:
-                self._take_hint(await self._peers.digest(address, self._digest()))
+                self._touch.take_hint(await self._peers.digest(address, self._digest()))
             except errors.PeerUnavailable as exc:
                 LOG.debug("A peer did not answer: %s", exc)
                 continue
-            self._peer_heard_at = self.clock.now()
+            self._touch.heard_place()
             return
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -19,7 +19,8 @@
 from cranberrycleat.logs import emit, part_logger
 from cranberrycleat.table import Row, Transaction
 from cranberrycleat.workflow import options, rows
-from cranberrycleat.workflow.board import Batch, Board
+from cranberrycleat.workflow.batches import Batch, forget_ended, note_stored, take_batch
+from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.directory import Directory
 from cranberrycleat.workflow.feasibility import RETRY_S, why_hopeless
 from cranberrycleat.workflow.fleet import FleetWorker
@@ -271,7 +272,7 @@
                     await self._changed.wait()
             self._changed.clear()
             await asyncio.sleep(options.GATHER_S)
-            batch = self.board.take_batch()
+            batch = take_batch(self.board)
             try:
                 await self._store(batch)
             except Deposed:
@@ -299,7 +300,8 @@
         self._ended.set()
 
     async def _store(self, batch: Batch) -> None:
-        forget = self.board.forget_ended(
+        forget = forget_ended(
+            self.board,
             self.board.time_of_day() - self.status_s - options.FORGET_MARGIN_S,
             0 if batch.puts else options.FORGET_AT_ONCE,
         )
@@ -315,7 +317,7 @@
         if not self.store_answers:
             emit(events.TableBack(after_s=round(self.clock.now() - since, 2)))
         self.store_answers = True
-        self.board.stored(batch)
+        note_stored(self.board, batch)
         self._stored.fire()
 
     def _note_silence(self, exc: errors.TableUnavailable, since: float) -> None:
--- /dev/null
+++ b/tests/test_touch.py
@@ -0,0 +1,39 @@
+"""What a host has heard, and for how long it counts."""
+
+from cranberrycleat.clock import ManualClock
+from cranberrycleat.workflow.peering import DigestReply
+from cranberrycleat.workflow.touch import SUSPECTED_S, Touch
+
+
+def test_what_was_heard_ages() -> None:
+    """Owner or table serve; another place only shows that this is no cut."""
+    clock = ManualClock(time_s=100.0)
+    touch = Touch(clock=clock)
+    assert not touch.served() and not touch.connected()
+    touch.heard_place()
+    assert touch.connected() and not touch.served()
+    touch.heard_owner()
+    assert touch.served()
+    clock.advance(seconds=0.95)
+    assert not touch.served()
+    touch.heard_table()
+    assert touch.served()
+
+
+def test_a_suspicion_does_not_last() -> None:
+    """A holder that was suspected wrongly is not taken over again and again."""
+    clock = ManualClock(time_s=100.0)
+    touch = Touch(clock=clock)
+    touch.suspect("a@x#1")
+    assert touch.suspects("a@x#1") and not touch.suspects("a@x#2")
+    clock.advance(seconds=SUSPECTED_S + 0.1)
+    assert not touch.suspects("a@x#1")
+
+
+def test_only_a_later_owner_is_believed() -> None:
+    """Word of an earlier epoch changes nothing."""
+    touch = Touch(clock=ManualClock())
+    touch.take_hint(DigestReply(owner=False, epoch=3, owner_at="a:1"))
+    touch.take_hint(DigestReply(owner=False, epoch=2, owner_at="b:1"))
+    touch.take_hint(DigestReply(owner=False, epoch=4, owner_at=""))
+    assert touch.hint.owner_at == "a:1"
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -10,7 +10,6 @@
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.standins.fleet import Work
-from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.door import DoorStatus
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peering import (
@@ -447,7 +446,10 @@
             def fail(batch: object) -> None:
                 raise RuntimeError("unforeseen")
 
-            monkeypatch.setattr(Board, "stored", lambda self, batch: fail(batch))
+            monkeypatch.setattr(
+                "cranberrycleat.workflow.owner.note_stored",
+                lambda board, batch: fail(batch),
+            )
             await until(lambda: made.tasks[0].done())
             monkeypatch.undo()
             again = await made.own("one")
