Nothing is ordered to a worker that began to leave after it was chosen

Cause: reading links.py against the rule on leaving workers: a placement that waits for its permit (0.6 s and more), or a start that is sent again, could reach a worker more than 2 s after it had said that it leaves. Ruled out: the list of workers (read each 0.5 s). Change: trust is looked at again just before the first order; an unanswered order is made void by a stop once its worker leaves. Two tests that fail first. Conclusion: the look at the last step is for the worker as well as the clock.

--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -184,6 +184,15 @@
             and not (self.probing and self.placements)
         )
 
+    def may_begin(self) -> bool:
+        """Tell whether what was placed there may still be ordered to start.
+
+        Between placing and ordering lie a transaction and at times a permit:
+        time enough for a worker to fall silent or to say that it leaves.
+        """
+        trusted = self.standing is Standing.LIVE and not self.doubted
+        return trusted and not self.entry.leaving and not self.held
+
     def count(self, placement: Placement) -> None:
         """Begin to count an attempt."""
         self.placements[(placement.task, placement.attempt)] = placement
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -200,8 +200,12 @@
         unanswered = 0
         order: StartOrder | None = None
         while self._counted(placement) and not placement.stopping:
-            silent = self.worker.standing is not Standing.LIVE
-            if order is None and (silent or self.worker.doubted):
+            if order is None and not self.worker.may_begin():
+                break
+            if self.worker.entry.leaving:
+                # An unanswered order must not begin anything there any more.
+                placement.stopping = True
+                placement.stop_reason = "worker leaves before it began"
                 break
             if not self.owner.may_order():
                 await asyncio.sleep(ORDER_PAUSE_S)
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
-from typing import cast
+from types import SimpleNamespace
+from typing import Any, cast
 
+import attrs
 import pytest
 
 from cranberrycleat import errors
@@ -510,3 +512,52 @@
             assert answer.status is DoorStatus.UNKNOWN
 
     go(run())
+
+
+def test_a_worker_that_begins_to_leave_is_ordered_nothing_more() -> None:
+    """What was placed there and waits for its permit goes elsewhere."""
+    policy = PermitPolicy(decide_s=0.01, each_s=0.0, valid_s=0.3)
+
+    async def run() -> None:
+        async with cell(workers=1) as made:
+            owner = await made.own()
+            asked = made.permits.ask
+
+            async def slow(**more: Any) -> Any:
+                await asyncio.sleep(0.3)
+                return await asked(**more)
+
+            owner.desk.own = cast(Any, SimpleNamespace(ask=slow))
+            rules = queue(permits=policy)
+            await submit(owner, "a", job(step(1)), rules)
+            await until(lambda: "a.0.0" in owner.board.permits)
+            await until(lambda: bool(owner.board.fleet.workers["w0"].placements))
+            made.entries["w0"] = attrs.evolve(made.entries["w0"], leaving=True)
+            owner.board.fleet.workers["w0"].update(made.entries["w0"])
+            made.list_worker("w0")
+            made.add_worker("w1")
+            await until(lambda: state(owner, "a") == "completed")
+            assert {each.worker for each in made.fleet.starts} == {"w1"}
+
+    go(run())
+
+
+def test_an_unanswered_start_is_made_void_when_its_worker_leaves() -> None:
+    """Sent again, it would begin something on a worker that is leaving."""
+
+    async def run() -> None:
+        async with cell(workers=1) as made:
+            made.fleet.workers["w0"].lose_starts = 10_000
+            owner = await made.own()
+            await submit(owner, "a", job(step(1)))
+            await until(lambda: len(made.fleet.workers["w0"].late) > 0)
+            made.entries["w0"] = attrs.evolve(made.entries["w0"], leaving=True)
+            made.list_worker("w0")
+            made.add_worker("w1")
+            await until(lambda: state(owner, "a") == "completed")
+            late = made.fleet.workers["w0"].late
+            verdict = made.fleet.carry_out(made.fleet.workers["w0"], late[0]).verdict
+            assert verdict is Verdict.STALE_ATTEMPT
+            assert made.fleet.faults == []
+
+    go(run())
