A service's patience begins anew with each loss; step.hopeless is emitted

Cause: read as a newcomer: the time since which a service's task waits was never reset once it was placed, so that a later loss would have stopped other work at once; and one event of the table was emitted nowhere. Change: both, with a test that fails first. Conclusion: found by listing events that nothing emits.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -199,10 +199,11 @@
 
 @event("step.hopeless", kept=True)
 class StepHopeless:
-    """No known worker could ever hold a step's tasks, or all were ruled out."""
+    """Every known worker is ruled out for a step now; it waits for others."""
 
     step: str
     reason: str
+    pending: int
 
 
 @event("task.placed")
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -24,6 +24,7 @@
 
 MOST_HELD: Final = 3
 """Gangs for which room is kept at a time; more would idle the pool."""
+NO_WORKER: Final = "every known worker is ruled out by a label, a permit or its state"
 MOST_SCANNED: Final = 400
 """Steps looked at in a round: a round of 400 takes about 10 ms."""
 
@@ -73,6 +74,7 @@
         for step in self._ordered(now_s):
             tasks = self._placeable(step, now, plan)
             if not tasks:
+                step.waits_since = None
                 continue
             candidates = self._candidates(step, now, plan)
             if not step.spec.gang:
@@ -91,9 +93,9 @@
     ) -> None:
         """Have lesser work stop where members of a service wait for room."""
         if not step.pending():
-            step.waits_since = 0.0
+            step.waits_since = None
             return
-        if not step.waits_since:
+        if step.waits_since is None:
             step.waits_since = now
         if now - step.waits_since < PATIENCE_S:
             return
@@ -116,10 +118,13 @@
         if not candidates:
             permits = self.board.permits.get(step.name)
             asking = permits is not None and (permits.calls or not permits.asked)
-            reason = "permits are being asked for" if asking else "no worker may"
+            reason = "permits are being asked for" if asking else NO_WORKER
         if reason == step.wait_reason:
             return
         step.wait_reason = reason
+        if reason == NO_WORKER:
+            emit(events.StepHopeless(step=step.name, reason=reason, pending=pending))
+            return
         emit(
             events.StepWaiting(
                 step=step.name,
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -95,7 +95,7 @@
     done: int = 0
     ready_at: float = 0.0
     wait_reason: str = ""
-    waits_since: float = 0.0
+    waits_since: float | None = None
 
     @property
     def name(self) -> str:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -99,6 +99,32 @@
     assert sum(each.stopping for each in only.placements.values()) == 1
 
 
+def test_patience_begins_anew_with_each_loss() -> None:
+    """A member that is lost later waits as long as the first one did."""
+    only = worker("w", processors=2000)
+    made = board(only)
+    planner = Planner(board=made)
+    made.accept("a", queue(), job(step(1, processors=1000)))
+    made.accept("b", queue(), job(step(1, processors=1000)))
+    planner.plan(now=0.0, now_s=NOW_S)
+    made.accept("s", queue(), job(step(1, processors=1000, service=True)))
+    planner.plan(now=1.0, now_s=NOW_S)
+    made.give_up(only, run_all(only)[0], "test")
+    made.jobs["a"].open[0].steps[0].tasks[0].not_before = 900.0
+    planner.plan(now=1.2, now_s=NOW_S)
+    placement = next(each for each in run_all(only) if each.task == "s.0.0.0")
+    planner.plan(now=1.4, now_s=NOW_S)
+    made.give_up(only, placement, "test")
+    made.accept("c", queue(priority=0), job(step(1, processors=1000)))
+    assert placement.subject is not None
+    placement.subject.not_before = 50.0
+    planner.plan(now=49.0, now_s=NOW_S)
+    planner.plan(now=50.0, now_s=NOW_S)
+    assert not any(each.stopping for each in only.placements.values())
+    planner.plan(now=50.6, now_s=NOW_S)
+    assert sum(each.stopping for each in only.placements.values()) == 1
+
+
 def test_saved_and_less_urgent_work_gives_way_first() -> None:
     """The stop that loses least is chosen; services are never stopped for it."""
     only = worker("w", processors=4000)
