--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -76,7 +76,7 @@
         file="workflow/door.py",
         text="done, _ = await asyncio.wait({owner}, timeout=self.patience.limit_s())",
         instead="done, _ = await asyncio.wait({owner}, timeout=30)",
-        test="tests/test_workflow.py::test_a_dead_owner_does_not_cost_a_caller_its_time",
+        test="tests/test_door.py::test_a_dead_owner_does_not_cost_a_caller_its_time",
     ),
     Row(
         promise="faults",
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -13,16 +13,10 @@
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.standins.fleet import Work
 from cranberrycleat.workflow import rows
-from cranberrycleat.workflow.door import DoorStatus
 from cranberrycleat.workflow.owner import Owner
-from cranberrycleat.workflow.peering import (
-    Digest,
-    JobAnswer,
-    SubmitReply,
-    SubmitRequest,
-)
+from cranberrycleat.workflow.peering import Digest, SubmitRequest
 from cranberrycleat.workflow.ports import EndKind, PermitPolicy, Verdict
-from tests.cell import Cell, cell, job, queue, step, submit, until
+from tests.cell import cell, job, queue, step, submit, until
 from tests.fakes import go
 
 
@@ -266,101 +260,6 @@
     go(run())
 
 
-async def _lost_reply(made: Cell) -> None:
-    made.table.faults.lose_replies = 1
-
-
-async def _slow(made: Cell) -> None:
-    made.table.faults.slow_s = 0.3
-
-
-@pytest.mark.parametrize("fault", [_lost_reply, _slow])
-def test_a_door_settles_what_it_can(fault) -> None:  # type: ignore[no-untyped-def]
-    """A lost reply or a slow table does not leave the caller without an answer."""
-
-    async def run() -> None:
-        async with cell() as made:
-            owner = await made.own()
-            door = made.door(lambda: owner)
-            await fault(made)
-            answer = await door.submit(queue(), "d", job(step(1)), limit_s=3.0)
-            assert answer.status is DoorStatus.DONE
-
-    go(run())
-
-
-def test_a_door_without_owner_leaves_the_job_in_the_inbox() -> None:
-    """The next owner finds it there; a repeat is the same job."""
-
-    async def run() -> None:
-        async with cell() as made:
-            door = made.door(lambda: None)
-            for _ in range(2):
-                answer = await door.submit(queue(), "d", job(step(2)), limit_s=3.0)
-                assert answer.status is DoorStatus.DONE
-            assert (await door.state("d")).state == "queued"
-            owner = await made.own()
-            await until(lambda: state(owner, "d") == "completed")
-            assert len(made.fleet.starts) == 2
-
-    go(run())
-
-
-def test_a_door_that_is_cut_off_refuses_at_once() -> None:
-    """Nothing is sent, so the refusal is true, and the caller goes elsewhere."""
-
-    async def run() -> None:
-        async with cell() as made:
-            door = made.door(lambda: None, in_touch=lambda: False)
-            answer = await door.submit(queue(), "d", job(step(1)), limit_s=3.0)
-            assert answer.status is DoorStatus.REFUSED
-            assert not [key for key in made.table.rows if key.startswith("inbox/")]
-
-    go(run())
-
-
-def test_a_job_that_may_be_stored_is_never_refused() -> None:
-    """With the table down after a commit left, the answer is 'unknown'."""
-
-    async def run() -> None:
-        async with cell() as made:
-            owner = await made.own()
-            door = made.door(lambda: owner)
-            made.table.faults.lose_replies = 1000
-            answer = await door.submit(queue(), "d", job(step(1)), limit_s=0.6)
-            assert answer.status is DoorStatus.UNKNOWN
-
-    go(run())
-
-
-class _NeverAnswers:
-    """An owner that took a job and gives no answer, as one that just died."""
-
-    async def submit(self, req: SubmitRequest) -> SubmitReply:
-        """Answer nothing for longer than any caller waits."""
-        await asyncio.sleep(60)
-        return SubmitReply()
-
-    def state(self, job_id: str) -> JobAnswer:
-        """Know nothing."""
-        return JobAnswer(owner=True)
-
-
-def test_a_dead_owner_does_not_cost_a_caller_its_time() -> None:
-    """The job goes to the inbox beside, where the next owner finds it."""
-
-    async def run() -> None:
-        async with cell() as made:
-            door = made.door(lambda: cast(Owner, _NeverAnswers()))
-            asked = door.submit(queue(), "d", job(step(1)), limit_s=3.0)
-            answer = await asyncio.wait_for(asked, timeout=10.0)
-            assert answer.status is DoorStatus.DONE
-            owner = await made.own()
-            await until(lambda: state(owner, "d") == "completed")
-
-    go(run())
-
-
 def test_a_job_that_was_never_sent_to_the_table_is_refused(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -495,25 +394,6 @@
     go(run())
 
 
-def test_a_door_that_is_cut_off_meanwhile_answers_soon() -> None:
-    """It does not hold a caller while a write to the inbox is tried again."""
-
-    async def run() -> None:
-        async with cell() as made:
-            touch = [True]
-            door = made.door(lambda: None, in_touch=lambda: touch[0])
-            made.table.faults.slow_s = 30.0
-            asked = asyncio.create_task(
-                door.submit(queue(), "d", job(step(1)), limit_s=60.0)
-            )
-            await asyncio.sleep(0.2)
-            touch[0] = False
-            answer = await asyncio.wait_for(asked, timeout=10.0)
-            assert answer.status is DoorStatus.UNKNOWN
-
-    go(run())
-
-
 def test_a_worker_that_begins_to_leave_is_ordered_nothing_more() -> None:
     """What was placed there and waits for its permit goes elsewhere."""
     policy = PermitPolicy(decide_s=0.01, each_s=0.0, valid_s=0.3)
