Attempts of unknown size keep their worker to themselves

A closed job's row has no placements, so that its attempts that still stop are unknown to a successor. The first of them on a worker was counted with all that was free, the next with nothing: the end of the first freed room that the second still used. Change: such an attempt counts with nothing and its worker draws nothing until all of them are gone. Found beside it: a worker that the list lacked at a takeover was never asked when it was listed again. A test for each, which fails without the change. Conclusion: 'all that is free' is no amount.

--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -11,6 +11,7 @@
 import attrs
 
 from cranberrycleat import events
+from cranberrycleat.amounts import NOTHING
 from cranberrycleat.clock import BootClock, time_of_day
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.fleet import (
@@ -356,8 +357,9 @@
         placement = Placement(
             task=run.task,
             attempt=run.attempt,
-            needs=worker.free if task is None else counted(task.step.spec),
+            needs=NOTHING if task is None else counted(task.step.spec),
             subject=None,
+            unsized=task is None,
             stored=True,
             ordered=True,
             stopping=True,
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -76,6 +76,7 @@
         ordered: An order may have reached the worker.
         running: The worker said that it runs.
         running_since: When the worker said so first, on the owner's clock.
+        unsized: Nobody knows what it takes; its worker draws nothing beside it.
         stopping: It is to end.
         stop_reason: Why, for people.
         percent: The share at which it works, by the worker's word.
@@ -95,6 +96,7 @@
     ordered: bool = False
     running: bool = False
     running_since: float = 0.0
+    unsized: bool = False
     stopping: bool = False
     stop_reason: str = ""
     percent: float = 0.0
@@ -180,6 +182,7 @@
             and not self.entry.leaving
             and not self.doubted
             and not self.held
+            and not self.has_unsized()
             and now >= self.rests_until
             and not (self.probing and self.placements)
         )
@@ -191,7 +194,12 @@
         time enough for a worker to fall silent or to say that it leaves.
         """
         trusted = self.standing is Standing.LIVE and not self.doubted
-        return trusted and not self.entry.leaving and not self.held
+        away = self.entry.leaving or self.held
+        return trusted and not away and not self.has_unsized()
+
+    def has_unsized(self) -> bool:
+        """Tell whether anything runs there of which nobody knows what it takes."""
+        return any(each.unsized for each in self.placements.values())
 
     def count(self, placement: Placement) -> None:
         """Begin to count an attempt."""
--- a/cranberrycleat/workflow/roster.py
+++ b/cranberrycleat/workflow/roster.py
@@ -65,6 +65,9 @@
                     )
                 known.update(entry)
                 known.listed = True
+                if known.name not in self.links:
+                    # It was only known by what an earlier owner placed there.
+                    self.join(known)
         for worker in workers.values():
             if worker.listed and worker.name not in self.directory.entries:
                 emit(
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -13,11 +13,21 @@
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.standins.fleet import Work
 from cranberrycleat.workflow import rows
+from cranberrycleat.workflow.fleet import Standing
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peering import Digest, SubmitRequest
-from cranberrycleat.workflow.ports import EndKind, PermitPolicy, Verdict
+from cranberrycleat.workflow.planner import Planner
+from cranberrycleat.workflow.ports import (
+    EndedTask,
+    EndKind,
+    PermitPolicy,
+    RunningTask,
+    SyncReply,
+    Verdict,
+)
 from tests.cell import cell, job, queue, step, submit, until
 from tests.fakes import go
+from tests.test_planner import NOW_S, board, worker as lone_worker
 
 
 def state(owner: Owner, job_id: str) -> str:
@@ -441,3 +451,54 @@
             assert made.fleet.faults == []
 
     go(run())
+
+
+def test_attempts_of_unknown_size_keep_their_worker_to_themselves() -> None:
+    """Two that nobody knows any more: the end of one frees nothing yet."""
+    made = board(lone_worker("w"))
+    only = made.fleet.workers["w"]
+    lists = [
+        RunningTask(task=f"gone.0.0.{index}", attempt=1, saved="", percent=50)
+        for index in range(2)
+    ]
+    reply = SyncReply(worker_time_ms=1, running=tuple(lists), ended=())
+    made.sync(only, reply, sent_at=0.0, now=0.0)
+    made.accept("a", queue(), job(step(4)))
+    planner = Planner(board=made)
+    for left in (2, 1, 0):
+        planner.plan(now=1.0, now_s=NOW_S)
+        started = [p for p in only.placements.values() if p.task.startswith("a.")]
+        assert len(started) == (0 if left else 4)
+        ended = EndedTask(
+            number=3 - left,
+            task=f"gone.0.0.{2 - left}",
+            attempt=1,
+            how=EndKind.STOPPED,
+            saved="",
+        )
+        rest = tuple(lists[3 - left :])
+        reply = SyncReply(worker_time_ms=2, running=rest, ended=(ended,))
+        if left:
+            made.sync(only, reply, sent_at=2.0, now=2.0)
+
+
+def test_a_worker_that_is_listed_again_after_a_takeover_is_asked() -> None:
+    """The list may lack a worker when an owner takes over; its work is adopted."""
+
+    async def run() -> None:
+        async with cell(workers=2) as made:
+            made.fleet.work = lambda task, attempt: Work(seconds=2.5)
+            first = await made.own("one")
+            await submit(first, "a", job(step(4, processors=2000)))
+            await until(lambda: len(made.fleet.starts) == 4)
+            made.unlist_worker("w0")
+            made.tasks[0].cancel()
+            second = await made.own("two")
+            made.list_worker("w0")
+            await until(lambda: "w0" in second.links)
+            await until(
+                lambda: second.board.fleet.workers["w0"].standing is Standing.LIVE
+            )
+            assert made.fleet.faults == []
+
+    go(run())
