--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -30,6 +30,22 @@
         instead="return 0.0",
         test="tests/test_workflow.py::test_successor_adopts_what_runs",
     ),
+    Row(
+        promise="1 capacity",
+        what="a worker with attempts of unknown size draws nothing",
+        file="workflow/board.py",
+        text="            unsized=task is None,",
+        instead="            unsized=False,",
+        test="tests/test_workflow.py::test_attempts_of_unknown_size_keep_their_worker_to_themselves",
+    ),
+    Row(
+        promise="2 one place",
+        what="asking a worker that is listed again after a takeover",
+        file="workflow/roster.py",
+        text="                if known.name not in self.links:",
+        instead="                if False:",
+        test="tests/test_workflow.py::test_a_worker_that_is_listed_again_after_a_takeover_is_asked",
+    ),
     Row(
         promise="1 capacity",
         what="counting what is placed",
