Attempts of unknown size are counted, not searched for at each look

Cause: may_draw is asked for each worker and step of a round; looking through all placements there would have tripled it at the grown size (reckoned, not measured). Change: a counter beside the sums. No behaviour changes.

--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -135,6 +135,7 @@
         listed: Whether the platform lists it.
         doubted: An order to it had no answer, or its data centre is silent; it
             draws no work until it answers again.
+        unsized: How many attempts there are of unknown size.
         held: It is being emptied for its machine's upkeep.
         filler_percent: The share at which its fillers are to work.
         filler_changed_at: When that was changed last.
@@ -158,6 +159,7 @@
     listed: bool = True
     doubted: bool = False
     held: bool = False
+    unsized: int = 0
     filler_percent: int = 100
     filler_changed_at: float = float("-inf")
     failures: int = 0
@@ -199,11 +201,12 @@
 
     def has_unsized(self) -> bool:
         """Tell whether anything runs there of which nobody knows what it takes."""
-        return any(each.unsized for each in self.placements.values())
+        return self.unsized > 0
 
     def count(self, placement: Placement) -> None:
         """Begin to count an attempt."""
         self.placements[(placement.task, placement.attempt)] = placement
+        self.unsized += placement.unsized
         self.used = self.used.plus(placement.needs)
         self.free = self.entry.capacity.minus(self.used)
 
@@ -211,6 +214,7 @@
         """Stop counting an attempt that is proved to be over; idempotent."""
         if self.placements.pop((placement.task, placement.attempt), None) is None:
             return
+        self.unsized -= placement.unsized
         self.used = self.used.minus(placement.needs)
         self.free = self.entry.capacity.minus(self.used)
 
