Queue lengths, a job's attempts and ended jobs are kept, not searched for

Cause: every digest (3 a second and host) counted all jobs once for each queue; every closed job looked through all placements of all workers; every empty transaction looked through all jobs. With 45 hosts and 176 workers that is the owner's hot path.

A process writes its last log lines before it ends (they gather for 50 ms and were lost). Counters and a constant that nothing used are gone.

Tests: tests/test_board.py; the test of last lines fails without the flush.

--- a/cranberrycleat/cli_explain.py
+++ b/cranberrycleat/cli_explain.py
@@ -7,7 +7,7 @@
 import click
 
 from cranberrycleat import errors
-from cranberrycleat.explain import Cause, Entry, cause, job_of, lost, read_lines, story
+from cranberrycleat.explain import Cause, Entry, cause, lost, read_lines, stories, story
 
 
 @click.command()
@@ -47,15 +47,10 @@
 
 
 def _print_losses(entries: list[Entry]) -> None:
-    by_job: dict[str, list[Entry]] = {}
-    for entry in entries:
-        name = job_of(entry.event)
-        if name:
-            by_job.setdefault(name, []).append(entry)
     causes: Counter[str] = Counter()
     unexplained = 0
-    for job in by_job:
-        told = story(entries, job)
+    every = stories(entries)
+    for told in every:
         if not lost(told):
             continue
         found = cause(told)
@@ -65,5 +60,5 @@
     for text, number in causes.most_common():
         click.echo(f"{number:6} {text}")
     click.echo(
-        f"{total:6} jobs lost or late of {len(by_job)}; {unexplained} unexplained"
+        f"{total:6} jobs lost or late of {len(every)}; {unexplained} unexplained"
     )
--- a/cranberrycleat/explain.py
+++ b/cranberrycleat/explain.py
@@ -4,6 +4,7 @@
 such as a test bench's. Lines that are no events are passed over and counted.
 """
 
+import bisect
 import json
 from collections.abc import Iterable
 from typing import Any, Final
@@ -29,6 +30,8 @@
     events.WorkerLeasesOver,
 )
 """Events of no job that may be why a job waited."""
+CONTEXT_S: Final = 2.0
+"""How long before a job's first entry they may lie."""
 
 
 @attrs.frozen(kw_only=True)
@@ -108,16 +111,33 @@
 
 def story(entries: list[Entry], job: str) -> Story:
     """Return the entries of one job and of its time."""
-    found = Story(job=job)
-    found.own = [entry for entry in entries if job_of(entry.event) == job]
-    if found.own:
-        first, last = found.own[0].at, found.own[-1].at
-        found.context = [
-            entry
-            for entry in entries
-            if isinstance(entry.event, CONTEXT) and first - 2 <= entry.at <= last
-        ]
-    return found
+    found = [told for told in stories(entries) if told.job == job]
+    return found[0] if found else Story(job=job)
+
+
+def stories(entries: list[Entry]) -> list[Story]:
+    """Return the story of every job, in one pass over its own entries."""
+    own: dict[str, list[Entry]] = {}
+    context: list[Entry] = []
+    for entry in entries:
+        name = job_of(entry.event)
+        if name:
+            own.setdefault(name, []).append(entry)
+        elif isinstance(entry.event, CONTEXT):
+            context.append(entry)
+    times = [entry.at for entry in context]
+    return [
+        Story(
+            job=job,
+            own=found,
+            context=context[
+                bisect.bisect_left(
+                    times, found[0].at - CONTEXT_S
+                ) : bisect.bisect_right(times, found[-1].at)
+            ],
+        )
+        for job, found in own.items()
+    ]
 
 
 def lost(told: Story) -> bool:
--- a/cranberrycleat/lifecycle.py
+++ b/cranberrycleat/lifecycle.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from cranberrycleat.logs import part_logger
+from cranberrycleat.logs import flush, part_logger
 
 LOG: Final[logging.Logger] = part_logger("process")
 AGAIN_S: Final = 0.5
@@ -119,3 +119,5 @@
     await part.drain()
     await part.stop()
     LOG.info("Stopped.")
+    # Lines gather for a moment before they are written; the last ones can't.
+    flush()
--- a/cranberrycleat/platform/jobs.py
+++ b/cranberrycleat/platform/jobs.py
@@ -8,7 +8,6 @@
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.workflow.spec import Schedule, StepSpec, WorkflowSpec
 
-READY_PATH: Final = "/api/readyz"
 DEADLINE_HEADER: Final = b"deadline-ms"
 
 
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -89,16 +89,12 @@
         http: The process's client.
         patience: How long to wait for an answer.
         clock: Measures how long answers take.
-        reads: Calls that read.
-        writes: Calls that write.
     """
 
     address: str
     http: HttpClient
     patience: Patience = attrs.field(factory=Patience)
     clock: Clock = attrs.field(factory=MonotonicClock)
-    reads: int = 0
-    writes: int = 0
 
     async def read(self, *, keys: tuple[str, ...]) -> tuple[Row, ...]:
         """Return the rows that exist among the keys, one call for each."""
@@ -132,7 +128,6 @@
             "after": str(after),
             "wait_ms": str(round(wait_s * 1000)),
         }
-        self.reads += 1
         reply = await self._get("/api/rows-feed", params, wait_s)
         if reply.status == GONE:
             raise HistoryGone(table)
@@ -159,7 +154,6 @@
             ),
             remove=tuple(_WireName(**_place(key)) for key in txn.deletes),
         )
-        self.writes += 1
         reply = await self._send("POST", "/api/rows-tx", body=codec.encode(wire))
         if reply.status == CONDITION_FAILED:
             now = {f"{r.table}/{r.key}": r for r in _decode(reply, "rows-tx").rows}
@@ -174,7 +168,6 @@
 
     async def _range(self, table: str, params: dict[str, str]) -> _WireRows:
         place = {"table": table, "part": _part(table), **params}
-        self.reads += 1
         reply = await self._get("/api/rows-get", place, 0.0)
         return self._page(reply, "rows-get")
 
--- a/cranberrycleat/workflow/batches.py
+++ b/cranberrycleat/workflow/batches.py
@@ -5,6 +5,7 @@
 acknowledgements of ends, and the states that callers are told.
 """
 
+import heapq
 from collections.abc import Iterable, Iterator
 from typing import Final
 
@@ -71,10 +72,9 @@
 
 
 def _unstored(board: Board, chosen: Iterable[Job]) -> Iterator[Placement]:
-    names = {job.job_id for job in chosen}
-    for worker in board.fleet.workers.values():
-        for placement in worker.placements.values():
-            if not placement.stored and placement.task.partition(".")[0] in names:
+    for job in chosen:
+        for _, placement in board.placements_of(job.job_id):
+            if not placement.stored:
                 yield placement
 
 
@@ -105,12 +105,10 @@
 
 def forget_ended(board: Board, before_s: float, most: int) -> tuple[str, ...]:
     """Forget jobs that ended before a time; return their rows' keys."""
-    old = [
-        job.job_id
-        for job in board.jobs.values()
-        if job.verdict is not None and 0 < job.ended_s < before_s
-    ][:most]
-    for job_id in old:
-        del board.jobs[job_id]
+    old: list[str] = []
+    while board.ended and board.ended[0][0] < before_s and len(old) < most:
+        _, job_id = heapq.heappop(board.ended)
+        if board.jobs.pop(job_id, None) is not None:
+            old.append(job_id)
         board.shown.pop(job_id, None)
     return tuple(rows.job_key(job_id) for job_id in old)
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -5,7 +5,8 @@
 tells a caller (see `batches`).
 """
 
-from collections.abc import Callable, Iterator
+import heapq
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -21,6 +22,7 @@
     Placement,
     Standing,
     counted,
+    job_of,
     listed_attempts,
 )
 from cranberrycleat.workflow.ordering import objective_s
@@ -45,6 +47,9 @@
 faulty worker fails within milliseconds and would use up all attempts."""
 LONGEST_RETRY_S: Final = 2.4
 
+Placed = tuple[FleetWorker, Placement]
+"""An attempt, and where it counts."""
+
 
 @attrs.define(kw_only=True, eq=False)
 class Board:
@@ -60,6 +65,10 @@
         shown: The stored state of each job: what callers are told.
         dirty: Jobs with changes that are not stored.
         inbox: Jobs whose row in the inbox is still to be removed.
+        placed: What counts on workers, by job and attempt.
+        unstarted: Open jobs without a schedule that have started nothing, by
+            queue; kept as they change, since every digest tells the numbers.
+        ended: When each final job ended, since 1970, and its identity; a heap.
     """
 
     time_of_day: Callable[[], float] = time_of_day
@@ -71,6 +80,9 @@
     shown: dict[str, JobState] = attrs.field(factory=dict)
     dirty: dict[str, Job] = attrs.field(factory=dict)
     inbox: set[str] = attrs.field(factory=set)
+    placed: dict[str, dict[Key, Placed]] = attrs.field(factory=dict)
+    unstarted: dict[str, set[str]] = attrs.field(factory=dict)
+    ended: list[tuple[float, str]] = attrs.field(factory=list)
     _scheduled: set[str] = attrs.field(factory=set)
 
     # --- jobs ---------------------------------------------------------------
@@ -82,6 +94,7 @@
             return known
         job = Job(job_id=job_id, queue=queue, spec=spec, accepted_s=self.time_of_day())
         self.jobs[job_id] = job
+        self._count_unstarted(job)
         emit(
             events.JobAccepted(
                 job=job_id,
@@ -107,14 +120,9 @@
         job = self.jobs.get(job_id)
         if job is None or job.offered or job_id in self.inbox:
             return False
-        for occurrence in job.open.values():
-            for step in occurrence.steps:
-                self._drop_step(step)
-        for worker in self.fleet.workers.values():
-            for placement in list(worker.placements.values()):
-                if placement.task.startswith(f"{job_id}."):
-                    worker.uncount(placement)
-        self._scheduled.discard(job_id)
+        for worker, placement in self.placements_of(job_id):
+            self._uncount(worker, placement)
+        self._drop_steps(job)
         self.dirty.pop(job_id, None)
         del self.jobs[job_id]
         return True
@@ -124,7 +132,10 @@
         self.jobs[job.job_id] = job
         self.shown[job.job_id] = job.state()
         if job.verdict is None:
+            self._count_unstarted(job)
             self.open_due(job)
+        else:
+            heapq.heappush(self.ended, (job.ended_s, job.job_id))
 
     def open_due(self, job: Job) -> None:
         """Open every occurrence of a job that is due."""
@@ -160,13 +171,11 @@
     def _close(self, job: Job, verdict: JobState) -> None:
         job.verdict = verdict
         job.ended_s = self.time_of_day()
+        heapq.heappush(self.ended, (job.ended_s, job.job_id))
         self._tell_ended(job)
         self._note(job)
-        for occurrence in job.open.values():
-            for step in occurrence.steps:
-                self._drop_step(step)
-        self._scheduled.discard(job.job_id)
-        for placement in self.placements_of(job):
+        self._drop_steps(job)
+        for _, placement in self.placements_of(job.job_id):
             placement.stopping = True
             placement.stop_reason = verdict.value
 
@@ -186,17 +195,34 @@
             )
         )
 
+    def _drop_steps(self, job: Job) -> None:
+        """Nothing of a job waits for a place any more."""
+        for occurrence in job.open.values():
+            for step in occurrence.steps:
+                self._drop_step(step)
+        self._scheduled.discard(job.job_id)
+        self._uncount_unstarted(job)
+
     def _drop_step(self, step: StepRun) -> None:
         self.waiting.pop(step.name, None)
         self.permits.pop(step.name, None)
 
-    def placements_of(self, job: Job) -> Iterator[Placement]:
+    def placements_of(self, job_id: str) -> tuple[Placed, ...]:
         """Return everything of a job that counts on a worker."""
-        prefix = job.job_id + "."
-        for worker in self.fleet.workers.values():
-            for placement in list(worker.placements.values()):
-                if placement.task.startswith(prefix):
-                    yield placement
+        return tuple(self.placed.get(job_id, {}).values())
+
+    def _count(self, worker: FleetWorker, placement: Placement) -> None:
+        worker.count(placement)
+        of_job = self.placed.setdefault(job_of(placement.task), {})
+        of_job[(placement.task, placement.attempt)] = (worker, placement)
+
+    def _uncount(self, worker: FleetWorker, placement: Placement) -> None:
+        worker.uncount(placement)
+        job_id = job_of(placement.task)
+        of_job = self.placed.get(job_id, {})
+        of_job.pop((placement.task, placement.attempt), None)
+        if not of_job:
+            self.placed.pop(job_id, None)
 
     def _note(self, job: Job) -> None:
         self.dirty[job.job_id] = job
@@ -209,16 +235,16 @@
                         step.ready_at = self.now()
                     self.waiting[step.name] = step
 
+    def _count_unstarted(self, job: Job) -> None:
+        if not job.started and job.spec.schedule is None:
+            self.unstarted.setdefault(job.queue.name, set()).add(job.job_id)
+
+    def _uncount_unstarted(self, job: Job) -> None:
+        self.unstarted.get(job.queue.name, set()).discard(job.job_id)
+
     def waiting_of(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have started nothing."""
-        return sum(
-            1
-            for job in self.jobs.values()
-            if not job.started
-            and job.verdict is None
-            and job.queue.name == queue
-            and job.spec.schedule is None
-        )
+        return len(self.unstarted.get(queue, ()))
 
     # --- placements ---------------------------------------------------------
 
@@ -228,6 +254,7 @@
         """Count a task on a worker; it is ordered once this is stored."""
         job = task.step.job
         job.place(task, worker.name, attempt)
+        self._uncount_unstarted(job)
         placement = Placement(
             task=task.name,
             attempt=attempt,
@@ -237,7 +264,7 @@
             saved=task.saved,
             planned_at=now,
         )
-        worker.count(placement)
+        self._count(worker, placement)
         self._note(job)
         emit(
             events.TaskPlaced(
@@ -273,24 +300,23 @@
             )
             worker = FleetWorker(entry=entry, listed=False, standing=Standing.SILENT)
             self.fleet.workers[task.worker] = worker
-        worker.count(
-            Placement(
-                task=task.name,
-                attempt=task.attempt,
-                needs=counted(task.step.spec),
-                subject=task,
-                program=task.step.job.spec.program,
-                planned_at=now,
-                stored=True,
-                ordered=True,
-                running=True,
-                running_since=float("-inf"),
-            )
+        placement = Placement(
+            task=task.name,
+            attempt=task.attempt,
+            needs=counted(task.step.spec),
+            subject=task,
+            program=task.step.job.spec.program,
+            planned_at=now,
+            stored=True,
+            ordered=True,
+            running=True,
+            running_since=float("-inf"),
         )
+        self._count(worker, placement)
 
     def give_up(self, worker: FleetWorker, placement: Placement, reason: str) -> None:
         """An attempt is proved not to run: its task waits again."""
-        worker.uncount(placement)
+        self._uncount(worker, placement)
         emit(
             events.TaskGivenUp(
                 task=placement.task,
@@ -352,7 +378,7 @@
 
     def _stray(self, worker: FleetWorker, run: RunningTask) -> Placement:
         """Count an attempt that no job wants, until it has been stopped."""
-        job = self.jobs.get(run.task.partition(".")[0])
+        job = self.jobs.get(job_of(run.task))
         task = None if job is None else job.find(run.task)
         placement = Placement(
             task=run.task,
@@ -365,7 +391,7 @@
             stopping=True,
             stop_reason="unknown attempt",
         )
-        worker.count(placement)
+        self._count(worker, placement)
         return placement
 
     def _check_missing(
@@ -381,8 +407,8 @@
     def _ended(self, worker: FleetWorker, end: EndedTask, now: float) -> None:
         placement = worker.placements.get((end.task, end.attempt))
         if placement is not None:
-            worker.uncount(placement)
-        job = self.jobs.get(end.task.partition(".")[0])
+            self._uncount(worker, placement)
+        job = self.jobs.get(job_of(end.task))
         task = None if job is None else job.find(end.task)
         emit(
             events.TaskEnded(
@@ -412,7 +438,7 @@
         if end.how is EndKind.DONE:
             worker.note_success()
         elif end.how is EndKind.FAILED:
-            if worker.note_failure(end.task.partition(".")[0], now):
+            if worker.note_failure(job_of(end.task), now):
                 emit(events.WorkerRests(worker=worker.name, rest_s=worker.rest_s))
 
     def _after_end(self, job: Job, step: StepRun) -> None:
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -115,6 +115,12 @@
 
 
 Key = tuple[str, int]
+"""A task's name and the number of an attempt."""
+
+
+def job_of(task: str) -> str:
+    """Return the job that a task's name begins with."""
+    return task.partition(".")[0]
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -479,13 +479,12 @@
         """Exchange digests with another host."""
         now = self.clock.now()
         self.peers.hear(req, now)
-        names = {job.queue.name for job in self.board.jobs.values()}
         return DigestReply(
             owner=self.lease.authority(),
             epoch=self.epoch,
             lengths=tuple(
-                QueueLength(queue=name, waiting=self.board.waiting_of(name))
-                for name in sorted(names)
+                QueueLength(queue=name, waiting=len(jobs))
+                for name, jobs in self.board.unstarted.items()
                 if name
             ),
             peers=self.peers.live(now),
--- /dev/null
+++ b/tests/test_board.py
@@ -0,0 +1,92 @@
+"""What an owner's memory keeps as it changes, instead of counting it each time."""
+
+from collections.abc import Callable
+
+import attrs
+import pytest
+
+from cranberrycleat.amounts import Amounts
+from cranberrycleat.workflow.batches import forget_ended
+from cranberrycleat.workflow.board import Board
+from cranberrycleat.workflow.fleet import FleetWorker
+from cranberrycleat.workflow.ports import RunningTask, SyncReply
+from cranberrycleat.workflow.spec import Schedule
+from cranberrycleat.workflow.state import Job, JobState
+from tests.cell import entry, job, queue, step
+
+LATER = Schedule(runs=1, first_s=2000.0, period_s=1.0)
+
+
+def _board(time_s: float = 1000.0) -> Board:
+    board = Board(time_of_day=lambda: time_s, now=lambda: 0.0)
+    board.fleet.workers["w"] = FleetWorker(entry=entry("w"))
+    return board
+
+
+def _place(board: Board) -> None:
+    task = board.jobs["a"].open[0].steps[0].tasks[0]
+    board.place(task, board.fleet.workers["w"], 1, now=0.0)
+
+
+def _restore(board: Board) -> None:
+    found = Job(job_id="b", queue=queue(), spec=job(step()), accepted_s=1.0)
+    board.restore(found)
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        (lambda board: None, 1),
+        (_place, 0),
+        (lambda board: board.cancel("a"), 0),
+        (lambda board: board.withdraw("a"), 0),
+        (_restore, 2),
+    ],
+    ids=["accepted", "placed", "cancelled", "withdrawn", "restored"],
+)
+def test_queue_length_follows_each_change(
+    change: Callable[[Board], object], expected: int
+) -> None:
+    board = _board()
+    board.accept("a", queue(), job(step(count=2)))
+    change(board)
+    assert board.waiting_of("q") == expected
+
+
+def test_a_scheduled_job_is_not_counted_as_waiting() -> None:
+    board = _board()
+    board.accept("a", queue(), attrs.evolve(job(step()), schedule=LATER))
+    assert board.waiting_of("q") == 0
+
+
+def test_a_job_s_attempts_are_found_while_they_count() -> None:
+    board = _board()
+    board.accept("a", queue(), job(step()))
+    _place(board)
+    stray = RunningTask(task="a.0.0.0", attempt=7, saved="", percent=100.0)
+    reply = SyncReply(worker_time_ms=1, running=(stray,), ended=())
+    worker = board.fleet.workers["w"]
+    board.sync(worker, reply, sent_at=0.0, now=0.0)
+    assert [each.attempt for _, each in board.placements_of("a")] == [1, 7]
+    board.cancel("a")
+    assert all(each.stopping for _, each in board.placements_of("a"))
+    board.lapse(worker)
+    assert board.placements_of("a") == () and not board.placed
+    assert worker.free == Amounts(processors=4000, memory_mb=4000)
+
+
+def test_ended_jobs_are_forgotten_the_oldest_first_and_so_many() -> None:
+    board = _board()
+    for number, ended_s in enumerate((30.0, 10.0, 20.0)):
+        found = Job(
+            job_id=f"{number}",
+            queue=queue(),
+            spec=job(step()),
+            accepted_s=1.0,
+            verdict=JobState.COMPLETED,
+            ended_s=ended_s,
+        )
+        board.restore(found)
+    assert forget_ended(board, 25.0, 1) == ("jobs/1",)
+    assert forget_ended(board, 25.0, 9) == ("jobs/2",)
+    assert list(board.jobs) == list(board.shown) == ["0"]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -4,13 +4,14 @@
 import json
 import os
 import re
+import signal
 from pathlib import Path
 
 import attrs
 import pytest
 from click.testing import CliRunner
 
-from cranberrycleat import events
+from cranberrycleat import events, lifecycle, logs
 from cranberrycleat.cli import main
 from cranberrycleat.explain import cause, read_line, read_lines, story
 from cranberrycleat.log_sink import LogSink
@@ -229,3 +230,31 @@
     assert 'jobs_ended{late="true",queue="q",state="completed"} 1' in text
     assert 'cranberrycleat_tasks_waited_duration_bucket{le="0.25"} 1' in text
     assert "cranberrycleat_tasks_waited_duration_count 1" in text
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Brief:
+    """A part that is told to stop as soon as it serves."""
+
+    url: str = "http://127.0.0.1:1"
+
+    async def start(self) -> None:
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async def drain(self) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+
+def test_the_last_lines_of_a_process_are_written(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Lines gather before they are written; a process that stops writes them."""
+    logs.set_up(level="info", form="json")
+    try:
+        asyncio.run(lifecycle.run(_Brief(), announce="brief"))
+    finally:
+        logs.set_up(level="info", form="text")
+    assert "Stopped." in capfd.readouterr().out
