A successor of a large table keeps its lease while it reads; lesser hosts yield

Change: the successor renews its lease while it reads; a bulk read has pages of 200 rows, time of its own, and only the page without an answer is read again; a host that is much weaker than the last owner or a live peer leaves a free lease to better ones for 0.6 s, and hands over when it hears of one (new module `candidacy`, the strength travels in digests and in the owner's row); the list of hosts is sent once for each version (4 KB, 150 times a second with 45 hosts).

Found on the way: a commit after a write without an answer could be taken for stored with it (`OwnershipLease.commit` with other changes under the same sequence); jobs from the inbox counted as accepted when they were found, so that a stale backlog went before fresh work; adopted attempts had run for ever.

Tests: test_takeover (each fails without its change), test_candidacy, test_membership.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -318,6 +318,13 @@
     epoch: int
 
 
+@event("owner.gives_way", kept=True)
+class OwnerGivesWay:
+    """The owner hands over, since a host that can carry much more is live."""
+
+    epoch: int
+
+
 @event("owner.suspected", kept=True)
 class OwnerSuspected:
     """The owner seen last is taken to be dead."""
--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -46,6 +46,7 @@
         sequence: Grows by one at each write by the holder.
         lease_s: Length in seconds, counted from each write.
         released: The holder gave it up and has stopped renewing anything.
+        strength: How much the holder's host can carry, by its own word.
     """
 
     holder: str
@@ -53,6 +54,7 @@
     sequence: int
     lease_s: float
     released: bool = False
+    strength: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -81,6 +83,9 @@
         epoch: The epoch held, or the highest seen.
         is_dead: Tells whether a holder is known to have ended without a
             release, so that its lease need not be waited for. See below.
+        strength: Written to the row, for candidates to compare with.
+        patience_s: How long to leave a free lease to other candidates, in
+            seconds, by the row of who held it last.
         takeover_silent: Whether the lease was won from a holder that did not
             release it, so that it may still be acting on what it granted.
     """
@@ -92,13 +97,17 @@
     lease_s: float
     epoch: int = 0
     is_dead: Callable[[str], bool] = lambda holder: False
+    strength: float = 0.0
+    patience_s: Callable[[OwnerRow], float] = lambda row: 0.0
     takeover_silent: bool = False
     _held: OwnerRow | None = None
     _held_version: int = ABSENT
     _valid_until: float = float("-inf")
     _seen: Row | None = None
     _seen_at: float = float("-inf")
+    _free_since: float | None = None
     _pending: OwnerRow | None = None
+    _pending_changes: Changes = Changes()
     _pending_since: float = float("-inf")
     _pending_silent: bool = False
 
@@ -143,6 +152,9 @@
         if self._adopt_if_ours(row):
             return self.authority()
         if not self._is_free(row):
+            self._free_since = None
+            return False
+        if not self._is_our_turn(row):
             return False
         await self._take(row)
         return self.authority()
@@ -156,13 +168,22 @@
 
         Raises:
             Deposed: Another process holds the lease; nothing was written.
-            TableUnavailable: No answer; the effect counts as possible, and the
-                caller must call again with the same changes.
+            TableUnavailable: No answer; the effect counts as possible. The next
+                call settles it first, whatever its own changes.
         """
+        if self._pending is not None and self._pending_changes != changes:
+            # An earlier write may have taken effect: were these changes sent
+            # under its sequence, they would be taken for stored with it.
+            await self._write(self._pending_changes)
+        await self._write(changes)
+
+    async def _write(self, changes: Changes) -> None:
+        """Send a write, or one that had no answer once more, until it is settled."""
         if self._held is None:
             raise Deposed(self.key)
         if self._pending is None:
             self._pending = attrs.evolve(self._held, sequence=self._held.sequence + 1)
+            self._pending_changes = changes
             self._pending_since = self.clock.now()
         txn = self._transaction(self._held_version, self._pending, changes)
         reply = await self.table.commit(txn)
@@ -224,6 +245,16 @@
         margin = owner.lease_s * DRIFT
         return self.clock.now() - self._seen_at > owner.lease_s + margin
 
+    def _is_our_turn(self, row: Row | None) -> bool:
+        """Tell whether a free lease was left to other candidates long enough."""
+        if row is None:
+            return True
+        now = self.clock.now()
+        if self._free_since is None:
+            self._free_since = now
+        owner = codec.decode(row.value, OwnerRow, place=self.key)
+        return now - self._free_since >= self.patience_s(owner)
+
     async def _take(self, row: Row | None) -> None:
         version = ABSENT if row is None else row.version
         old = codec.decode(row.value, OwnerRow) if row is not None else None
@@ -232,6 +263,7 @@
             epoch=1 if old is None else old.epoch + 1,
             sequence=0,
             lease_s=self.lease_s,
+            strength=self.strength,
         )
         self._pending_silent = old is not None and not old.released
         self._pending_since = self.clock.now()
@@ -260,6 +292,7 @@
         self.epoch = owner.epoch
         self._valid_until = self._pending_since + owner.lease_s
         self._pending = None
+        self._free_since = None
 
     async def _settle(self) -> None:
         """Find out, after a conflict, whether an earlier copy took effect."""
--- a/cranberrycleat/platform/settings.py
+++ b/cranberrycleat/platform/settings.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from cranberrycleat import errors
-from cranberrycleat.workflow.ports import LeaseBounds, NodeSettings
+from cranberrycleat.workflow.ports import HostRoom, LeaseBounds, NodeSettings
 
 FILE_VARIABLE: Final = "CRANBERRYCLEAT_NODE_FILE"
 CLOCK_ERROR: Final = 0.02
@@ -36,6 +36,15 @@
     grace_s: float = 6.0
 
 
+@attrs.frozen(kw_only=True)
+class _WireLimits:
+    """`cpu_share` is a share of one core that is `cores` times as fast."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+
 @attrs.frozen(kw_only=True)
 class _WireSettings:
     node: str
@@ -45,6 +54,7 @@
     listen: _WireListen
     platform: _WireAddress
     bounds: _WireBounds
+    limits: _WireLimits = _WireLimits()
     cloud: _WireAddress = _WireAddress()
     advice: str = ""
 
@@ -84,6 +94,10 @@
             clock_error=CLOCK_ERROR,
             stop_s=bounds.stop_ms / 1000,
         ),
+        room=HostRoom(
+            processors=wire.limits.cpu_share * wire.limits.cores,
+            link_mbps=wire.limits.link_mbps,
+        ),
         spread_factor=bounds.spread_factor,
         status_s=bounds.status_s,
         grace_s=bounds.grace_s,
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -16,6 +16,7 @@
 from cranberrycleat import codec, errors
 from cranberrycleat.clock import Clock, MonotonicClock
 from cranberrycleat.http_client import HttpClient, HttpReply, NoAnswer
+from cranberrycleat.logs import part_logger
 from cranberrycleat.table import CommitReply, Row, Transaction
 from cranberrycleat.workflow.patience import Patience
 from cranberrycleat.workflow.ports import Feed, HistoryGone, Snapshot, TableChange
@@ -31,6 +32,14 @@
 CONDITION_FAILED: Final = 412
 GONE: Final = 410
 REFUSED: Final = frozenset({429, 503})
+PAGE_ROWS: Final = 200
+"""Rows read in one call; about 100 KB, 0.2 s on a link of 5 Mbit/s."""
+PAGE_S: Final = 1.5
+"""What a page may take beyond a short answer's time: others use the link too."""
+PAGE_TRIES: Final = 4
+PAGE_PAUSE_S: Final = 0.1
+"""A store that turns calls away, or was cut off, is asked again after this."""
+LOG: Final = part_logger("store")
 
 
 @attrs.define(kw_only=True)
@@ -113,14 +122,29 @@
 
     async def snapshot(self, *, table: str) -> Snapshot:
         """Return a table's rows and the version of the first page."""
-        page = await self._range(table, {})
+        page = await self._bulk(table, {})
         rows = [_row(each) for each in page.rows]
         version = page.schema_ver
         while page.truncated and page.rows:
-            page = await self._range(table, {"from": page.rows[-1].key + "\0"})
+            page = await self._bulk(table, {"from": page.rows[-1].key + "\0"})
             rows += [_row(each) for each in page.rows]
         return Snapshot(rows=tuple(rows), version=version)
 
+    async def _bulk(self, table: str, params: dict[str, str]) -> _WireRows:
+        """Read one page of many; one that gets no answer is asked for again.
+
+        A page that is given up takes all pages before it along, so that a large
+        table could never be read over a slow link.
+        """
+        place = {**params, "limit": str(PAGE_ROWS)}
+        for _ in range(PAGE_TRIES - 1):
+            try:
+                return await self._range(table, place, PAGE_S)
+            except errors.TableUnavailable as exc:
+                LOG.info("A page of %s is read again: %s", table, exc)
+                await asyncio.sleep(PAGE_PAUSE_S)
+        return await self._range(table, place, PAGE_S)
+
     async def follow(self, *, table: str, after: int, wait_s: float) -> Feed:
         """Return the changes of a table after a version."""
         params = {
@@ -166,9 +190,11 @@
         page = self._page(reply, "rows-tx")
         return CommitReply(committed=True, version=page.schema_ver)
 
-    async def _range(self, table: str, params: dict[str, str]) -> _WireRows:
+    async def _range(
+        self, table: str, params: dict[str, str], wait_s: float = 0.0
+    ) -> _WireRows:
         place = {"table": table, "part": _part(table), **params}
-        reply = await self._get("/api/rows-get", place, 0.0)
+        reply = await self._get("/api/rows-get", place, wait_s)
         return self._page(reply, "rows-get")
 
     async def _get(self, path: str, params: dict[str, str], wait_s: float) -> HttpReply:
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -87,12 +87,29 @@
 
     # --- jobs ---------------------------------------------------------------
 
-    def accept(self, job_id: str, queue: Queue, spec: WorkflowSpec) -> Job:
-        """Take in a job; a known identity changes nothing."""
+    def accept(
+        self,
+        job_id: str,
+        queue: Queue,
+        spec: WorkflowSpec,
+        *,
+        accepted_s: float | None = None,
+    ) -> Job:
+        """Take in a job; a known identity changes nothing.
+
+        Args:
+            job_id: The caller's identity for it.
+            queue: The queue it was handed in at.
+            spec: The job.
+            accepted_s: When it was accepted, since 1970; None: now. What lay in
+                the inbox has used up a part of its objective there.
+        """
         known = self.jobs.get(job_id)
         if known is not None:
             return known
-        job = Job(job_id=job_id, queue=queue, spec=spec, accepted_s=self.time_of_day())
+        if accepted_s is None:
+            accepted_s = self.time_of_day()
+        job = Job(job_id=job_id, queue=queue, spec=spec, accepted_s=accepted_s)
         self.jobs[job_id] = job
         self._count_unstarted(job)
         emit(
--- /dev/null
+++ b/cranberrycleat/workflow/candidacy.py
@@ -0,0 +1,77 @@
+"""Which host should be the owner where hosts are not alike.
+
+Answers deployments of uneven hosts: the owner calls every worker several times
+a second, and a host with half a core and a slow link cannot keep up with that,
+however many others stand idle. A lesser host leaves a free ownership to better
+ones for a moment, and an owner that hears of a much better host hands over.
+Nothing here is exclusive: whoever wins the conditional row is the owner.
+"""
+
+from typing import Final
+
+import attrs
+
+from cranberrycleat.clock import Clock
+from cranberrycleat.workflow.membership import Membership
+from cranberrycleat.workflow.ports import HostRoom
+
+LINK_MBPS_A_CORE: Final = 25.0
+"""An owner's calls at 300 starts a second (one run of the grown haulbay-plu)
+take 0.4 of a core and about 5 Mbit/s each way; twice that in a burst."""
+MUCH_BETTER: Final = 1.5
+"""A host counts as better from this ratio on: like hosts differ by less."""
+YIELD_S: Final = 0.6
+"""How long a lesser host leaves a free lease to better ones: two of their looks
+at the row, and the write."""
+GIVE_WAY_AFTER_S: Final = 2.0
+"""An owner settles for this long before it hands over to a better host."""
+GIVE_WAY_AGAIN_S: Final = 15.0
+"""The pause between two hand-overs by one host: a better host that cannot win
+must not cost a takeover every few seconds."""
+FRESH_S: Final = 1.0
+"""Only a host that was heard of this lately is handed over to."""
+
+
+def strength(room: HostRoom) -> float:
+    """Return how much owning a host can carry, in cores."""
+    return min(room.processors, room.link_mbps / LINK_MBPS_A_CORE)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Candidacy:
+    """Decides when one host stands for the ownership, and when it gives way.
+
+    Attributes:
+        own: This host's strength.
+        members: The other hosts.
+        clock: A steady clock.
+    """
+
+    own: float
+    members: Membership
+    clock: Clock
+    _gave_way_at: float = float("-inf")
+
+    def patience_s(self, last_owner: float) -> float:
+        """Return how long to leave a free lease to others.
+
+        Args:
+            last_owner: The strength of the host that owned before; after a loss
+                of power it is all that is known of others.
+        """
+        now = self.clock.now()
+        best = max(last_owner, self.members.strongest(now, self.members.kept_s))
+        return YIELD_S if best >= MUCH_BETTER * self.own else 0.0
+
+    def should_give_way(self, owner_since: float) -> bool:
+        """Tell whether this host, an owner since a time, should hand over."""
+        now = self.clock.now()
+        if now - owner_since < GIVE_WAY_AFTER_S:
+            return False
+        if now - self._gave_way_at < GIVE_WAY_AGAIN_S:
+            return False
+        return self.members.strongest(now, FRESH_S) >= MUCH_BETTER * self.own
+
+    def gave_way(self) -> None:
+        """Note that the ownership was handed over."""
+        self._gave_way_at = self.clock.now()
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -104,8 +104,10 @@
     throttle: int = 100
 
     def ran_s(self, now: float) -> float:
-        """Return how long it has run, as far as is known."""
-        return max(0.0, now - self.running_since) if self.running else 0.0
+        """Return how long it has run, as far as this owner knows."""
+        if not self.running:
+            return 0.0
+        return max(0.0, now - max(self.running_since, self.planned_at))
 
     @property
     def is_current(self) -> bool:
--- a/cranberrycleat/workflow/membership.py
+++ b/cranberrycleat/workflow/membership.py
@@ -5,10 +5,14 @@
 that must be exclusive depends on it.
 """
 
+from typing import Final
+
 import attrs
 
 from cranberrycleat.workflow import options
-from cranberrycleat.workflow.peering import Digest, PeerEntry
+from cranberrycleat.workflow.peering import Digest, DigestReply, PeerEntry
+
+VERSION_BITS: Final = 0xFFFFFFFF
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -17,25 +21,58 @@
 
     Attributes:
         entries: Each host and when it was heard of, by address.
+        kept_s: How long a host counts after it was heard of last.
+        learned: The version of an owner's list that was learned last.
     """
 
     entries: dict[str, tuple[PeerEntry, float]] = attrs.field(factory=dict)
+    kept_s: float = options.PEER_SILENT_S
+    learned: str = ""
+    _learned_from: tuple[PeerEntry, ...] = ()
 
     def hear(self, digest: Digest, now: float) -> None:
         """Note a host's own word."""
-        entry = PeerEntry(address=digest.address, data_centre=digest.data_centre)
+        entry = PeerEntry(
+            address=digest.address,
+            data_centre=digest.data_centre,
+            strength=digest.strength,
+        )
         self.entries[digest.address] = (entry, now)
 
-    def learn(self, peers: tuple[PeerEntry, ...], now: float) -> None:
-        """Note what the owner tells of the others."""
-        for peer in peers:
+    def learn(self, reply: DigestReply, now: float) -> None:
+        """Note what the owner tells of the others.
+
+        The list is sent once for each version; the same version again means
+        that all of it still holds. With 45 hosts it is 4 KB, 150 times a second.
+        """
+        if reply.peers or reply.peers_version != self.learned:
+            self.learned = reply.peers_version
+            self._learned_from = reply.peers
+        for peer in self._learned_from:
             self.entries[peer.address] = (peer, now)
 
+    def listing(self, now: float, seen: str) -> tuple[str, tuple[PeerEntry, ...]]:
+        """Return the live hosts' version, and them unless it was seen already."""
+        peers = tuple(sorted(self.live(now), key=lambda peer: peer.address))
+        version = f"{hash(peers) & VERSION_BITS:x}"
+        return version, () if version == seen else peers
+
     def live(self, now: float) -> tuple[PeerEntry, ...]:
         """Return the hosts that were heard of lately."""
-        since = now - options.PEER_SILENT_S
+        since = now - self.kept_s
         return tuple(peer for peer, heard in self.entries.values() if heard > since)
 
+    def strongest(self, now: float, within_s: float) -> float:
+        """Return the greatest strength among hosts heard of within a time."""
+        return max(
+            (
+                peer.strength
+                for peer, heard in self.entries.values()
+                if now - heard < within_s
+            ),
+            default=0.0,
+        )
+
     def elsewhere(self, data_centre: str, own: str) -> tuple[str, ...]:
         """Return every known host of another data centre, the newest word first."""
         known = sorted(self.entries.values(), key=lambda each: -each[1])
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -22,6 +22,7 @@
 from cranberrycleat.metrics import Metrics
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.adapter import Adapter
+from cranberrycleat.workflow.candidacy import Candidacy, strength
 from cranberrycleat.workflow.directory import ConfigFollower
 from cranberrycleat.workflow.door import MOST_IN_INBOX_WRITE, Door
 from cranberrycleat.workflow.membership import Membership
@@ -30,7 +31,7 @@
 from cranberrycleat.workflow.peering import Digest, DigestReply, PeerClient
 from cranberrycleat.workflow.permit_desk import PermitDesk
 from cranberrycleat.workflow.telemetry import Telemetry
-from cranberrycleat.workflow.touch import Touch
+from cranberrycleat.workflow.touch import STORE_FRESH_S, Touch
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 from cranberrycleat.writer import GroupedWriter
 
@@ -61,6 +62,7 @@
     clock: Clock = attrs.field(factory=BootClock)
     owner: Owner | None = None
     draining: bool = False
+    _candidacy: Candidacy = attrs.field(init=False)
     _lease: OwnershipLease = attrs.field(init=False)
     _config: ConfigFollower = attrs.field(init=False)
     _door: Door = attrs.field(init=False)
@@ -79,6 +81,9 @@
         self._peers = PeerClient(http=self.http)
         self._touch = Touch(clock=self.clock)
         self._config = self.adapter.config_follower()
+        self._candidacy = Candidacy(
+            own=strength(cfg.room), members=self._members, clock=self.clock
+        )
         self._lease = OwnershipLease(
             table=self.adapter.store,
             clock=self.clock,
@@ -86,6 +91,8 @@
             holder=f"{self._place}#{secrets.token_hex(4)}",
             lease_s=options.OWNER_LEASE_S,
             is_dead=self._is_dead,
+            strength=self._candidacy.own,
+            patience_s=lambda row: self._candidacy.patience_s(row.strength),
         )
         self._door = Door(
             config=self._config,
@@ -226,6 +233,7 @@
             self._follow_settings,
             self._stand,
             self._exchange,
+            self._give_way,
         ):
             self._work.keep(work)
 
@@ -367,6 +375,19 @@
         finally:
             self.owner = None
 
+    async def _give_way(self) -> None:
+        """Hand the ownership over where a much better host could hold it."""
+        while True:
+            await asyncio.sleep(options.LOOK_S)
+            owner = self._held()
+            if owner is None or not owner.store_answers or self.draining:
+                continue
+            if self._candidacy.should_give_way(owner.began_at):
+                emit(events.OwnerGivesWay(epoch=owner.epoch))
+                self._candidacy.gave_way()
+                await owner.hand_over()
+                await self._tell_peers()
+
     def _make_owner(self) -> Owner:
         cfg = self.adapter.settings
         desk = PermitDesk(
@@ -424,7 +445,14 @@
 
     def _digest(self) -> Digest:
         cfg = self.adapter.settings
-        return Digest(name=cfg.name, address=self.address, data_centre=cfg.data_centre)
+        with_table = self._touch.table_age_s() < STORE_FRESH_S
+        return Digest(
+            name=cfg.name,
+            address=self.address,
+            data_centre=cfg.data_centre,
+            strength=self._candidacy.own if with_table else 0.0,
+            peers_seen=self._members.learned,
+        )
 
     async def _ask_owner(self, address: str) -> bool:
         try:
@@ -443,7 +471,7 @@
             self._touch.heard_owner()
             self._door.digest = reply
             self._door.digest_at = now
-            self._members.learn(reply.peers, now)
+            self._members.learn(reply, now)
         return reply.owner
 
     async def _ask_elsewhere(self) -> None:
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 import logging
-from typing import Final
+from typing import Any, Final
 
 import attrs
 
@@ -70,6 +70,7 @@
         inbox_due: Set when a door has left a job in the inbox.
         store_answers: Whether the table answered of late.
         closing: Whether the ownership is being handed over.
+        began_at: When it had taken over, on its clock.
     """
 
     lease: OwnershipLease
@@ -88,6 +89,7 @@
     inbox_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     store_answers: bool = True
     closing: bool = False
+    began_at: float = 0.0
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _plan_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     _stored: Signal = attrs.field(factory=Signal)
@@ -173,6 +175,7 @@
                 self._work.keep(work)
             if self.director is not None:
                 self._work.keep(self.director.run)
+            self.began_at = self.clock.now()
             self.ready.set()
             self.changed()
             await self._ended.wait()
@@ -200,19 +203,15 @@
         began = self.clock.now()
         self._old_leases_over_at = began + waits_s
         while True:
+            reading = asyncio.ensure_future(self._read_rows())
+            await self._renew_while(reading)
             try:
-                found = await asyncio.gather(
-                    self.store.scan(prefix=f"{rows.SPECS}/"),
-                    self.store.scan(prefix=f"{rows.JOBS}/"),
-                    self.store.scan(prefix=f"{rows.INBOX}/"),
-                    self.directory.read_all(),
-                )
+                specs, jobs, inbox = reading.result()
                 break
             except errors.TableUnavailable as exc:
                 LOG.warning("Takeover waits for the table: %s", exc)
                 await asyncio.sleep(options.STORE_RETRY_S)
                 await self._renew_quietly()
-        specs, jobs, inbox, _ = found
         self._restore(specs, jobs)
         self._take_inbox(inbox)
         self.roster.meet()
@@ -231,6 +230,29 @@
             )
         )
 
+    async def _read_rows(self) -> "tuple[tuple[Row, ...], ...]":
+        """Return the rows of specs, of jobs and of the inbox; read the workers."""
+        specs, jobs, inbox, _ = await asyncio.gather(
+            self.store.scan(prefix=f"{rows.SPECS}/"),
+            self.store.scan(prefix=f"{rows.JOBS}/"),
+            self.store.scan(prefix=f"{rows.INBOX}/"),
+            self.directory.read_all(),
+        )
+        return specs, jobs, inbox
+
+    async def _renew_while(self, reading: "asyncio.Future[Any]") -> None:
+        """Keep the lease while the rows are read, however long that takes.
+
+        Rows that take longer to read than a lease lasts would otherwise make
+        each successor lose the ownership in its takeover.
+        """
+        try:
+            while not reading.done():
+                await asyncio.wait({reading}, timeout=options.RENEW_S)
+                await self._renew_quietly()
+        finally:
+            reading.cancel()
+
     async def _renew_quietly(self) -> None:
         with contextlib.suppress(errors.TableUnavailable):
             await self.lease.commit()
@@ -258,7 +280,9 @@
             except errors.FindingsError as exc:
                 emit(events.RowUnreadable(findings=str(exc)))
                 continue
-            job = self.board.accept(job_id, kept.queue, kept.spec)
+            job = self.board.accept(
+                job_id, kept.queue, kept.spec, accepted_s=kept.accepted_s
+            )
             self.board.inbox.add(job_id)
             self.board.dirty[job_id] = job
             emit(events.JobFound(job=job_id))
@@ -416,11 +440,14 @@
         """Accept a job, or refuse it before anything is stored.
 
         Raises:
+            NotOwner: It was not taken in; the next owner may.
             PeerUnavailable: It is unknown whether it was accepted.
         """
         if req.job_id in self.board.shown:
             return SubmitReply(accepted=True)
         if req.job_id not in self.board.jobs:
+            if self.closing:
+                raise errors.NotOwner("the ownership is being handed over")
             if not self.store_answers or not self.may_order():
                 return SubmitReply(refused=True, reason=STORE_SILENT)
             hopeless = why_hopeless(req.spec, self.board.fleet.of_pool(req.queue.pool))
@@ -479,6 +506,7 @@
         """Exchange digests with another host."""
         now = self.clock.now()
         self.peers.hear(req, now)
+        version, peers = self.peers.listing(now, req.peers_seen)
         return DigestReply(
             owner=self.lease.authority(),
             epoch=self.epoch,
@@ -487,7 +515,8 @@
                 for name, jobs in self.board.unstarted.items()
                 if name
             ),
-            peers=self.peers.live(now),
+            peers_version=version,
+            peers=peers,
         )
 
     def summary(self) -> dict[str, int]:
--- a/cranberrycleat/workflow/peer_api.py
+++ b/cranberrycleat/workflow/peer_api.py
@@ -69,6 +69,8 @@
             return Answer(message=SubmitReply(), status=STATUS_NOT_OWNER)
         try:
             return Answer(message=await held.submit(req))
+        except errors.NotOwner:
+            return Answer(message=SubmitReply(), status=STATUS_NOT_OWNER)
         except errors.PeerUnavailable:
             return Answer(message=SubmitReply())
 
--- a/cranberrycleat/workflow/peering.py
+++ b/cranberrycleat/workflow/peering.py
@@ -69,11 +69,22 @@
 
 @attrs.frozen(kw_only=True)
 class Digest:
-    """What a process tells the owner about itself."""
+    """What a process tells the owner about itself.
+
+    Attributes:
+        name: The host's name.
+        address: Where it answers its peers.
+        data_centre: Where it stands.
+        strength: How much owning it can carry now; 0 while it lacks the table.
+        peers_seen: The version of the owner's list of hosts that it has; empty:
+            none.
+    """
 
     name: str
     address: str
     data_centre: str
+    strength: float = 0.0
+    peers_seen: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -86,10 +97,11 @@
 
 @attrs.frozen(kw_only=True)
 class PeerEntry:
-    """Another host of the system."""
+    """Another host of the system, by its own word (see `Digest`)."""
 
     address: str
     data_centre: str
+    strength: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -102,7 +114,8 @@
         epoch: The highest epoch that it knows of.
         owner_at: Where the owner of that epoch answers; empty: not known.
         lengths: The queues' lengths.
-        peers: The hosts that the owner has heard of lately.
+        peers_version: The version of the owner's list of live hosts.
+        peers: That list; empty where who asks has this version already.
     """
 
     owner: bool
@@ -110,6 +123,7 @@
     epoch: int = 0
     owner_at: str = ""
     lengths: tuple[QueueLength, ...] = ()
+    peers_version: str = ""
     peers: tuple[PeerEntry, ...] = ()
 
 
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -334,6 +334,19 @@
     stop_s: float
 
 
+@attrs.frozen(kw_only=True)
+class HostRoom:
+    """What a host has for one process.
+
+    Attributes:
+        processors: In cores of the platform's usual speed.
+        link_mbps: Its network link, in megabits a second.
+    """
+
+    processors: float
+    link_mbps: float
+
+
 @attrs.frozen(kw_only=True)
 class NodeSettings:
     """What a process is told about itself and its platform at start.
@@ -349,6 +362,7 @@
         permits: The permit service's address; empty where there is none.
         machines: The address of the interface to machines; empty: none.
         bounds: What workers promise about leases.
+        room: What the host has.
         spread_factor: How much longer tasks take away from their data.
         status_s: How long an ended job's state is kept.
         grace_s: How long a process has between SIGTERM and its end.
@@ -364,6 +378,7 @@
     permits: str
     machines: str
     bounds: LeaseBounds
+    room: HostRoom
     spread_factor: float
     status_s: float
     grace_s: float
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,50 @@
+"""The list of hosts that an owner tells: once for each version."""
+
+import pytest
+
+from cranberrycleat.workflow.membership import Membership
+from cranberrycleat.workflow.peering import Digest, DigestReply
+
+
+def _heard(*names: str, at: float = 0.0) -> Membership:
+    members = Membership()
+    for name in names:
+        members.hear(Digest(name=name, address=f"{name}:1", data_centre="dc"), at)
+    return members
+
+
+def _reply(owner: Membership, other: Membership, now: float) -> DigestReply:
+    version, peers = owner.listing(now, other.learned)
+    return DigestReply(owner=True, peers_version=version, peers=peers)
+
+
+def test_the_list_is_sent_once_and_stays_fresh_by_its_version() -> None:
+    owner, other = _heard("a", "b"), Membership()
+    first = _reply(owner, other, 1.0)
+    other.learn(first, 1.0)
+    again = _reply(owner, other, 7.0)
+    other.learn(again, 7.0)
+    assert (len(first.peers), len(again.peers)) == (2, 0)
+    assert {peer.address for peer in other.live(14.0)} == {"a:1", "b:1"}
+
+
+@pytest.mark.parametrize(
+    ("names", "now", "expected"),
+    [(("a", "b", "c"), 1.0, {"a:1", "b:1", "c:1"}), (("a",), 1.0, {"a:1"})],
+    ids=["one more", "one less"],
+)
+def test_a_change_of_the_list_is_sent(
+    names: tuple[str, ...], now: float, expected: set[str]
+) -> None:
+    other = Membership()
+    other.learn(_reply(_heard("a", "b"), other, now), now)
+    other.learn(_reply(_heard(*names, at=now), other, now), now)
+    assert {peer.address for peer in other._learned_from} == expected
+
+
+def test_another_owner_s_equal_version_without_a_list_is_not_trusted_blindly() -> None:
+    """An owner that took over may know nobody yet: its empty list is taken as it is."""
+    other = Membership()
+    other.learn(_reply(_heard("a"), other, 0.0), 0.0)
+    other.learn(_reply(Membership(), other, 0.0), 0.0)
+    assert other._learned_from == ()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,7 +18,7 @@
 from cranberrycleat.workflow.directory import ConfigFollower, Directory
 from cranberrycleat.workflow.door import Door
 from cranberrycleat.workflow.node import Node
-from cranberrycleat.workflow.ports import NodeSettings
+from cranberrycleat.workflow.ports import HostRoom, NodeSettings
 from tests.cell import BOUNDS, CONFIG, AllPermits, Cell, cell, until
 from tests.fakes import go
 
@@ -96,7 +96,7 @@
         return port
 
 
-def settings(name: str, data_centre: str) -> NodeSettings:
+def settings(name: str, data_centre: str, *, processors: float = 1.0) -> NodeSettings:
     """Return a node's settings on loopback."""
     return NodeSettings(
         name=name,
@@ -109,6 +109,7 @@
         permits="",
         machines="",
         bounds=BOUNDS,
+        room=HostRoom(processors=processors, link_mbps=1000.0),
         spread_factor=3.0,
         status_s=120.0,
         grace_s=6.0,
@@ -116,11 +117,15 @@
 
 
 @contextlib.asynccontextmanager
-async def nodes(made: Cell, count: int = 2) -> AsyncIterator[list[Node]]:
+async def nodes(
+    made: Cell, count: int = 2, *, processors: tuple[float, ...] = ()
+) -> AsyncIterator[list[Node]]:
     """Run nodes, each in a data centre of its own; the first one owns."""
     running: list[Node] = []
     for number in range(count):
-        adapter = FakeAdapter(settings=settings(f"n{number}", f"dc{number}"), cell=made)
+        cores = processors[number] if processors else 1.0
+        cfg = settings(f"n{number}", f"dc{number}", processors=cores)
+        adapter = FakeAdapter(settings=cfg, cell=made)
         node = Node(adapter=adapter, http=HttpClient())
         await node.start()
         running.append(node)
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,145 @@
+"""A takeover that takes long, and what the successor makes of what it finds."""
+
+import asyncio
+from typing import Any
+
+import attrs
+import msgspec
+import pytest
+
+from cranberrycleat import codec, errors
+from cranberrycleat.clock import ManualClock
+from cranberrycleat.http_client import HttpClient, HttpReply, NoAnswer
+from cranberrycleat.lease import Changes, OwnershipLease
+from cranberrycleat.platform import store
+from cranberrycleat.platform.store import PlatformStore
+from cranberrycleat.standins.feed_table import MemoryFeedTable
+from cranberrycleat.standins.table import MemoryTable
+from cranberrycleat.table import Put, Row, Transaction
+from cranberrycleat.workflow import rows
+from cranberrycleat.workflow.fleet import Placement
+from tests.cell import OWNER_LEASE_S, Cell, cell, job, queue, step, submit, until
+from tests.fakes import go
+
+
+@attrs.define(kw_only=True)
+class SlowScans(MemoryFeedTable):
+    """A table that takes long to read, as over a slow link."""
+
+    scan_s: float = 0.0
+
+    async def scan(self, *, prefix: str) -> tuple[Row, ...]:
+        """Read slowly."""
+        await asyncio.sleep(self.scan_s)
+        return await MemoryFeedTable.scan(self, prefix=prefix)
+
+
+def test_reading_longer_than_a_lease_lasts_loses_no_ownership() -> None:
+    """Otherwise each successor of a large table is deposed in its takeover."""
+
+    async def run() -> None:
+        table = SlowScans(scan_s=3 * OWNER_LEASE_S)
+        async with cell(table=table) as made:
+            owner = await asyncio.wait_for(made.own("one"), 10 * OWNER_LEASE_S)
+            rival = made.make_owner("two")
+            assert not await rival.lease.acquire()
+            assert owner.may_order()
+            await submit(owner, "a", job(step()))
+
+    go(run())
+
+
+@pytest.mark.parametrize("lands", [True, False], ids=["written", "lost"])
+def test_changes_after_a_write_without_answer_are_stored(lands: bool) -> None:
+    """The sequence of the earlier write must not stand for the later changes."""
+
+    async def run() -> None:
+        table = MemoryTable()
+        lease = OwnershipLease(
+            table=table, clock=ManualClock(), key="owner", holder="one", lease_s=5.0
+        )
+        assert await lease.acquire()
+        table.faults.lose_replies = int(lands)
+        table.faults.down = not lands
+        with pytest.raises(errors.TableUnavailable):
+            await lease.commit()
+        table.faults.down = False
+        await lease.commit(Changes(puts=(Put(key="jobs/a", value="stored"),)))
+        assert [row.value for row in await table.read(keys=("jobs/a",))] == ["stored"]
+
+    go(run())
+
+
+def test_what_lay_in_the_inbox_keeps_the_time_of_its_acceptance() -> None:
+    """Work that waited there must not go before work that can still be in time."""
+
+    async def run() -> None:
+        async with cell() as made:
+            _leave_in_inbox(made, accepted_s=1234.5)
+            owner = await made.own()
+            await until(lambda: "a" in owner.board.shown)
+            assert owner.board.jobs["a"].accepted_s == 1234.5
+
+    go(run())
+
+
+def _leave_in_inbox(made: Cell, *, accepted_s: float) -> None:
+    row = rows.SpecRow(queue=queue(), spec=job(step()), accepted_s=accepted_s)
+    put = Put(key=rows.inbox_key("a"), value=codec.encode_text(row))
+    made.table.apply(Transaction(puts=(put,)))
+
+
+def test_an_adopted_attempt_ran_no_longer_than_its_owner_knows_of_it() -> None:
+    """It counts as running since for ever, but its run time is a finite figure."""
+    adopted = Placement(
+        task="a.0.0.0",
+        attempt=1,
+        needs=step().needs,
+        subject=None,
+        planned_at=10.0,
+        running=True,
+        running_since=float("-inf"),
+    )
+    assert adopted.ran_s(12.0) == 2.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class PagesOfTwo(HttpClient):
+    """Answers with pages of a table; some calls get no answer."""
+
+    keys: tuple[str, ...] = ("a", "b", "c")
+    unanswered: list[int] = attrs.field(factory=list)
+    calls: list[str] = attrs.field(factory=list)
+
+    async def call(self, method: str, url: str, **more: Any) -> HttpReply:
+        """Return the page that begins at `from`."""
+        start = more["params"].get("from", "")
+        self.calls.append(start)
+        if len(self.calls) in self.unanswered:
+            raise NoAnswer("timeout", sent=True)
+        left = [key for key in self.keys if key >= start]
+        page = {
+            "rows": [
+                {"table": "jobs", "part": "", "key": key, "value": "", "schema_ver": 1}
+                for key in left[:2]
+            ],
+            "truncated": len(left) > 2,
+            "schema_ver": 7,
+        }
+        return HttpReply(status=200, body=msgspec.json.encode(page))
+
+
+@pytest.mark.parametrize(
+    ("unanswered", "calls"),
+    [([], ["", "b\0"]), ([2], ["", "b\0", "b\0"]), ([1, 2], ["", "", "", "b\0"])],
+    ids=["all answered", "second page", "first page twice"],
+)
+def test_only_the_page_without_an_answer_is_read_again(
+    unanswered: list[int], calls: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A slow link that drops one page must not begin the whole table anew."""
+    monkeypatch.setattr(store, "PAGE_PAUSE_S", 0.0)
+    http = PagesOfTwo(unanswered=unanswered)
+    found = go(PlatformStore(address="x:1", http=http).snapshot(table="jobs"))
+    assert [row.key for row in found.rows] == ["jobs/a", "jobs/b", "jobs/c"]
+    assert http.calls == calls
