A candidate that was cut off does not trust its own evidence of a death

Change: `OwnershipLease` trusts `is_dead` only if it looked at the row within the last second or the row has not changed since; an owner that answers is suspected no more. Tests: test_lease (fails without), test_touch.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -16,7 +16,9 @@
 * `is_dead` shortens the wait by other evidence. The invariant is then as good
   as that evidence; without it (the default) it rests on the lease alone. What
   never rests on the lease: a commit is conditional on the row, so that after a
-  takeover nothing of an earlier holder takes effect in the table.
+  takeover nothing of an earlier holder takes effect in the table. A candidate
+  that could not look at the row for a while does not trust such evidence when
+  the row has changed meanwhile: it was cut off itself, and the holder renewed.
 
 The part is importable on its own; it needs a `Clock` and a `Table`.
 """
@@ -32,6 +34,9 @@
 
 RELEASE_TRIES: Final = 3
 """A release without an answer is sent again: it saves a candidate the wait."""
+CUT_OFF_S: Final = 1.0
+"""Without a look at the row for so long a candidate was cut off from the table;
+looks come each 0.25 s and take 0.5 s in a slowed table."""
 DRIFT: Final = 0.01
 """The largest difference in clock rates that is allowed for, as a share."""
 
@@ -105,6 +110,8 @@
     _valid_until: float = float("-inf")
     _seen: Row | None = None
     _seen_at: float = float("-inf")
+    _looked_at: float = float("inf")
+    _was_cut_off: bool = False
     _free_since: float | None = None
     _pending: OwnerRow | None = None
     _pending_changes: Changes = Changes()
@@ -231,6 +238,9 @@
 
     def _observe(self, row: Row | None) -> None:
         """Note when this process saw the row's current version first."""
+        now = self.clock.now()
+        self._was_cut_off = row != self._seen and now - self._looked_at > CUT_OFF_S
+        self._looked_at = now
         if row != self._seen or self._seen_at == float("-inf"):
             self._seen = row
             self._seen_at = self.clock.now()
@@ -240,7 +250,9 @@
             return True
         owner = codec.decode(row.value, OwnerRow, place=self.key)
         self.epoch = max(self.epoch, owner.epoch)
-        if owner.released or self.is_dead(owner.holder):
+        if owner.released:
+            return True
+        if self.is_dead(owner.holder) and not self._was_cut_off:
             return True
         margin = owner.lease_s * DRIFT
         return self.clock.now() - self._seen_at > owner.lease_s + margin
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -469,6 +469,7 @@
         self._touch.take_hint(reply)
         if reply.owner:
             self._touch.heard_owner()
+            self._touch.trust()
             self._door.digest = reply
             self._door.digest_at = now
             self._members.learn(reply, now)
--- a/cranberrycleat/workflow/touch.py
+++ b/cranberrycleat/workflow/touch.py
@@ -77,6 +77,10 @@
         """Note that an owner is taken to be dead."""
         self._suspected = {holder: self.clock.now()}
 
+    def trust(self) -> None:
+        """The owner answered: whatever was suspected of it is over."""
+        self._suspected = {}
+
     def suspects(self, holder: str) -> bool:
         """Tell whether an owner is taken to be dead."""
         since = self._suspected.get(holder, NEVER)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -240,3 +240,26 @@
         assert not leases[1].takeover_silent
 
     go(run())
+
+
+@pytest.mark.parametrize(
+    ("away_s", "renewed", "expected"),
+    [
+        (0.25, True, True),
+        (3.0, True, False),
+        (3.0, False, True),
+    ],
+    ids=["looks go on", "cut off, and it renewed", "cut off, and it did not"],
+)
+def test_evidence_of_a_death_is_not_trusted_by_who_was_cut_off(
+    away_s: float, renewed: bool, expected: bool
+) -> None:
+    """Nobody listens for it because of the cut, not because the holder died."""
+    pair = Pair()
+    go(pair.a.acquire())
+    assert not go(pair.b.acquire())
+    pair.b.is_dead = lambda holder: True
+    pair.advance(away_s)
+    if renewed:
+        go(pair.a.commit())
+    assert go(pair.b.acquire()) is expected
--- a/tests/test_touch.py
+++ b/tests/test_touch.py
@@ -37,3 +37,11 @@
     touch.take_hint(DigestReply(owner=False, epoch=2, owner_at="b:1"))
     touch.take_hint(DigestReply(owner=False, epoch=4, owner_at=""))
     assert touch.hint.owner_at == "a:1"
+
+
+def test_an_owner_that_answers_is_suspected_no_more() -> None:
+    """What a cut made look like a death is over with the cut."""
+    touch = Touch(clock=ManualClock(time_s=100.0))
+    touch.suspect("a@x#1")
+    touch.trust()
+    assert not touch.suspects("a@x#1")
