Workers on which nothing moves are found by progress and left

Cause: tasks on some workers stand still for 6 s (`srv_grey`, hang) while calls and health are good; whatever is there or is given to them meanwhile is lost if it is urgent. A trial that logged every list showed that `percent` of a task that ends is the share of its work that is done: it froze on the hanging worker alone.

Change: new module `progress` (no network): a worker none of whose tasks (gangs, services and fillers apart) came further for 1.2 s stands still; what has its last chance to be in time starts elsewhere, the rest waits; the worker rests and is tried with one task. The fleet stand-in tells progress and can stand still.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -417,6 +417,16 @@
     rest_s: float
 
 
+@event("worker.stands_still", kept=True)
+class WorkerStandsStill:
+    """Nothing moves on a worker that answers; what cannot wait leaves it."""
+
+    worker: str
+    tasks: int
+    stopped: int
+    rest_s: float
+
+
 @event("wave.seen", kept=True)
 class WaveSeen:
     """The operator asked for a wave of upkeep."""
--- a/cranberrycleat/standins/fleet.py
+++ b/cranberrycleat/standins/fleet.py
@@ -71,6 +71,7 @@
         lose_starts: How many of the next starts get no answer and are carried
             out when `carry_out` is called.
         refuse: The verdict that it gives to each start; None: its own.
+        stands_still: It answers, but nothing that runs there comes any further.
     """
 
     entry: WorkerEntry
@@ -78,6 +79,8 @@
     replaced: bool = False
     lose_starts: int = 0
     refuse: Verdict | None = None
+    stands_still: bool = False
+    settled_at: float = 0.0
     epoch: int = 0
     lease_end_ms: int = 0
     runs: dict[str, Run] = attrs.field(factory=dict)
@@ -101,6 +104,8 @@
         done: Tasks that ended as done.
         counts_done: Whether a task that was done may not start again; a
             service's may.
+        tells_progress: Whether lists say how far each task has come; else each is
+            said to be at work, as a service's is.
     """
 
     work: Callable[[str, int], Work] = lambda task, attempt: Work()
@@ -112,6 +117,7 @@
     faults: list[str] = attrs.field(factory=list)
     done: set[str] = attrs.field(factory=set)
     counts_done: bool = True
+    tells_progress: bool = False
 
     def add(self, entry: WorkerEntry) -> Worker:
         """Take in a worker."""
@@ -235,7 +241,10 @@
             worker_time_ms=self.now_ms(),
             running=tuple(
                 RunningTask(
-                    task=run.task, attempt=run.attempt, saved=run.saved, percent=100
+                    task=run.task,
+                    attempt=run.attempt,
+                    saved=run.saved,
+                    percent=self._percent(run),
                 )
                 for run in worker.runs.values()
             ),
@@ -251,6 +260,11 @@
 
     def _settle(self, worker: Worker) -> None:
         now = self.clock.now()
+        if worker.stands_still:
+            for run in worker.runs.values():
+                run.started += now - worker.settled_at
+                run.ends_at += now - worker.settled_at
+        worker.settled_at = now
         lapsed = now * 1000 > worker.lease_end_ms
         for run in list(worker.runs.values()):
             if run.ends_at <= now and run.ends_at * 1000 <= worker.lease_end_ms:
@@ -258,6 +272,13 @@
             elif lapsed:
                 self._end(worker, run, EndKind.LAPSED)
 
+    def _percent(self, run: Run) -> int:
+        """Return how far a run has come."""
+        if not self.tells_progress:
+            return 100
+        share = (self.clock.now() - run.started) / (run.ends_at - run.started)
+        return min(99, int(100 * share))
+
     def _end(self, worker: Worker, run: Run, how: EndKind) -> None:
         self._end_one(worker, run, how)
         step = run.task.rpartition(".")[0]
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -328,6 +328,7 @@
             ordered=True,
             running=True,
             running_since=float("-inf"),
+            advanced_at=now,
         )
         self._count(worker, placement)
 
@@ -381,12 +382,7 @@
         placement = worker.placements.get(key)
         if placement is None:
             placement = self._stray(worker, run)
-        if not placement.running:
-            placement.running = True
-            placement.running_since = now
-        placement.ordered = True
-        placement.percent = run.percent
-        placement.reading = run.reading
+        placement.heard(run, now)
         task = placement.subject
         if task is not None and placement.is_current:
             task.at_work = run.percent >= AT_WORK
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -79,7 +79,9 @@
         unsized: Nobody knows what it takes; its worker draws nothing beside it.
         stopping: It is to end.
         stop_reason: Why, for people.
-        percent: The share at which it works, by the worker's word.
+        percent: The share of its work that is done, or for a service the share
+            at which it works, by the worker's word.
+        advanced_at: When that share was last seen to rise, on the owner's clock.
         reading: The worker's figure for it (see `RunningTask`).
         throttle: The share that it was told to work at.
     """
@@ -100,9 +102,26 @@
     stopping: bool = False
     stop_reason: str = ""
     percent: float = 0.0
+    advanced_at: float = 0.0
     reading: float | None = None
     throttle: int = 100
 
+    def began(self, now: float) -> None:
+        """The worker says that it runs."""
+        self.running = True
+        self.running_since = now
+        self.advanced_at = now
+
+    def heard(self, run: RunningTask, now: float) -> None:
+        """Take in what the worker's list says of it."""
+        if not self.running:
+            self.began(now)
+        if run.percent > self.percent:
+            self.advanced_at = now
+        self.ordered = True
+        self.percent = run.percent
+        self.reading = run.reading
+
     def ran_s(self, now: float) -> float:
         """Return how long it has run, as far as this owner knows."""
         if not self.running:
@@ -253,10 +272,14 @@
         enough = self.failures >= FAILURES_TO_REST and len(self.failed_jobs) > 1
         if not (enough or self.probing):
             return False
+        self.rest(now)
+        return True
+
+    def rest(self, now: float) -> None:
+        """Draw nothing for a while, each time longer; then be tried."""
         self.rest_s = min(LONGEST_REST_S, self.rest_s * 2 or FIRST_REST_S)
         self.rests_until = now + self.rest_s
         self.probing = True
-        return True
 
     def note_success(self) -> None:
         """Note an attempt that ended as done."""
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -16,6 +16,7 @@
 from cranberrycleat.clock import Clock
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.logs import emit, part_logger
+from cranberrycleat.workflow import progress
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.evacuation import to_stop
 from cranberrycleat.workflow.fleet import FleetWorker, Placement, Standing
@@ -121,6 +122,7 @@
             await asyncio.sleep(SILENT_PAUSE_S)
         else:
             self._evacuate()
+            self._leave_standing()
             self._order_throttles()
             self._order_stops()
             await asyncio.sleep(GAP_S)
@@ -261,8 +263,7 @@
         match reply.verdict:
             case Verdict.ACCEPTED | Verdict.STALE_ATTEMPT:
                 # A stale attempt is over there; the next lists tell how.
-                placement.running = True
-                placement.running_since = now
+                placement.began(now)
                 emit(
                     events.TaskStarted(
                         task=placement.task,
@@ -361,6 +362,28 @@
             placement.stopping = True
             placement.stop_reason = "worker leaves"
 
+    def _leave_standing(self) -> None:
+        """Take what cannot wait off a worker on which nothing moves."""
+        worker = self.worker
+        now = self.clock.now()
+        if not progress.stands_still(worker, now):
+            return
+        stopped = progress.to_stop(worker, self.board.time_of_day())
+        for placement in stopped:
+            placement.stopping = True
+            placement.stop_reason = "its worker stands still"
+        if now < worker.rests_until:
+            return
+        worker.rest(now)
+        emit(
+            events.WorkerStandsStill(
+                worker=worker.name,
+                tasks=len(worker.placements),
+                stopped=len(stopped),
+                rest_s=worker.rest_s,
+            )
+        )
+
     def stop_soon(self) -> None:
         """Order the stops that the board asks for, now."""
         self._order_stops()
@@ -391,5 +414,4 @@
         elif reply.verdict in (Verdict.ACCEPTED, Verdict.STALE_ATTEMPT):
             # It is void if it never began; then the next lists miss it.
             if not placement.running:
-                placement.running = True
-                placement.running_since = self.clock.now()
+                placement.began(self.clock.now())
--- a/cranberrycleat/workflow/ordering.py
+++ b/cranberrycleat/workflow/ordering.py
@@ -21,6 +21,8 @@
 
 SERVICES: Final = -1
 """A service earns only while its members are at work."""
+WORTHLESS: Final = 2
+"""The band of what can earn nothing any more."""
 
 
 @attrs.frozen(kw_only=True)
@@ -97,5 +99,5 @@
     elif slack >= 0:
         band = 0
     else:
-        band = 1 if late_slack >= 0 else 2
+        band = 1 if late_slack >= 0 else WORTHLESS
     return Rank(band=band, priority=job.queue.priority, slack_s=slack, name=step.name)
