A draining host goes on following who the owner is

Change: a draining host looks at the row without standing for it, and goes on exchanging digests, with no strength of its own.

Test: test_a_draining_host_follows_a_change_of_the_owner fails without.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -144,6 +144,15 @@
         self._held = None
         self._valid_until = float("-inf")
 
+    async def look(self) -> None:
+        """Look at the row only, to know who holds the lease.
+
+        Raises:
+            TableUnavailable: The table gave no answer.
+        """
+        rows = await self.table.read(keys=(self.key,))
+        self._observe(rows[0] if rows else None)
+
     async def acquire(self) -> bool:
         """Look at the row once, and take the lease if it is free.
 
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -352,14 +352,21 @@
                 await asyncio.sleep(PAUSE_S)
 
     async def _stand(self) -> None:
-        """Stand for the ownership, and act while it is held."""
+        """Stand for the ownership, and act while it is held.
+
+        A host that drains goes on looking: it still answers the callers that
+        have channels to it, and must know who the owner is.
+        """
         while True:
-            if not self.draining:
-                with contextlib.suppress(errors.TableUnavailable):
+            with contextlib.suppress(errors.TableUnavailable):
+                if self.draining:
+                    await self._lease.look()
+                    won = False
+                else:
                     won = await self._lease.acquire()
-                    self._touch.heard_table()
-                    if won:
-                        await self._act()
+                self._touch.heard_table()
+                if won:
+                    await self._act()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._candidacy.look_s(self.address)):
                     await self._look.wait()
@@ -438,19 +445,19 @@
             address = self.owner_address()
             own = address == self.address
             calm = own and self.in_touch()
-            if not calm and not self.draining:
+            if not calm:
                 if not address or own or not await self._ask_owner(address):
                     await self._ask_elsewhere()
             await asyncio.sleep(options.DIGEST_S)
 
     def _digest(self) -> Digest:
         cfg = self.adapter.settings
-        with_table = self._touch.table_age_s() < STORE_FRESH_S
+        could_own = self._touch.table_age_s() < STORE_FRESH_S and not self.draining
         return Digest(
             name=cfg.name,
             address=self.address,
             data_centre=cfg.data_centre,
-            strength=self._candidacy.own if with_table else 0.0,
+            strength=self._candidacy.own if could_own else 0.0,
             peers_seen=self._members.learned,
         )
 
--- a/cranberrycleat/workflow/peering.py
+++ b/cranberrycleat/workflow/peering.py
@@ -75,7 +75,8 @@
         name: The host's name.
         address: Where it answers its peers.
         data_centre: Where it stands.
-        strength: How much owning it can carry now; 0 while it lacks the table.
+        strength: How much owning it can carry now; 0 while it lacks the table or
+            is about to stop.
         peers_seen: The version of the owner's list of hosts that it has; empty:
             none.
     """
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -323,3 +323,23 @@
             await until(lambda: not other.is_ready(), limit_s=6.0)
 
     go(run())
+
+
+def test_a_draining_host_follows_a_change_of_the_owner() -> None:
+    """It still answers the callers that have channels to it, for seconds."""
+
+    async def run() -> None:
+        async with cell() as made, nodes(made, count=3) as running:
+            first, draining, _ = running
+            await asyncio.sleep(0.5)
+            stopping = asyncio.create_task(draining.drain())
+            await asyncio.sleep(0.1)
+            await first.drain()
+            assert first.owner is None
+            for number in range(3):
+                reply = await ask(draining, "POST", f"/q/0{number}", JOB)
+                assert reply.status == 200
+            assert not await made.table.scan(prefix="inbox/")
+            await stopping
+
+    go(run())
