A write without an answer is looked for in the row, and not sent twice

Cause: a slow store (`platform_slow`, 56 times) takes 0.22 s for an answer and as much again for a transaction: 0.45 s. The owner's time limit was 0.2 to 0.4 s, so each write was sent two or three times; the copies wait behind each other in the part, the lease (0.9 s) ran out, and a successor's takeover took 0.9 s more.

Change: `OwnershipLease.commit` looks at the row after 0.2 s without an answer: the row shows whether the write took effect though its answer was lost, and one copy under way is left alone. A transaction has 0.4 s more than a read. While writes are slow the lease is longer by two of them; a successor counts with the length that its predecessor wrote.

Tests: test_lease (three), test_takeover; each fails without the change.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -23,6 +23,7 @@
 The part is importable on its own; it needs a `Clock` and a `Table`.
 """
 
+import asyncio
 from collections.abc import Callable
 from typing import Final
 
@@ -30,10 +31,29 @@
 
 from cranberrycleat import codec, errors
 from cranberrycleat.clock import Clock
-from cranberrycleat.table import ABSENT, Check, Put, Row, Table, Transaction
+from cranberrycleat.table import (
+    ABSENT,
+    Check,
+    CommitReply,
+    Put,
+    Row,
+    Table,
+    Transaction,
+)
 
 RELEASE_TRIES: Final = 3
 """A release without an answer is sent again: it saves a candidate the wait."""
+DOUBT_S: Final = 0.2
+"""A write without an answer for so long may have lost it: the row is looked at.
+Ten times what a calm table takes with its way."""
+SLOW_S: Final = 0.15
+"""A write that took longer tells of a slow table; a calm one takes 0.01 s."""
+SLOWEST_S: Final = 1.0
+"""Slower writes than this do not make the lease any longer: nobody else can own
+while it runs, and a dead holder must be followed."""
+SLOW_WRITES: Final = 2.0
+"""A candidate sees a change late by its own look (half a write's time) and the
+next write takes a whole one; with one write's time for jitter."""
 CUT_OFF_S: Final = 1.0
 """Without a look at the row for so long a candidate was cut off from the table;
 looks come each 0.25 s and take 0.5 s in a slowed table."""
@@ -93,6 +113,7 @@
             seconds, by the row of who held it last.
         takeover_silent: Whether the lease was won from a holder that did not
             release it, so that it may still be acting on what it granted.
+        predecessor_lease_s: How long that holder's last write was to hold.
     """
 
     table: Table
@@ -105,11 +126,13 @@
     strength: float = 0.0
     patience_s: Callable[[OwnerRow], float] = lambda row: 0.0
     takeover_silent: bool = False
+    predecessor_lease_s: float = 0.0
     _held: OwnerRow | None = None
     _held_version: int = ABSENT
     _valid_until: float = float("-inf")
     _seen: Row | None = None
     _seen_at: float = float("-inf")
+    _took_s: float = 0.0
     _looked_at: float = float("inf")
     _was_cut_off: bool = False
     _free_since: float | None = None
@@ -198,16 +221,53 @@
         if self._held is None:
             raise Deposed(self.key)
         if self._pending is None:
-            self._pending = attrs.evolve(self._held, sequence=self._held.sequence + 1)
+            self._pending = attrs.evolve(
+                self._held,
+                sequence=self._held.sequence + 1,
+                lease_s=self._length_s(),
+            )
             self._pending_changes = changes
             self._pending_since = self.clock.now()
         txn = self._transaction(self._held_version, self._pending, changes)
-        reply = await self.table.commit(txn)
+        began = self.clock.now()
+        reply = await self._answer(txn)
         if reply.committed:
+            self._took_s = self.clock.now() - began
             self._renewed(self._pending, reply.version)
             return
         await self._settle()
 
+    async def _answer(self, txn: Transaction) -> CommitReply:
+        """Send a transaction; where no answer comes soon, look at the row too.
+
+        The row shows whether the write took effect though its answer was lost.
+        A second copy would tell as much, but in a slow table it only waits
+        behind the first one, which is still under way.
+        """
+        sending = asyncio.ensure_future(self.table.commit(txn))
+        try:
+            await asyncio.wait({sending}, timeout=DOUBT_S)
+            while not sending.done():
+                seen = await self._see_pending()
+                if seen is not None:
+                    return seen
+                await asyncio.wait({sending}, timeout=DOUBT_S)
+            return sending.result()
+        finally:
+            sending.cancel()
+
+    async def _see_pending(self) -> CommitReply | None:
+        """Return the answer that the row gives, if the write took effect."""
+        try:
+            rows = await self.table.read(keys=(self.key,))
+        except errors.TableUnavailable:
+            # The write's own answer, or its time limit, decides.
+            return None
+        row = rows[0] if rows else None
+        if row is None or codec.decode(row.value, OwnerRow) != self._pending:
+            return None
+        return CommitReply(committed=True, version=row.version)
+
     async def release(self) -> None:
         """Give the lease up, so that a candidate need not wait for it.
 
@@ -236,6 +296,16 @@
                 raise Deposed(self.key)
             return
 
+    def _length_s(self) -> float:
+        """Return how long the next write is to hold.
+
+        In a slow table the row changes, and is looked at, so seldom that a
+        candidate would see no change within the usual length.
+        """
+        if self._took_s < SLOW_S:
+            return self.lease_s
+        return self.lease_s + SLOW_WRITES * min(self._took_s, SLOWEST_S)
+
     def _transaction(
         self, version: int, row: OwnerRow, changes: Changes
     ) -> Transaction:
@@ -287,6 +357,7 @@
             strength=self.strength,
         )
         self._pending_silent = old is not None and not old.released
+        self.predecessor_lease_s = 0.0 if old is None else old.lease_s
         self._pending_since = self.clock.now()
         reply = await self.table.commit(self._transaction(version, ours, Changes()))
         if reply.committed:
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -39,6 +39,9 @@
 PAGE_TRIES: Final = 4
 PAGE_PAUSE_S: Final = 0.1
 """A store that turns calls away, or was cut off, is asked again after this."""
+WRITE_S: Final = 0.4
+"""What a transaction may take beyond a read: it is carried out (4 ms) after those
+before it in its part, and in a store slowed 60 times that is 0.24 s each."""
 LOG: Final = part_logger("store")
 
 
@@ -178,7 +181,9 @@
             ),
             remove=tuple(_WireName(**_place(key)) for key in txn.deletes),
         )
-        reply = await self._send("POST", "/api/rows-tx", body=codec.encode(wire))
+        reply = await self._send(
+            "POST", "/api/rows-tx", body=codec.encode(wire), wait_s=WRITE_S
+        )
         if reply.status == CONDITION_FAILED:
             now = {f"{r.table}/{r.key}": r for r in _decode(reply, "rows-tx").rows}
             lost = [
--- a/cranberrycleat/workflow/options.py
+++ b/cranberrycleat/workflow/options.py
@@ -53,14 +53,18 @@
     bounds: LeaseBounds
     length_s: float
 
-    def successor_waits_s(self, *, released: bool) -> float:
+    def successor_waits_s(self, *, released: bool, lease_s: float) -> float:
         """Return after how long a predecessor's leases are over at the latest.
 
         Counted from the takeover, at a worker that cannot be reached. A
         predecessor that released the ownership had stopped renewing before; one
         that was only taken to be dead may hold the rest of its lease.
+
+        Args:
+            released: Whether the predecessor released the ownership.
+            lease_s: The length of the predecessor's lease.
         """
-        renewed_s = 0.0 if released else OWNER_LEASE_S + RENEW_AFTER_LAPSE_S
+        renewed_s = 0.0 if released else lease_s + RENEW_AFTER_LAPSE_S
         longest = self.length_s / (1 - self.bounds.clock_error)
         return renewed_s + longest + self.bounds.stop_s
 
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -199,7 +199,10 @@
         self._ended.set()
 
     async def _take_over(self) -> None:
-        waits_s = self.leases.successor_waits_s(released=not self.lease.takeover_silent)
+        waits_s = self.leases.successor_waits_s(
+            released=not self.lease.takeover_silent,
+            lease_s=self.lease.predecessor_lease_s,
+        )
         began = self.clock.now()
         self._old_leases_over_at = began + waits_s
         while True:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,15 +1,17 @@
 """The ownership lease: never two with authority, whatever is lost or late."""
 
+import asyncio
+
 import attrs
 import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from cranberrycleat import errors
-from cranberrycleat.clock import ManualClock
-from cranberrycleat.lease import Changes, Deposed, OwnershipLease
+from cranberrycleat import codec, errors
+from cranberrycleat.clock import ManualClock, MonotonicClock
+from cranberrycleat.lease import SLOWEST_S, Changes, Deposed, OwnerRow, OwnershipLease
 from cranberrycleat.standins.table import MemoryTable
-from cranberrycleat.table import Put
+from cranberrycleat.table import CommitReply, Put, Transaction
 from tests.fakes import LateTable, go
 
 LEASE_S = 10.0
@@ -263,3 +265,76 @@
     if renewed:
         go(pair.a.commit())
     assert go(pair.b.acquire()) is expected
+
+
+@attrs.define(kw_only=True)
+class SlowCommits(MemoryTable):
+    """Carries out one transaction after the other, each slowly."""
+
+    each_s: float = 0.0
+    lose: int = 0
+    sent: int = 0
+    _turn: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+
+    async def commit(self, txn: Transaction) -> CommitReply:
+        """Commit in turn; some answers are lost for good."""
+        self.sent += 1
+        async with self._turn:
+            await asyncio.sleep(self.each_s)
+            reply = await MemoryTable.commit(self, txn)
+        if self.lose:
+            self.lose -= 1
+            await asyncio.sleep(60)
+        return reply
+
+
+def _on(table: MemoryTable) -> OwnershipLease:
+    return OwnershipLease(
+        table=table, clock=MonotonicClock(), key="owner", holder="a", lease_s=0.9
+    )
+
+
+def test_a_lost_answer_is_found_in_the_row_and_nothing_is_sent_twice() -> None:
+    """A second copy would only wait behind the first."""
+
+    async def run() -> None:
+        table = SlowCommits()
+        lease = _on(table)
+        assert await lease.acquire()
+        table.lose, table.sent = 1, 0
+        await asyncio.wait_for(lease.commit(), 2.0)
+        assert table.sent == 1 and lease.authority()
+
+    go(run())
+
+
+def test_a_slow_table_gets_one_copy_and_the_lease_is_longer_there() -> None:
+    """Candidates see a change so late that the usual length would look lapsed."""
+
+    async def run() -> None:
+        table = SlowCommits()
+        lease = _on(table)
+        assert await lease.acquire()
+        table.each_s, table.sent = 0.45, 0
+        await lease.commit()
+        await lease.commit()
+        assert table.sent == 2
+        row = codec.decode(table.rows["owner"].value, OwnerRow)
+        assert 0.9 + 2 * 0.45 <= row.lease_s <= 0.9 + 2 * SLOWEST_S
+        table.each_s = 0.0
+        await lease.commit()
+        await lease.commit()
+        row = codec.decode(table.rows["owner"].value, OwnerRow)
+        assert row.lease_s == 0.9
+
+    go(run())
+
+
+def test_a_successor_knows_how_long_its_predecessor_may_act() -> None:
+    """Its last write may have held longer than this process would ask for."""
+    pair = Pair()
+    pair.a.lease_s = 2.5
+    go(pair.a.acquire())
+    pair.b.is_dead = lambda holder: True
+    assert go(pair.b.acquire())
+    assert pair.b.predecessor_lease_s == 2.5
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -16,9 +16,20 @@
 from cranberrycleat.standins.feed_table import MemoryFeedTable
 from cranberrycleat.standins.table import MemoryTable
 from cranberrycleat.table import Put, Row, Transaction
-from cranberrycleat.workflow import rows
+from cranberrycleat.workflow import options, rows
 from cranberrycleat.workflow.fleet import Placement
-from tests.cell import OWNER_LEASE_S, Cell, cell, job, queue, step, submit, until
+from cranberrycleat.workflow.options import WorkerLeases
+from tests.cell import (
+    BOUNDS,
+    OWNER_LEASE_S,
+    Cell,
+    cell,
+    job,
+    queue,
+    step,
+    submit,
+    until,
+)
 from tests.fakes import go
 
 
@@ -70,6 +81,21 @@
     go(run())
 
 
+@pytest.mark.parametrize(
+    ("released", "lease_s", "expected"),
+    [(False, 0.9, 0.9), (False, 2.5, 2.5), (True, 2.5, 0.0)],
+    ids=["usual", "longer in a slow table", "released"],
+)
+def test_a_successor_waits_for_what_its_predecessor_may_still_renew(
+    released: bool, lease_s: float, expected: float
+) -> None:
+    leases = WorkerLeases(bounds=BOUNDS, length_s=4.9)
+    least = 4.9 / 0.98 + BOUNDS.stop_s
+    after = 0.0 if released else options.RENEW_AFTER_LAPSE_S
+    waits_s = leases.successor_waits_s(released=released, lease_s=lease_s)
+    assert waits_s == pytest.approx(least + after + expected)
+
+
 def test_what_lay_in_the_inbox_keeps_the_time_of_its_acceptance() -> None:
     """Work that waited there must not go before work that can still be in time."""
 
