A task does not go back to the worker that failed it

Change: the planner leaves out workers that failed this very task and did nothing well since, where the others could hold it if they were empty (the first form, without that condition, starved a gang that needs every worker: a test showed it).

Tests: test_planner (two cases fail without; three hold the condition).

--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -449,6 +449,7 @@
         if end.how is EndKind.FAILED:
             pause = min(LONGEST_RETRY_S, RETRY_S * 2 ** max(0, task.failures - 1))
             task.not_before = now + pause
+            task.failed_on.add(worker.name)
         self._note(job)
         self._after_end(job, task.step)
 
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -241,7 +241,7 @@
         for task in tasks:
             fitting = [
                 worker
-                for worker in candidates
+                for worker in self._trusted(step, [task], candidates)
                 if needs.fits_in(self._room(worker))
                 and worker.may_draw(now)
                 and (not most or self._on_worker(step, worker) < most)
@@ -254,6 +254,37 @@
             plan.groups.append(group)
         return bool(group.placements)
 
+    def _trusted(
+        self, step: StepRun, tasks: list[Task], candidates: list[FleetWorker]
+    ) -> list[FleetWorker]:
+        """Leave out workers that failed these tasks and did nothing well since.
+
+        A worker that fails what it starts has room at once, and would draw a
+        task again until its attempts are used up. Where the others could not
+        hold the tasks even if they were empty, it is as good as any.
+        """
+        failed_on = {name for task in tasks for name in task.failed_on}
+        if not failed_on:
+            return candidates
+        trusted = [
+            each
+            for each in candidates
+            if each.name not in failed_on or not each.failures
+        ]
+        most = step.spec.most_per_worker or len(tasks)
+        needs = counted(step.spec)
+        seats = sum(
+            max(
+                0,
+                min(
+                    most - self._on_worker(step, each),
+                    times(needs, each.entry.capacity),
+                ),
+            )
+            for each in trusted
+        )
+        return trusted if seats >= len(tasks) else candidates
+
     def _preference(
         self, step: StepRun, worker: FleetWorker
     ) -> tuple[bool, int, int, str]:
@@ -280,7 +311,8 @@
         plan: Plan,
     ) -> bool:
         needs = counted(step.spec)
-        for group_of in self._rack_choices(step, candidates):
+        trusted = self._trusted(step, tasks, candidates)
+        for group_of in self._rack_choices(step, trusted):
             seats = self._seats(step, group_of, needs, len(tasks), now)
             if len(seats) == len(tasks):
                 group = PlannedGroup(step=step)
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -47,6 +47,8 @@
         saved: The newest saved progress; empty for none.
         not_before: When it may be placed again, on the owner's clock.
         at_work: It has started up and works at full speed.
+        failed_on: The workers on which an attempt of it failed, as far as this
+            owner knows.
     """
 
     step: "StepRun"
@@ -58,6 +60,7 @@
     saved: str = ""
     not_before: float = 0.0
     at_work: bool = False
+    failed_on: set[str] = attrs.field(factory=set)
 
     @property
     def name(self) -> str:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -231,3 +231,44 @@
     assert only.free.processors == 1000
     plan(made)
     assert only.free.processors == 0
+
+
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize(
+    ("names", "failures", "expected"),
+    [
+        (("bad", "good"), 1, "good"),
+        (("bad", "good"), 0, "bad"),
+        (("bad",), 1, "bad"),
+    ],
+    ids=["another may run it", "it has done well since", "no other may"],
+)
+def test_a_task_does_not_go_back_to_the_worker_that_failed_it(
+    names: tuple[str, ...], failures: int, expected: str, gang: bool
+) -> None:
+    """That worker has room at once, and is the fuller one here."""
+    workers = [worker(name) for name in names]
+    workers[0].free = Amounts(processors=2000, memory_mb=4000)
+    workers[0].failures = failures
+    made = board(*workers)
+    submit(made, "a", job(step(1, gang=gang)), queue())
+    made.jobs["a"].open[0].steps[0].tasks[0].failed_on.add("bad")
+    plan(made)
+    assert placed(made)[expected] == ["a.0.0.0"]
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [step(3, processors=2000, gang=True), step(2, most_per_worker=1)],
+    ids=["too wide for the others", "the others are at their limit"],
+)
+def test_a_worker_that_failed_a_task_is_used_where_it_is_needed(spec: StepSpec) -> None:
+    """Otherwise the task would wait for ever."""
+    workers = [worker("bad"), worker("good")]
+    workers[0].failures = 1
+    made = board(*workers)
+    submit(made, "a", job(spec), queue())
+    for task in made.jobs["a"].open[0].steps[0].tasks:
+        task.failed_on.add("bad")
+    plan(made)
+    assert sum(len(tasks) for tasks in placed(made).values()) == spec.count
