A fault soak of our own, and the lost starts that it found

A group of placements waits until all of it is stored; a member whose worker was lost first is given up and is never stored, so that the rest of its group waited for ever. Ruled out: probing workers, room held for gangs, links without workers.

Change: what no longer counts is not waited for. New: `python -m tests.soak`: three hosts, doors, table and workers in one process, ten kinds of faults by a seed, two at a time, judged by the workers' record; the fleet stand-in knows crashes and excuses an end that nobody was told of before its worker's lease lapsed.

--- a/cranberrycleat/standins/fleet.py
+++ b/cranberrycleat/standins/fleet.py
@@ -102,6 +102,9 @@
         starts: Every start that was carried out.
         faults: What the record shows that must never be.
         done: Tasks that ended as done.
+        lost: Lives of workers that are over.
+        excused: Those of them whose end nobody was told of before the worker's
+            lease lapsed or the worker was lost: they may run once more.
         counts_done: Whether a task that was done may not start again; a
             service's may.
         tells_progress: Whether lists say how far each task has come; else each is
@@ -113,9 +116,11 @@
     gang: Callable[[str], bool] = lambda step: False
     clock: Clock = attrs.field(factory=MonotonicClock)
     workers: dict[str, Worker] = attrs.field(factory=dict)
+    lost: dict[str, Worker] = attrs.field(factory=dict)
     starts: list[Started] = attrs.field(factory=list)
     faults: list[str] = attrs.field(factory=list)
     done: set[str] = attrs.field(factory=set)
+    excused: set[str] = attrs.field(factory=set)
     counts_done: bool = True
     tells_progress: bool = False
 
@@ -174,7 +179,7 @@
             self._settle(other)
             if order.task in other.runs:
                 self.faults.append(f"{order.task} runs twice")
-        if order.task in self.done:
+        if order.task in self.done - self.excused:
             self.faults.append(f"{order.task} starts after it was done")
         worker.runs[order.task] = run
         self.starts.append(
@@ -251,6 +256,16 @@
             ended=tuple(worker.ended),
         )
 
+    def crash(self, name: str, entry: WorkerEntry) -> None:
+        """Lose a worker's life and all that runs there; another life begins."""
+        lost = self.workers.pop(name)
+        self._settle(lost)
+        self._excuse(lost)
+        lost.replaced = True
+        lost.runs.clear()
+        self.lost[name] = lost
+        self.add(entry)
+
     # --- what goes on by itself -----------------------------------------------------
 
     def settle_all(self) -> None:
@@ -267,10 +282,20 @@
         worker.settled_at = now
         lapsed = now * 1000 > worker.lease_end_ms
         for run in list(worker.runs.values()):
+            if worker.runs.get(run.task) is not run:
+                # It ended with another member of its gang.
+                continue
             if run.ends_at <= now and run.ends_at * 1000 <= worker.lease_end_ms:
                 self._end(worker, run, run.how)
             elif lapsed:
                 self._end(worker, run, EndKind.LAPSED)
+        if lapsed:
+            self._excuse(worker)
+
+    def _excuse(self, worker: Worker) -> None:
+        for end in worker.ended:
+            if end.how is EndKind.DONE:
+                self.excused.add(end.task)
 
     def _percent(self, run: Run) -> int:
         """Return how far a run has come."""
@@ -308,7 +333,7 @@
         )
 
     def _reach(self, entry: WorkerEntry) -> Worker:
-        worker = self.workers[entry.worker]
+        worker = self.lost.get(entry.worker) or self.workers[entry.worker]
         if worker.silent:
             raise WorkerUnreachable("no answer")
         if worker.replaced:
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -230,6 +230,10 @@
         """Tell whether anything runs there of which nobody knows what it takes."""
         return self.unsized > 0
 
+    def counts(self, placement: Placement) -> bool:
+        """Tell whether an attempt still counts here."""
+        return self.placements.get((placement.task, placement.attempt)) is placement
+
     def count(self, placement: Placement) -> None:
         """Begin to count an attempt."""
         self.placements[(placement.task, placement.attempt)] = placement
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -302,8 +302,7 @@
         return True
 
     def _counted(self, placement: Placement) -> bool:
-        key = (placement.task, placement.attempt)
-        return self.worker.placements.get(key) is placement
+        return self.worker.counts(placement)
 
     # --- throttling -----------------------------------------------------------
 
--- a/cranberrycleat/workflow/starts.py
+++ b/cranberrycleat/workflow/starts.py
@@ -85,6 +85,7 @@
         left = group.placements
         for _ in range(PERMIT_TRIES):
             await self._until_stored(left)
+            left = [pair for pair in left if pair[0].counts(pair[1])]
             await self._permit(group.step, left)
             ready = [pair for pair in left if self._permitted(group.step, pair[1])]
             if group.step.spec.gang and len(ready) < len(left):
@@ -99,7 +100,15 @@
         self.changed()
 
     async def _until_stored(self, left: list[tuple[FleetWorker, Placement]]) -> None:
-        while not all(placement.stored for _, placement in left):
+        """Wait until all that still counts is stored.
+
+        What is given up first, with its worker, will never be; the rest of its
+        group must not wait for it.
+        """
+        while any(
+            worker.counts(placement) and not placement.stored
+            for worker, placement in left
+        ):
             await self.stored.wait()
 
     @staticmethod
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,349 @@
+"""A fault soak: random jobs and faults by a seed, judged by the workers' record.
+
+    python -m tests.soak --seed 7 --runs 4 --seconds 20
+
+Owners on three hosts, doors, a table and workers run in one process. The fleet
+stand-in is the judge of what must never be (twice at a time, over capacity, again
+after an acknowledged end); at the end every fault is over, and each accepted job
+must be completed or cancelled, and none that was refused may ever have started.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import random
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import attrs
+
+from cranberrycleat import errors
+from cranberrycleat.amounts import NOTHING, Amounts
+from cranberrycleat.standins.fleet import Work
+from cranberrycleat.workflow.door import Door, DoorStatus
+from cranberrycleat.workflow.owner import Owner
+from cranberrycleat.workflow.ports import EndKind
+from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
+from cranberrycleat.workflow.state import FINAL
+from tests.cell import Cell, cell, entry, job, queue, step
+
+HOSTS: Final = 3
+WORKERS: Final = 5
+FINISH_S: Final = 40.0
+"""How long all work may take once every fault is over: several leases."""
+QUEUE: Final = queue(max_attempts=8)
+
+
+@attrs.define(kw_only=True)
+class Handed:
+    """A job that was handed in, and what its caller was told last."""
+
+    spec: WorkflowSpec
+    status: DoorStatus | None = None
+    cancelled: bool = False
+
+
+@attrs.define(kw_only=True, eq=False)
+class Soak:
+    """One run.
+
+    Attributes:
+        rnd: Draws everything.
+        made: Table, workers and what owners need.
+        owners: The newest owner of each host; it may have nothing to say.
+        hosts: The task that stands for the ownership on each host.
+        handed: Every job, by identity.
+        told: What went wrong, for people.
+    """
+
+    rnd: random.Random
+    made: Cell
+    owners: dict[str, Owner] = attrs.field(factory=dict)
+    hosts: "dict[str, asyncio.Task[None]]" = attrs.field(factory=dict)
+    handed: dict[str, Handed] = attrs.field(factory=dict)
+    told: list[str] = attrs.field(factory=list)
+    _lives: int = 0
+    _failed: set[str] = attrs.field(factory=set)
+
+    async def run(self, seconds: float) -> list[str]:
+        """Play jobs and faults for a time; return what went wrong."""
+        self._judge()
+        for number in range(HOSTS):
+            self._boot(f"h{number}")
+        busy = [asyncio.create_task(self._hand_in()) for _ in range(2)]
+        busy += [asyncio.create_task(self._break_things()) for _ in range(2)]
+        await asyncio.sleep(seconds)
+        for task in busy:
+            task.cancel()
+        found = await asyncio.gather(*busy, return_exceptions=True)
+        self.told += [repr(exc) for exc in found if isinstance(exc, Exception)]
+        self._heal()
+        await self._finish()
+        for task in self.hosts.values():
+            task.cancel()
+        await asyncio.gather(*self.hosts.values(), return_exceptions=True)
+        return self._verdict()
+
+    # --- jobs -------------------------------------------------------------------
+
+    def _spec_of(self, task: str) -> StepSpec | None:
+        parts = task.split(".")
+        handed = self.handed.get(parts[0])
+        return None if handed is None else handed.spec.steps[int(parts[2])]
+
+    def _judge(self) -> None:
+        def needs(task: str) -> Amounts:
+            spec = self._spec_of(task)
+            return NOTHING if spec is None else spec.needs
+
+        def gang(name: str) -> bool:
+            spec = self._spec_of(name)
+            return spec is not None and spec.gang
+
+        def work(task: str, attempt: int) -> Work:
+            seconds = self.rnd.choice((0.02, 0.1, 0.4))
+            if self.rnd.random() < 0.05 and task not in self._failed:
+                self._failed.add(task)
+                return Work(seconds=seconds, how=EndKind.FAILED)
+            return Work(seconds=seconds)
+
+        fleet = self.made.fleet
+        fleet.needs, fleet.gang, fleet.work = needs, gang, work
+
+    def _draw_spec(self) -> WorkflowSpec:
+        steps = []
+        for number in range(self.rnd.choice((1, 1, 2, 3))):
+            spec = step(
+                self.rnd.randint(1, 5),
+                processors=self.rnd.choice((500, 1000, 2000)),
+                gang=self.rnd.random() < 0.3,
+                checkpoints=self.rnd.random() < 0.3,
+                most_per_worker=self.rnd.choice((0, 0, 2)),
+                after=(number - 1,) if number else (),
+            )
+            steps.append(spec)
+        return job(*steps)
+
+    def _door(self) -> Door:
+        """Return a door that knows an owner, a former one, or none."""
+        known: list[Owner | None] = [
+            owner for owner in self.owners.values() if owner.ready.is_set()
+        ]
+        held = [owner for owner in known if owner and owner.lease.authority()]
+        pick = self.rnd.choice([*known, None])
+        if held and self.rnd.random() < 0.8:
+            pick = held[0]
+        return self.made.door(lambda: pick)
+
+    async def _hand_in(self) -> None:
+        while True:
+            await asyncio.sleep(self.rnd.uniform(0.02, 0.15))
+            job_id = f"{self.rnd.getrandbits(64):016x}"
+            handed = self.handed[job_id] = Handed(spec=self._draw_spec())
+            for _ in range(self.rnd.choice((1, 1, 2))):
+                # A caller that was not refused may come again, anywhere.
+                answer = await self._door().submit(
+                    QUEUE, job_id, handed.spec, limit_s=1.0
+                )
+                handed.status = answer.status
+                if answer.status is DoorStatus.REFUSED:
+                    break
+            if self.rnd.random() < 0.1 and handed.status is DoorStatus.DONE:
+                gone = await self._door().cancel(job_id, limit_s=1.0)
+                handed.cancelled = gone.status is not DoorStatus.NO_JOB
+
+    # --- faults -----------------------------------------------------------------
+
+    def _boot(self, host: str) -> None:
+        self._lives += 1
+        self.hosts[host] = asyncio.create_task(self._stand(host, self._lives))
+
+    async def _stand(self, host: str, life: int) -> None:
+        while True:
+            owner = self.made.make_owner(f"{host}-{life}")
+            self.owners[host] = owner
+            won = False
+            while not won:
+                with contextlib.suppress(errors.TableUnavailable):
+                    won = await owner.lease.acquire()
+                await asyncio.sleep(0.05)
+            await owner.run()
+            life += 1000
+
+    async def _break_things(self) -> None:
+        faults: tuple[Callable[[], Awaitable[None]], ...] = (
+            self._kill_host,
+            self._release_host,
+            self._table_down,
+            self._table_slow,
+            self._lose_replies,
+            self._silence,
+            self._late_orders,
+            self._crash_worker,
+            self._stand_still,
+            self._unlist,
+        )
+        while True:
+            await asyncio.sleep(self.rnd.uniform(0.1, 0.8))
+            await self.rnd.choice(faults)()
+
+    async def _kill_host(self) -> None:
+        host = self.rnd.choice(sorted(self.hosts))
+        self.hosts[host].cancel()
+        await asyncio.gather(self.hosts[host], return_exceptions=True)
+        await asyncio.sleep(self.rnd.uniform(0.0, 0.5))
+        self._boot(host)
+
+    async def _release_host(self) -> None:
+        for owner in self.owners.values():
+            if owner.ready.is_set() and owner.lease.authority():
+                await owner.hand_over()
+                return
+
+    async def _table_down(self) -> None:
+        self.made.table.faults.down = True
+        await asyncio.sleep(self.rnd.choice((0.1, 0.4, 1.5)))
+        self.made.table.faults.down = False
+
+    async def _table_slow(self) -> None:
+        self.made.table.faults.slow_s = self.rnd.choice((0.05, 0.15))
+        await asyncio.sleep(0.8)
+        self.made.table.faults.slow_s = 0.0
+
+    async def _lose_replies(self) -> None:
+        self.made.table.faults.lose_replies = self.rnd.randint(1, 4)
+
+    async def _silence(self) -> None:
+        worker = self.rnd.choice(list(self.made.fleet.workers.values()))
+        worker.silent = True
+        await asyncio.sleep(self.rnd.choice((0.2, 1.2, 2.5)))
+        worker.silent = False
+
+    async def _late_orders(self) -> None:
+        fleet = self.made.fleet
+        worker = self.rnd.choice(list(fleet.workers.values()))
+        worker.lose_starts = self.rnd.randint(1, 3)
+        await asyncio.sleep(self.rnd.uniform(0.1, 1.0))
+        worker.lose_starts = 0
+        for order in worker.late:
+            fleet.carry_out(worker, order)
+        worker.late.clear()
+
+    async def _crash_worker(self) -> None:
+        name = self.rnd.choice(sorted(self.made.fleet.workers))
+        self._lives += 1
+        fresh = entry(f"w-{self._lives}")
+        self.made.fleet.crash(name, fresh)
+        self.made.unlist_worker(name)
+        await asyncio.sleep(self.rnd.uniform(0.0, 0.5))
+        self.made.entries[fresh.worker] = fresh
+        self.made.list_worker(fresh.worker)
+
+    async def _stand_still(self) -> None:
+        worker = self.rnd.choice(list(self.made.fleet.workers.values()))
+        worker.stands_still = True
+        await asyncio.sleep(self.rnd.choice((0.5, 2.0)))
+        worker.stands_still = False
+
+    async def _unlist(self) -> None:
+        name = self.rnd.choice(sorted(self.made.fleet.workers))
+        self.made.unlist_worker(name)
+        await asyncio.sleep(self.rnd.uniform(0.1, 1.0))
+        if name in self.made.fleet.workers:
+            self.made.list_worker(name)
+
+    def _heal(self) -> None:
+        faults = self.made.table.faults
+        faults.down, faults.slow_s, faults.lose_replies = False, 0.0, 0
+        for host in list(self.hosts):
+            if self.hosts[host].done():
+                self._boot(host)
+        for name, worker in self.made.fleet.workers.items():
+            worker.silent = worker.stands_still = False
+            worker.lose_starts = 0
+            worker.late.clear()
+            self.made.entries.setdefault(name, worker.entry)
+            self.made.list_worker(name)
+
+    # --- the verdict --------------------------------------------------------------
+
+    def _owner(self) -> Owner | None:
+        for owner in self.owners.values():
+            if owner.ready.is_set() and owner.lease.authority():
+                return owner
+        return None
+
+    def _open(self) -> list[str]:
+        owner = self._owner()
+        if owner is None:
+            return ["no owner"]
+        return [
+            f"{job_id} is {owner.board.shown.get(job_id)}"
+            for job_id, handed in self.handed.items()
+            if handed.status is DoorStatus.DONE
+            and owner.board.shown.get(job_id) not in FINAL
+        ]
+
+    async def _finish(self) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + FINISH_S
+        while self._open() and loop.time() < end:
+            await asyncio.sleep(0.1)
+
+    def _verdict(self) -> list[str]:
+        fleet = self.made.fleet
+        fleet.settle_all()
+        started = {start.task.partition(".")[0] for start in fleet.starts}
+        refused = [
+            f"{job_id} was refused and started"
+            for job_id, handed in self.handed.items()
+            if handed.status is DoorStatus.REFUSED and job_id in started
+        ]
+        left = [
+            f"{run.task} of a cancelled job still runs"
+            for worker in fleet.workers.values()
+            for run in worker.runs.values()
+            if self.handed[run.task.partition(".")[0]].cancelled
+        ]
+        return [*self.told, *fleet.faults, *self._open(), *refused, *left]
+
+
+async def play(seed: int, seconds: float) -> list[str]:
+    """Play one run by its seed; return what went wrong."""
+    async with cell(workers=WORKERS) as made:
+        made.fleet.tells_progress = True
+        soak = Soak(rnd=random.Random(seed), made=made)
+        found = await soak.run(seconds)
+        accepted = [
+            handed
+            for handed in soak.handed.values()
+            if handed.status is DoorStatus.DONE
+        ]
+        print(
+            f"seed {seed}: {len(soak.handed)} jobs, {len(accepted)} accepted, "
+            f"{len(made.fleet.starts)} starts, {soak._lives} lives, "
+            f"{len(found)} findings",
+            flush=True,
+        )
+        return found
+
+
+def main() -> int:
+    """Play runs and print every finding; return how many runs had any."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    cfg = parser.parse_args()
+    bad = 0
+    for seed in range(cfg.seed, cfg.seed + cfg.runs):
+        found = asyncio.run(play(seed, cfg.seconds))
+        for each in found:
+            print(f"  {each}")
+        bad += bool(found)
+    return bad
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -23,7 +23,7 @@
     SyncReply,
     Verdict,
 )
-from tests.cell import cell, job, queue, step, submit, until
+from tests.cell import cell, entry, job, queue, step, submit, until
 from tests.fakes import go
 from tests.test_planner import NOW_S, board, worker as lone_worker
 
@@ -494,3 +494,27 @@
             assert made.fleet.faults == []
 
     go(run())
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_worker_lost_before_its_placement_is_stored_holds_up_no_other(
+    gang: bool,
+) -> None:
+    """In a slow table a worker may be gone before what it was given is stored."""
+
+    async def run() -> None:
+        async with cell(workers=3) as made:
+            owner = await made.own()
+            made.table.faults.slow_s = 0.3
+            spec = step(2, processors=4000, gang=gang)
+            handing = asyncio.create_task(submit(owner, "a", job(spec)))
+            await until(lambda: len(owner.board.placements_of("a")) == 2)
+            lost = owner.board.placements_of("a")[0][0].name
+            made.fleet.crash(lost, entry("w9"))
+            await until(lambda: lost not in owner.board.fleet.workers)
+            made.table.faults.slow_s = 0.0
+            await handing
+            await until(lambda: state(owner, "a") == "completed")
+            assert made.fleet.faults == []
+
+    go(run())
