--- a/cranberrycleat/workflow/candidacy.py
+++ b/cranberrycleat/workflow/candidacy.py
@@ -69,8 +69,17 @@
         best = max(last_owner, self.members.strongest(now, self.members.kept_s))
         return YIELD_S if best >= MUCH_BETTER * self.own else 0.0
 
-    def look_s(self, address: str) -> float:
-        """Return how often the host of an address looks at the owner's row."""
+    def look_s(self, address: str, *, owner_heard: bool) -> float:
+        """Return how often the host of an address looks at the owner's row.
+
+        Args:
+            address: This host's address.
+            owner_heard: Whether an owner with authority was heard of lately;
+                without one every host looks often, since the first that sees
+                the table again is to own.
+        """
+        if not owner_heard:
+            return options.LOOK_S
         live = self.members.live(self.clock.now())
         ahead = [
             peer
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -31,7 +31,7 @@
 from cranberrycleat.workflow.peering import Digest, DigestReply, PeerClient
 from cranberrycleat.workflow.permit_desk import PermitDesk
 from cranberrycleat.workflow.telemetry import Telemetry
-from cranberrycleat.workflow.touch import STORE_FRESH_S, Touch
+from cranberrycleat.workflow.touch import OWNER_FRESH_S, STORE_FRESH_S, Touch
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 from cranberrycleat.writer import GroupedWriter
 
@@ -274,7 +274,7 @@
         self._look.set()
         owner = self._held()
         if owner is not None:
-            owner.inbox_due.set()
+            owner.inbox.due.set()
 
     def _tell_owner(self) -> None:
         """Have the owner look into the inbox now."""
@@ -368,10 +368,14 @@
                 if won:
                     await self._act()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._candidacy.look_s(self.address)):
+                async with asyncio.timeout(self._look_s()):
                     await self._look.wait()
             self._look.clear()
 
+    def _look_s(self) -> float:
+        heard = self._touch.owner_age_s() < OWNER_FRESH_S
+        return self._candidacy.look_s(self.address, owner_heard=heard)
+
     async def _act(self) -> None:
         emit(
             events.OwnerWon(epoch=self._lease.epoch, silent=self._lease.takeover_silent)
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -8,22 +8,22 @@
 import asyncio
 import contextlib
 import logging
-from typing import Any, Final
+from typing import Final
 
 import attrs
 
-from cranberrycleat import codec, errors, events
+from cranberrycleat import errors, events
 from cranberrycleat.clock import Clock
 from cranberrycleat.lease import Changes, Deposed, OwnershipLease
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.logs import emit, part_logger
-from cranberrycleat.table import Row, Transaction
-from cranberrycleat.workflow import options, rows
+from cranberrycleat.workflow import options
 from cranberrycleat.workflow.batches import Batch, forget_ended, note_stored, take_batch
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.directory import Directory
 from cranberrycleat.workflow.feasibility import RETRY_S, why_hopeless
 from cranberrycleat.workflow.fleet import FleetWorker
+from cranberrycleat.workflow.inbox import Inbox
 from cranberrycleat.workflow.links import WorkerLink
 from cranberrycleat.workflow.membership import Membership
 from cranberrycleat.workflow.peering import (
@@ -40,6 +40,7 @@
 from cranberrycleat.workflow.signal import Signal
 from cranberrycleat.workflow.starts import Starts
 from cranberrycleat.workflow.state import JobState, TaskState
+from cranberrycleat.workflow.takeover import read_all, restore
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 
 LOG: Final[logging.Logger] = part_logger("owner")
@@ -67,7 +68,6 @@
         peers: The other hosts of the system.
         director: Carries out upkeep waves, where there are machines.
         ready: Set once the rows were read.
-        inbox_due: Set when a door has left a job in the inbox.
         store_answers: Whether the table answered of late.
         closing: Whether the ownership is being handed over.
         began_at: When it had taken over, on its clock.
@@ -86,7 +86,6 @@
     board: Board = attrs.field(factory=Board)
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
     ready: asyncio.Event = attrs.field(factory=asyncio.Event)
-    inbox_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     store_answers: bool = True
     closing: bool = False
     began_at: float = 0.0
@@ -96,10 +95,12 @@
     _ended: asyncio.Event = attrs.field(factory=asyncio.Event)
     _work: Background = attrs.field(factory=Background)
     _old_leases_over_at: float = 0.0
+    inbox: Inbox = attrs.field(init=False)
     roster: Roster = attrs.field(init=False)
     starts: Starts = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.inbox = Inbox(board=self.board, store=self.store, changed=self.changed)
         self.roster = Roster(
             board=self.board,
             directory=self.directory,
@@ -169,7 +170,7 @@
                 self._store_loop,
                 self._plan_loop,
                 self._directory_loop,
-                self._inbox_loop,
+                self.inbox.run,
                 self._tick_loop,
             ):
                 self._work.keep(work)
@@ -205,18 +206,9 @@
         )
         began = self.clock.now()
         self._old_leases_over_at = began + waits_s
-        while True:
-            reading = asyncio.ensure_future(self._read_rows())
-            await self._renew_while(reading)
-            try:
-                specs, jobs, inbox = reading.result()
-                break
-            except errors.TableUnavailable as exc:
-                LOG.warning("Takeover waits for the table: %s", exc)
-                await asyncio.sleep(options.STORE_RETRY_S)
-                await self._renew_quietly()
-        self._restore(specs, jobs)
-        self._take_inbox(inbox)
+        stored = await read_all(self.lease, self.store, self.directory)
+        restore(self.board, stored)
+        self.inbox.take(stored.inbox)
         self.roster.meet()
         self.board.adopt(self.clock.now())
         for worker in self.board.fleet.workers.values():
@@ -233,63 +225,6 @@
             )
         )
 
-    async def _read_rows(self) -> "tuple[tuple[Row, ...], ...]":
-        """Return the rows of specs, of jobs and of the inbox; read the workers."""
-        specs, jobs, inbox, _ = await asyncio.gather(
-            self.store.scan(prefix=f"{rows.SPECS}/"),
-            self.store.scan(prefix=f"{rows.JOBS}/"),
-            self.store.scan(prefix=f"{rows.INBOX}/"),
-            self.directory.read_all(),
-        )
-        return specs, jobs, inbox
-
-    async def _renew_while(self, reading: "asyncio.Future[Any]") -> None:
-        """Keep the lease while the rows are read, however long that takes.
-
-        Rows that take longer to read than a lease lasts would otherwise make
-        each successor lose the ownership in its takeover.
-        """
-        try:
-            while not reading.done():
-                await asyncio.wait({reading}, timeout=options.RENEW_S)
-                await self._renew_quietly()
-        finally:
-            reading.cancel()
-
-    async def _renew_quietly(self) -> None:
-        with contextlib.suppress(errors.TableUnavailable):
-            await self.lease.commit()
-
-    def _restore(self, specs: tuple[Row, ...], jobs: tuple[Row, ...]) -> None:
-        wanted = {row.key.partition("/")[2]: row for row in specs}
-        for row in jobs:
-            job_id = row.key.partition("/")[2]
-            try:
-                progress = rows.read_row(row.value, row.key)
-                spec = wanted.get(job_id)
-                if spec is None:
-                    self.board.restore(rows.ended_job(job_id, progress))
-                    continue
-                unchanging = codec.decode(spec.value, rows.SpecRow, place=spec.key)
-                self.board.restore(rows.restore(job_id, unchanging, progress))
-            except errors.FindingsError as exc:
-                emit(events.RowUnreadable(findings=str(exc)))
-
-    def _take_inbox(self, found: tuple[Row, ...]) -> None:
-        for row in found:
-            job_id = row.key.partition("/")[2]
-            try:
-                kept = codec.decode(row.value, rows.SpecRow, place=row.key)
-            except errors.FindingsError as exc:
-                emit(events.RowUnreadable(findings=str(exc)))
-                continue
-            job = self.board.accept(
-                job_id, kept.queue, kept.spec, accepted_s=kept.accepted_s
-            )
-            self.board.inbox.add(job_id)
-            self.board.dirty[job_id] = job
-            emit(events.JobFound(job=job_id))
-
     # --- storing ----------------------------------------------------------------
 
     async def _store_loop(self) -> None:
@@ -411,35 +346,6 @@
             if self.board.waiting:
                 self._plan_due.set()
 
-    async def _inbox_loop(self) -> None:
-        while True:
-            try:
-                await self._clear_inbox()
-                found = await self.store.scan(prefix=f"{rows.INBOX}/")
-            except errors.TableUnavailable as exc:
-                LOG.debug("The inbox was not read: %s", exc)
-                await asyncio.sleep(options.INBOX_S)
-                continue
-            known = self.board.inbox
-            fresh = [row for row in found if row.key.partition("/")[2] not in known]
-            if fresh:
-                self._take_inbox(tuple(fresh))
-                self.changed()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(options.INBOX_S):
-                    await self.inbox_due.wait()
-            self.inbox_due.clear()
-
-    async def _clear_inbox(self) -> None:
-        """Remove the rows of jobs that have been stored as jobs."""
-        stored = [each for each in self.board.inbox if each in self.board.shown]
-        if not stored:
-            return
-        taken = stored[: options.FORGET_AT_ONCE]
-        deletes = tuple(rows.inbox_key(job_id) for job_id in taken)
-        await self.store.commit(Transaction(deletes=deletes))
-        self.board.inbox.difference_update(taken)
-
     # --- what doors ask -----------------------------------------------------------
 
     async def submit(self, req: SubmitRequest) -> SubmitReply:
--- a/tests/test_candidacy.py
+++ b/tests/test_candidacy.py
@@ -59,16 +59,17 @@
 
 
 @pytest.mark.parametrize(
-    ("own", "address", "expected"),
+    ("own", "address", "heard", "expected"),
     [
-        (LARGE, "z:1", options.LOOK_S),
-        (SMALL, "n2x:1", options.LOOK_S),
-        (SMALL, "z:1", SELDOM_S),
+        (LARGE, "z:1", True, options.LOOK_S),
+        (SMALL, "n2x:1", True, options.LOOK_S),
+        (SMALL, "z:1", True, SELDOM_S),
+        (SMALL, "z:1", False, options.LOOK_S),
     ],
-    ids=["the strongest", "among the first of its like", "behind many"],
+    ids=["the strongest", "among the first of its like", "behind many", "no owner"],
 )
 def test_only_the_first_candidates_look_often(
-    own: float, address: str, expected: float
+    own: float, address: str, heard: bool, expected: float
 ) -> None:
     """With 45 hosts, looks at the row were half of all calls to the table."""
     members = Membership()
@@ -77,7 +78,7 @@
         members.hear(digest, 9.0)
     clock = ManualClock(time_s=10.0)
     candidacy = Candidacy(own=own, members=members, clock=clock)
-    assert candidacy.look_s(address) == expected
+    assert candidacy.look_s(address, owner_heard=heard) == expected
 
 
 def test_an_owner_gives_way_once_and_not_at_once() -> None:
