--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -43,6 +43,9 @@
 PAUSE_S: Final = 0.2
 BALANCER_S: Final = 2.5
 """The balancer asks each second and sends no new callers after two misses."""
+FINISH_S: Final = 1.5
+"""Left of the time that the platform gives a process to stop, for what is in
+flight: a caller's change takes 0.7 s at most, and its answer must leave."""
 SETTINGS_S: Final = 5.0
 """How often the settings file is read; it takes a millisecond."""
 MOST_ASKED: Final = 2
@@ -263,11 +266,13 @@
     async def drain(self) -> None:
         """Take no new callers, hand the ownership over, finish what is open."""
         self.draining = True
+        began = self.clock.now()
         emit(events.ProcessDraining(owner=self.owner is not None))
         if self.owner is not None:
             await self.owner.hand_over()
             await self._tell_peers()
-        await asyncio.sleep(BALANCER_S)
+        spent_s = self.clock.now() - began
+        await asyncio.sleep(balancer_wait_s(self.adapter.settings.grace_s, spent_s))
 
     def _look_now(self) -> None:
         """A peer says that the owner's row, or the inbox, has changed."""
@@ -498,3 +503,13 @@
                 continue
             self._touch.heard_place()
             return
+
+
+def balancer_wait_s(grace_s: float, spent_s: float) -> float:
+    """Return how long a draining host waits for the balancer to notice.
+
+    Args:
+        grace_s: How long the platform gives a process to stop.
+        spent_s: How much of that handing over has taken.
+    """
+    return max(0.0, min(BALANCER_S, grace_s - spent_s - FINISH_S))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,7 +17,7 @@
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.directory import ConfigFollower, Directory
 from cranberrycleat.workflow.door import Door
-from cranberrycleat.workflow.node import Node
+from cranberrycleat.workflow.node import Node, balancer_wait_s
 from cranberrycleat.workflow.ports import HostRoom, NodeSettings
 from tests.cell import BOUNDS, CONFIG, AllPermits, Cell, cell, until
 from tests.fakes import go
@@ -343,3 +343,15 @@
             await stopping
 
     go(run())
+
+
+@pytest.mark.parametrize(
+    ("grace_s", "spent_s", "expected"),
+    [(6.0, 0.1, 2.5), (3.0, 0.5, 1.0), (1.0, 0.0, 0.0), (6.0, 9.0, 0.0)],
+    ids=["enough", "short", "none", "used up"],
+)
+def test_draining_fits_into_the_time_that_the_platform_gives(
+    grace_s: float, spent_s: float, expected: float
+) -> None:
+    """A process that waits longer is killed with answers in flight."""
+    assert balancer_wait_s(grace_s, spent_s) == pytest.approx(expected)
