A step waits a while for the rack where it runs fastest

Cause: `spread_factor` was read and used nowhere: a task went away from its data, and a gang over several racks, as soon as the right rack had no room, and then took 1.5 to 3 times as long.

Change: new module `locality` (no network): such a step waits for half of what going elsewhere costs, 3 s at most, as long as a rack could hold it at all.

Tests: test_planner, six cases.

--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -423,6 +423,7 @@
             leases=options.worker_leases(cfg.bounds),
             status_s=cfg.status_s,
             peers=self._members,
+            spread_factor=cfg.spread_factor,
         )
         owner.director = self._make_director(owner)
         return owner
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -66,6 +66,7 @@
         leases: How leases at workers are counted.
         status_s: How long an ended job's state is kept.
         peers: The other hosts of the system.
+        spread_factor: How much longer tasks take away from their data.
         director: Carries out upkeep waves, where there are machines.
         ready: Set once the rows were read.
         store_answers: Whether the table answered of late.
@@ -82,6 +83,7 @@
     leases: options.WorkerLeases
     status_s: float
     peers: Membership
+    spread_factor: float = 1.0
     director: UpkeepDirector | None = None
     board: Board = attrs.field(factory=Board)
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
@@ -118,6 +120,7 @@
             stored=self._stored,
             work=self._work,
             plan_due=self._plan_due,
+            spread_factor=self.spread_factor,
         )
 
     # --- authority ------------------------------------------------------------
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -17,6 +17,7 @@
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.fleet import FleetWorker, Placement, counted, times
+from cranberrycleat.workflow.locality import could_hold, patience_s, racks
 from cranberrycleat.workflow.making_room import PATIENCE_S, victims
 from cranberrycleat.workflow.ordering import rank
 from cranberrycleat.workflow.permits import StepPermits
@@ -62,9 +63,16 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Planner:
-    """Plans rounds over a board."""
+    """Plans rounds over a board.
+
+    Attributes:
+        board: What is known.
+        spread_factor: How many times as long tasks take away from their data,
+            and gangs on several racks.
+    """
 
     board: Board
+    spread_factor: float = 1.0
     _held: dict[str, Amounts] = attrs.field(factory=dict)
     _views: dict[str, PoolView] = attrs.field(factory=dict)
 
@@ -238,6 +246,7 @@
         needs = counted(step.spec)
         group = PlannedGroup(step=step)
         most = step.spec.most_per_worker
+        candidates = self._near(step, candidates, now, plan)
         for task in tasks:
             fitting = [
                 worker
@@ -312,7 +321,7 @@
     ) -> bool:
         needs = counted(step.spec)
         trusted = self._trusted(step, tasks, candidates)
-        for group_of in self._rack_choices(step, trusted):
+        for group_of in self._rack_choices(step, trusted, now, plan):
             seats = self._seats(step, group_of, needs, len(tasks), now)
             if len(seats) == len(tasks):
                 group = PlannedGroup(step=step)
@@ -323,17 +332,37 @@
                 return True
         return False
 
-    @staticmethod
     def _rack_choices(
-        step: StepRun, candidates: list[FleetWorker]
+        self, step: StepRun, candidates: list[FleetWorker], now: float, plan: Plan
     ) -> list[list[FleetWorker]]:
+        """Return the groups of workers that a gang may be placed on, best first."""
         if not step.spec.same_rack:
             return [candidates]
-        racks: dict[str, list[FleetWorker]] = {}
-        for worker in candidates:
-            for label in worker.entry.labels[1:]:
-                racks.setdefault(label, []).append(worker)
-        return [*racks.values(), candidates]
+        fitting = [
+            group
+            for group in racks(candidates).values()
+            if could_hold(step.spec, group)
+        ]
+        if fitting and self._waits_for_rack(step, now, plan):
+            return fitting
+        return [*fitting, candidates]
+
+    def _near(
+        self, step: StepRun, candidates: list[FleetWorker], now: float, plan: Plan
+    ) -> list[FleetWorker]:
+        """Return the workers near a step's data, while it pays to wait for them."""
+        rack = step.spec.data_rack
+        near = [each for each in candidates if rack in each.entry.labels[1:]]
+        if near and self._waits_for_rack(step, now, plan):
+            return near
+        return candidates
+
+    def _waits_for_rack(self, step: StepRun, now: float, plan: Plan) -> bool:
+        until = step.ready_at + patience_s(step.spec, self.spread_factor)
+        if now >= until:
+            return False
+        self._retry(plan, until)
+        return True
 
     def _seats(
         self,
--- a/cranberrycleat/workflow/starts.py
+++ b/cranberrycleat/workflow/starts.py
@@ -40,6 +40,7 @@
         stored: Fires whenever a batch was stored.
         work: Keeps the tasks that it starts.
         plan_due: Set when a round is wanted.
+        spread_factor: How much longer tasks take away from their data.
         planner: Decides.
     """
 
@@ -51,9 +52,11 @@
     stored: Signal
     work: Background
     plan_due: asyncio.Event
-    planner: Planner = attrs.field(
-        default=attrs.Factory(lambda self: Planner(board=self.board), takes_self=True)
-    )
+    spread_factor: float = 1.0
+    planner: Planner = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.planner = Planner(board=self.board, spread_factor=self.spread_factor)
 
     def plan(self) -> None:
         now = self.clock.now()
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -272,3 +272,53 @@
         task.failed_on.add("bad")
     plan(made)
     assert sum(len(tasks) for tasks in placed(made).values()) == spec.count
+
+
+@pytest.mark.parametrize(
+    ("waited_s", "goes"), [(0.5, False), (2.5, True)], ids=["waits", "goes"]
+)
+def test_a_task_waits_a_while_for_the_rack_of_its_data(
+    waited_s: float, goes: bool
+) -> None:
+    """At three times the run time elsewhere, 2 s of it; then any worker will do."""
+    near, far = worker("near", rack="r1"), worker("far", rack="r2")
+    near.free = Amounts(processors=500, memory_mb=4000)
+    made = board(near, far)
+    submit(made, "a", job(step(1, data_rack="r1", estimate_s=2.0)), queue())
+    rounds = Planner(board=made, spread_factor=3.0)
+    found = rounds.plan(now=waited_s, now_s=NOW_S)
+    assert placed(made)["far"] == (["a.0.0.0"] if goes else [])
+    assert found.retry_at == (None if goes else 2.0)
+
+
+@pytest.mark.parametrize(
+    ("count", "waited_s", "starts"),
+    [(4, 0.5, False), (4, 2.5, True), (6, 0.5, True)],
+    ids=["waits for a rack", "waited long enough", "no rack could hold it"],
+)
+def test_a_gang_waits_a_while_for_one_rack(
+    count: int, waited_s: float, starts: bool
+) -> None:
+    workers = [
+        worker("a1", rack="r1"),
+        worker("a2", rack="r1"),
+        worker("b1", rack="r2"),
+        worker("b2", rack="r2"),
+    ]
+    for each in (workers[0], workers[2]):
+        each.free = Amounts(processors=2000, memory_mb=4000)
+    spec = step(count, processors=2000, gang=True, same_rack=True, estimate_s=2.0)
+    made = board(*workers)
+    submit(made, "a", job(spec), queue())
+    found = Planner(board=made, spread_factor=3.0).plan(now=waited_s, now_s=NOW_S)
+    assert bool(found.groups) is starts
+
+
+def test_a_gang_takes_the_rack_that_has_room() -> None:
+    workers = [worker("a1", rack="r1"), worker("b1", rack="r2")]
+    workers[0].free = Amounts(processors=1000, memory_mb=4000)
+    made = board(*workers)
+    spec = step(2, processors=2000, gang=True, same_rack=True, estimate_s=2.0)
+    submit(made, "a", job(spec), queue())
+    assert Planner(board=made, spread_factor=3.0).plan(now=0.0, now_s=NOW_S).groups
+    assert placed(made)["b1"] == ["a.0.0.0", "a.0.0.1"]
