A write that a fast table does not show is sent again at once

Change: when the look at the row is answered at once and does not show the write, the table is not slow: the write was lost or is late, and is sent again, unchanged.

Test: test_a_late_write_to_a_table_that_is_not_slow_is_sent_again_soon.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -242,15 +242,27 @@
 
         The row shows whether the write took effect though its answer was lost.
         A second copy would tell as much, but in a slow table it only waits
-        behind the first one, which is still under way.
+        behind the first one, which is still under way. A table that answers the
+        look at once is not slow: there the write itself was lost, or is late.
+
+        Raises:
+            TableUnavailable: The write is to be sent again.
         """
         sending = asyncio.ensure_future(self.table.commit(txn))
         try:
             await asyncio.wait({sending}, timeout=DOUBT_S)
             while not sending.done():
-                seen = await self._see_pending()
-                if seen is not None:
-                    return seen
+                began = self.clock.now()
+                try:
+                    seen = await self._see_pending()
+                except errors.TableUnavailable:
+                    # The write's own answer, or its time limit, decides.
+                    pass
+                else:
+                    if seen is not None:
+                        return seen
+                    if self.clock.now() - began < SLOW_S and not sending.done():
+                        raise errors.TableUnavailable("the row does not show the write")
                 await asyncio.wait({sending}, timeout=DOUBT_S)
             return sending.result()
         finally:
@@ -258,11 +270,7 @@
 
     async def _see_pending(self) -> CommitReply | None:
         """Return the answer that the row gives, if the write took effect."""
-        try:
-            rows = await self.table.read(keys=(self.key,))
-        except errors.TableUnavailable:
-            # The write's own answer, or its time limit, decides.
-            return None
+        rows = await self.table.read(keys=(self.key,))
         row = rows[0] if rows else None
         if row is None or codec.decode(row.value, OwnerRow) != self._pending:
             return None
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -11,7 +11,7 @@
 from cranberrycleat.clock import ManualClock, MonotonicClock
 from cranberrycleat.lease import SLOWEST_S, Changes, Deposed, OwnerRow, OwnershipLease
 from cranberrycleat.standins.table import MemoryTable
-from cranberrycleat.table import CommitReply, Put, Transaction
+from cranberrycleat.table import CommitReply, Put, Row, Transaction
 from tests.fakes import LateTable, go
 
 LEASE_S = 10.0
@@ -274,8 +274,15 @@
     each_s: float = 0.0
     lose: int = 0
     sent: int = 0
+    slow_reads: bool = True
     _turn: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
+    async def read(self, *, keys: tuple[str, ...]) -> tuple[Row, ...]:
+        """Read in half the time of a transaction, where reads are slow too."""
+        if self.slow_reads:
+            await asyncio.sleep(self.each_s / 2)
+        return await MemoryTable.read(self, keys=keys)
+
     async def commit(self, txn: Transaction) -> CommitReply:
         """Commit in turn; some answers are lost for good."""
         self.sent += 1
@@ -330,6 +337,25 @@
     go(run())
 
 
+def test_a_late_write_to_a_table_that_is_not_slow_is_sent_again_soon() -> None:
+    """It is not behind anything; the copy that comes late has no effect."""
+
+    async def run() -> None:
+        table = SlowCommits(slow_reads=False)
+        lease = _on(table)
+        assert await lease.acquire()
+        table.each_s = 5.0
+        late = Changes(puts=(Put(key="row", value='"x"'),))
+        with pytest.raises(errors.TableUnavailable):
+            await asyncio.wait_for(lease.commit(late), 2.0)
+        assert lease.authority()
+        table.each_s = 0.0
+        await lease.commit(late)
+        assert lease.authority() and table.version("row")
+
+    go(run())
+
+
 def test_a_successor_knows_how_long_its_predecessor_may_act() -> None:
     """Its last write may have held longer than this process would ask for."""
     pair = Pair()
