A transaction is filled with entries; ends are acknowledged job by job

While anything was dirty no end was acknowledged either.

Change: a transaction takes as many jobs as fit into 96 entries and 600 KB; an end is acknowledged once its own job is stored, and those before it at its worker.

Tests: test_batches; the transaction's size and the acknowledging fail without.

--- a/cranberrycleat/workflow/batches.py
+++ b/cranberrycleat/workflow/batches.py
@@ -19,8 +19,12 @@
 from cranberrycleat.workflow.fleet import Placement
 from cranberrycleat.workflow.state import FINAL, Job, JobState
 
-MOST_JOBS_A_BATCH: Final = 30
-"""A transaction holds 100 entries, a job needs up to three."""
+MOST_ENTRIES: Final = 96
+"""A transaction holds 100 entries, one of them the owner's row. A job needs one
+or two: 30 jobs a transaction, whatever they need, were too few in a slow store,
+which takes 0.45 s for each, at 50 jobs a second with three writes each."""
+MOST_BYTES: Final = 600_000
+"""A transaction holds 1 MB, in which values stand a third longer (base64)."""
 
 
 @attrs.frozen(kw_only=True)
@@ -44,33 +48,55 @@
 
 def take_batch(board: Board) -> Batch:
     """Return what to store next; the rest stays dirty."""
-    chosen = list(board.dirty.values())[:MOST_JOBS_A_BATCH]
+    chosen: list[Job] = []
     puts: list[Put] = []
     deletes: list[str] = []
-    for job in chosen:
+    size = 0
+    for job in list(board.dirty.values()):
+        wanted = _puts_of(job)
+        ended = job.verdict is not None
+        entries = len(puts) + len(deletes) + len(wanted) + ended
+        size += sum(len(each.value) for each in wanted)
+        if chosen and (entries > MOST_ENTRIES or size > MOST_BYTES):
+            break
         del board.dirty[job.job_id]
         job.offered = True
-        puts.append(rows.job_put(job))
-        if job.verdict is not None:
+        chosen.append(job)
+        puts += wanted
+        if ended:
             deletes.append(rows.spec_key(job.job_id))
-        elif not job.spec_stored:
-            puts.append(rows.spec_put(job))
-    heard: tuple[tuple[str, int], ...] = ()
-    if not board.dirty:
-        heard = tuple(
-            (each.name, each.heard_upto)
-            for each in board.fleet.workers.values()
-            if each.heard_upto > each.ended_upto
-        )
     return Batch(
         jobs=tuple((job, job.state()) for job in chosen),
         puts=tuple(puts),
         deletes=tuple(deletes),
         placements=tuple(_unstored(board, chosen)),
-        heard=heard,
+        heard=tuple(_settled_ends(board)),
     )
 
 
+def _puts_of(job: Job) -> list[Put]:
+    wanted = [rows.job_put(job)]
+    if job.verdict is None and not job.spec_stored:
+        wanted.append(rows.spec_put(job))
+    return wanted
+
+
+def _settled_ends(board: Board) -> Iterator[tuple[str, int]]:
+    """Return up to which end each worker may forget once the batch is stored.
+
+    An end may be acknowledged when its job is not dirty any more. Waiting until
+    nothing at all is dirty would, in a backlog, acknowledge nothing for long.
+    """
+    for worker in board.fleet.workers.values():
+        upto = worker.ended_upto
+        for number, job_id in worker.heard_ends:
+            if job_id in board.dirty:
+                break
+            upto = number
+        if upto > worker.ended_upto:
+            yield worker.name, upto
+
+
 def _unstored(board: Board, chosen: Iterable[Job]) -> Iterator[Placement]:
     for job in chosen:
         for _, placement in board.placements_of(job.job_id):
@@ -89,7 +115,7 @@
     for name, number in batch.heard:
         worker = board.fleet.workers.get(name)
         if worker is not None:
-            worker.ended_upto = max(worker.ended_upto, number)
+            worker.acknowledge(number)
 
 
 def _tell_stored(board: Board, job: Job, state: JobState) -> None:
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -368,7 +368,7 @@
         fresh = [end for end in reply.ended if end.number > worker.heard_upto]
         for end in fresh:
             self._ended(worker, end, now)
-            worker.heard_upto = max(worker.heard_upto, end.number)
+            worker.hear_end(end.number, job_of(end.task))
         listed = listed_attempts(reply.running)
         for key, run in listed.items():
             self._runs(worker, key, run, now)
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -5,6 +5,7 @@
 proves that it is over; so what counts never exceeds what the worker has.
 """
 
+import collections
 import enum
 from typing import Final
 
@@ -159,6 +160,8 @@
         leases_over_at: When every lease granted there is over, at the latest.
         ended_upto: The newest end that was stored.
         heard_upto: The newest end that was taken in.
+        heard_ends: The ends taken in and not yet stored, oldest first: their
+            numbers and jobs.
         listed: Whether the platform lists it.
         doubted: An order to it had no answer, or its data centre is silent; it
             draws no work until it answers again.
@@ -183,6 +186,9 @@
     leases_over_at: float = 0.0
     ended_upto: int = 0
     heard_upto: int = 0
+    heard_ends: "collections.deque[tuple[int, str]]" = attrs.field(
+        factory=collections.deque
+    )
     listed: bool = True
     doubted: bool = False
     held: bool = False
@@ -249,6 +255,17 @@
         self.used = self.used.minus(placement.needs)
         self.free = self.entry.capacity.minus(self.used)
 
+    def hear_end(self, number: int, job_id: str) -> None:
+        """Note an end that was taken in."""
+        self.heard_upto = max(self.heard_upto, number)
+        self.heard_ends.append((number, job_id))
+
+    def acknowledge(self, number: int) -> None:
+        """Note that every end up to a number was stored."""
+        self.ended_upto = max(self.ended_upto, number)
+        while self.heard_ends and self.heard_ends[0][0] <= number:
+            self.heard_ends.popleft()
+
     def update(self, entry: WorkerEntry) -> None:
         """Take in a newer entry of the same life."""
         self.entry = entry
--- /dev/null
+++ b/tests/test_batches.py
@@ -0,0 +1,85 @@
+"""What one transaction stores in a backlog, and which ends it settles."""
+
+import attrs
+import pytest
+
+from cranberrycleat.workflow import batches
+from cranberrycleat.workflow.batches import note_stored, take_batch
+from cranberrycleat.workflow.board import Board
+from cranberrycleat.workflow.fleet import FleetWorker
+from cranberrycleat.workflow.ports import EndedTask, EndKind, SyncReply
+from tests.cell import entry, job, queue, step
+
+
+def _board(jobs: int, *, program: str = "p") -> Board:
+    board = Board(time_of_day=lambda: 1000.0, now=lambda: 0.0)
+    board.fleet.workers["w"] = FleetWorker(entry=entry("w", processors=10**9))
+    for number in range(jobs):
+        spec = attrs.evolve(job(step()), program=program)
+        board.accept(f"{number}", queue(), spec)
+    return board
+
+
+def _end(board: Board, *numbers: int) -> None:
+    """Have the worker tell that jobs of these numbers are done, in this order."""
+    worker = board.fleet.workers["w"]
+    ended = []
+    for place, number in enumerate(numbers):
+        task = board.jobs[f"{number}"].open[0].steps[0].tasks[0]
+        board.place(task, worker, 1, now=0.0)
+        ended.append(
+            EndedTask(
+                number=place + 1, task=task.name, attempt=1, how=EndKind.DONE, saved=""
+            )
+        )
+    reply = SyncReply(worker_time_ms=1, running=(), ended=tuple(ended))
+    board.sync(worker, reply, sent_at=0.0, now=0.0)
+
+
+@pytest.mark.parametrize(
+    ("program", "expected"),
+    [("p", batches.MOST_ENTRIES // 2), ("x" * 4000, batches.MOST_ENTRIES // 2)],
+    ids=["small", "the largest programs"],
+)
+def test_a_transaction_is_filled_with_entries(program: str, expected: int) -> None:
+    """A new job needs two entries; what does not fit stays for the next one."""
+    board = _board(200, program=program)
+    batch = take_batch(board)
+    assert len(batch.jobs) == expected
+    assert len(batch.puts) + len(batch.deletes) <= batches.MOST_ENTRIES
+    assert len(board.dirty) == 200 - expected
+
+
+def test_a_transaction_holds_no_more_bytes_than_the_platform_takes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(batches, "MOST_BYTES", 10_000)
+    batch = take_batch(_board(10, program="x" * 4000))
+    assert len(batch.jobs) == 2
+
+
+def test_one_job_that_is_too_large_is_stored_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It would otherwise keep everything behind it from being stored."""
+    monkeypatch.setattr(batches, "MOST_BYTES", 100)
+    assert len(take_batch(_board(2)).jobs) == 1
+
+
+def test_ends_are_acknowledged_as_their_own_jobs_are_stored() -> None:
+    """In a backlog something is always dirty; a worker must not list its ends for ever.
+
+    The third end belongs to a job that comes in the second transaction, and the
+    ends behind it wait for it.
+    """
+    board = _board(100)
+    _end(board, 0, 1, 99, 2)
+    worker = board.fleet.workers["w"]
+    first = take_batch(board)
+    assert first.heard == (("w", 2),)
+    note_stored(board, first)
+    assert worker.ended_upto == 2
+    while board.dirty:
+        batch = take_batch(board)
+        note_stored(board, batch)
+    assert worker.ended_upto == 4 and not worker.heard_ends
