--- a/cranberrycleat/workflow/candidacy.py
+++ b/cranberrycleat/workflow/candidacy.py
@@ -17,8 +17,9 @@
 from cranberrycleat.workflow.ports import HostRoom
 
 LINK_MBPS_A_CORE: Final = 25.0
-"""An owner's calls at 300 starts a second (one run of the grown haulbay-plu)
-take 0.4 of a core and about 5 Mbit/s each way; twice that in a burst."""
+"""An owner at 300 starts a second takes 0.4 of a core (measured, one run of the
+grown haulbay-plu) and, at some 800 calls a second of 700 bytes, 5 Mbit/s (worked
+out); twice that in a burst."""
 MUCH_BETTER: Final = 1.5
 """A host counts as better from this ratio on: like hosts differ by less."""
 YIELD_S: Final = 0.6
