The soak's judge carries out no late order on a worker's life that is over

Supposed cause, by reading: two kinds of faults run at a time; a worker may crash while orders to it are held back as late, and those were then carried out on the lost life, which is a start that no platform would see.

Only a stand-in and a test change; nothing that a node imports.

--- a/cranberrycleat/standins/fleet.py
+++ b/cranberrycleat/standins/fleet.py
@@ -263,6 +263,8 @@
         self._excuse(lost)
         lost.replaced = True
         lost.runs.clear()
+        # Orders on their way to a life that is over are never carried out.
+        lost.late.clear()
         self.lost[name] = lost
         self.add(entry)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,10 @@
 
 import pytest
 
+from cranberrycleat.standins.fleet import StandinFleet
+from cranberrycleat.workflow.ports import StartOrder, WorkerUnreachable
 from tests import soak
+from tests.cell import entry
 
 SECONDS = 5.0
 
@@ -12,3 +15,23 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_nothing_is_lost_or_done_twice_under_faults(seed: int) -> None:
     assert asyncio.run(soak.play(seed, SECONDS)) == []
+
+
+def test_the_judge_carries_out_no_late_order_on_a_life_that_is_over() -> None:
+    """It would count as a start of a task that is done elsewhere by then."""
+
+    async def run() -> None:
+        fleet = StandinFleet()
+        worker = fleet.add(entry("w"))
+        worker.lose_starts = 1
+        order = StartOrder(
+            task="a.0.0.0", attempt=1, program="p", lease_end_ms=10**15, epoch=1
+        )
+        with pytest.raises(WorkerUnreachable):
+            await fleet.start(worker.entry, order)
+        fleet.crash("w", entry("w2"))
+        for late in worker.late:
+            fleet.carry_out(worker, late)
+        assert not fleet.starts
+
+    asyncio.run(run())
