One count of the tasks that empty workers may hold

Change: `fleet.seats` counts for one worker, `could_hold` for a gang, and `feasibility` asks them; a step without a rack returns at once. What is decided stays the same.

--- a/cranberrycleat/workflow/feasibility.py
+++ b/cranberrycleat/workflow/feasibility.py
@@ -8,7 +8,8 @@
 
 from typing import Final
 
-from cranberrycleat.workflow.fleet import FleetWorker, counted, times
+from cranberrycleat.workflow.fleet import FleetWorker, seats
+from cranberrycleat.workflow.locality import could_hold
 from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
 
 RETRY_S: Final = 10.0
@@ -32,11 +33,8 @@
     ]
     if not labelled:
         return f"no worker has the label {step.label!r}"
-    needs = counted(step)
-    seats = [times(needs, each.entry.capacity) for each in labelled]
-    if not any(seats):
+    if not any(seats(step, each.entry.capacity) for each in labelled):
         return "no worker has that much"
-    most = step.most_per_worker or step.count
-    if step.gang and sum(min(most, each) for each in seats) < step.count:
+    if step.gang and not could_hold(step, labelled):
         return "all workers together cannot hold the gang"
     return ""
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -51,6 +51,12 @@
     return max(0, min(counts, default=UNBOUNDED))
 
 
+def seats(step: StepSpec, capacity: Amounts) -> int:
+    """Return how many of a step's tasks an empty worker of a capacity may hold."""
+    most = step.most_per_worker or step.count
+    return min(most, times(counted(step), capacity))
+
+
 class Standing(enum.Enum):
     """Whether a worker may draw work."""
 
@@ -320,13 +326,6 @@
         """Return the workers of one pool."""
         return [each for each in self.workers.values() if each.entry.pool == pool]
 
-    def largest(self, pool: str) -> Amounts:
-        """Return the largest amount of each resource that one worker has."""
-        most = NOTHING
-        for worker in self.of_pool(pool):
-            most = most.larger(worker.entry.capacity)
-        return most
-
 
 def listed_attempts(running: tuple[RunningTask, ...]) -> dict[Key, RunningTask]:
     """Return a worker's list by task and attempt."""
--- a/cranberrycleat/workflow/locality.py
+++ b/cranberrycleat/workflow/locality.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from cranberrycleat.workflow.fleet import FleetWorker, counted, times
+from cranberrycleat.workflow.fleet import FleetWorker, seats
 from cranberrycleat.workflow.spec import StepSpec
 
 WAIT_SHARE: Final = 0.5
@@ -41,7 +41,4 @@
 
 def could_hold(spec: StepSpec, workers: list[FleetWorker]) -> bool:
     """Tell whether these workers, if they were empty, could hold a whole gang."""
-    needs = counted(spec)
-    most = spec.most_per_worker or spec.count
-    seats = sum(min(most, times(needs, each.entry.capacity)) for each in workers)
-    return seats >= spec.count
+    return sum(seats(spec, each.entry.capacity) for each in workers) >= spec.count
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -322,7 +322,7 @@
         needs = counted(step.spec)
         trusted = self._trusted(step, tasks, candidates)
         for group_of in self._rack_choices(step, trusted, now, plan):
-            seats = self._seats(step, group_of, needs, len(tasks), now)
+            seats = self._seats(step, group_of, needs, len(tasks))
             if len(seats) == len(tasks):
                 group = PlannedGroup(step=step)
                 attempt = step.last_attempt + 1
@@ -352,6 +352,8 @@
     ) -> list[FleetWorker]:
         """Return the workers near a step's data, while it pays to wait for them."""
         rack = step.spec.data_rack
+        if not rack:
+            return candidates
         near = [each for each in candidates if rack in each.entry.labels[1:]]
         if near and self._waits_for_rack(step, now, plan):
             return near
@@ -370,7 +372,6 @@
         candidates: list[FleetWorker],
         needs: Amounts,
         count: int,
-        now: float,
     ) -> list[FleetWorker]:
         """Return a worker for each member, the fullest first, or too few."""
         seats: list[FleetWorker] = []
