A failed task is tried again at once on another worker

The pause of 0.3 s and more before each retry is longer than what short jobs have to spare. Ruled out: permits, placing, storing. Change: a pause only before the last attempt, and only where the failures do not tell that the task itself is at fault; services keep their growing pause.

--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -35,6 +35,7 @@
     SyncReply,
     WorkerEntry,
 )
+from cranberrycleat.workflow.retrying import pause_s
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import Job, JobState, StepRun, Task, TaskState
 
@@ -42,10 +43,6 @@
 """A worker lists this many ends at a time."""
 AT_WORK: Final = 100
 """Percent at which a member of a service counts as at work."""
-RETRY_S: Final = 0.3
-"""The pause after a first failed attempt of a task; it doubles up to 2.4 s. A
-faulty worker fails within milliseconds and would use up all attempts."""
-LONGEST_RETRY_S: Final = 2.4
 
 Placed = tuple[FleetWorker, Placement]
 """An attempt, and where it counts."""
@@ -447,12 +444,21 @@
             self._drop_later_attempts(task)
         job.end(task, end.how, end.saved)
         if end.how is EndKind.FAILED:
-            pause = min(LONGEST_RETRY_S, RETRY_S * 2 ** max(0, task.failures - 1))
-            task.not_before = now + pause
             task.failed_on.add(worker.name)
+            self._put_off(task, now)
         self._note(job)
         self._after_end(job, task.step)
 
+    def _put_off(self, task: Task, now: float) -> None:
+        """Note when a task whose attempt failed may be tried again."""
+        step = task.step
+        task.not_before = now + pause_s(
+            failures=step.gang_failures if step.spec.gang else task.failures,
+            most_attempts=step.job.queue.max_attempts,
+            failed_on=len(task.failed_on),
+            service=step.spec.service,
+        )
+
     def _drop_later_attempts(self, task: Task) -> None:
         """An attempt that was given up was done: its task must not run again.
 
