Entries of other writers name no worker to use

Cause: the users' pages say that an entry of the list of workers may come from another writer. Tried with rows made up: one without state was used as ready, one of an unknown state, of a service that nobody named or with no address was linked and looked at. Change: every fault of a row is a finding with its place, logged once for each change; none names a worker to use. Tests: a table of 18 bad rows, two properties (any text, any JSON), a bad row in each place of the list, a row that turns unreadable and back, services named later; they fail on the code before (no such finding, field or parameter).

--- a/cranberrycleat/platform/records.py
+++ b/cranberrycleat/platform/records.py
@@ -4,9 +4,12 @@
 what it had.
 """
 
+import ipaddress
+from typing import Final
+
 import attrs
 
-from cranberrycleat import codec
+from cranberrycleat import codec, errors
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.table import Row
 from cranberrycleat.workflow.ports import (
@@ -20,6 +23,9 @@
 CONFIG_TABLE = "op"
 CONFIG_KEY = "op/config"
 WORKERS_TABLE = "servers"
+LEAVING: Final = {"ready": False, "draining": True}
+"""The states that a worker writes, and whether it is leaving in each."""
+HIGHEST_PORT: Final = 65535
 
 
 @attrs.frozen(kw_only=True)
@@ -76,9 +82,9 @@
 class _WireWorker:
     service: str
     addr: str
+    state: str
+    capacity: WireAmounts
     zone: str = ""
-    state: str = "ready"
-    capacity: WireAmounts = WireAmounts()
     labels: tuple[str, ...] = ()
     clock_ms: float = 0.0
     remaining_ms: float | None = None
@@ -127,18 +133,56 @@
 def read_worker(row: Row) -> WorkerEntry:
     """Return the entry that a worker wrote.
 
+    An entry may come from another writer, or from a later version of the
+    platform. What cannot be relied on names no worker to use: every fault is
+    found, each with its place in the row.
+
     Raises:
         FindingsError: The row is not of the platform's form.
     """
     wire = codec.decode(row.value, _WireWorker, place=row.key)
+    found = errors.Findings()
+    _check_address(f"{row.key}.addr", wire.addr, found)
+    _check_amounts(f"{row.key}.capacity", wire.capacity, found)
+    if not wire.service:
+        found.add(f"{row.key}.service", errors.MISSING, allowed="a service's name")
+    if wire.state not in LEAVING:
+        found.add(
+            f"{row.key}.state",
+            errors.BAD_VALUE,
+            value=wire.state,
+            allowed=", ".join(LEAVING),
+        )
+    if found.items:
+        raise errors.FindingsError(findings=found.sorted())
     return WorkerEntry(
         worker=row.key.partition("/")[2],
         pool=wire.service,
         address=wire.addr,
         data_centre=wire.zone,
-        leaving=wire.state != "ready",
+        leaving=LEAVING[wire.state],
         capacity=wire.capacity.amounts(),
         labels=wire.labels,
         worker_time_ms=round(wire.clock_ms),
         leaves_in_s=(None if wire.remaining_ms is None else wire.remaining_ms / 1000),
     )
+
+
+def _check_address(place: str, address: str, found: errors.Findings) -> None:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        valid = port.isascii() and port.isdigit() and 0 < int(port) <= HIGHEST_PORT
+    except ValueError:
+        valid = False
+    if not valid:
+        found.add(place, errors.BAD_VALUE, value=address, allowed="IP:PORT")
+
+
+def _check_amounts(place: str, amounts: WireAmounts, found: errors.Findings) -> None:
+    for field in attrs.fields(WireAmounts):
+        value = getattr(amounts, field.name)
+        if value < 0:
+            found.add(
+                f"{place}.{field.name}", errors.BAD_VALUE, value=value, allowed=">= 0"
+            )
--- a/cranberrycleat/workflow/batches.py
+++ b/cranberrycleat/workflow/batches.py
@@ -85,12 +85,13 @@
     """Return up to which end each worker may forget once the batch is stored.
 
     An end may be acknowledged when its job is not dirty any more. Waiting until
-    nothing at all is dirty would, in a backlog, acknowledge nothing for long.
+    nothing at all is dirty would, in a backlog, acknowledge nothing for long. The
+    end of a job whose row nobody here can read is kept by its worker.
     """
     for worker in board.fleet.workers.values():
         upto = worker.ended_upto
         for number, job_id in worker.heard_ends:
-            if job_id in board.dirty:
+            if job_id in board.dirty or job_id in board.unreadable:
                 break
             upto = number
         if upto > worker.ended_upto:
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -66,6 +66,8 @@
         unstarted: Open jobs without a schedule that have started nothing, by
             queue; kept as they change, since every digest tells the numbers.
         ended: When each final job ended, since 1970, and its identity; a heap.
+        unreadable: Jobs whose rows another version wrote. What runs of them is
+            neither stopped nor acknowledged: whoever can read them decides.
     """
 
     time_of_day: Callable[[], float] = time_of_day
@@ -80,6 +82,7 @@
     placed: dict[str, dict[Key, Placed]] = attrs.field(factory=dict)
     unstarted: dict[str, set[str]] = attrs.field(factory=dict)
     ended: list[tuple[float, str]] = attrs.field(factory=list)
+    unreadable: set[str] = attrs.field(factory=set)
     _scheduled: set[str] = attrs.field(factory=set)
 
     # --- jobs ---------------------------------------------------------------
@@ -388,7 +391,8 @@
 
     def _stray(self, worker: FleetWorker, run: RunningTask) -> Placement:
         """Count an attempt that no job wants, until it has been stopped."""
-        job = self.jobs.get(job_of(run.task))
+        job_id = job_of(run.task)
+        job = self.jobs.get(job_id)
         task = None if job is None else job.find(run.task)
         placement = Placement(
             task=run.task,
@@ -398,7 +402,7 @@
             unsized=task is None,
             stored=True,
             ordered=True,
-            stopping=True,
+            stopping=job_id not in self.unreadable,
             stop_reason="unknown attempt",
         )
         self._count(worker, placement)
--- a/cranberrycleat/workflow/directory.py
+++ b/cranberrycleat/workflow/directory.py
@@ -38,13 +38,15 @@
     read: Callable[[Row], WorkerEntry]
     entries: dict[str, WorkerEntry] = attrs.field(factory=dict)
     _version: int = 0
+    _told: dict[str, int] = attrs.field(factory=dict)
 
     async def read_all(self) -> None:
         """Read the whole list; raises `errors.TableUnavailable`."""
         found = await self.store.snapshot(table=self.table)
+        known = self.entries
         self.entries = {}
         for row in found.rows:
-            self._take(row)
+            self._take(row, known)
         self._version = found.version
 
     async def refresh(self) -> bool:
@@ -63,19 +65,34 @@
         for change in feed.changes:
             if change.row is None:
                 self.entries.pop(change.key.partition("/")[2], None)
+                self._told.pop(change.key, None)
             else:
-                self._take(change.row)
+                self._take(change.row, self.entries)
         self._version = max(self._version, feed.version)
         return bool(feed.changes)
 
-    def _take(self, row: Row) -> None:
+    def _take(self, row: Row, known: dict[str, WorkerEntry]) -> None:
+        """Take in a row; one that cannot be read names no worker to use.
+
+        A worker that was known keeps its link, so that what runs there goes on
+        and is not doubled, but it draws nothing more.
+        """
         try:
             entry = self.read(row)
         except errors.FindingsError as exc:
-            emit(events.RowUnreadable(findings=str(exc)))
+            self._tell_once(row, str(exc))
+            worker = row.key.partition("/")[2]
+            if worker in known:
+                self.entries[worker] = attrs.evolve(known[worker], readable=False)
             return
         self.entries[entry.worker] = entry
 
+    def _tell_once(self, row: Row, findings: str) -> None:
+        """Log an unreadable row once for each change of it."""
+        if self._told.get(row.key) != row.version:
+            self._told[row.key] = row.version
+            emit(events.RowUnreadable(findings=findings))
+
 
 @attrs.define(kw_only=True, eq=False)
 class ConfigFollower:
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -220,6 +220,7 @@
         return (
             self.standing is Standing.LIVE
             and self.listed
+            and self.entry.readable
             and not self.entry.leaving
             and not self.doubted
             and not self.held
@@ -235,7 +236,7 @@
         time enough for a worker to fall silent or to say that it leaves.
         """
         trusted = self.standing is Standing.LIVE and not self.doubted
-        away = self.entry.leaving or self.held
+        away = self.entry.leaving or self.held or not self.entry.readable
         return trusted and not away and not self.has_unsized()
 
     def has_unsized(self) -> bool:
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -346,6 +346,7 @@
         while True:
             try:
                 await self._config.follow(CONFIG_WAIT_S)
+                self._configured.set()
                 self._touch.heard_table()
             except errors.TableRefused as exc:
                 # This host is not cut off, and others fare no better.
@@ -424,10 +425,16 @@
             status_s=cfg.status_s,
             peers=self._members,
             spread_factor=cfg.spread_factor,
+            pools=self._pools,
         )
         owner.director = self._make_director(owner)
         return owner
 
+    def _pools(self) -> frozenset[str] | None:
+        """Return the services that the configuration names."""
+        config = self._config.current
+        return None if config is None else frozenset(each.name for each in config.pools)
+
     def _make_director(self, owner: Owner) -> UpkeepDirector | None:
         machines = self.adapter.machines
         if machines is None:
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -68,6 +69,7 @@
         peers: The other hosts of the system.
         spread_factor: How much longer tasks take away from their data.
         director: Carries out upkeep waves, where there are machines.
+        pools: Tells which services the configuration names; None without one.
         ready: Set once the rows were read.
         store_answers: Whether the table answered of late.
         closing: Whether the ownership is being handed over.
@@ -85,6 +87,7 @@
     peers: Membership
     spread_factor: float = 1.0
     director: UpkeepDirector | None = None
+    pools: Callable[[], frozenset[str] | None] = lambda: None
     board: Board = attrs.field(factory=Board)
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
     ready: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -110,6 +113,7 @@
             links=self.links,
             join=self._link,
             changed=self.changed,
+            pools=self.pools,
         )
         self.starts = Starts(
             board=self.board,
@@ -315,10 +319,12 @@
     # --- workers ----------------------------------------------------------------
 
     async def _directory_loop(self) -> None:
+        met = self.pools()
         while True:
             await asyncio.sleep(options.DIRECTORY_S)
             try:
-                if await self.directory.refresh():
+                if await self.directory.refresh() or met != self.pools():
+                    met = self.pools()
                     self.roster.meet()
                     self._plan_due.set()
             except errors.TableUnavailable as exc:
@@ -358,7 +364,7 @@
             NotOwner: It was not taken in; the next owner may.
             PeerUnavailable: It is unknown whether it was accepted.
         """
-        if req.job_id in self.board.shown:
+        if req.job_id in self.board.shown or req.job_id in self.board.unreadable:
             return SubmitReply(accepted=True)
         if req.job_id not in self.board.jobs:
             if self.closing:
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -92,6 +92,8 @@
         capacity: What it has.
         labels: Its kind and its rack.
         worker_time_ms: Its own clock when it wrote the entry.
+        readable: Its newest row could be read. One that turned unreadable keeps
+            what it said before, and draws nothing until it can be read again.
     """
 
     worker: str
@@ -103,6 +105,7 @@
     labels: tuple[str, ...]
     worker_time_ms: int = 0
     leaves_in_s: float | None = None
+    readable: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/cranberrycleat/workflow/roster.py
+++ b/cranberrycleat/workflow/roster.py
@@ -9,13 +9,14 @@
 
 import attrs
 
-from cranberrycleat import events
+from cranberrycleat import errors, events
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.directory import Directory
 from cranberrycleat.workflow.fleet import FleetWorker, Standing
 from cranberrycleat.workflow.links import WorkerLink
 from cranberrycleat.workflow.membership import Membership
+from cranberrycleat.workflow.ports import WorkerEntry
 
 DOUBT_S: Final = 0.4
 
@@ -31,6 +32,8 @@
         links: The links to workers, by identity.
         join: Begins a link to a new worker.
         changed: Told when the board has changed.
+        pools: Tells which services the configuration names; None while there is
+            no configuration, when every worker is met.
     """
 
     board: Board
@@ -39,12 +42,17 @@
     links: dict[str, WorkerLink]
     join: Callable[[FleetWorker], None]
     changed: Callable[[], None]
+    pools: Callable[[], frozenset[str] | None] = lambda: None
+    _strange: set[str] = attrs.field(factory=set)
 
     def meet(self) -> None:
         """Take in the list as it is now."""
         workers = self.board.fleet.workers
+        self._strange.intersection_update(self.directory.entries)
         for entry in self.directory.entries.values():
             known = workers.get(entry.worker)
+            if known is None and not self._serves(entry):
+                continue
             if known is None:
                 workers[entry.worker] = FleetWorker(entry=entry)
                 self.join(workers[entry.worker])
@@ -77,6 +85,25 @@
                 )
                 worker.listed = False
 
+    def _serves(self, entry: WorkerEntry) -> bool:
+        """Tell whether a worker is of a service that the configuration names.
+
+        No work could ever go to another one, and each look at it is priced. One
+        that has work of ours already is known, and stays.
+        """
+        pools = self.pools()
+        if pools is None or entry.pool in pools:
+            self._strange.discard(entry.worker)
+            return True
+        if entry.worker not in self._strange:
+            self._strange.add(entry.worker)
+            place = f"{self.directory.table}/{entry.worker}"
+            found = errors.finding(
+                place, errors.UNKNOWN_NAME, kind="service", name=entry.pool
+            )
+            emit(events.RowUnreadable(findings=str(found)))
+        return False
+
     def check_all(self, now: float) -> None:
         """Look for places and workers that fell silent."""
         self.doubt_places(now)
--- a/cranberrycleat/workflow/takeover.py
+++ b/cranberrycleat/workflow/takeover.py
@@ -90,6 +90,7 @@
         try:
             _restore_job(board, job_id, row, specs.get(job_id))
         except errors.FindingsError as exc:
+            board.unreadable.add(job_id)
             emit(events.RowUnreadable(findings=str(exc)))
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -17,13 +17,18 @@
 from cranberrycleat.standins.table import MemoryTable
 from cranberrycleat.table import Put, Row, Transaction
 from cranberrycleat.workflow import options, rows
-from cranberrycleat.workflow.fleet import Placement
+from cranberrycleat.workflow.batches import take_batch
+from cranberrycleat.workflow.board import Board
+from cranberrycleat.workflow.fleet import FleetWorker, Placement, Standing
 from cranberrycleat.workflow.options import WorkerLeases
+from cranberrycleat.workflow.ports import EndedTask, EndKind, RunningTask, SyncReply
+from cranberrycleat.workflow.takeover import StoredRows, restore
 from tests.cell import (
     BOUNDS,
     OWNER_LEASE_S,
     Cell,
     cell,
+    entry,
     job,
     queue,
     step,
@@ -169,3 +174,20 @@
     found = go(PlatformStore(address="x:1", http=http).snapshot(table="jobs"))
     assert [row.key for row in found.rows] == ["jobs/a", "jobs/b", "jobs/c"]
     assert http.calls == calls
+
+
+def test_what_another_version_s_job_does_is_left_alone() -> None:
+    """Its runs are not stopped, and its ends stay with their worker."""
+    board = Board(time_of_day=lambda: 1000.0, now=lambda: 0.0)
+    worker = FleetWorker(entry=entry("w"), standing=Standing.LIVE)
+    board.fleet.workers["w"] = worker
+    strange = Row(key="jobs/b", version=1, value='{"written":"by another version"}')
+    restore(board, StoredRows(specs=(), jobs=(strange,), inbox=()))
+    running = RunningTask(task="b.0.0.0", attempt=1, saved="", percent=5.0)
+    end = EndedTask(number=1, task="b.0.0.1", attempt=1, how=EndKind.DONE, saved="")
+    reply = SyncReply(worker_time_ms=1000, running=(running,), ended=(end,))
+    board.sync(worker, reply, sent_at=0.1, now=0.2)
+    (placement,) = worker.placements.values()
+    assert not placement.stopping
+    assert not worker.may_draw(0.3), "nobody knows what it takes"
+    assert take_batch(board).heard == ()
--- /dev/null
+++ b/tests/test_worker_rows.py
@@ -0,0 +1,221 @@
+"""Rows of the list of workers that another writer made: none names one to use."""
+
+import asyncio
+import json
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, strategies as st
+
+from cranberrycleat import errors, events
+from cranberrycleat.platform.records import read_worker
+from cranberrycleat.standins.feed_table import MemoryFeedTable
+from cranberrycleat.table import Put, Row, Transaction
+from cranberrycleat.workflow import (
+    directory as directory_module,
+    roster as roster_module,
+)
+from cranberrycleat.workflow.board import Board
+from cranberrycleat.workflow.directory import Directory
+from cranberrycleat.workflow.fleet import FleetWorker, Standing
+from cranberrycleat.workflow.membership import Membership
+from cranberrycleat.workflow.roster import Roster
+
+GOOD: dict[str, object] = {
+    "service": "s",
+    "addr": "10.0.0.1:80",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem_mb": 100, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 5,
+}
+LEFT_OUT = object()
+BAD: list[tuple[dict[str, object], str]] = [
+    ({"state": LEFT_OUT}, "servers/i-1"),
+    ({"state": "sleeping"}, "servers/i-1.state"),
+    ({"state": 3}, "servers/i-1"),
+    ({"capacity": LEFT_OUT}, "servers/i-1"),
+    ({"capacity": {"cpu": -1}}, "servers/i-1.capacity.cpu"),
+    ({"capacity": {"cpu": 1, "gpu": -2}}, "servers/i-1.capacity.gpu"),
+    ({"capacity": "much"}, "servers/i-1"),
+    ({"addr": LEFT_OUT}, "servers/i-1"),
+    ({"addr": "somewhere"}, "servers/i-1.addr"),
+    ({"addr": "10.0.0.1"}, "servers/i-1.addr"),
+    ({"addr": "10.0.0.1:0"}, "servers/i-1.addr"),
+    ({"addr": "10.0.0.1:70000"}, "servers/i-1.addr"),
+    ({"addr": "10.0.0.1:²"}, "servers/i-1.addr"),
+    ({"addr": "10.0.0.1:80/else?"}, "servers/i-1.addr"),
+    ({"addr": "host.example:80"}, "servers/i-1.addr"),
+    ({"service": ""}, "servers/i-1.service"),
+    ({"labels": "a"}, "servers/i-1"),
+    ({"clock_ms": 1e400}, "servers/i-1"),
+]
+
+
+def row(changes: dict[str, object], version: int = 1, worker: str = "i-1") -> Row:
+    """Return a worker's row with some fields changed or left out."""
+    fields = {**GOOD, **changes}
+    kept = {name: each for name, each in fields.items() if each is not LEFT_OUT}
+    return Row(key=f"servers/{worker}", version=version, value=json.dumps(kept))
+
+
+@pytest.mark.parametrize(("changes", "place"), BAD)
+def test_a_row_that_cannot_be_relied_on_gives_its_place(
+    changes: dict[str, object], place: str
+) -> None:
+    """No worker comes of it."""
+    with pytest.raises(errors.FindingsError) as caught:
+        read_worker(row(changes))
+    assert [each.place for each in caught.value.findings] == [place]
+
+
+def test_every_fault_of_a_row_is_told_at_once() -> None:
+    """Whoever mends the row need not come back for each."""
+    with pytest.raises(errors.FindingsError) as caught:
+        read_worker(row({"state": "", "addr": "x", "capacity": {"cpu": -1}}))
+    assert len(caught.value.findings) == 3
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.sampled_from(sorted(GOOD)), inner, max_size=4),
+    max_leaves=8,
+)
+
+
+@given(st.one_of(st.text(), json_values.map(json.dumps)))
+def test_any_text_is_an_entry_or_a_finding(text: str) -> None:
+    """Nothing else may come out, whatever stands in the row."""
+    _read_any(text)
+
+
+@given(st.dictionaries(st.sampled_from(sorted(GOOD)), json_values, max_size=3))
+def test_any_value_of_a_field_is_an_entry_or_a_finding(
+    changes: dict[str, object],
+) -> None:
+    """The same for rows of the right form but for some fields."""
+    _read_any(json.dumps({**GOOD, **changes}))
+
+
+def _read_any(text: str) -> None:
+    try:
+        entry = read_worker(Row(key="servers/i-1", version=1, value=text))
+    except errors.FindingsError as exc:
+        assert exc.findings
+    else:
+        assert entry.address.count(":") == 1
+        assert entry.capacity.processors >= 0
+
+
+@pytest.fixture(name="told")
+def told_events(monkeypatch: pytest.MonkeyPatch) -> list[object]:
+    """Return the list that what is logged goes to."""
+    told: list[object] = []
+    monkeypatch.setattr(directory_module, "emit", told.append)
+    monkeypatch.setattr(roster_module, "emit", told.append)
+    return told
+
+
+def unreadable(told: list[object]) -> int:
+    """Return how many findings about rows were logged."""
+    return sum(isinstance(each, events.RowUnreadable) for each in told)
+
+
+def put(table: MemoryFeedTable, found: Row) -> None:
+    """Write a row."""
+    table.apply(Transaction(puts=(Put(key=found.key, value=found.value),)))
+
+
+def list_of(table: MemoryFeedTable) -> Directory:
+    """Return a reader of the list of workers."""
+    return Directory(store=table, table="servers", read=read_worker)
+
+
+@pytest.mark.parametrize("place", range(3))
+@pytest.mark.parametrize("changes", [bad for bad, _ in BAD])
+def test_one_bad_row_hides_no_other(
+    place: int, changes: dict[str, object], told: list[object]
+) -> None:
+    """Wherever it stands in the list."""
+    table = MemoryFeedTable()
+    for number in range(3):
+        put(table, row(changes if number == place else {}, worker=f"i-{number}"))
+    found = list_of(table)
+    asyncio.run(found.read_all())
+    asyncio.run(found.read_all())
+    assert set(found.entries) == {f"i-{n}" for n in range(3) if n != place}
+    assert unreadable(told) == 1
+
+
+def test_a_worker_whose_row_turns_unreadable_keeps_its_work(
+    told: list[object],
+) -> None:
+    """It draws nothing; what runs there is neither forgotten nor doubled."""
+    table = MemoryFeedTable()
+    put(table, row({}))
+    found = list_of(table)
+    asyncio.run(found.read_all())
+    worker = FleetWorker(entry=found.entries["i-1"], standing=Standing.LIVE)
+    assert worker.may_draw(0.0) and worker.may_begin()
+    put(table, row({"state": "sleeping"}))
+    assert asyncio.run(found.refresh())
+    worker.update(found.entries["i-1"])
+    assert not worker.may_draw(0.0) and not worker.may_begin()
+    assert worker.entry.address == GOOD["addr"] and not worker.entry.leaving
+    put(table, row({}))
+    asyncio.run(found.refresh())
+    worker.update(found.entries["i-1"])
+    assert worker.may_draw(0.0)
+    assert unreadable(told) == 1
+
+
+def roster(
+    found: Directory, joined: list[str], pools: Callable[[], frozenset[str] | None]
+) -> Roster:
+    """Return a roster that notes which links it begins."""
+    return Roster(
+        board=Board(),
+        directory=found,
+        members=Membership(),
+        links={},
+        join=lambda worker: joined.append(worker.name),
+        changed=lambda: None,
+        pools=pools,
+    )
+
+
+def test_a_worker_of_a_service_that_nobody_named_gets_no_link(
+    told: list[object],
+) -> None:
+    """It is met as soon as a configuration names its service."""
+    table = MemoryFeedTable()
+    put(table, row({"service": "other"}))
+    put(table, row({}, worker="i-2"))
+    found = list_of(table)
+    asyncio.run(found.read_all())
+    named = {"s"}
+    joined: list[str] = []
+    met = roster(found, joined, lambda: frozenset(named))
+    met.meet()
+    met.meet()
+    assert joined == ["i-2"]
+    assert unreadable(told) == 1
+    named.add("other")
+    met.meet()
+    assert joined == ["i-2", "i-1"]
+
+
+def test_without_a_configuration_every_worker_is_met(
+    told: list[object],
+) -> None:
+    """Work that an earlier owner placed must be renewed before one is read."""
+    table = MemoryFeedTable()
+    put(table, row({}))
+    found = list_of(table)
+    asyncio.run(found.read_all())
+    joined: list[str] = []
+    roster(found, joined, lambda: None).meet()
+    assert joined == ["i-1"]
+    assert not unreadable(told)
