Callers' connections wait while a host starts, instead of being refused

Ruled out: the takeover (0.05 s), the restart's own delay (0.58 s, not ours). Change: the callers' socket is opened before anything is imported and handed to the server, which begins to answer once there is a configuration (0.5 s at most); peers' sockets are not opened early, since nobody listening there is evidence. An owner that found jobs in the inbox looks again after 0.1 s.

--- a/cranberrycleat/__main__.py
+++ b/cranberrycleat/__main__.py
@@ -1,5 +1,5 @@
 """Runs the command line: `python -m cranberrycleat`."""
 
-from cranberrycleat.cli import main
+from cranberrycleat.start import main
 
-main(prog_name="cranberrycleat")
+main()
--- a/cranberrycleat/http_server.py
+++ b/cranberrycleat/http_server.py
@@ -10,6 +10,8 @@
 import attrs
 import uvicorn
 
+from cranberrycleat import early_listen
+
 DRAIN_S: Final = 30.0
 KEEP_ALIVE_S: Final = 75
 
@@ -50,7 +52,9 @@
         )
         server = _QuietServer(cfg)
         self._server = server
-        self._task = asyncio.create_task(server.serve())
+        early = early_listen.take(self.host, self.port)
+        sockets = None if early is None else [early]
+        self._task = asyncio.create_task(server.serve(sockets=sockets))
         while not server.started:
             if self._task.done():
                 raise OSError(f"cannot listen on {self.host}:{self.port}")
--- a/cranberrycleat/platform/settings.py
+++ b/cranberrycleat/platform/settings.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from cranberrycleat import errors
+from cranberrycleat.platform.early import FILE_VARIABLE
 from cranberrycleat.workflow.ports import HostRoom, LeaseBounds, NodeSettings
 
-FILE_VARIABLE: Final = "CRANBERRYCLEAT_NODE_FILE"
 CLOCK_ERROR: Final = 0.02
 """A worker's clock may be this share slow (the platform's page on leases)."""
 
--- a/cranberrycleat/workflow/inbox.py
+++ b/cranberrycleat/workflow/inbox.py
@@ -20,6 +20,10 @@
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.ports import FeedTable
 
+AGAIN_S: Final = 0.1
+"""The pause after a look that found jobs. Where owners change, doors leave jobs
+before they know whom to tell; the next owner finds the first, and others follow."""
+
 LOG: Final[logging.Logger] = part_logger("inbox")
 
 
@@ -43,17 +47,18 @@
         """Look when told, and now and then."""
         while True:
             try:
-                await self._look()
+                found = await self._look()
             except errors.TableUnavailable as exc:
                 LOG.debug("The inbox was not read: %s", exc)
                 await asyncio.sleep(options.INBOX_S)
                 continue
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(options.INBOX_S):
+                async with asyncio.timeout(AGAIN_S if found else options.INBOX_S):
                     await self.due.wait()
             self.due.clear()
 
-    async def _look(self) -> None:
+    async def _look(self) -> bool:
+        """Take in what is new; return whether anything was."""
         await self._clear()
         found = await self.store.scan(prefix=f"{rows.INBOX}/")
         known = self.board.inbox
@@ -61,6 +66,7 @@
         if fresh:
             self.take(tuple(fresh))
             self.changed()
+        return bool(fresh)
 
     async def _clear(self) -> None:
         """Remove the rows of jobs that have been stored as jobs."""
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -49,6 +49,10 @@
 SETTINGS_S: Final = 5.0
 """How often the settings file is read; it takes a millisecond."""
 MOST_ASKED: Final = 2
+FIRST_CONFIG_S: Final = 0.5
+"""How long a host that has just started keeps callers waiting for the first
+configuration before it refuses them: one read takes 10 ms, 0.25 s in a slowed
+table. Callers have 3 s in all."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -74,6 +78,7 @@
     _work: Background = attrs.field(factory=Background)
     _look: asyncio.Event = attrs.field(factory=asyncio.Event)
     _was_ready: bool = False
+    _configured: asyncio.Event = attrs.field(factory=asyncio.Event)
     _members: Membership = attrs.field(factory=Membership)
     _touch: Touch = attrs.field(init=False)
 
@@ -204,31 +209,25 @@
     # --- life -----------------------------------------------------------------
 
     async def start(self) -> None:
-        """Begin to serve; raises OSError where an address is taken."""
+        """Begin to serve; raises OSError where an address is taken.
+
+        Callers come last: their connections wait in the door's queue (see
+        `early_listen`) until there is a configuration to answer them by.
+        """
         cfg = self.adapter.settings
         metrics = Metrics(role="node", name=cfg.name)
         observe(Telemetry(metrics=metrics).take)
         self._watch(metrics)
-        apps: list[tuple[Any, str]] = [
-            (self.adapter.front(self._door, self.is_ready), cfg.front),
-            (self.adapter.readiness(self.is_ready), cfg.ready),
-            (
-                PeerApi(
-                    owner=self._held,
-                    digest=self.exchange,
-                    look=self._look_now,
-                    permits=self.adapter.permits,
-                    metrics=metrics,
-                    dump=self.dump,
-                ).app(),
-                self.address,
-            ),
-        ]
-        for app, address in apps:
-            host, _, port = address.rpartition(":")
-            server = HttpServer(app=app, host=host, port=int(port))
-            await server.start()
-            self._servers.append(server)
+        peers = PeerApi(
+            owner=self._held,
+            digest=self.exchange,
+            look=self._look_now,
+            permits=self.adapter.permits,
+            metrics=metrics,
+            dump=self.dump,
+        )
+        await self._listen(self.adapter.readiness(self.is_ready), cfg.ready)
+        await self._listen(peers.app(), self.address)
         name_host(cfg.name)
         emit(events.ProcessStarted(name=cfg.name, data_centre=cfg.data_centre))
         for work in (
@@ -239,6 +238,16 @@
             self._give_way,
         ):
             self._work.keep(work)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_CONFIG_S):
+                await self._configured.wait()
+        await self._listen(self.adapter.front(self._door, self.is_ready), cfg.front)
+
+    async def _listen(self, app: Any, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        server = HttpServer(app=app, host=host, port=int(port))
+        await server.start()
+        self._servers.append(server)
 
     def _watch(self, metrics: Metrics) -> None:
         """Have gauges read this process's state."""
