A weak host that reads too slowly leaves the ownership; chains of takeovers wait

Change: reading has a limit where a better host lives, then the ownership is released; the row tells how long earlier owners may still renew; a write that was sent again tells nothing of the table's pace. Tests: each of the three, failing without; test_a_successor_knows_how_long... now asks for inherited_s, which the product uses, where it asked for a field that it did not.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -72,6 +72,8 @@
         lease_s: Length in seconds, counted from each write.
         released: The holder gave it up and has stopped renewing anything.
         strength: How much the holder's host can carry, by its own word.
+        inherited_s: For how long after this write holders before this one may
+            still act on what they granted, in seconds.
     """
 
     holder: str
@@ -80,6 +82,7 @@
     lease_s: float
     released: bool = False
     strength: float = 0.0
+    inherited_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -113,7 +116,10 @@
             seconds, by the row of who held it last.
         takeover_silent: Whether the lease was won from a holder that did not
             release it, so that it may still be acting on what it granted.
-        predecessor_lease_s: How long that holder's last write was to hold.
+        acts_on_s: How long any holder may act beyond its lease on what it granted.
+        inherited_s: For how long after the takeover any earlier holder may still
+            act, in seconds. Holders may follow each other faster than the first
+            one's lease runs out, so that the longest wait of the chain counts.
     """
 
     table: Table
@@ -126,7 +132,9 @@
     strength: float = 0.0
     patience_s: Callable[[OwnerRow], float] = lambda row: 0.0
     takeover_silent: bool = False
-    predecessor_lease_s: float = 0.0
+    acts_on_s: float = 0.0
+    inherited_s: float = 0.0
+    _inherited_until: float = float("-inf")
     _held: OwnerRow | None = None
     _held_version: int = ABSENT
     _valid_until: float = float("-inf")
@@ -140,6 +148,7 @@
     _pending_changes: Changes = Changes()
     _pending_since: float = float("-inf")
     _pending_silent: bool = False
+    _heard_at: float = float("-inf")
 
     def authority(self) -> bool:
         """Tell whether this process is the owner at this very moment."""
@@ -149,17 +158,6 @@
         """Return the clock time at which authority ends if nothing renews it."""
         return self._valid_until if self._held is not None else float("-inf")
 
-    @property
-    _heard_at: float = float("-inf")
-    def is_holder(self) -> bool:
-        """Whether this process was the last known holder, lapsed or not."""
-        return self._held is not None
-
-    def seen(self) -> OwnerRow | None:
-        """Return the newest row seen, this process's own or another's."""
-        if self._held is not None:
-            return self._held
-        if self._seen is None:
     def unanswered_s(self) -> float:
         """Return for how long a write has waited while the table said nothing.
 
@@ -170,6 +168,16 @@
             return 0.0
         return max(0.0, self.clock.now() - max(self._pending_since, self._heard_at))
 
+    @property
+    def is_holder(self) -> bool:
+        """Whether this process was the last known holder, lapsed or not."""
+        return self._held is not None
+
+    def seen(self) -> OwnerRow | None:
+        """Return the newest row seen, this process's own or another's."""
+        if self._held is not None:
+            return self._held
+        if self._seen is None:
             return None
         return codec.decode(self._seen.value, OwnerRow, place=self.key)
 
@@ -231,11 +239,13 @@
         """Send a write, or one that had no answer once more, until it is settled."""
         if self._held is None:
             raise Deposed(self.key)
+        first_copy = self._pending is None
         if self._pending is None:
             self._pending = attrs.evolve(
                 self._held,
                 sequence=self._held.sequence + 1,
                 lease_s=self._length_s(),
+                inherited_s=max(0.0, self._inherited_until - self.clock.now()),
             )
             self._pending_changes = changes
             self._pending_since = self.clock.now()
@@ -243,7 +253,11 @@
         began = self.clock.now()
         reply = await self._answer(txn)
         if reply.committed:
-            self._took_s = self.clock.now() - began
+            # A copy may have waited out an outage, which tells nothing of the
+            # table's pace; a lease three times as long would keep everyone
+            # waiting when its holder is lost next.
+            if first_copy:
+                self._took_s = self.clock.now() - began
             self._renewed(self._pending, reply.version)
             return
         await self._settle()
@@ -282,6 +296,7 @@
     async def _see_pending(self) -> CommitReply | None:
         """Return the answer that the row gives, if the write took effect."""
         rows = await self.table.read(keys=(self.key,))
+        self._heard_at = self.clock.now()
         row = rows[0] if rows else None
         if row is None or codec.decode(row.value, OwnerRow) != self._pending:
             return None
@@ -298,11 +313,15 @@
         """
         if self._held is None:
             raise Deposed(self.key)
-        self._heard_at = self.clock.now()
         held = self._held
         version = self._held_version
         self.depose()
-        done = attrs.evolve(held, sequence=held.sequence + 1, released=True)
+        done = attrs.evolve(
+            held,
+            sequence=held.sequence + 1,
+            released=True,
+            inherited_s=max(0.0, self._inherited_until - self.clock.now()),
+        )
         txn = self._transaction(version, done, Changes())
         for attempt in range(RELEASE_TRIES):
             try:
@@ -369,20 +388,26 @@
     async def _take(self, row: Row | None) -> None:
         version = ABSENT if row is None else row.version
         old = codec.decode(row.value, OwnerRow) if row is not None else None
+        self._pending_silent = old is not None and not old.released
         ours = OwnerRow(
             holder=self.holder,
             epoch=1 if old is None else old.epoch + 1,
             sequence=0,
             lease_s=self.lease_s,
             strength=self.strength,
+            inherited_s=0.0 if old is None else self._inherited_from(old),
         )
-        self._pending_silent = old is not None and not old.released
-        self.predecessor_lease_s = 0.0 if old is None else old.lease_s
         self._pending_since = self.clock.now()
         reply = await self.table.commit(self._transaction(version, ours, Changes()))
         if reply.committed:
             self._won(ours, reply.version)
 
+    def _inherited_from(self, old: OwnerRow) -> float:
+        """Return how long earlier holders may still act after a takeover now."""
+        if old.released:
+            return old.inherited_s
+        return max(old.inherited_s, old.lease_s + self.acts_on_s)
+
     def _adopt_if_ours(self, row: Row | None) -> bool:
         """Settle a takeover whose reply was lost: the row says who won."""
         if row is None:
@@ -396,6 +421,8 @@
 
     def _won(self, owner: OwnerRow, version: int) -> None:
         self.takeover_silent = self._pending_silent
+        self.inherited_s = owner.inherited_s
+        self._inherited_until = self.clock.now() + owner.inherited_s
         self._renewed(owner, version)
 
     def _renewed(self, owner: OwnerRow, version: int) -> None:
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -98,6 +98,7 @@
             key=OWNER_KEY,
             holder=f"{self._place}#{secrets.token_hex(4)}",
             lease_s=options.OWNER_LEASE_S,
+            acts_on_s=options.RENEW_AFTER_LAPSE_S,
             is_dead=self._is_dead,
             strength=self._candidacy.own,
             patience_s=lambda row: self._candidacy.patience_s(row.strength),
@@ -412,6 +413,8 @@
         self.owner = self._make_owner()
         try:
             await self.owner.run()
+            if self.owner.too_slow:
+                self._candidacy.was_too_slow()
         finally:
             self.owner = None
             # An owner does not look at its row: what it knew of the table is old.
@@ -451,6 +454,7 @@
             peers=self._members,
             spread_factor=cfg.spread_factor,
             pools=self._pools,
+            reading_limit_s=self._candidacy.reading_limit_s(),
         )
         owner.director = self._make_director(owner)
         return owner
--- a/cranberrycleat/workflow/options.py
+++ b/cranberrycleat/workflow/options.py
@@ -53,20 +53,17 @@
     bounds: LeaseBounds
     length_s: float
 
-    def successor_waits_s(self, *, released: bool, lease_s: float) -> float:
-        """Return after how long a predecessor's leases are over at the latest.
+    def successor_waits_s(self, inherited_s: float) -> float:
+        """Return after how long an earlier owner's leases are over at the latest.
 
-        Counted from the takeover, at a worker that cannot be reached. A
-        predecessor that released the ownership had stopped renewing before; one
-        that was only taken to be dead may hold the rest of its lease.
+        Counted from the takeover, at a worker that cannot be reached.
 
         Args:
-            released: Whether the predecessor released the ownership.
-            lease_s: The length of the predecessor's lease.
+            inherited_s: For how long any earlier owner may still renew (see
+                `OwnershipLease.inherited_s`).
         """
-        renewed_s = 0.0 if released else lease_s + RENEW_AFTER_LAPSE_S
         longest = self.length_s / (1 - self.bounds.clock_error)
-        return renewed_s + longest + self.bounds.stop_s
+        return inherited_s + longest + self.bounds.stop_s
 
 
 def worker_leases(bounds: LeaseBounds) -> WorkerLeases:
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -41,7 +41,7 @@
 from cranberrycleat.workflow.signal import Signal
 from cranberrycleat.workflow.starts import Starts
 from cranberrycleat.workflow.state import JobState, TaskState
-from cranberrycleat.workflow.takeover import read_all, restore
+from cranberrycleat.workflow.takeover import StoredRows, read_all, restore
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 
 LOG: Final[logging.Logger] = part_logger("owner")
@@ -53,6 +53,10 @@
 """How long a caller's change may take to be stored before nobody waits for it."""
 
 
+class TakeoverTooSlow(Exception):
+    """A host could not read the rows in the time that it had; nothing was decided."""
+
+
 @attrs.define(kw_only=True, eq=False)
 class Owner:
     """Decides for all workers.
@@ -68,12 +72,15 @@
         status_s: How long an ended job's state is kept.
         peers: The other hosts of the system.
         spread_factor: How much longer tasks take away from their data.
+        reading_limit_s: How long reading the rows may take at a takeover; None
+            where no other host could do it better.
         director: Carries out upkeep waves, where there are machines.
         pools: Tells which services the configuration names; None without one.
         ready: Set once the rows were read.
         store_answers: Whether the table answered of late.
         closing: Whether the ownership is being handed over.
         began_at: When it had taken over, on its clock.
+        too_slow: Whether it gave its takeover up, since the rows came too slowly.
     """
 
     lease: OwnershipLease
@@ -86,6 +93,7 @@
     status_s: float
     peers: Membership
     spread_factor: float = 1.0
+    reading_limit_s: float | None = None
     director: UpkeepDirector | None = None
     pools: Callable[[], frozenset[str] | None] = lambda: None
     board: Board = attrs.field(factory=Board)
@@ -94,6 +102,7 @@
     store_answers: bool = True
     closing: bool = False
     began_at: float = 0.0
+    too_slow: bool = False
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _plan_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     _stored: Signal = attrs.field(factory=Signal)
@@ -189,6 +198,8 @@
             await self._ended.wait()
         except Deposed:
             emit(events.OwnerLost(epoch=self.epoch, reason="deposed in its takeover"))
+        except TakeoverTooSlow:
+            self.too_slow = True
         finally:
             await self._work.cancel()
 
@@ -207,13 +218,10 @@
         self._ended.set()
 
     async def _take_over(self) -> None:
-        waits_s = self.leases.successor_waits_s(
-            released=not self.lease.takeover_silent,
-            lease_s=self.lease.predecessor_lease_s,
-        )
+        waits_s = self.leases.successor_waits_s(self.lease.inherited_s)
         began = self.clock.now()
         self._old_leases_over_at = began + waits_s
-        stored = await read_all(self.lease, self.store, self.directory)
+        stored = await self._read_rows()
         restore(self.board, stored)
         self.inbox.take(stored.inbox)
         self.roster.meet()
@@ -232,6 +240,20 @@
             )
         )
 
+    async def _read_rows(self) -> StoredRows:
+        """Read what earlier owners stored, within the time that this host has.
+
+        Raises:
+            TakeoverTooSlow: It was not read in time; the ownership is released.
+        """
+        try:
+            async with asyncio.timeout(self.reading_limit_s):
+                return await read_all(self.lease, self.store, self.directory)
+        except TimeoutError:
+            emit(events.OwnerGivesWay(epoch=self.epoch))
+            await self._release()
+            raise TakeoverTooSlow from None
+
     # --- storing ----------------------------------------------------------------
 
     async def _store_loop(self) -> None:
@@ -438,6 +460,7 @@
             ),
             peers_version=version,
             peers=peers,
+            table_silent_s=round(self.lease.unanswered_s(), 3),
         )
 
     def summary(self) -> dict[str, int]:
@@ -459,4 +482,3 @@
             "placed": placed,
             "pending": pending,
         }
-            table_silent_s=round(self.lease.unanswered_s(), 3),
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -13,6 +13,7 @@
 from cranberrycleat.standins.feed_table import MemoryFeedTable
 from cranberrycleat.standins.fleet import StandinFleet
 from cranberrycleat.table import Put, Row, Transaction
+from cranberrycleat.workflow import options
 from cranberrycleat.workflow.directory import ConfigFollower, Directory
 from cranberrycleat.workflow.door import Door
 from cranberrycleat.workflow.membership import Membership
@@ -131,6 +132,7 @@
             key="owner/cell",
             holder=f"{name}@{name}:1#1",
             lease_s=OWNER_LEASE_S,
+            acts_on_s=options.RENEW_AFTER_LAPSE_S,
         )
         peers = PeerClient(http=self.http)
         return Owner(
--- a/tests/test_candidacy.py
+++ b/tests/test_candidacy.py
@@ -9,7 +9,14 @@
 from cranberrycleat.lease import OwnershipLease
 from cranberrycleat.standins.feed_table import MemoryFeedTable
 from cranberrycleat.workflow import options
-from cranberrycleat.workflow.candidacy import SELDOM_S, YIELD_S, Candidacy, strength
+from cranberrycleat.workflow.candidacy import (
+    READING_LIMIT_S,
+    SELDOM_S,
+    TOO_SLOW_S,
+    YIELD_S,
+    Candidacy,
+    strength,
+)
 from cranberrycleat.workflow.membership import Membership
 from cranberrycleat.workflow.peering import Digest
 from cranberrycleat.workflow.ports import HostRoom
@@ -94,6 +101,34 @@
     assert not candidacy.should_give_way(7.0), "the better host fell silent"
 
 
+@pytest.mark.parametrize(
+    ("own", "peer", "expected"),
+    [(SMALL, LARGE, READING_LIMIT_S), (SMALL, SMALL, None), (LARGE, SMALL, None)],
+    ids=["a better one lives", "alike", "best"],
+)
+def test_only_a_lesser_host_has_to_read_in_time(
+    own: float, peer: float, expected: float | None
+) -> None:
+    members = Membership()
+    members.hear(_digest(peer), 9.0)
+    candidacy = Candidacy(own=own, members=members, clock=ManualClock(time_s=10.0))
+    assert candidacy.reading_limit_s() == expected
+
+
+def test_a_host_that_was_too_slow_owns_in_the_end_if_no_other_does() -> None:
+    """A slow owner is better than none; then it may take its time."""
+    clock = ManualClock(time_s=10.0)
+    members = Membership()
+    candidacy = Candidacy(own=SMALL, members=members, clock=clock)
+    members.hear(_digest(LARGE), 10.0)
+    candidacy.was_too_slow()
+    assert candidacy.patience_s(LARGE) == TOO_SLOW_S
+    assert candidacy.reading_limit_s() is None
+    clock.advance(seconds=TOO_SLOW_S)
+    assert candidacy.patience_s(LARGE) == YIELD_S
+    assert candidacy.reading_limit_s() is None
+
+
 def test_a_free_lease_is_left_to_others_for_so_long_only() -> None:
     """The wait begins when the lease is first seen to be free."""
     clock = ManualClock()
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -337,6 +337,27 @@
     go(run())
 
 
+def test_an_outage_makes_no_lease_longer() -> None:
+    """A write that was sent again has waited for the table, not for its turn."""
+
+    async def run() -> None:
+        table = SlowCommits()
+        lease = _on(table)
+        assert await lease.acquire()
+        table.faults.down = True
+        with pytest.raises(errors.TableUnavailable):
+            await lease.commit()
+        table.faults.down = False
+        table.each_s = 0.45
+        await lease.commit()
+        table.each_s = 0.0
+        await lease.commit()
+        row = codec.decode(table.rows["owner"].value, OwnerRow)
+        assert row.lease_s == 0.9
+
+    go(run())
+
+
 def test_a_late_write_to_a_table_that_is_not_slow_is_sent_again_soon() -> None:
     """It is not behind anything; the copy that comes late has no effect."""
 
@@ -363,4 +384,4 @@
     go(pair.a.acquire())
     pair.b.is_dead = lambda holder: True
     assert go(pair.b.acquire())
-    assert pair.b.predecessor_lease_s == 2.5
+    assert pair.b.inherited_s == 2.5
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -65,6 +65,24 @@
     go(run())
 
 
+def test_a_host_that_reads_too_slowly_leaves_the_ownership_to_another() -> None:
+    """Its renewals went on while nobody decided anything: 27 s, 699 jobs."""
+
+    async def run() -> None:
+        table = SlowScans(scan_s=60.0)
+        async with cell(table=table) as made:
+            slow = made.make_owner("slow")
+            slow.reading_limit_s = 0.2
+            assert await slow.lease.acquire()
+            await asyncio.wait_for(slow.run(), 10.0)
+            assert slow.too_slow and not slow.ready.is_set()
+            table.scan_s = 0.0
+            owner = await asyncio.wait_for(made.own("two"), 10.0)
+            await submit(owner, "a", job(step()))
+
+    go(run())
+
+
 @pytest.mark.parametrize("lands", [True, False], ids=["written", "lost"])
 def test_changes_after_a_write_without_answer_are_stored(lands: bool) -> None:
     """The sequence of the earlier write must not stand for the later changes."""
@@ -97,10 +115,55 @@
     leases = WorkerLeases(bounds=BOUNDS, length_s=4.9)
     least = 4.9 / 0.98 + BOUNDS.stop_s
     after = 0.0 if released else options.RENEW_AFTER_LAPSE_S
-    waits_s = leases.successor_waits_s(released=released, lease_s=lease_s)
+    first, second = _holders(2)
+    first.lease_s = lease_s
+    go(first.acquire())
+    if released:
+        go(first.release())
+    assert go(second.acquire())
+    waits_s = leases.successor_waits_s(second.inherited_s)
     assert waits_s == pytest.approx(least + after + expected)
 
 
+def _holders(count: int) -> list[OwnershipLease]:
+    """Return processes that follow each other on evidence, at once."""
+    clock, table = ManualClock(), MemoryTable()
+    return [
+        OwnershipLease(
+            table=table,
+            clock=clock,
+            key="owner",
+            holder=str(number),
+            lease_s=0.9,
+            acts_on_s=options.RENEW_AFTER_LAPSE_S,
+            is_dead=lambda holder: True,
+        )
+        for number in range(count)
+    ]
+
+
+@pytest.mark.parametrize("released", [False, True], ids=["dies", "releases"])
+@pytest.mark.parametrize("commits", [0, 1])
+def test_a_chain_of_takeovers_waits_for_its_first_owner(
+    released: bool, commits: int
+) -> None:
+    """Who follows a short-lived owner waits for the one before it all the same."""
+    first, second, third = _holders(3)
+    first.lease_s = 2.9
+    go(first.acquire())
+    assert go(second.acquire())
+    second.clock.advance(seconds=0.5)  # type: ignore[attr-defined]
+    for _ in range(commits):
+        go(second.commit())
+    if released:
+        go(second.release())
+    assert go(third.acquire())
+    told_after = 0.5 if commits or released else 0.0
+    left = 2.9 + options.RENEW_AFTER_LAPSE_S - told_after
+    assert third.inherited_s == pytest.approx(left)
+    assert third.inherited_s >= left - 1e-9, "never less than the first may act"
+
+
 def test_what_lay_in_the_inbox_keeps_the_time_of_its_acceptance() -> None:
     """Work that waited there must not go before work that can still be in time."""
 
