--- a/cranberrycleat/workflow/touch.py
+++ b/cranberrycleat/workflow/touch.py
@@ -74,7 +74,8 @@
         Args:
             silent_s: For how long the owner's table has said nothing to it.
         """
-        if self._table_since is None:
+        if self._table_since is None or self.table_age_s() > OWNER_ALONE_S:
+            # Just become slow, or gone: this host's own look waits as well.
             return False
         answered_s = self.clock.now() - self._table_since
         least_s = max(OWNER_ALONE_S, ALONE_ANSWERS * self._answer_s)
--- a/tests/test_touch.py
+++ b/tests/test_touch.py
@@ -75,3 +75,16 @@
         clock.advance(seconds=answered_s)
         touch.looked(answer_s)
     assert touch.owner_is_alone(silent_s) is expected
+
+
+def test_a_table_that_has_just_become_slow_is_no_owner_s_loss() -> None:
+    """This host's own look waits as well, and tells nothing yet."""
+    clock = ManualClock(time_s=100.0)
+    touch = Touch(clock=clock)
+    touch.looked(0.01)
+    clock.advance(seconds=5.0)
+    touch.looked(0.01)
+    clock.advance(seconds=0.3)
+    assert touch.owner_is_alone(OWNER_ALONE_S + 0.1)
+    clock.advance(seconds=0.2)
+    assert not touch.owner_is_alone(OWNER_ALONE_S + 0.3)
