--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -320,4 +320,38 @@
         instead="        if True:",
         test="tests/test_worker_rows.py",
     ),
+    Row(
+        promise="outages",
+        what="a hand-over in a slow store does not wait for an end",
+        file="workflow/owner.py",
+        text="        return self.clock.now() - self._closing_at > STORE_ON_S",
+        instead="        return False",
+        test="tests/test_takeover.py::"
+        "test_a_hand_over_does_not_wait_until_nothing_is_left_to_store",
+    ),
+    Row(
+        promise="outages",
+        what="a table that has just become slow is no owner's loss",
+        file="workflow/touch.py",
+        text="        if self._table_since is None or self.table_age_s() > OWNER_ALONE_S:",
+        instead="        if self._table_since is None:",
+        test="tests/test_touch.py",
+    ),
+    Row(
+        promise="outages",
+        what="what the row says of better hosts fades until an owner has settled",
+        file="lease.py",
+        text="            strength=max(self.strength, FADES * old.strength if old else 0.0),",
+        instead="            strength=self.strength,",
+        test="tests/test_candidacy.py::"
+        "test_what_is_believed_of_better_hosts_fades_with_each_try",
+    ),
+    Row(
+        promise="decisions",
+        what="a small job stands in one row",
+        file="workflow/board.py",
+        text="            spec_inline=spec.is_small(),",
+        instead="            spec_inline=False,",
+        test="tests/test_batches.py",
+    ),
 )
