--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -257,7 +257,7 @@
                 sequence=self._held.sequence + 1,
                 lease_s=self._length_s(),
                 strength=self.strength if self._settled else self._held.strength,
-                inherited_s=max(0.0, self._inherited_until - self.clock.now()),
+                inherited_s=self._still_inherited_s(),
             )
             self._pending_changes = changes
             self._pending_since = self.clock.now()
@@ -332,7 +332,7 @@
             held,
             sequence=held.sequence + 1,
             released=True,
-            inherited_s=max(0.0, self._inherited_until - self.clock.now()),
+            inherited_s=self._still_inherited_s(),
         )
         txn = self._transaction(version, done, Changes())
         for attempt in range(RELEASE_TRIES):
@@ -414,6 +414,10 @@
         if reply.committed:
             self._won(ours, reply.version)
 
+    def _still_inherited_s(self) -> float:
+        """Return for how long from now on earlier holders may still act."""
+        return max(0.0, self._inherited_until - self.clock.now())
+
     def _inherited_from(self, old: OwnerRow) -> float:
         """Return how long earlier holders may still act after a takeover now."""
         if old.released:
