What a reading of the configuration carried, how long it took, why it ended

Cause looked for: 39 hosts received as many bytes as their links give and took in nothing; their logs could not tell whether readings were cut off, carried superseded versions, or were not taken from the socket.

Change: config.taken tells bytes, seconds from the answer's beginning to its end, and the versions it carried; config.unread tells of readings without result, with how many of how many bytes had come, ever rarer in a row. Metrics count both. No logic changed: an answer is read part by part under the same limit.

Ruled out by the change itself: nothing yet.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -470,10 +470,23 @@
 
 @event("config.taken", kept=True)
 class ConfigTaken:
-    """A newer configuration is in force."""
+    """A newer configuration is in force; what its reading carried, and how long."""
 
     version: int
     queues: int
+    versions: int
+    size: int
+    read_s: float
+
+
+@event("config.unread", kept=True)
+class ConfigUnread:
+    """Readings of the configuration came to nothing; told at 1, 2, 4, 8 in a row."""
+
+    held: int
+    in_a_row: int
+    after_s: float
+    reason: str
 
 
 @event("config.unreadable", kept=True)
--- a/cranberrycleat/http_client.py
+++ b/cranberrycleat/http_client.py
@@ -30,10 +30,34 @@
 
 @attrs.frozen(kw_only=True)
 class HttpReply:
-    """A whole answer."""
+    """A whole answer.
+
+    Attributes:
+        status: The HTTP status.
+        body: All of its bytes.
+        read_s: How long it took from the answer's beginning to its end.
+    """
 
     status: int
     body: bytes
+    read_s: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class _Reading:
+    """How far the reading of one answer has come.
+
+    Attributes:
+        parts: The bytes that came.
+        expected: How many the answer has, where it says so.
+    """
+
+    parts: list[bytes] = attrs.field(factory=list)
+    expected: int | None = None
+
+    def __str__(self) -> str:
+        got = sum(map(len, self.parts))
+        return f"{got} of {self.expected or 'unknown'} bytes"
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -58,6 +82,7 @@
             NoAnswer: No whole answer came within the time.
         """
         session = self._open()
+        reading = _Reading()
         try:
             async with asyncio.timeout(timeout_s):
                 async with session.request(
@@ -68,11 +93,11 @@
                     params=params,
                     allow_redirects=False,
                 ) as res:
-                    return HttpReply(status=res.status, body=await res.read())
+                    return await _read(res, reading)
         except aiohttp.ClientConnectorError as exc:
             raise NoAnswer(f"{url}: {exc!r}", sent=False) from exc
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise NoAnswer(f"{url}: {exc!r}", sent=True) from exc
+            raise NoAnswer(f"{url}: {exc!r} after {reading}", sent=True) from exc
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -90,3 +115,13 @@
         """Close every connection."""
         if self._session is not None:
             await self._session.close()
+
+
+async def _read(res: aiohttp.ClientResponse, reading: _Reading) -> HttpReply:
+    """Read an answer that has begun."""
+    began = asyncio.get_running_loop().time()
+    reading.expected = res.content_length
+    async for part in res.content.iter_any():
+        reading.parts.append(part)
+    read_s = asyncio.get_running_loop().time() - began
+    return HttpReply(status=res.status, body=b"".join(reading.parts), read_s=read_s)
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -116,7 +116,7 @@
     async def _read_one(self, key: str) -> tuple[Row, ...]:
         table, name = _split(key)
         params = {"from": name, "to": name + "\0", "limit": "1"}
-        page = await self._range(table, params)
+        page, _ = await self._range(table, params)
         return tuple(_row(each) for each in page.rows)
 
     async def scan(self, *, prefix: str) -> tuple[Row, ...]:
@@ -125,15 +125,20 @@
 
     async def snapshot(self, *, table: str) -> Snapshot:
         """Return a table's rows and the version of the first page."""
-        page = await self._bulk(table, {})
+        page, reply = await self._bulk(table, {})
         rows = [_row(each) for each in page.rows]
         version = page.schema_ver
+        size, read_s = len(reply.body), reply.read_s
         while page.truncated and page.rows:
-            page = await self._bulk(table, {"from": page.rows[-1].key + "\0"})
+            page, reply = await self._bulk(table, {"from": page.rows[-1].key + "\0"})
             rows += [_row(each) for each in page.rows]
-        return Snapshot(rows=tuple(rows), version=version)
+            size += len(reply.body)
+            read_s += reply.read_s
+        return Snapshot(rows=tuple(rows), version=version, size=size, read_s=read_s)
 
-    async def _bulk(self, table: str, params: dict[str, str]) -> _WireRows:
+    async def _bulk(
+        self, table: str, params: dict[str, str]
+    ) -> tuple[_WireRows, HttpReply]:
         """Read one page of many; one that gets no answer is asked for again.
 
         A page that is given up takes all pages before it along, so that a large
@@ -166,7 +171,12 @@
             )
             for each in page.rows
         )
-        return Feed(changes=changes, version=page.schema_ver)
+        return Feed(
+            changes=changes,
+            version=page.schema_ver,
+            size=len(reply.body),
+            read_s=reply.read_s,
+        )
 
     async def commit(self, txn: Transaction) -> CommitReply:
         """Apply a transaction if all its conditions hold."""
@@ -197,10 +207,10 @@
 
     async def _range(
         self, table: str, params: dict[str, str], wait_s: float = 0.0
-    ) -> _WireRows:
+    ) -> tuple[_WireRows, HttpReply]:
         place = {"table": table, "part": _part(table), **params}
         reply = await self._get("/api/rows-get", place, wait_s)
-        return self._page(reply, "rows-get")
+        return self._page(reply, "rows-get"), reply
 
     async def _get(self, path: str, params: dict[str, str], wait_s: float) -> HttpReply:
         return await self._send("GET", path, params=params, wait_s=wait_s)
--- a/cranberrycleat/workflow/directory.py
+++ b/cranberrycleat/workflow/directory.py
@@ -14,9 +14,11 @@
 from cranberrycleat.table import Row
 from cranberrycleat.workflow.ports import (
     ClusterConfig,
+    Feed,
     FeedTable,
     HistoryGone,
     Queue,
+    Snapshot,
     WorkerEntry,
 )
 from cranberrycleat.workflow.upkeep import Wave
@@ -126,7 +128,7 @@
         if self._after is None:
             found = await self.store.snapshot(table=self.table)
             self._after = found.version
-            return any([self._take(row) for row in found.rows])
+            return self._take_all(found.rows, found)
         try:
             feed = await self.store.follow(
                 table=self.table, after=self._after, wait_s=wait_s
@@ -135,10 +137,14 @@
             self._after = None
             return await self.follow(wait_s)
         self._after = max(self._after, feed.version)
-        rows = [change.row for change in feed.changes if change.row is not None]
-        return any([self._take(row) for row in rows])
+        rows = tuple(change.row for change in feed.changes if change.row is not None)
+        return self._take_all(rows, feed)
 
-    def _take(self, row: Row) -> bool:
+    def _take_all(self, rows: tuple[Row, ...], carried: Feed | Snapshot) -> bool:
+        versions = sum(row.key == self.key for row in rows)
+        return any([self._take(row, carried, versions) for row in rows])
+
+    def _take(self, row: Row, carried: Feed | Snapshot, versions: int) -> bool:
         if row.key != self.key:
             self._take_wave(row)
             return False
@@ -150,7 +156,15 @@
         if self.current is not None and config.version <= self.current.version:
             return False
         self.current = config
-        emit(events.ConfigTaken(version=config.version, queues=len(config.queues)))
+        emit(
+            events.ConfigTaken(
+                version=config.version,
+                queues=len(config.queues),
+                versions=versions,
+                size=carried.size,
+                read_s=round(carried.read_s, 3),
+            )
+        )
         return True
 
     def _take_wave(self, row: Row) -> None:
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -78,6 +78,7 @@
     _work: Background = attrs.field(factory=Background)
     _look: asyncio.Event = attrs.field(factory=asyncio.Event)
     _was_ready: bool = False
+    _unread: int = 0
     _configured: asyncio.Event = attrs.field(factory=asyncio.Event)
     _members: Membership = attrs.field(factory=Membership)
     _touch: Touch = attrs.field(init=False)
@@ -358,19 +359,36 @@
 
     async def _follow_config(self) -> None:
         while True:
+            began = self.clock.now()
             try:
                 await self._config.follow(CONFIG_WAIT_S)
+                self._unread = 0
                 self._configured.set()
                 self._touch.heard_table()
             except errors.TableRefused as exc:
                 # This host is not cut off, and others fare no better.
                 self._touch.heard_place()
-                LOG.debug("The configuration was not read: %s", exc)
+                self._tell_unread(began, exc)
                 await asyncio.sleep(PAUSE_S)
             except errors.TableUnavailable as exc:
-                LOG.debug("The configuration was not read: %s", exc)
+                self._tell_unread(began, exc)
                 await asyncio.sleep(PAUSE_S)
 
+    def _tell_unread(self, began: float, exc: errors.TableUnavailable) -> None:
+        """Log a reading without result; ever rarer where none has one."""
+        self._unread += 1
+        if self._unread & (self._unread - 1):
+            return
+        held = self._config.current
+        emit(
+            events.ConfigUnread(
+                held=0 if held is None else held.version,
+                in_a_row=self._unread,
+                after_s=round(self.clock.now() - began, 3),
+                reason=str(exc),
+            )
+        )
+
     async def _stand(self) -> None:
         """Stand for the ownership, and act while it is held.
 
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -118,10 +118,19 @@
 
 @attrs.frozen(kw_only=True)
 class Feed:
-    """Changes of one table in order, up to a version."""
+    """Changes of one table in order, up to a version.
+
+    Attributes:
+        changes: The changes.
+        version: The version that they lead to.
+        size: Bytes that carried them, as far as the table tells.
+        read_s: How long these took to arrive once they began to.
+    """
 
     changes: tuple[TableChange, ...]
     version: int
+    size: int = 0
+    read_s: float = 0.0
 
 
 class HistoryGone(Exception):
@@ -130,10 +139,19 @@
 
 @attrs.frozen(kw_only=True)
 class Snapshot:
-    """All rows of one table from one point in time, and its version."""
+    """All rows of one table from one point in time, and its version.
+
+    Attributes:
+        rows: The rows.
+        version: The version to follow them from.
+        size: Bytes that carried them, as far as the table tells.
+        read_s: How long these took to arrive once they began to.
+    """
 
     rows: tuple[Row, ...]
     version: int
+    size: int = 0
+    read_s: float = 0.0
 
 
 class FeedTable(Table, Protocol):
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -80,6 +80,11 @@
                 metrics.record("owner.takeover.duration", took_s)
             case events.OwnerLost(reason=reason):
                 metrics.count("owner.lost", reason=reason)
+            case events.ConfigTaken(size=size, read_s=read_s):
+                metrics.record("config.read.duration", read_s)
+                metrics.count("config.read.bytes", size)
+            case events.ConfigUnread():
+                metrics.count("config.unread")
             case events.TableSilent(down=down):
                 metrics.count("table.silent", down=str(down).lower())
             case events.WorkerSilent():
