--- /dev/null
+++ b/tests/test_large_config.py
@@ -0,0 +1,180 @@
+"""A configuration that takes long to read comes into force all the same.
+
+What was seen: a caller was served on a queue that the newest configuration no longer
+had, seconds after that configuration had been acknowledged. 6 hosts with fast links
+had it in force within 0.3 s, 39 with links of 5 Mbit/s never, until the record ended;
+their links were full all the while, their processors idle, and their logs silent.
+
+How it came about: the configuration had grown to 4,245 queues, 1,019 KB as the table
+sends it, 1.74 s on such a link. A reading was given what the question may wait (1 s)
+and what a short answer may take (0.7 s at most), for all that it carried. So each was
+cut off, threw away what had come and began anew, for ever.
+
+What proved it: the first test below, which needs nothing but a slow link.
+"""
+
+import asyncio
+import base64
+import contextlib
+import json
+from collections.abc import AsyncIterator, Callable
+from typing import Any, Final
+from urllib.parse import parse_qsl
+
+import attrs
+
+from cranberrycleat import errors
+from cranberrycleat.asgi import read_body
+from cranberrycleat.http_client import HttpClient
+from cranberrycleat.http_server import HttpServer
+from cranberrycleat.platform.records import CONFIG_KEY, CONFIG_TABLE, read_config
+from cranberrycleat.platform.store import PlatformStore
+from cranberrycleat.workflow.directory import ConfigFollower
+from tests.fakes import go
+
+QUEUES: Final = 400
+WAIT_S: Final = 0.1
+"""For how long the table holds a question for changes open."""
+STEP_S: Final = 0.02
+LONGEST_S: Final = 12.0
+"""Longer than any number of readings that a test allows."""
+
+
+def document(version: int, queues: int = QUEUES) -> str:
+    """Return a configuration as the operator writes it."""
+    routes = [
+        {
+            "name": f"r-{number}",
+            "host": "host.example",
+            "prefix": f"/q{number}/",
+            "service": "pool",
+        }
+        for number in range(queues)
+    ]
+    services = [{"name": "pool"}]
+    return json.dumps({"version": version, "routes": routes, "services": services})
+
+
+@attrs.define(kw_only=True, eq=False)
+class SlowLinkTable:
+    """The operator's table by its published protocol, behind a slow link.
+
+    Attributes:
+        transfer_s: How long the link takes for one version of the configuration.
+        history: Every change, each in full, as the table keeps them.
+        sent: Bytes that went over the link.
+        asked: The calls that came, in order.
+    """
+
+    transfer_s: float
+    history: list[dict[str, Any]] = attrs.field(factory=list)
+    sent: int = 0
+    asked: list[str] = attrs.field(factory=list)
+
+    def write(self, version: int, queues: int = QUEUES) -> None:
+        """Write a version, as the operator does."""
+        value = base64.b64encode(document(version, queues).encode()).decode()
+        row = {"table": "op", "part": "", "key": "config", "value": value}
+        self.history.append({**row, "schema_ver": version})
+
+    @property
+    def size(self) -> int:
+        """Bytes of the newest row."""
+        return len(json.dumps(self.history[-1]))
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request at the link's pace, until the caller has left."""
+        await read_body(receive)
+        args = dict(parse_qsl(scope["query_string"].decode()))
+        self.asked.append(scope["path"])
+        if scope["path"] == "/api/rows-feed":
+            rows = await self._changes(int(args["after"]), int(args["wait_ms"]))
+        else:
+            rows = self.history[-1:]
+        version = self.history[-1]["schema_ver"]
+        data = json.dumps({"rows": rows, "schema_ver": version}).encode()
+        left = asyncio.ensure_future(receive())
+        try:
+            await self._send(send, data, left)
+        finally:
+            left.cancel()
+
+    async def _changes(self, after: int, wait_ms: int) -> list[dict[str, Any]]:
+        for _ in range(max(1, round(wait_ms / 1000 / STEP_S))):
+            found = [row for row in self.history if row["schema_ver"] > after]
+            if found:
+                return found
+            await asyncio.sleep(STEP_S)
+        return []
+
+    async def _send(self, send: Any, data: bytes, left: "asyncio.Future[Any]") -> None:
+        headers = [(b"content-length", str(len(data)).encode())]
+        start = {"type": "http.response.start", "status": 200, "headers": headers}
+        await send(start)
+        pace = max(1, round(self.size / self.transfer_s * STEP_S))
+        for begin in range(0, len(data), pace):
+            if left.done():
+                return
+            part = data[begin : begin + pace]
+            self.sent += len(part)
+            more = begin + pace < len(data)
+            await send({"type": "http.response.body", "body": part, "more_body": more})
+            await asyncio.sleep(STEP_S)
+
+
+@contextlib.asynccontextmanager
+async def slow_link(
+    transfer_s: float,
+) -> AsyncIterator[tuple[SlowLinkTable, PlatformStore]]:
+    """Run such a table and a client of it; version 1 is there and small."""
+    table = SlowLinkTable(transfer_s=transfer_s)
+    table.write(1, queues=1)
+    server = HttpServer(app=table, host="127.0.0.1", port=0)
+    await server.start()
+    http = HttpClient()
+    try:
+        yield table, PlatformStore(address=f"127.0.0.1:{server.port}", http=http)
+    finally:
+        await http.close()
+        await server.kill()
+
+
+def follower(store: PlatformStore) -> ConfigFollower:
+    """Return a follower that has read nothing yet."""
+    return ConfigFollower(
+        store=store, table=CONFIG_TABLE, key=CONFIG_KEY, read=read_config
+    )
+
+
+async def follow_until(held: ConfigFollower, done: Callable[[], bool]) -> None:
+    """Follow as a host does, again after each reading without result.
+
+    Raises:
+        TimeoutError: It did not come about.
+    """
+    async with asyncio.timeout(LONGEST_S):
+        while not done():
+            try:
+                await held.follow(WAIT_S)
+            except errors.TableUnavailable:
+                await asyncio.sleep(WAIT_S)
+
+
+def holds(held: ConfigFollower, version: int) -> bool:
+    """Tell whether a version is in force."""
+    return held.current is not None and held.current.version == version
+
+
+def test_a_configuration_that_takes_long_to_read_comes_into_force() -> None:
+    """A link that takes 2 s for it, which a short answer is never given."""
+
+    async def run() -> None:
+        async with slow_link(2.0) as (table, store):
+            held = follower(store)
+            await follow_until(held, lambda: holds(held, 1))
+            table.write(2)
+            table.sent = 0
+            await follow_until(held, lambda: holds(held, 2))
+            assert table.sent < 2 * table.size, "the link was filled again and again"
+
+    go(run())
