Of several versions of the configuration the newest alone is read

Cause: the feed of changes hands on every version in full. A host that had missed two had 2,073 KB to read for the 1,037 KB that it needed, and misses the more the longer its link takes: a second way to a configuration that never comes into force.

Ruled out: reading the row at every change instead of the feed, which would be a second transfer of each version; the feed stays the notice and, for one version, the carrier.

Change: an answer of the feed that is longer than one and a half of the version held (and 64 KB) is left unread as soon as its length is known, and the table's rows are read, which have the newest alone. Of several versions in one answer the last is decoded. Class and repair are the reader's, for any table.

--- a/cranberrycleat/http_client.py
+++ b/cranberrycleat/http_client.py
@@ -31,6 +31,10 @@
         self.sent = sent
 
 
+class TooLong(NoAnswer):
+    """The answer has more bytes than were wanted; it was not read to its end."""
+
+
 @attrs.frozen(kw_only=True)
 class HttpReply:
     """A whole answer.
@@ -52,15 +56,27 @@
 
     Attributes:
         parts: The bytes that came.
+        got: How many these are.
         expected: How many the answer has, where it says so.
+        most: How many are wanted at most; None: any number.
     """
 
     parts: list[bytes] = attrs.field(factory=list)
+    got: int = 0
     expected: int | None = None
+    most: int | None = None
+
+    def take(self, part: bytes) -> None:
+        """Take in what came."""
+        self.parts.append(part)
+        self.got += len(part)
+
+    def is_too_long(self) -> bool:
+        """Tell whether more bytes come than are wanted."""
+        return self.most is not None and max(self.got, self.expected or 0) > self.most
 
     def __str__(self) -> str:
-        got = sum(map(len, self.parts))
-        return f"{got} of {self.expected or 'unknown'} bytes"
+        return f"{self.got} of {self.expected or 'unknown'} bytes"
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -79,6 +95,7 @@
         params: dict[str, str] | None = None,
         timeout_s: float,
         stall_s: float | None = None,
+        most_bytes: int | None = None,
     ) -> HttpReply:
         """Send one request and return its whole answer.
 
@@ -94,12 +111,15 @@
                 this is how long none may. For answers that can be large: a time
                 limit on the whole would cut off, again and again, what the link
                 cannot carry within it.
+            most_bytes: A longer answer is not wanted, and left unread as soon as
+                that is known.
 
         Raises:
+            TooLong: The answer has more bytes than were wanted.
             NoAnswer: No whole answer came within the time.
         """
         session = self._open()
-        reading = _Reading()
+        reading = _Reading(most=most_bytes)
         try:
             async with asyncio.timeout(timeout_s) as limit:
                 async with session.request(
@@ -142,8 +162,12 @@
     """Read an answer that has begun."""
     began = _now()
     reading.expected = res.content_length
-    while part := await _next_part(res.content, stall_s):
-        reading.parts.append(part)
+    while not reading.is_too_long() and (
+        part := await _next_part(res.content, stall_s)
+    ):
+        reading.take(part)
+    if reading.is_too_long():
+        raise TooLong(f"{res.url}: {reading}, {reading.most} wanted", sent=True)
     body = b"".join(reading.parts)
     return HttpReply(status=res.status, body=body, read_s=_now() - began)
 
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -15,11 +15,17 @@
 
 from cranberrycleat import codec, errors
 from cranberrycleat.clock import Clock, MonotonicClock
-from cranberrycleat.http_client import HttpClient, HttpReply, NoAnswer
+from cranberrycleat.http_client import HttpClient, HttpReply, NoAnswer, TooLong
 from cranberrycleat.logs import part_logger
 from cranberrycleat.table import CommitReply, Row, Transaction
 from cranberrycleat.workflow.patience import Patience
-from cranberrycleat.workflow.ports import Feed, HistoryGone, Snapshot, TableChange
+from cranberrycleat.workflow.ports import (
+    Feed,
+    FeedTooLong,
+    HistoryGone,
+    Snapshot,
+    TableChange,
+)
 
 PART: Final = "cell"
 PARTS_OF_THEIR_OWN: Final = frozenset({"inbox"})
@@ -159,14 +165,16 @@
                 await asyncio.sleep(PAGE_PAUSE_S)
         return await self._range(table, place, PAGE_S)
 
-    async def follow(self, *, table: str, after: int, wait_s: float) -> Feed:
+    async def follow(
+        self, *, table: str, after: int, wait_s: float, most_bytes: int | None = None
+    ) -> Feed:
         """Return the changes of a table after a version."""
         params = {
             "table": table,
             "after": str(after),
             "wait_ms": str(round(wait_s * 1000)),
         }
-        reply = await self._get("/api/rows-feed", params, wait_s)
+        reply = await self._get("/api/rows-feed", params, wait_s, most_bytes)
         if reply.status == GONE:
             raise HistoryGone(table)
         page = self._page(reply, "rows-feed")
@@ -218,9 +226,20 @@
         reply = await self._get("/api/rows-get", place, wait_s)
         return self._page(reply, "rows-get"), reply
 
-    async def _get(self, path: str, params: dict[str, str], wait_s: float) -> HttpReply:
+    async def _get(
+        self,
+        path: str,
+        params: dict[str, str],
+        wait_s: float,
+        most_bytes: int | None = None,
+    ) -> HttpReply:
         return await self._send(
-            "GET", path, params=params, wait_s=wait_s, stall_s=STALL_S
+            "GET",
+            path,
+            params=params,
+            wait_s=wait_s,
+            stall_s=STALL_S,
+            most_bytes=most_bytes,
         )
 
     async def _send(
@@ -232,6 +251,7 @@
         params: dict[str, str] | None = None,
         wait_s: float = 0.0,
         stall_s: float | None = None,
+        most_bytes: int | None = None,
     ) -> HttpReply:
         sent_at = self.clock.now()
         try:
@@ -242,7 +262,10 @@
                 params=params,
                 timeout_s=self.patience.limit_s() + wait_s,
                 stall_s=stall_s,
+                most_bytes=most_bytes,
             )
+        except TooLong as exc:
+            raise FeedTooLong(str(exc)) from exc
         except NoAnswer as exc:
             self.patience.missed()
             raise errors.TableUnavailable(str(exc)) from exc
--- a/cranberrycleat/standins/feed_table.py
+++ b/cranberrycleat/standins/feed_table.py
@@ -45,7 +45,9 @@
         rows: tuple[Row, ...] = await self.scan(prefix=f"{table}/")
         return Snapshot(rows=rows, version=self.revision)
 
-    async def follow(self, *, table: str, after: int, wait_s: float) -> Feed:
+    async def follow(
+        self, *, table: str, after: int, wait_s: float, most_bytes: int | None = None
+    ) -> Feed:
         """Return the changes after a version; wait for one if there is none."""
         await self._meet_faults()
         left_s = wait_s
--- a/cranberrycleat/workflow/directory.py
+++ b/cranberrycleat/workflow/directory.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from typing import Final
 
 import attrs
 
@@ -16,6 +17,7 @@
     ClusterConfig,
     Feed,
     FeedTable,
+    FeedTooLong,
     HistoryGone,
     Queue,
     Snapshot,
@@ -23,6 +25,13 @@
 )
 from cranberrycleat.workflow.upkeep import Wave
 
+ONE_VERSION: Final = 1.5
+"""What changes may take at most, in sizes of the version read last: two versions
+take more. A table hands on each version in full, so that a host which had missed
+some would read what nobody needs, and miss the more the longer its link takes."""
+SMALL_BYTES: Final = 65_536
+"""What changes may take whatever was read last: 0.1 s on a link of 5 Mbit/s."""
+
 
 @attrs.define(kw_only=True, eq=False)
 class Directory:
@@ -118,10 +127,14 @@
     current: ClusterConfig | None = None
     waves: dict[int, Wave] = attrs.field(factory=dict)
     _after: int | None = None
+    _size: int = 0
 
     async def follow(self, wait_s: float) -> bool:
         """Wait for a change and take it in; return whether one came.
 
+        What is more than one version is not read change by change: the table
+        gives the newest alone.
+
         Raises:
             TableUnavailable: The table gave no answer.
         """
@@ -131,9 +144,12 @@
             return self._take_all(found.rows, found)
         try:
             feed = await self.store.follow(
-                table=self.table, after=self._after, wait_s=wait_s
+                table=self.table,
+                after=self._after,
+                wait_s=wait_s,
+                most_bytes=round(ONE_VERSION * self._size) + SMALL_BYTES,
             )
-        except HistoryGone:
+        except (HistoryGone, FeedTooLong):
             self._after = None
             return await self.follow(wait_s)
         self._after = max(self._after, feed.version)
@@ -141,13 +157,17 @@
         return self._take_all(rows, feed)
 
     def _take_all(self, rows: tuple[Row, ...], carried: Feed | Snapshot) -> bool:
-        versions = sum(row.key == self.key for row in rows)
-        return any([self._take(row, carried, versions) for row in rows])
+        """Take in the rows of an answer, of the configuration the newest alone."""
+        for row in rows:
+            if row.key != self.key:
+                self._take_wave(row)
+        versions = [row for row in rows if row.key == self.key]
+        if not versions:
+            return False
+        self._size = carried.size // len(versions)
+        return self._take(versions[-1], carried, len(versions))
 
     def _take(self, row: Row, carried: Feed | Snapshot, versions: int) -> bool:
-        if row.key != self.key:
-            self._take_wave(row)
-            return False
         try:
             config = self.read(row)
         except errors.FindingsError as exc:
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -137,6 +137,10 @@
     """The changes asked for are no longer kept; read the whole table."""
 
 
+class FeedTooLong(Exception):
+    """The changes asked for take more bytes than were wanted; read the whole table."""
+
+
 @attrs.frozen(kw_only=True)
 class Snapshot:
     """All rows of one table from one point in time, and its version.
@@ -164,11 +168,14 @@
             TableUnavailable: The table gave no answer.
         """
 
-    async def follow(self, *, table: str, after: int, wait_s: float) -> Feed:
+    async def follow(
+        self, *, table: str, after: int, wait_s: float, most_bytes: int | None = None
+    ) -> Feed:
         """Return what changed after a version, or nothing after `wait_s`.
 
         Raises:
             HistoryGone: That version is too old.
+            FeedTooLong: What changed takes more than `most_bytes`.
             TableUnavailable: The table gave no answer.
         """
 
