--- /dev/null
+++ b/tests/test_large_writes.py
@@ -0,0 +1,95 @@
+"""A large write over a slow link arrives, and the lease that it renews is kept.
+
+The same fault as in `test_large_config` the other way round: what a time limit cuts
+off is begun anew, so that what takes the link longer than the limit never arrives.
+"""
+
+import asyncio
+from typing import Final
+
+import attrs
+import pytest
+
+from cranberrycleat.clock import MonotonicClock
+from cranberrycleat.lease import Changes, OwnershipLease
+from cranberrycleat.standins.feed_table import MemoryFeedTable
+from cranberrycleat.table import ABSENT, Check, CommitReply, Put, Transaction
+from cranberrycleat.workflow.options import MOST_BATCH_BYTES, batch_bytes
+from cranberrycleat.workflow.ports import HostRoom
+from cranberrycleat.writer import Change, GroupedWriter, Won
+from tests.fakes import go
+
+LINK_BYTES_S: Final = 100_000
+TRIES_S: Final = 4.0
+
+
+@attrs.define(kw_only=True)
+class SlowUplinkTable(MemoryFeedTable):
+    """A calm table behind a slow link: a write that is broken off never arrives.
+
+    Attributes:
+        begun: How many writes set out.
+    """
+
+    begun: int = 0
+
+    async def commit(self, txn: Transaction) -> CommitReply:
+        """Carry the transaction to the table, then apply it."""
+        self.begun += 1
+        await asyncio.sleep(txn.size() / LINK_BYTES_S)
+        return await MemoryFeedTable.commit(self, txn)
+
+
+@pytest.mark.parametrize("size", [1_000, 60_000])
+def test_a_write_that_is_on_its_way_is_not_begun_anew(size: int) -> None:
+    """The look at the row says no more than that it has not arrived yet."""
+
+    async def run() -> None:
+        table = SlowUplinkTable()
+        lease = OwnershipLease(
+            table=table,
+            clock=MonotonicClock(),
+            key="owner/cell",
+            holder="one",
+            lease_s=5.0,
+            carries_bytes_s=LINK_BYTES_S,
+        )
+        assert await lease.acquire()
+        table.begun = 0
+        async with asyncio.timeout(TRIES_S):
+            await lease.commit(Changes(puts=(Put(key="jobs/a", value="x" * size),)))
+        assert table.begun == 1
+        assert table.rows["jobs/a"].value == "x" * size
+
+    go(run())
+
+
+@pytest.mark.parametrize(
+    ("link_mbps", "expected"), [(1000.0, MOST_BATCH_BYTES), (10.0, 156_250)]
+)
+def test_a_transaction_takes_no_longer_than_the_lease_bears(
+    link_mbps: float, expected: int
+) -> None:
+    """Each of the owner's transactions renews its lease."""
+    assert batch_bytes(HostRoom(processors=1.0, link_mbps=link_mbps)) == expected
+
+
+def test_a_group_of_large_changes_is_sent_in_parts() -> None:
+    """One that is too large for a transaction alone still goes, by itself."""
+
+    async def run() -> None:
+        table = MemoryFeedTable()
+        writer = GroupedWriter(table=table, most_bytes=1000)
+        sizes = (400, 400, 400, 3000, 100)
+        changes = [
+            Change(
+                check=Check(key=f"inbox/{number}", version=ABSENT),
+                put=Put(key=f"inbox/{number}", value="x" * size),
+            )
+            for number, size in enumerate(sizes)
+        ]
+        results = await asyncio.gather(*(writer.write(each) for each in changes))
+        assert all(isinstance(each, Won) for each in results)
+        assert writer.transactions == 3
+
+    go(run())
--- /dev/null
+++ b/tests/test_late_config.py
@@ -0,0 +1,151 @@
+"""A host that knows that it holds an old configuration does not answer by it.
+
+The wrong end is the same as in `test_large_config`, whatever kept the reading from
+coming to its end: a caller is answered by a configuration that is not in force any
+more. What a host hears from others tells it.
+"""
+
+import asyncio
+import json
+from typing import Any
+
+import attrs
+import pytest
+
+from cranberrycleat.standins.feed_table import MemoryFeedTable
+from cranberrycleat.table import Put, Row, Transaction
+from cranberrycleat.workflow.directory import ConfigFollower
+from cranberrycleat.workflow.node import Node
+from cranberrycleat.workflow.ports import ClusterConfig, Feed
+from tests.cell import CONFIG, Cell, cell, until
+from tests.fakes import go
+from tests.test_node import JOB, ask, nodes
+
+BOUND_S = 1.0
+
+
+def read(row: Row) -> ClusterConfig:
+    """Return the configuration of a version."""
+    return attrs.evolve(CONFIG, version=int(row.value))
+
+
+@attrs.define(kw_only=True, eq=False)
+class NeverRead:
+    """A way to the table over which changes of the configuration do not come.
+
+    Attributes:
+        table: The table behind it.
+        calls: How often changes were asked for.
+    """
+
+    table: Any
+    calls: int = 0
+
+    def __getattr__(self, name: str) -> Any:
+        """Return a call of the table."""
+        return getattr(self.table, name)
+
+    async def follow(self, *, after: int, wait_s: float, **_: Any) -> Feed:
+        """Bring no change."""
+        self.calls += 1
+        await asyncio.sleep(wait_s)
+        return Feed(changes=(), version=after)
+
+
+async def follow_rows(running: list[Node], made: Cell) -> None:
+    """Have every node follow the configuration's row, which has version 2."""
+    for node in running:
+        node.adapter.settings = attrs.evolve(  # type: ignore[misc]
+            node.adapter.settings, config_bound_s=BOUND_S
+        )
+        node._config.read = read
+    write(made, 2)
+    await until(lambda: all(holds(node, 2) for node in running))
+
+
+def write(made: Cell, version: int) -> None:
+    """Write a version, as the operator does."""
+    put = Put(key="op/config", value=str(version))
+    made.table.apply(Transaction(puts=(put,)))
+
+
+def holds(node: Node, version: int) -> bool:
+    """Tell whether a version is in force on a host."""
+    held = node._config.current
+    return held is not None and held.version == version
+
+
+def test_a_host_that_cannot_read_the_newest_refuses() -> None:
+    """It hears the table and the owner, who has version 3; callers go elsewhere."""
+
+    async def run() -> None:
+        async with cell() as made, nodes(made) as running:
+            await follow_rows(running, made)
+            late = running[1]
+            way = late._config.store
+            blind = NeverRead(table=way)
+            late._config.store = blind
+            await until(lambda: blind.calls > 0)
+            write(made, 3)
+            await until(lambda: holds(running[0], 3))
+            assert (await ask(late, "GET", "/q/")).status == 200, "in time still"
+            await until(lambda: not late.is_ready())
+            for method, path in (("GET", "/q/"), ("POST", "/q/0a"), ("GET", "/no/")):
+                body = JOB if method == "POST" else None
+                reply = await ask(late, method, path, body)
+                assert reply.status == 503
+                assert "configuration" in json.loads(reply.body)["reason"]
+            assert "jobs/0a" not in made.table.rows, "what was refused never runs"
+            assert (await ask(running[0], "GET", "/q/")).status == 200
+            late._config.store = way
+            await until(lambda: holds(late, 3) and late.is_ready())
+            assert (await ask(late, "GET", "/q/")).status == 200
+
+    go(run())
+
+
+def test_a_host_that_has_lost_the_table_goes_on_answering() -> None:
+    """Without the table nobody can be held to its newest row; the owner serves."""
+
+    async def run() -> None:
+        async with cell() as made, nodes(made) as running:
+            await follow_rows(running, made)
+            late = running[1]
+            late.adapter.path.cut = True  # type: ignore[attr-defined]
+            await until(lambda: late._unread > 0)
+            write(made, 3)
+            await until(lambda: late._config.late_s(late.clock.now()) > 2 * BOUND_S)
+            assert holds(late, 2)
+            assert (await ask(late, "POST", "/q/0a", JOB)).status == 200
+
+    go(run())
+
+
+@pytest.mark.parametrize(
+    ("heard", "taken", "late_s"),
+    [
+        ((), 0, 0.0),
+        (((2, 1.0),), 0, 9.0),
+        (((2, 1.0), (2, 5.0)), 0, 9.0),
+        (((2, 1.0), (4, 5.0)), 0, 9.0),
+        (((2, 1.0), (4, 5.0)), 2, 5.0),
+        (((2, 1.0), (4, 5.0)), 3, 5.0),
+        (((2, 1.0), (4, 5.0)), 4, 0.0),
+        (((2, 1.0), (4, 5.0)), 9, 0.0),
+        (((4, 1.0), (2, 5.0)), 3, 9.0),
+        (((1, 1.0),), 0, 0.0),
+    ],
+)
+def test_how_late_a_configuration_is(
+    heard: tuple[tuple[int, float], ...], taken: int, late_s: float
+) -> None:
+    """Since the oldest newer version that is still unread was heard of."""
+    held = ConfigFollower(
+        store=MemoryFeedTable(), table="op", key="op/config", read=read
+    )
+    held.take(attrs.evolve(CONFIG, version=1))
+    for version, at in heard:
+        held.hear(version, at)
+    if taken:
+        held.take(attrs.evolve(CONFIG, version=taken))
+    assert held.late_s(10.0) == late_s
