A host that knows that its configuration is old refuses

Cause: whatever keeps a reading from coming to its end, the host went on answering by what it held, though others had told it of a newer version, or could have. A caller on a queue that is gone was served, one on a new queue got 404.

Ruled out: refusing at the first word of a newer version (each change would refuse for the time of a reading); refusing without the table too (a host that is cut off from the table alone serves its callers through the owner, who has the newest).

Change: digests carry the version that a host holds. The bound comes from the settings file.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -505,11 +505,12 @@
 
 @event("host.touch", kept=True)
 class HostTouch:
-    """This host gained or lost touch with owner, table and other places."""
+    """This host became ready, or not; how long ago it heard of what it needs for it."""
 
     ready: bool
     owner_s: float
     table_s: float
+    config_late_s: float
 
 
 @event("process.draining", kept=True)
--- a/cranberrycleat/platform/settings.py
+++ b/cranberrycleat/platform/settings.py
@@ -34,6 +34,7 @@
     spread_factor: float = 1.0
     status_s: float = 120.0
     grace_s: float = 6.0
+    config_ms: float = 3000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -101,6 +102,7 @@
         spread_factor=bounds.spread_factor,
         status_s=bounds.status_s,
         grace_s=bounds.grace_s,
+        config_bound_s=bounds.config_ms / 1000,
     )
 
 
--- a/cranberrycleat/workflow/directory.py
+++ b/cranberrycleat/workflow/directory.py
@@ -128,6 +128,7 @@
     waves: dict[int, Wave] = attrs.field(factory=dict)
     _after: int | None = None
     _size: int = 0
+    _heard: dict[int, float] = attrs.field(factory=dict)
 
     async def follow(self, wait_s: float) -> bool:
         """Wait for a change and take it in; return whether one came.
@@ -173,9 +174,8 @@
         except errors.FindingsError as exc:
             emit(events.ConfigUnreadable(findings=str(exc)))
             return False
-        if self.current is not None and config.version <= self.current.version:
+        if not self.take(config):
             return False
-        self.current = config
         emit(
             events.ConfigTaken(
                 version=config.version,
@@ -187,6 +187,30 @@
         )
         return True
 
+    def take(self, config: ClusterConfig) -> bool:
+        """Have a configuration in force unless a newer one is; tell whether it is."""
+        if self.version >= config.version:
+            return False
+        self.current = config
+        self._heard = {
+            version: at for version, at in self._heard.items() if version > self.version
+        }
+        return True
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before the first."""
+        return 0 if self.current is None else self.current.version
+
+    def hear(self, version: int, now: float) -> None:
+        """Note that another host holds a version; the newest may be unread here."""
+        if version > self.version:
+            self._heard.setdefault(version, now)
+
+    def late_s(self, now: float) -> float:
+        """Return for how long a newer version than the one in force is known of."""
+        return now - min(self._heard.values(), default=now)
+
     def _take_wave(self, row: Row) -> None:
         try:
             wave = self.read_wave(row)
--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -136,6 +136,7 @@
         owner_address: Tells where the owner answers; empty if not known.
         own_address: Where this process answers its peers.
         in_touch: Tells whether owner or table were heard of lately.
+        config_is_late: Tells whether a newer configuration must be in force by now.
         refused: Told when nobody listens where the owner should be.
         left_in_inbox: Told when a job was left in the inbox.
         patience: How long the owner's answer is waited for alone.
@@ -152,6 +153,7 @@
     owner_address: Callable[[], str]
     own_address: str
     in_touch: Callable[[], bool]
+    config_is_late: Callable[[], bool]
     refused: Callable[[], None]
     left_in_inbox: Callable[[], None]
     clock: Clock
@@ -163,6 +165,9 @@
         """Return the queue that a path names, or the refusal."""
         if self.config.current is None:
             return DoorAnswer(status=DoorStatus.REFUSED, reason="no configuration yet")
+        if self.config_is_late():
+            reason = "a newer configuration is in force, and not read here yet"
+            return DoorAnswer(status=DoorStatus.REFUSED, reason=reason)
         found = self.config.find(host, path)
         return found or DoorAnswer(status=DoorStatus.NO_QUEUE)
 
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -48,6 +48,9 @@
 flight: a caller's change takes 0.7 s at most, and its answer must leave."""
 SETTINGS_S: Final = 5.0
 """How often the settings file is read; it takes a millisecond."""
+LATE_MARGIN_S: Final = 0.5
+"""A newer configuration is heard of with a digest (0.3 s) after its first reader
+took it in (0.2 s for 1 MB on a fast link), and the bound counts from before that."""
 MOST_ASKED: Final = 2
 FIRST_CONFIG_S: Final = 0.5
 """How long a host that has just started keeps callers waiting for the first
@@ -115,6 +118,7 @@
             owner_address=self.owner_address,
             own_address=self.address,
             in_touch=self.in_touch,
+            config_is_late=self.config_is_late,
             refused=self._suspect_owner,
             left_in_inbox=self._tell_owner,
             clock=self.clock,
@@ -135,7 +139,7 @@
         table no host serves better than another: then all stay ready.
         """
         connected = self.in_touch() or self._touch.connected()
-        known = self._config.current is not None
+        known = self._config.current is not None and not self.config_is_late()
         ready = not self.draining and known and connected
         if ready is not self._was_ready:
             self._was_ready = ready
@@ -144,6 +148,7 @@
                     ready=ready,
                     owner_s=round(self._touch.owner_age_s(), 2),
                     table_s=round(self._touch.table_age_s(), 2),
+                    config_late_s=round(self._config.late_s(self.clock.now()), 2),
                 )
             )
         return ready
@@ -154,6 +159,18 @@
         owns = owner is not None and owner.store_answers
         return owns or self._touch.served()
 
+    def config_is_late(self) -> bool:
+        """Tell whether a newer configuration must be in force by now.
+
+        Others have it, and this host hears the table and could not read it in
+        time. What it holds may have queues that are gone and lack new ones, so
+        that every answer by it may be wrong. Without the table it goes on: the
+        owner that serves its callers has the newest.
+        """
+        limit_s = self.adapter.settings.config_bound_s - LATE_MARGIN_S
+        late_s = self._config.late_s(self.clock.now())
+        return late_s > limit_s and self._touch.table_age_s() < STORE_FRESH_S
+
     def owner_address(self) -> str:
         """Return where the owner answers, by the newest word of it."""
         row = self._lease.seen()
@@ -168,7 +185,10 @@
         owner = self._held()
         if owner is not None:
             return attrs.evolve(
-                owner.digest(req), owner_at=self.address, holder=self._lease.holder
+                owner.digest(req),
+                owner_at=self.address,
+                holder=self._lease.holder,
+                config=self._config.version,
             )
         self._members.hear(req, self.clock.now())
         return DigestReply(
@@ -176,6 +196,7 @@
             holder=self._lease.holder,
             epoch=max(self._lease.epoch, self._touch.hint.epoch),
             owner_at=self.owner_address(),
+            config=self._config.version,
         )
 
     def _is_dead(self, holder: str) -> bool:
@@ -262,8 +283,9 @@
         metrics.watch("host.ready", lambda: float(self.is_ready()))
         metrics.watch(
             "config.version",
-            lambda: float(self._config.current.version if self._config.current else 0),
+            lambda: float(self._config.version),
         )
+        metrics.watch("config.late", lambda: self._config.late_s(self.clock.now()))
         metrics.watch("owner.lease.left", self._lease_left)
         metrics.watch("tasks.pending", lambda: self._owned("pending"))
         metrics.watch("tasks.held", lambda: self._owned("placed"))
@@ -379,10 +401,9 @@
         self._unread += 1
         if self._unread & (self._unread - 1):
             return
-        held = self._config.current
         emit(
             events.ConfigUnread(
-                held=0 if held is None else held.version,
+                held=self._config.version,
                 in_a_row=self._unread,
                 after_s=round(self.clock.now() - began, 3),
                 reason=str(exc),
@@ -537,7 +558,7 @@
         if not reply.owner and reply.holder:
             self._suspect_owner(reply.holder)
         now = self.clock.now()
-        self._touch.take_hint(reply)
+        self._take_hint(reply)
         if reply.owner:
             self._touch.heard_owner()
             if self._touch.owner_is_alone(reply.table_silent_s):
@@ -549,13 +570,17 @@
             self._members.learn(reply, now)
         return reply.owner
 
+    def _take_hint(self, reply: DigestReply) -> None:
+        self._touch.take_hint(reply)
+        self._config.hear(reply.config, self.clock.now())
+
     async def _ask_elsewhere(self) -> None:
         """Find out whether any other data centre can be reached."""
         cfg = self.adapter.settings
         others = self._members.elsewhere(cfg.data_centre, self.address)
         for address in others[:MOST_ASKED]:
             try:
-                self._touch.take_hint(await self._peers.digest(address, self._digest()))
+                self._take_hint(await self._peers.digest(address, self._digest()))
             except errors.PeerUnavailable as exc:
                 LOG.debug("A peer did not answer: %s", exc)
                 continue
--- a/cranberrycleat/workflow/peering.py
+++ b/cranberrycleat/workflow/peering.py
@@ -118,6 +118,7 @@
         peers_version: The version of the owner's list of live hosts.
         peers: That list; empty where who asks has this version already.
         table_silent_s: For how long the owner's table has left a write unanswered.
+        config: The version of the configuration that it holds; 0: none.
     """
 
     owner: bool
@@ -128,6 +129,7 @@
     peers_version: str = ""
     peers: tuple[PeerEntry, ...] = ()
     table_silent_s: float = 0.0
+    config: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -394,6 +394,8 @@
         spread_factor: How much longer tasks take away from their data.
         status_s: How long an ended job's state is kept.
         grace_s: How long a process has between SIGTERM and its end.
+        config_bound_s: Within which time of its acknowledgement a configuration
+            is in force everywhere.
     """
 
     name: str
@@ -410,6 +412,7 @@
     spread_factor: float
     status_s: float
     grace_s: float
+    config_bound_s: float = 3.0
 
 
 PERMITS_MOST_WORKERS: Final = 100
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -179,6 +179,7 @@
             "owner_address": lambda: "",
             "own_address": "here:1",
             "in_touch": lambda: True,
+            "config_is_late": lambda: False,
             "refused": lambda: None,
             "left_in_inbox": lambda: None,
             "clock": self.clock,
