A large write has the time that its bytes need

A write without an answer for 0.2 s is looked for in the owner's row; a look that is answered at once and does not show it means a lost write, which is broken off and sent again. A write that is still on its way looks the same: above some 100 KB an owner on a link of 5 Mbit/s would store nothing more, and each transaction also renews its lease. Doors grouped what they leave in the inbox by number only; over 1 MB the table refuses all of it.

Ruled out: no look at the row on slow links (a lost answer then costs a weak owner its lease); longer constants (they would be the same fault at another size).

Change: the look and the limit wait for the time that the bytes need on half of the host's link; a transaction, of owner or inbox, holds what the link carries in 0.25 s (600 KB at most, as before). On links of 200 Mbit/s and more nothing changes but for 8 ms at 100 KB.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -126,6 +126,7 @@
         inherited_s: For how long after the takeover any earlier holder may still
             act, in seconds. Holders may follow each other faster than the first
             one's lease runs out, so that the longest wait of the chain counts.
+        carries_bytes_s: Bytes of values a second that reach the table from here.
     """
 
     table: Table
@@ -140,6 +141,7 @@
     takeover_silent: bool = False
     acts_on_s: float = 0.0
     inherited_s: float = 0.0
+    carries_bytes_s: float = float("inf")
     _inherited_until: float = float("-inf")
     _held: OwnerRow | None = None
     _held_version: int = ABSENT
@@ -280,14 +282,17 @@
         The row shows whether the write took effect though its answer was lost.
         A second copy would tell as much, but in a slow table it only waits
         behind the first one, which is still under way. A table that answers the
-        look at once is not slow: there the write itself was lost, or is late.
+        look at once is not slow: there the write itself was lost, or is late. But
+        a large write may still be on its way there: begun anew each 0.2 s, one that
+        takes the link 0.3 s would never arrive.
 
         Raises:
             TableUnavailable: The write is to be sent again.
         """
         sending = asyncio.ensure_future(self.table.commit(txn))
         try:
-            await asyncio.wait({sending}, timeout=DOUBT_S)
+            on_its_way_s = txn.size() / self.carries_bytes_s
+            await asyncio.wait({sending}, timeout=DOUBT_S + on_its_way_s)
             while not sending.done():
                 began = self.clock.now()
                 try:
--- a/cranberrycleat/platform/adapter.py
+++ b/cranberrycleat/platform/adapter.py
@@ -81,7 +81,9 @@
     cfg = read_settings()
     return PlatformAdapter(
         settings=cfg,
-        store=PlatformStore(address=cfg.store, http=http),
+        store=PlatformStore(
+            address=cfg.store, http=http, carries_bytes_s=cfg.room.carries_bytes_s()
+        ),
         workers=PlatformWorkers(http=http),
         permits=PlatformPermits(address=cfg.permits, http=http),
         machines=(
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -111,12 +111,14 @@
     Attributes:
         address: IP and port.
         http: The process's client.
+        carries_bytes_s: Bytes a second that reach the store from here.
         patience: How long to wait for an answer.
         clock: Measures how long answers take.
     """
 
     address: str
     http: HttpClient
+    carries_bytes_s: float = float("inf")
     patience: Patience = attrs.field(factory=Patience)
     clock: Clock = attrs.field(factory=MonotonicClock)
 
@@ -205,8 +207,10 @@
             ),
             remove=tuple(_WireName(**_place(key)) for key in txn.deletes),
         )
+        body = codec.encode(wire)
+        on_its_way_s = len(body) / self.carries_bytes_s
         reply = await self._send(
-            "POST", "/api/rows-tx", body=codec.encode(wire), wait_s=WRITE_S
+            "POST", "/api/rows-tx", body=body, wait_s=WRITE_S + on_its_way_s
         )
         if reply.status == CONDITION_FAILED:
             now = {f"{r.table}/{r.key}": r for r in _decode(reply, "rows-tx").rows}
--- a/cranberrycleat/table.py
+++ b/cranberrycleat/table.py
@@ -53,6 +53,10 @@
     puts: tuple[Put, ...] = ()
     deletes: tuple[str, ...] = ()
 
+    def size(self) -> int:
+        """Return about how many bytes it writes: those of its values."""
+        return sum(len(put.value) for put in self.puts)
+
 
 @attrs.frozen(kw_only=True)
 class CommitReply:
--- a/cranberrycleat/workflow/batches.py
+++ b/cranberrycleat/workflow/batches.py
@@ -17,14 +17,13 @@
 from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.fleet import Placement
+from cranberrycleat.workflow.options import MOST_BATCH_BYTES
 from cranberrycleat.workflow.state import FINAL, Job, JobState
 
 MOST_ENTRIES: Final = 96
 """A transaction holds 100 entries, one of them the owner's row. A job needs one
 to three: 30 jobs a transaction, whatever they need, were too few in a slow store,
 which takes 0.45 s for each, at 50 jobs a second with three writes each."""
-MOST_BYTES: Final = 600_000
-"""A transaction holds 1 MB, in which values stand a third longer (base64)."""
 
 
 @attrs.frozen(kw_only=True)
@@ -46,8 +45,13 @@
     heard: tuple[tuple[str, int], ...]
 
 
-def take_batch(board: Board) -> Batch:
-    """Return what to store next; the rest stays dirty."""
+def take_batch(board: Board, most_bytes: int = MOST_BATCH_BYTES) -> Batch:
+    """Return what to store next; the rest stays dirty.
+
+    Args:
+        board: The owner's memory.
+        most_bytes: How many bytes of values, unless one job alone has more.
+    """
     chosen: list[Job] = []
     puts: list[Put] = []
     deletes: list[str] = []
@@ -57,7 +61,7 @@
         ended = job.verdict is not None and not job.spec_inline
         entries = len(puts) + len(deletes) + len(wanted) + ended
         size += sum(len(each.value) for each in wanted)
-        if chosen and (entries > MOST_ENTRIES or size > MOST_BYTES):
+        if chosen and (entries > MOST_ENTRIES or size > most_bytes):
             break
         del board.dirty[job.job_id]
         job.offered = True
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -106,12 +106,16 @@
             is_dead=self._is_dead,
             strength=self._candidacy.own,
             patience_s=lambda row: self._candidacy.patience_s(row.strength),
+            carries_bytes_s=cfg.room.carries_bytes_s(),
         )
         self._door = Door(
             config=self._config,
             store=self.adapter.store,
             inbox=GroupedWriter(
-                table=self.adapter.store, clock=self.clock, most=MOST_IN_INBOX_WRITE
+                table=self.adapter.store,
+                clock=self.clock,
+                most=MOST_IN_INBOX_WRITE,
+                most_bytes=options.batch_bytes(cfg.room),
             ),
             peers=self._peers,
             owner=self._held,
@@ -492,6 +496,7 @@
             status_s=cfg.status_s,
             peers=self._members,
             spread_factor=cfg.spread_factor,
+            batch_bytes=options.batch_bytes(cfg.room),
             pools=self._pools,
             reading_limit_s=self._candidacy.reading_limit_s(believed),
         )
--- a/cranberrycleat/workflow/options.py
+++ b/cranberrycleat/workflow/options.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from cranberrycleat.workflow.ports import LeaseBounds
+from cranberrycleat.workflow.ports import HostRoom, LeaseBounds
 
 OWNER_LEASE_S: Final = 0.9
 """Short urgent work has 0.75 s to spare, so a dead owner must be followed at
@@ -39,6 +39,10 @@
 """Two digests in a row are missing from every host of a data centre."""
 FORGET_MARGIN_S: Final = 30.0
 FORGET_AT_ONCE: Final = 60
+MOST_BATCH_BYTES: Final = 600_000
+"""A transaction holds 1 MB, in which values stand a third longer (base64)."""
+BATCH_S: Final = 0.25
+"""What a transaction may take on its way: it renews the ownership lease too."""
 
 
 @attrs.frozen(kw_only=True)
@@ -71,3 +75,8 @@
     return WorkerLeases(
         bounds=bounds, length_s=min(WORKER_LEASE_S, bounds.longest_lease_s)
     )
+
+
+def batch_bytes(room: HostRoom) -> int:
+    """Return how many bytes of values one transaction of a host may hold."""
+    return min(MOST_BATCH_BYTES, round(BATCH_S * room.carries_bytes_s()))
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -79,6 +79,7 @@
         spread_factor: How much longer tasks take away from their data.
         reading_limit_s: How long reading the rows may take at a takeover; None
             where no other host could do it better.
+        batch_bytes: How many bytes of values one transaction holds.
         director: Carries out upkeep waves, where there are machines.
         pools: Tells which services the configuration names; None without one.
         ready: Set once the rows were read.
@@ -98,6 +99,7 @@
     peers: Membership
     spread_factor: float = 1.0
     reading_limit_s: float | None = None
+    batch_bytes: int = options.MOST_BATCH_BYTES
     director: UpkeepDirector | None = None
     pools: Callable[[], frozenset[str] | None] = lambda: None
     board: Board = attrs.field(factory=Board)
@@ -269,7 +271,7 @@
                     await self._changed.wait()
             self._changed.clear()
             await asyncio.sleep(options.GATHER_S)
-            batch = take_batch(self.board)
+            batch = take_batch(self.board, self.batch_bytes)
             try:
                 await self._store(batch)
             except Deposed:
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -374,6 +374,13 @@
     processors: float
     link_mbps: float
 
+    def carries_bytes_s(self) -> float:
+        """Return how many bytes a second one transfer can count on.
+
+        Half of the link: others use it too.
+        """
+        return self.link_mbps * 1e6 / 8 / 2
+
 
 @attrs.frozen(kw_only=True)
 class NodeSettings:
--- a/cranberrycleat/writer.py
+++ b/cranberrycleat/writer.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import sys
 from typing import Final
 
 import attrs
@@ -78,6 +79,7 @@
         table: The table to write to.
         gather_s: How long changes are gathered before a transaction leaves.
         most: How many changes one transaction holds, a check and a put each.
+        most_bytes: How many bytes of values it holds, unless one alone has more.
         transactions: How many transactions were sent.
         clock: Where it gets the time from.
     """
@@ -86,6 +88,7 @@
     clock: Clock = attrs.field(factory=MonotonicClock)
     gather_s: float = 0.002
     most: int = MAX_GROUP
+    most_bytes: int = sys.maxsize
     transactions: int = 0
     _waiting: list[_Waiting] = attrs.field(factory=list)
     _sender: "asyncio.Task[None] | None" = None
@@ -115,13 +118,17 @@
         group: list[_Waiting] = []
         left: list[_Waiting] = []
         keys: set[str] = set()
+        size = 0
         for each in self._waiting:
             key = each.change.put.key
-            if key in keys or len(group) >= self.most:
+            more = len(each.change.put.value)
+            full = len(group) >= self.most or (group and size + more > self.most_bytes)
+            if key in keys or full:
                 left.append(each)
             else:
                 keys.add(key)
                 group.append(each)
+                size += more
         self._waiting = left
         return group
 
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -52,20 +52,14 @@
     assert len(board.dirty) == 200 - expected
 
 
-def test_a_transaction_holds_no_more_bytes_than_the_platform_takes(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr(batches, "MOST_BYTES", 10_000)
-    batch = take_batch(_board(10, program="x" * 4000))
+def test_a_transaction_holds_no_more_bytes_than_it_may() -> None:
+    batch = take_batch(_board(10, program="x" * 4000), 10_000)
     assert len(batch.jobs) == 2
 
 
-def test_one_job_that_is_too_large_is_stored_alone(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_one_job_that_is_too_large_is_stored_alone() -> None:
     """It would otherwise keep everything behind it from being stored."""
-    monkeypatch.setattr(batches, "MOST_BYTES", 100)
-    assert len(take_batch(_board(2)).jobs) == 1
+    assert len(take_batch(_board(2), 100).jobs) == 1
 
 
 def test_ends_are_acknowledged_as_their_own_jobs_are_stored() -> None:
