What keeps the configuration the newest is a module of its own

Behaviour as it is but for one thing: the bound is taken over when the settings file is read again, as the other settings are.

--- /dev/null
+++ b/cranberrycleat/workflow/config_watch.py
@@ -0,0 +1,95 @@
+"""Keeps a host's configuration the newest, and knows when it is not.
+
+The node runs it and asks it whether callers may be answered; the follower (see
+`directory`) reads, and `Touch` is told whether the table answered.
+"""
+
+import asyncio
+from typing import Final
+
+import attrs
+
+from cranberrycleat import errors, events
+from cranberrycleat.clock import Clock
+from cranberrycleat.logs import emit
+from cranberrycleat.workflow.directory import ConfigFollower
+from cranberrycleat.workflow.touch import STORE_FRESH_S, Touch
+
+WAIT_S: Final = 1.0
+"""How long the table holds a question for a newer configuration open; a
+connection that went silent shows within this and the client's time limit."""
+PAUSE_S: Final = 0.2
+LATE_MARGIN_S: Final = 0.5
+"""A newer configuration is heard of with a digest (0.3 s) after its first reader
+took it in (0.2 s for 1 MB on a fast link), and the bound counts from before that."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class ConfigWatch:
+    """Follows the configuration.
+
+    Attributes:
+        follower: Reads it, and holds the newest.
+        touch: Told whether the table answered.
+        clock: Counts suspended time.
+        bound_s: Within which time of its acknowledgement a configuration is in
+            force everywhere.
+        first: Set once a reading has come to its end.
+        unread: Readings in a row that came to nothing.
+    """
+
+    follower: ConfigFollower
+    touch: Touch
+    clock: Clock
+    bound_s: float
+    first: asyncio.Event = attrs.field(factory=asyncio.Event)
+    unread: int = 0
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            began = self.clock.now()
+            try:
+                await self.follower.follow(WAIT_S)
+                self.unread = 0
+                self.first.set()
+                self.touch.heard_table()
+            except errors.TableUnavailable as exc:
+                if isinstance(exc, errors.TableRefused):
+                    # This host is not cut off, and others fare no better.
+                    self.touch.heard_place()
+                self._tell_unread(began, exc)
+                await asyncio.sleep(PAUSE_S)
+
+    def _tell_unread(self, began: float, exc: errors.TableUnavailable) -> None:
+        """Log a reading without result; ever rarer where none has one."""
+        self.unread += 1
+        if self.unread & (self.unread - 1):
+            return
+        emit(
+            events.ConfigUnread(
+                held=self.follower.version,
+                in_a_row=self.unread,
+                after_s=round(self.clock.now() - began, 3),
+                reason=str(exc),
+            )
+        )
+
+    def hear(self, version: int) -> None:
+        """Note the version that another host holds."""
+        self.follower.hear(version, self.clock.now())
+
+    def late_s(self) -> float:
+        """Return for how long a newer version than the one in force is known of."""
+        return self.follower.late_s(self.clock.now())
+
+    def is_late(self) -> bool:
+        """Tell whether a newer configuration must be in force by now.
+
+        Others have it, and this host hears the table and could not read it in
+        time. What it holds may have queues that are gone and lack new ones, so
+        that every answer by it may be wrong. Without the table it goes on: the
+        owner that serves its callers has the newest.
+        """
+        limit_s = self.bound_s - LATE_MARGIN_S
+        return self.late_s() > limit_s and self.touch.table_age_s() < STORE_FRESH_S
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -23,7 +23,7 @@
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.adapter import Adapter
 from cranberrycleat.workflow.candidacy import Candidacy, strength
-from cranberrycleat.workflow.directory import ConfigFollower
+from cranberrycleat.workflow.config_watch import ConfigWatch
 from cranberrycleat.workflow.door import MOST_IN_INBOX_WRITE, Door
 from cranberrycleat.workflow.membership import Membership
 from cranberrycleat.workflow.owner import Owner
@@ -37,10 +37,6 @@
 
 LOG: Final[logging.Logger] = part_logger("node")
 OWNER_KEY: Final = "owner/cell"
-CONFIG_WAIT_S: Final = 1.0
-"""How long the table holds a question for a newer configuration open; a
-connection that went silent shows within this and the client's time limit."""
-PAUSE_S: Final = 0.2
 BALANCER_S: Final = 2.5
 """The balancer asks each second and sends no new callers after two misses."""
 FINISH_S: Final = 1.5
@@ -48,9 +44,6 @@
 flight: a caller's change takes 0.7 s at most, and its answer must leave."""
 SETTINGS_S: Final = 5.0
 """How often the settings file is read; it takes a millisecond."""
-LATE_MARGIN_S: Final = 0.5
-"""A newer configuration is heard of with a digest (0.3 s) after its first reader
-took it in (0.2 s for 1 MB on a fast link), and the bound counts from before that."""
 MOST_ASKED: Final = 2
 FIRST_CONFIG_S: Final = 0.5
 """How long a host that has just started keeps callers waiting for the first
@@ -74,15 +67,13 @@
     draining: bool = False
     _candidacy: Candidacy = attrs.field(init=False)
     _lease: OwnershipLease = attrs.field(init=False)
-    _config: ConfigFollower = attrs.field(init=False)
+    _config: ConfigWatch = attrs.field(init=False)
     _door: Door = attrs.field(init=False)
     _peers: PeerClient = attrs.field(init=False)
     _servers: list[HttpServer] = attrs.field(factory=list)
     _work: Background = attrs.field(factory=Background)
     _look: asyncio.Event = attrs.field(factory=asyncio.Event)
     _was_ready: bool = False
-    _unread: int = 0
-    _configured: asyncio.Event = attrs.field(factory=asyncio.Event)
     _members: Membership = attrs.field(factory=Membership)
     _touch: Touch = attrs.field(init=False)
 
@@ -92,7 +83,12 @@
         self._place = f"{cfg.name}@{self.address}"
         self._peers = PeerClient(http=self.http)
         self._touch = Touch(clock=self.clock)
-        self._config = self.adapter.config_follower()
+        self._config = ConfigWatch(
+            follower=self.adapter.config_follower(),
+            touch=self._touch,
+            clock=self.clock,
+            bound_s=cfg.config_bound_s,
+        )
         self._candidacy = Candidacy(
             own=strength(cfg.room), members=self._members, clock=self.clock
         )
@@ -109,7 +105,7 @@
             carries_bytes_s=cfg.room.carries_bytes_s(),
         )
         self._door = Door(
-            config=self._config,
+            config=self._config.follower,
             store=self.adapter.store,
             inbox=GroupedWriter(
                 table=self.adapter.store,
@@ -122,7 +118,7 @@
             owner_address=self.owner_address,
             own_address=self.address,
             in_touch=self.in_touch,
-            config_is_late=self.config_is_late,
+            config_is_late=self._config.is_late,
             refused=self._suspect_owner,
             left_in_inbox=self._tell_owner,
             clock=self.clock,
@@ -143,7 +139,8 @@
         table no host serves better than another: then all stay ready.
         """
         connected = self.in_touch() or self._touch.connected()
-        known = self._config.current is not None and not self.config_is_late()
+        config = self._config
+        known = config.follower.current is not None and not config.is_late()
         ready = not self.draining and known and connected
         if ready is not self._was_ready:
             self._was_ready = ready
@@ -152,7 +149,7 @@
                     ready=ready,
                     owner_s=round(self._touch.owner_age_s(), 2),
                     table_s=round(self._touch.table_age_s(), 2),
-                    config_late_s=round(self._config.late_s(self.clock.now()), 2),
+                    config_late_s=round(config.late_s(), 2),
                 )
             )
         return ready
@@ -163,18 +160,6 @@
         owns = owner is not None and owner.store_answers
         return owns or self._touch.served()
 
-    def config_is_late(self) -> bool:
-        """Tell whether a newer configuration must be in force by now.
-
-        Others have it, and this host hears the table and could not read it in
-        time. What it holds may have queues that are gone and lack new ones, so
-        that every answer by it may be wrong. Without the table it goes on: the
-        owner that serves its callers has the newest.
-        """
-        limit_s = self.adapter.settings.config_bound_s - LATE_MARGIN_S
-        late_s = self._config.late_s(self.clock.now())
-        return late_s > limit_s and self._touch.table_age_s() < STORE_FRESH_S
-
     def owner_address(self) -> str:
         """Return where the owner answers, by the newest word of it."""
         row = self._lease.seen()
@@ -192,7 +177,7 @@
                 owner.digest(req),
                 owner_at=self.address,
                 holder=self._lease.holder,
-                config=self._config.version,
+                config=self._config.follower.version,
             )
         self._members.hear(req, self.clock.now())
         return DigestReply(
@@ -200,7 +185,7 @@
             holder=self._lease.holder,
             epoch=max(self._lease.epoch, self._touch.hint.epoch),
             owner_at=self.owner_address(),
-            config=self._config.version,
+            config=self._config.follower.version,
         )
 
     def _is_dead(self, holder: str) -> bool:
@@ -262,7 +247,7 @@
         name_host(cfg.name)
         emit(events.ProcessStarted(name=cfg.name, data_centre=cfg.data_centre))
         for work in (
-            self._follow_config,
+            self._config.run,
             self._follow_settings,
             self._stand,
             self._exchange,
@@ -271,7 +256,7 @@
             self._work.keep(work)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_CONFIG_S):
-                await self._configured.wait()
+                await self._config.first.wait()
         await self._listen(self.adapter.front(self._door, self.is_ready), cfg.front)
 
     async def _listen(self, app: Any, address: str) -> None:
@@ -287,9 +272,9 @@
         metrics.watch("host.ready", lambda: float(self.is_ready()))
         metrics.watch(
             "config.version",
-            lambda: float(self._config.version),
+            lambda: float(self._config.follower.version),
         )
-        metrics.watch("config.late", lambda: self._config.late_s(self.clock.now()))
+        metrics.watch("config.late", self._config.late_s)
         metrics.watch("owner.lease.left", self._lease_left)
         metrics.watch("tasks.pending", lambda: self._owned("pending"))
         metrics.watch("tasks.held", lambda: self._owned("placed"))
@@ -360,6 +345,7 @@
             emit(events.SettingsUnreadable(findings=str(exc)))
             return
         if changed:
+            self._config.bound_s = self.adapter.settings.config_bound_s
             emit(events.SettingsReread(changed=changed))
 
     async def _follow_settings(self) -> None:
@@ -370,7 +356,7 @@
 
     def dump(self) -> object:
         """Return this process's state."""
-        config = self._config.current
+        config = self._config.follower.current
         return {
             "host": self.adapter.settings.name,
             "ready": self.is_ready(),
@@ -383,37 +369,6 @@
 
     # --- background -------------------------------------------------------------
 
-    async def _follow_config(self) -> None:
-        while True:
-            began = self.clock.now()
-            try:
-                await self._config.follow(CONFIG_WAIT_S)
-                self._unread = 0
-                self._configured.set()
-                self._touch.heard_table()
-            except errors.TableRefused as exc:
-                # This host is not cut off, and others fare no better.
-                self._touch.heard_place()
-                self._tell_unread(began, exc)
-                await asyncio.sleep(PAUSE_S)
-            except errors.TableUnavailable as exc:
-                self._tell_unread(began, exc)
-                await asyncio.sleep(PAUSE_S)
-
-    def _tell_unread(self, began: float, exc: errors.TableUnavailable) -> None:
-        """Log a reading without result; ever rarer where none has one."""
-        self._unread += 1
-        if self._unread & (self._unread - 1):
-            return
-        emit(
-            events.ConfigUnread(
-                held=self._config.version,
-                in_a_row=self._unread,
-                after_s=round(self.clock.now() - began, 3),
-                reason=str(exc),
-            )
-        )
-
     async def _stand(self) -> None:
         """Stand for the ownership, and act while it is held.
 
@@ -505,7 +460,7 @@
 
     def _pools(self) -> frozenset[str] | None:
         """Return the services that the configuration names."""
-        config = self._config.current
+        config = self._config.follower.current
         return None if config is None else frozenset(each.name for each in config.pools)
 
     def _make_director(self, owner: Owner) -> UpkeepDirector | None:
@@ -516,7 +471,7 @@
             client=machines,
             writer=self.adapter.store,
             status=self.adapter.wave_status,
-            waves=lambda: self._config.waves,
+            waves=lambda: self._config.follower.waves,
             board=owner.board,
             holder=self.adapter.settings.name,
             epoch=lambda: owner.epoch,
@@ -577,7 +532,7 @@
 
     def _take_hint(self, reply: DigestReply) -> None:
         self._touch.take_hint(reply)
-        self._config.hear(reply.config, self.clock.now())
+        self._config.hear(reply.config)
 
     async def _ask_elsewhere(self) -> None:
         """Find out whether any other data centre can be reached."""
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -381,17 +381,17 @@
     Row(
         promise="8 configuration",
         what="refusing by a configuration that is known to be old",
-        file="workflow/node.py",
-        text="        return late_s > limit_s and self._touch.table_age_s() < STORE_FRESH_S",
+        file="workflow/config_watch.py",
+        text="        return self.late_s() > limit_s and self.touch.table_age_s() < STORE_FRESH_S",
         instead="        return False",
         test="tests/test_late_config.py::test_a_host_that_cannot_read_the_newest_refuses",
     ),
     Row(
         promise="8 configuration",
         what="going on by it where the table is lost",
-        file="workflow/node.py",
-        text="        return late_s > limit_s and self._touch.table_age_s() < STORE_FRESH_S",
-        instead="        return late_s > limit_s",
+        file="workflow/config_watch.py",
+        text="        return self.late_s() > limit_s and self.touch.table_age_s() < STORE_FRESH_S",
+        instead="        return self.late_s() > limit_s",
         test="tests/test_late_config.py::test_a_host_that_has_lost_the_table_goes_on_answering",
     ),
     Row(
--- a/tests/test_late_config.py
+++ b/tests/test_late_config.py
@@ -55,10 +55,8 @@
 async def follow_rows(running: list[Node], made: Cell) -> None:
     """Have every node follow the configuration's row, which has version 2."""
     for node in running:
-        node.adapter.settings = attrs.evolve(  # type: ignore[misc]
-            node.adapter.settings, config_bound_s=BOUND_S
-        )
-        node._config.read = read
+        node._config.bound_s = BOUND_S
+        node._config.follower.read = read
     write(made, 2)
     await until(lambda: all(holds(node, 2) for node in running))
 
@@ -71,7 +69,7 @@
 
 def holds(node: Node, version: int) -> bool:
     """Tell whether a version is in force on a host."""
-    held = node._config.current
+    held = node._config.follower.current
     return held is not None and held.version == version
 
 
@@ -82,9 +80,9 @@
         async with cell() as made, nodes(made) as running:
             await follow_rows(running, made)
             late = running[1]
-            way = late._config.store
+            way = late._config.follower.store
             blind = NeverRead(table=way)
-            late._config.store = blind
+            late._config.follower.store = blind
             await until(lambda: blind.calls > 0)
             write(made, 3)
             await until(lambda: holds(running[0], 3))
@@ -97,7 +95,7 @@
                 assert "configuration" in json.loads(reply.body)["reason"]
             assert "jobs/0a" not in made.table.rows, "what was refused never runs"
             assert (await ask(running[0], "GET", "/q/")).status == 200
-            late._config.store = way
+            late._config.follower.store = way
             await until(lambda: holds(late, 3) and late.is_ready())
             assert (await ask(late, "GET", "/q/")).status == 200
 
@@ -112,9 +110,9 @@
             await follow_rows(running, made)
             late = running[1]
             late.adapter.path.cut = True  # type: ignore[attr-defined]
-            await until(lambda: late._unread > 0)
+            await until(lambda: late._config.unread > 0)
             write(made, 3)
-            await until(lambda: late._config.late_s(late.clock.now()) > 2 * BOUND_S)
+            await until(lambda: late._config.late_s() > 2 * BOUND_S)
             assert holds(late, 2)
             assert (await ask(late, "POST", "/q/0a", JOB)).status == 200
 
