--- a/cranberrycleat/platform/adapter.py
+++ b/cranberrycleat/platform/adapter.py
@@ -38,6 +38,7 @@
         )
         self.settings = fresh
         self.store.address = fresh.store
+        self.store.carries_bytes_s = fresh.room.carries_bytes_s()
         self.permits.address = fresh.permits
         if self.machines is not None:
             self.machines.address = fresh.machines
