A soak of the configuration: versions in series, slow links, readings that fail

The stand-in behind a slow link is a module of its own and learns refusals and a lost history.

Judged by what the operator wrote: no host goes back, none holds a mixture, all hold the newest once the faults are over.

--- /dev/null
+++ b/tests/slow_table.py
@@ -0,0 +1,172 @@
+"""The operator's table behind a slow link, by its published protocol, with faults."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import threading
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any, Final
+from urllib.parse import parse_qsl
+
+import attrs
+
+from cranberrycleat.asgi import Answer, read_body, send_answer
+from cranberrycleat.http_client import HttpClient
+from cranberrycleat.http_server import HttpServer
+from cranberrycleat.platform.store import PlatformStore
+
+QUEUES: Final = 400
+WAIT_S: Final = 0.1
+"""For how long the table holds a question for changes open."""
+STEP_S: Final = 0.02
+LONGEST_S: Final = 12.0
+"""Longer than any number of readings that a test allows."""
+
+
+def document(version: int, queues: int = QUEUES) -> str:
+    """Return a configuration as the operator writes it."""
+    routes = [
+        {
+            "name": f"r-{number}",
+            "host": "host.example",
+            "prefix": f"/q{number}/",
+            "service": "pool",
+        }
+        for number in range(queues)
+    ]
+    services = [{"name": "pool"}]
+    return json.dumps({"version": version, "routes": routes, "services": services})
+
+
+@attrs.define(kw_only=True, eq=False)
+class SlowLinkTable:
+    """The operator's table by its published protocol, behind a slow link.
+
+    Attributes:
+        transfer_s: How long the link takes for one version of the configuration.
+        history: Every change, each in full, as the table keeps them.
+        sent: Bytes that went over the link.
+        asked: The calls that came, in order.
+        break_off_at: Bytes after which the next answer's connection ends.
+        silent_at: Bytes after which the next answer's connection falls silent.
+        refusals: How many of the next calls are turned away.
+        kept_from: Changes up to this version are no longer kept.
+    """
+
+    transfer_s: float
+    history: list[dict[str, Any]] = attrs.field(factory=list)
+    sent: int = 0
+    asked: list[str] = attrs.field(factory=list)
+    break_off_at: int = 0
+    silent_at: int = 0
+    refusals: int = 0
+    kept_from: int = 0
+
+    def forget(self) -> None:
+        """Drop all history, as the platform may at any time."""
+        self.kept_from = self.history[-1]["schema_ver"]
+
+    def write(self, version: int, queues: int = QUEUES) -> None:
+        """Write a version, as the operator does."""
+        value = base64.b64encode(document(version, queues).encode()).decode()
+        row = {"table": "op", "part": "", "key": "config", "value": value}
+        self.history.append({**row, "schema_ver": version})
+
+    @property
+    def size(self) -> int:
+        """Bytes of the newest row."""
+        return len(json.dumps(self.history[-1]))
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request at the link's pace, until the caller has left."""
+        await read_body(receive)
+        args = dict(parse_qsl(scope["query_string"].decode()))
+        self.asked.append(scope["path"])
+        if self.refusals > 0:
+            self.refusals -= 1
+            await send_answer(send, Answer(message={}, status=503))
+            return
+        if scope["path"] == "/api/rows-feed" and int(args["after"]) < self.kept_from:
+            await send_answer(send, Answer(message={}, status=410))
+            return
+        if scope["path"] == "/api/rows-feed":
+            rows = await self._changes(int(args["after"]), int(args["wait_ms"]))
+        else:
+            rows = self.history[-1:]
+        version = self.history[-1]["schema_ver"]
+        data = json.dumps({"rows": rows, "schema_ver": version}).encode()
+        left = asyncio.ensure_future(receive())
+        try:
+            await self._send(send, data, left)
+        finally:
+            left.cancel()
+
+    async def _changes(self, after: int, wait_ms: int) -> list[dict[str, Any]]:
+        for _ in range(max(1, round(wait_ms / 1000 / STEP_S))):
+            found = [row for row in self.history if row["schema_ver"] > after]
+            if found:
+                return found
+            await asyncio.sleep(STEP_S)
+        return []
+
+    async def _send(self, send: Any, data: bytes, left: "asyncio.Future[Any]") -> None:
+        headers = [(b"content-length", str(len(data)).encode())]
+        start = {"type": "http.response.start", "status": 200, "headers": headers}
+        await send(start)
+        pace = max(1, round(self.size / self.transfer_s * STEP_S))
+        break_off_at, self.break_off_at = self.break_off_at, 0
+        silent_at, self.silent_at = self.silent_at, 0
+        for begin in range(0, len(data), pace):
+            if left.done() or 0 < break_off_at <= begin:
+                return
+            if 0 < silent_at <= begin:
+                await left
+                return
+            part = data[begin : begin + pace]
+            self.sent += len(part)
+            more = begin + pace < len(data)
+            await send({"type": "http.response.body", "body": part, "more_body": more})
+            await asyncio.sleep(STEP_S)
+
+
+@contextlib.asynccontextmanager
+async def slow_link(
+    transfer_s: float,
+) -> AsyncIterator[tuple[SlowLinkTable, PlatformStore]]:
+    """Run such a table and a client of it; version 1 is there and small.
+
+    The table has a thread of its own, so that it goes on while a host stands still.
+    """
+    table = SlowLinkTable(transfer_s=transfer_s)
+    table.write(1, queues=1)
+    server = HttpServer(app=table, host="127.0.0.1", port=0)
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever, daemon=True)
+    thread.start()
+    await on_loop(loop, server.start())
+    http = HttpClient()
+    try:
+        yield table, PlatformStore(address=f"127.0.0.1:{server.port}", http=http)
+    finally:
+        await http.close()
+        await on_loop(loop, _end(server))
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
+async def _end(server: HttpServer) -> None:
+    """Stop a server at once, and what it was still answering."""
+    await server.kill()
+    left = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in left:
+        task.cancel()
+    await asyncio.gather(*left, return_exceptions=True)
+
+
+async def on_loop(
+    loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, None]
+) -> None:
+    """Wait for what runs on another thread's event loop."""
+    await asyncio.wrap_future(asyncio.run_coroutine_threadsafe(work, loop))
--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -16,157 +16,16 @@
 """
 
 import asyncio
-import base64
-import contextlib
-import json
-import threading
 import time
-from collections.abc import AsyncIterator, Callable, Coroutine
-from typing import Any, Final
-from urllib.parse import parse_qsl
 
-import attrs
 import pytest
 
 from cranberrycleat import errors
-from cranberrycleat.asgi import read_body
-from cranberrycleat.http_client import HttpClient
-from cranberrycleat.http_server import HttpServer
 from cranberrycleat.platform.records import CONFIG_KEY, CONFIG_TABLE, read_config
 from cranberrycleat.platform.store import PlatformStore
 from cranberrycleat.workflow.directory import ConfigFollower
 from tests.fakes import go
-
-QUEUES: Final = 400
-WAIT_S: Final = 0.1
-"""For how long the table holds a question for changes open."""
-STEP_S: Final = 0.02
-LONGEST_S: Final = 12.0
-"""Longer than any number of readings that a test allows."""
-
-
-def document(version: int, queues: int = QUEUES) -> str:
-    """Return a configuration as the operator writes it."""
-    routes = [
-        {
-            "name": f"r-{number}",
-            "host": "host.example",
-            "prefix": f"/q{number}/",
-            "service": "pool",
-        }
-        for number in range(queues)
-    ]
-    services = [{"name": "pool"}]
-    return json.dumps({"version": version, "routes": routes, "services": services})
-
-
-@attrs.define(kw_only=True, eq=False)
-class SlowLinkTable:
-    """The operator's table by its published protocol, behind a slow link.
-
-    Attributes:
-        transfer_s: How long the link takes for one version of the configuration.
-        history: Every change, each in full, as the table keeps them.
-        sent: Bytes that went over the link.
-        asked: The calls that came, in order.
-        break_off_at: Bytes after which the next answer's connection ends.
-        silent_at: Bytes after which the next answer's connection falls silent.
-    """
-
-    transfer_s: float
-    history: list[dict[str, Any]] = attrs.field(factory=list)
-    sent: int = 0
-    asked: list[str] = attrs.field(factory=list)
-    break_off_at: int = 0
-    silent_at: int = 0
-
-    def write(self, version: int, queues: int = QUEUES) -> None:
-        """Write a version, as the operator does."""
-        value = base64.b64encode(document(version, queues).encode()).decode()
-        row = {"table": "op", "part": "", "key": "config", "value": value}
-        self.history.append({**row, "schema_ver": version})
-
-    @property
-    def size(self) -> int:
-        """Bytes of the newest row."""
-        return len(json.dumps(self.history[-1]))
-
-    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
-        """Answer one request at the link's pace, until the caller has left."""
-        await read_body(receive)
-        args = dict(parse_qsl(scope["query_string"].decode()))
-        self.asked.append(scope["path"])
-        if scope["path"] == "/api/rows-feed":
-            rows = await self._changes(int(args["after"]), int(args["wait_ms"]))
-        else:
-            rows = self.history[-1:]
-        version = self.history[-1]["schema_ver"]
-        data = json.dumps({"rows": rows, "schema_ver": version}).encode()
-        left = asyncio.ensure_future(receive())
-        try:
-            await self._send(send, data, left)
-        finally:
-            left.cancel()
-
-    async def _changes(self, after: int, wait_ms: int) -> list[dict[str, Any]]:
-        for _ in range(max(1, round(wait_ms / 1000 / STEP_S))):
-            found = [row for row in self.history if row["schema_ver"] > after]
-            if found:
-                return found
-            await asyncio.sleep(STEP_S)
-        return []
-
-    async def _send(self, send: Any, data: bytes, left: "asyncio.Future[Any]") -> None:
-        headers = [(b"content-length", str(len(data)).encode())]
-        start = {"type": "http.response.start", "status": 200, "headers": headers}
-        await send(start)
-        pace = max(1, round(self.size / self.transfer_s * STEP_S))
-        break_off_at, self.break_off_at = self.break_off_at, 0
-        silent_at, self.silent_at = self.silent_at, 0
-        for begin in range(0, len(data), pace):
-            if left.done() or 0 < break_off_at <= begin:
-                return
-            if 0 < silent_at <= begin:
-                await left
-                return
-            part = data[begin : begin + pace]
-            self.sent += len(part)
-            more = begin + pace < len(data)
-            await send({"type": "http.response.body", "body": part, "more_body": more})
-            await asyncio.sleep(STEP_S)
-
-
-@contextlib.asynccontextmanager
-async def slow_link(
-    transfer_s: float,
-) -> AsyncIterator[tuple[SlowLinkTable, PlatformStore]]:
-    """Run such a table and a client of it; version 1 is there and small.
-
-    The table has a thread of its own, so that it goes on while a host stands still.
-    """
-    table = SlowLinkTable(transfer_s=transfer_s)
-    table.write(1, queues=1)
-    server = HttpServer(app=table, host="127.0.0.1", port=0)
-    loop = asyncio.new_event_loop()
-    thread = threading.Thread(target=loop.run_forever, daemon=True)
-    thread.start()
-    await on_loop(loop, server.start())
-    http = HttpClient()
-    try:
-        yield table, PlatformStore(address=f"127.0.0.1:{server.port}", http=http)
-    finally:
-        await http.close()
-        await on_loop(loop, server.kill())
-        loop.call_soon_threadsafe(loop.stop)
-        thread.join()
-        loop.close()
-
-
-async def on_loop(
-    loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, None]
-) -> None:
-    """Wait for what runs on another thread's event loop."""
-    await asyncio.wrap_future(asyncio.run_coroutine_threadsafe(work, loop))
+from tests.slow_table import LONGEST_S, WAIT_S, slow_link
 
 
 def follower(store: PlatformStore) -> ConfigFollower:
@@ -176,14 +35,14 @@
     )
 
 
-async def follow_until(held: ConfigFollower, done: Callable[[], bool]) -> None:
-    """Follow as a host does, again after each reading without result.
+async def follow_to(held: ConfigFollower, version: int) -> None:
+    """Follow as a host does until a version is in force.
 
     Raises:
-        TimeoutError: It did not come about.
+        TimeoutError: It did not come into force.
     """
     async with asyncio.timeout(LONGEST_S):
-        while not done():
+        while not holds(held, version):
             try:
                 await held.follow(WAIT_S)
             except errors.TableUnavailable:
@@ -201,10 +60,10 @@
     async def run() -> None:
         async with slow_link(2.0) as (table, store):
             held = follower(store)
-            await follow_until(held, lambda: holds(held, 1))
+            await follow_to(held, 1)
             table.write(2)
             table.sent = 0
-            await follow_until(held, lambda: holds(held, 2))
+            await follow_to(held, 2)
             assert table.sent < 2 * table.size, "the link was filled again and again"
 
     go(run())
@@ -217,7 +76,7 @@
         async with slow_link(3.0) as (table, store):
             table.write(2)
             held = follower(store)
-            await follow_until(held, lambda: holds(held, 2))
+            await follow_to(held, 2)
             assert table.sent < 2 * table.size
 
     go(run())
@@ -233,10 +92,10 @@
     async def run() -> None:
         async with slow_link(0.8) as (table, store):
             held = follower(store)
-            await follow_until(held, lambda: holds(held, 1))
+            await follow_to(held, 1)
             table.sent = 0
             table.write(2)
-            reading = asyncio.create_task(follow_until(held, lambda: holds(held, 12)))
+            reading = asyncio.create_task(follow_to(held, 12))
             for version in range(3, 13):
                 await asyncio.sleep(0.05)
                 table.write(version)
@@ -253,13 +112,13 @@
     async def run() -> None:
         async with slow_link(0.4) as (table, store):
             held = follower(store)
-            await follow_until(held, lambda: holds(held, 1))
+            await follow_to(held, 1)
             table.write(2)
             setattr(table, fault, table.size // 2)
             with pytest.raises(errors.TableUnavailable):
                 await held.follow(1.0)
             assert holds(held, 1)
-            await follow_until(held, lambda: holds(held, 2))
+            await follow_to(held, 2)
 
     go(run())
 
@@ -270,10 +129,10 @@
     async def run() -> None:
         async with slow_link(1.5) as (table, store):
             held = follower(store)
-            await follow_until(held, lambda: holds(held, 1))
+            await follow_to(held, 1)
             table.write(2)
             table.sent = 0
-            reading = asyncio.create_task(follow_until(held, lambda: holds(held, 2)))
+            reading = asyncio.create_task(follow_to(held, 2))
             for _ in range(2):
                 await asyncio.sleep(0.3)
                 time.sleep(1.5)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""Short runs of the fault soak, by fixed seeds (see `tests.soak`)."""
+"""Short runs of the fault soaks, by fixed seeds (see `tests.soak`, `config_soak`)."""
 
 import asyncio
 
@@ -6,7 +6,7 @@
 
 from cranberrycleat.standins.fleet import StandinFleet
 from cranberrycleat.workflow.ports import StartOrder, WorkerUnreachable
-from tests import soak
+from tests import config_soak, soak
 from tests.cell import entry
 
 SECONDS = 5.0
@@ -17,6 +17,11 @@
     assert asyncio.run(soak.play(seed, SECONDS)) == []
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_the_newest_configuration_is_in_force_after_any_trouble(seed: int) -> None:
+    assert asyncio.run(config_soak.Soak(seed=seed, seconds=SECONDS).run()) == []
+
+
 def test_the_judge_carries_out_no_late_order_on_a_life_that_is_over() -> None:
     """It would count as a start of a task that is done elsewhere by then."""
 
