A job waits until a worker has begun an attempt of it

Cause: a job left the count of waiting jobs when it was placed. Change: a job leaves the count when a worker accepts a start of it, lists an attempt or an end of it; a successor counts a job until it hears the same, unless its row shows an end. One case of the test of the board said that a placement is a beginning: it is replaced by five (placed, running, ended, given up before and after the beginning). Shown by tests/test_waiting.py, which failed each time before and passes.

--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -63,8 +63,9 @@
         dirty: Jobs with changes that are not stored.
         inbox: Jobs whose row in the inbox is still to be removed.
         placed: What counts on workers, by job and attempt.
-        unstarted: Open jobs without a schedule that have started nothing, by
-            queue; kept as they change, since every digest tells the numbers.
+        unstarted: Open jobs without a schedule of which no worker is known to have
+            begun anything, by queue; kept as they change, since every digest tells
+            the numbers. A placement is no beginning: behind a cut nobody starts it.
         ended: When each final job ended, since 1970, and its identity; a heap.
         unreadable: Jobs whose rows another version wrote. What runs of them is
             neither stopped nor acknowledged: whoever can read them decides.
@@ -261,7 +262,7 @@
                     self.waiting[step.name] = step
 
     def _count_unstarted(self, job: Job) -> None:
-        if not job.started and job.spec.schedule is None:
+        if not job.has_begun() and job.spec.schedule is None:
             self.unstarted.setdefault(job.queue.name, set()).add(job.job_id)
 
     def _uncount_unstarted(self, job: Job) -> None:
@@ -279,7 +280,6 @@
         """Count a task on a worker; it is ordered once this is stored."""
         job = task.step.job
         job.place(task, worker.name, attempt)
-        self._uncount_unstarted(job)
         placement = Placement(
             task=task.name,
             attempt=attempt,
@@ -368,6 +368,11 @@
 
     # --- what workers say -----------------------------------------------------
 
+    def note_begun(self, placement: Placement) -> None:
+        """A worker said that it began an attempt: its job waits no longer."""
+        if placement.subject is not None:
+            self._uncount_unstarted(placement.subject.step.job)
+
     def sync(
         self, worker: FleetWorker, reply: SyncReply, *, sent_at: float, now: float
     ) -> list[EndedTask]:
@@ -391,6 +396,7 @@
         if placement is None:
             placement = self._stray(worker, run)
         placement.heard(run, now)
+        self.note_begun(placement)
         task = placement.subject
         if task is not None and placement.is_current:
             task.at_work = run.percent >= AT_WORK
@@ -445,6 +451,7 @@
         self._judge(worker, end, now)
         if job is None or task is None or job.verdict is not None:
             return
+        self._uncount_unstarted(job)
         if task.state is TaskState.DONE:
             return
         given_up = task.attempt != end.attempt or (
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -264,6 +264,7 @@
             case Verdict.ACCEPTED | Verdict.STALE_ATTEMPT:
                 # A stale attempt is over there; the next lists tell how.
                 placement.began(now)
+                self.board.note_begun(placement)
                 emit(
                     events.TaskStarted(
                         task=placement.task,
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -191,6 +191,15 @@
             return self.verdict
         return JobState.RUNNING if self.started else JobState.QUEUED
 
+    def has_begun(self) -> bool:
+        """Tell whether what is stored shows that a worker began any task of it."""
+        return self.verdict is not None or any(
+            task.state is TaskState.DONE or bool(task.failures) or bool(task.saved)
+            for occurrence in self.open.values()
+            for step in occurrence.steps
+            for task in step.tasks
+        )
+
     def open_occurrence(self) -> Occurrence:
         """Open the next occurrence and return it."""
         number = self.next_occurrence
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -410,4 +410,12 @@
         instead="            full = len(group) >= self.most",
         test="tests/test_large_writes.py::test_a_group_of_large_changes_is_sent_in_parts",
     ),
+    Row(
+        promise="truth",
+        what="a job begins when a worker says so, not when it is placed",
+        file="workflow/board.py",
+        text="        job.place(task, worker.name, attempt)\n",
+        instead="        job.place(task, worker.name, attempt)\n        self._uncount_unstarted(job)\n",
+        test="tests/test_waiting.py",
+    ),
 )
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -33,16 +33,61 @@
     board.restore(found)
 
 
+def _restore_half_done(board: Board) -> None:
+    found = Job(job_id="b", queue=queue(), spec=job(step(2)), accepted_s=1.0)
+    found.open_occurrence().steps[0].tasks[0].state = TaskState.DONE
+    board.restore(found)
+
+
+def _hear_running(board: Board) -> None:
+    _place(board)
+    run = RunningTask(task="a.0.0.0", attempt=1, saved="", percent=0.0)
+    reply = SyncReply(worker_time_ms=1, running=(run,), ended=())
+    board.sync(board.fleet.workers["w"], reply, sent_at=0.0, now=0.0)
+
+
+def _hear_end(board: Board) -> None:
+    _place(board)
+    worker = board.fleet.workers["w"]
+    board.sync(worker, _done("a.0.0.0", 1), sent_at=0.0, now=0.0)
+
+
+def _give_up(board: Board) -> None:
+    _place(board)
+    board.lapse(board.fleet.workers["w"])
+
+
+def _give_up_begun(board: Board) -> None:
+    _hear_running(board)
+    board.lapse(board.fleet.workers["w"])
+
+
 @pytest.mark.parametrize(
     ("change", "expected"),
     [
         (lambda board: None, 1),
-        (_place, 0),
+        (_place, 1),
+        (_hear_running, 0),
+        (_hear_end, 0),
+        (_give_up, 1),
+        (_give_up_begun, 0),
         (lambda board: board.cancel("a"), 0),
         (lambda board: board.withdraw("a"), 0),
         (_restore, 2),
+        (_restore_half_done, 1),
+    ],
+    ids=[
+        "accepted",
+        "placed",
+        "running",
+        "a task ended",
+        "given up unbegun",
+        "given up begun",
+        "cancelled",
+        "withdrawn",
+        "restored",
+        "restored half done",
     ],
-    ids=["accepted", "placed", "cancelled", "withdrawn", "restored"],
 )
 def test_queue_length_follows_each_change(
     change: Callable[[Board], object], expected: int
