Permits are asked for through hosts that were heard of of late, the nearest first

A host counted as one to ask for 8 s after its last word. And of idle hosts the one with the smallest address was asked, in whatever data centre it stood.

--- a/cranberrycleat/workflow/membership.py
+++ b/cranberrycleat/workflow/membership.py
@@ -13,6 +13,8 @@
 from cranberrycleat.workflow.peering import Digest, DigestReply, PeerEntry
 
 VERSION_BITS: Final = 0xFFFFFFFF
+FRESH_S: Final = 1.0
+"""Digests come each 0.3 s and wait 0.3 s for an answer: one may be missed."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -62,6 +64,22 @@
         since = now - self.kept_s
         return tuple(peer for peer, heard in self.entries.values() if heard > since)
 
+    def helpers(self, now: float, data_centre: str) -> tuple[str, ...]:
+        """Return the hosts to ask for help, those of a data centre first.
+
+        Hosts behind a cut count as live for long; a call to one of them is lost with
+        its time limit, which is all that a short step has. So only hosts whose newest
+        word is fresh are asked, unless none is: an owner that has just taken over.
+        """
+        known = self.live(now)
+        fresh = tuple(
+            peer for peer in known if now - self.entries[peer.address][1] < FRESH_S
+        )
+        near_first = sorted(
+            fresh or known, key=lambda peer: peer.data_centre != data_centre
+        )
+        return tuple(peer.address for peer in near_first)
+
     def strongest(self, now: float, within_s: float) -> float:
         """Return the greatest strength among hosts heard of within a time."""
         return max(
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -437,7 +437,7 @@
             own=self.adapter.permits,
             own_address=self.address,
             peer_client=self._peers,
-            peers=self._peer_addresses,
+            peers=self._helpers,
             clock=self.clock,
         )
         owner = Owner(
@@ -484,6 +484,12 @@
         live = self._members.live(self.clock.now())
         return tuple(peer.address for peer in live if peer.address != self.address)
 
+    def _helpers(self) -> tuple[str, ...]:
+        """Return the hosts through which permits are asked for, the best first."""
+        place = self.adapter.settings.data_centre
+        found = self._members.helpers(self.clock.now(), place)
+        return tuple(address for address in found if address != self.address)
+
     async def _exchange(self) -> None:
         """Tell the owner of this host, and learn the queues' lengths."""
         while True:
--- a/cranberrycleat/workflow/permit_desk.py
+++ b/cranberrycleat/workflow/permit_desk.py
@@ -44,7 +44,7 @@
         own: The service, as called from this host.
         own_address: This host's address among the peers.
         peer_client: Calls to other hosts.
-        peers: Tells the addresses of the other live hosts.
+        peers: Tells the addresses of the other hosts, the best to ask first.
         clock: The owner's clock.
     """
 
@@ -157,16 +157,17 @@
 
     def _free_host(self) -> str | None:
         now = self.clock.now()
-        hosts = {self.own_address, *self.peers()}
+        hosts = dict.fromkeys((self.own_address, *self.peers()))
         good = [host for host in hosts if self._bad_until.get(host, 0.0) <= now]
         free = [
             host
             for host in good or [self.own_address]
             if self._calls.get(host, 0) < LANE_DEPTH
         ]
+        # Among like hosts the first is taken: calls between data centres are dear.
         return min(
             free,
-            key=lambda host: (round(self._under_way.get(host, 0.0), 4), host),
+            key=lambda host: round(self._under_way.get(host, 0.0), 4),
             default=None,
         )
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -48,3 +48,27 @@
     other.learn(_reply(_heard("a"), other, 0.0), 0.0)
     other.learn(_reply(Membership(), other, 0.0), 0.0)
     assert other._learned_from == ()
+
+
+def _word(name: str, place: str) -> Digest:
+    return Digest(name=name, address=f"{name}:1", data_centre=place)
+
+
+@pytest.mark.parametrize(
+    ("heard", "expected"),
+    [
+        ((("far", "there", 9.5), ("near", "here", 9.4)), ("near:1", "far:1")),
+        ((("cut", "here", 8.5), ("far", "there", 9.5)), ("far:1",)),
+        # Whoever has just taken over may have heard of nobody of late.
+        ((("far", "there", 5.0), ("near", "here", 4.0)), ("near:1", "far:1")),
+        ((("gone", "here", 0.0),), ()),
+    ],
+    ids=["near first", "a silent host is left out", "none is fresh", "long silent"],
+)
+def test_who_is_asked_for_help(
+    heard: tuple[tuple[str, str, float], ...], expected: tuple[str, ...]
+) -> None:
+    members = Membership()
+    for name, place, at in heard:
+        members.hear(_word(name, place), at)
+    assert members.helpers(10.0, "here") == expected
--- a/tests/test_permit_desk.py
+++ b/tests/test_permit_desk.py
@@ -115,3 +115,19 @@
 
     go(run())
     assert len(own.steps) == 4
+
+
+def test_of_idle_hosts_the_first_named_is_asked() -> None:
+    """Calls to another data centre are dear: the nearest are named first."""
+    own, near, far = OneAtATime(), OneAtATime(), OneAtATime()
+
+    async def run() -> None:
+        made = desk(own, {"z-near": near, "a-far": far})
+        asks = [
+            made.ask(f"s{n}", ("w",), StepPermits(policy=POLICY), (0, 0, 0.0, ""))
+            for n in range(2)
+        ]
+        assert all(await asyncio.gather(*asks))
+
+    go(run())
+    assert (len(own.steps), len(near.steps), len(far.steps)) == (1, 1, 0)
