A seat that a step would not be given does not keep it from asking about others

Such a step asked about no other worker. Change: the planner tells how many tasks a worker would be given, now and ever, and counts by the same word in _trusted. Two tests fail before.

--- a/cranberrycleat/workflow/permit_choice.py
+++ b/cranberrycleat/workflow/permit_choice.py
@@ -17,11 +17,12 @@
 
 import attrs
 
-from cranberrycleat.amounts import Amounts
-from cranberrycleat.workflow.fleet import FleetWorker, counted, seats, times
+from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.ports import PERMITS_MOST_WORKERS
 from cranberrycleat.workflow.spec import StepSpec
 
+Seats = Callable[[FleetWorker], int]
+"""How many tasks of a step a worker would be given."""
 SPARE: Final = 2.0
 """Seats asked about for each seat that is needed: while a call is answered, others
 take room, and the share that is allowed varies from step to step."""
@@ -71,52 +72,45 @@
 def choose(
     *,
     step_name: str,
-    spec: StepSpec,
+    gang: bool,
     pending: int,
     allowed: Iterable[FleetWorker],
     unknown: Sequence[FleetWorker],
-    room: Callable[[FleetWorker], Amounts],
+    seats_now: Seats,
+    seats_ever: Seats,
     share: float,
 ) -> list[FleetWorker]:
     """Return the workers to ask about next; none where it would not help.
 
     Args:
         step_name: Steps begin at different workers of the list, by their names.
-        spec: The step.
+        gang: Whether its tasks begin together.
         pending: How many of its tasks wait for a place.
         allowed: Workers that it may run on, by the service's word.
         unknown: Suitable workers that were not asked about.
-        room: Tells what is free on a worker.
+        seats_now: Tells how many of the tasks a worker would be given now. What the
+            planner would pass over must not count, or a step waits for a worker
+            that it is not given and asks about no other.
+        seats_ever: Tells how many it would be given if nothing else ran there.
         share: The share of workers that is likely to be allowed.
     """
-    needs = counted(spec)
-    most = spec.most_per_worker or spec.count
-
-    def seats_now(worker: FleetWorker) -> int:
-        return min(most, times(needs, room(worker)))
-
     now = ever = 0
     for worker in allowed:
         now += seats_now(worker)
-        ever += seats(spec, worker.entry.capacity)
-    spare = GANG_SPARE if spec.gang else SPARE
+        ever += seats_ever(worker)
+    spare = GANG_SPARE if gang else SPARE
     chosen: list[FleetWorker] = []
     if now < pending:
         wanted = spare * (pending - now) / share
         chosen = _first(_from(step_name, unknown), seats_now, wanted, least=0)
     if ever < spare * pending:
         wanted = (spare * pending - ever) / share
+        wanted -= sum(seats_ever(worker) for worker in chosen)
         # Nobody has room: whoever has it next is likely to be among so many.
-        least = len(chosen) or PERMITS_MOST_WORKERS
+        least = 0 if chosen else PERMITS_MOST_WORKERS
         names = {worker.name for worker in chosen}
         others = (w for w in _from(step_name, unknown) if w.name not in names)
-        wanted -= sum(seats(spec, worker.entry.capacity) for worker in chosen)
-        chosen += _first(
-            others,
-            lambda worker: seats(spec, worker.entry.capacity),
-            wanted,
-            least=least - len(chosen),
-        )
+        chosen += _first(others, seats_ever, wanted, least=least)
     return chosen
 
 
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -16,13 +16,7 @@
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.board import Board
-from cranberrycleat.workflow.fleet import (
-    FleetWorker,
-    Placement,
-    counted,
-    job_of,
-    times,
-)
+from cranberrycleat.workflow.fleet import FleetWorker, Placement, counted, job_of, times
 from cranberrycleat.workflow.locality import could_hold, patience_s, racks
 from cranberrycleat.workflow.making_room import PATIENCE_S, victims
 from cranberrycleat.workflow.ordering import rank
@@ -212,19 +206,38 @@
             each for each in self._suited(step, now) if each.name not in permits.asked
         ]
         if not asks_about_all(step.spec):
+            tasks = step.pending()
             unknown = choose(
                 step_name=step.name,
-                spec=step.spec,
-                pending=len(step.pending()),
-                allowed=candidates,
+                gang=step.spec.gang,
+                pending=len(tasks),
+                allowed=self._trusted(step, tasks, candidates),
                 unknown=unknown,
-                room=self._room,
+                seats_now=lambda worker: self._seats_now(step, worker),
+                seats_ever=lambda worker: self._seats_ever(step, worker),
                 share=permits.share.value(),
             )
         if unknown:
             names = tuple(each.name for each in unknown)
             plan.wishes.append(PermitWish(step=step, workers=names))
 
+    def _seats_now(self, step: StepRun, worker: FleetWorker) -> int:
+        """Return how many more of a step's tasks a worker would be given now."""
+        fits = times(counted(step.spec), self._room(worker))
+        if worker.probing:
+            fits = min(fits, 1)
+        return min(fits, self._seats_left(step, worker))
+
+    def _seats_ever(self, step: StepRun, worker: FleetWorker) -> int:
+        """Return how many more it would be given if nothing else ran there."""
+        fits = times(counted(step.spec), worker.entry.capacity)
+        return min(fits, self._seats_left(step, worker))
+
+    def _seats_left(self, step: StepRun, worker: FleetWorker) -> int:
+        """Return how many more tasks the step's limit for a worker leaves."""
+        most = step.spec.most_per_worker
+        return max(0, most - self._on_worker(step, worker)) if most else step.spec.count
+
     def _candidates(self, step: StepRun, now: float) -> list[FleetWorker]:
         if step.job.queue.permits is None:
             return list(self._suited(step, now))
@@ -289,18 +302,7 @@
             for each in candidates
             if each.name not in failed_on or not each.failures
         ]
-        most = step.spec.most_per_worker or len(tasks)
-        needs = counted(step.spec)
-        seats = sum(
-            max(
-                0,
-                min(
-                    most - self._on_worker(step, each),
-                    times(needs, each.entry.capacity),
-                ),
-            )
-            for each in trusted
-        )
+        seats = sum(self._seats_ever(step, each) for each in trusted)
         return trusted if seats >= len(tasks) else candidates
 
     def _preference(
--- a/tests/test_permit_choice.py
+++ b/tests/test_permit_choice.py
@@ -8,10 +8,10 @@
 import attrs
 import pytest
 
-from cranberrycleat.amounts import Amounts
-from cranberrycleat.workflow.fleet import FleetWorker
+from cranberrycleat.workflow.board import Board
+from cranberrycleat.workflow.fleet import FleetWorker, times
 from cranberrycleat.workflow.permit_choice import AllowedShare, choose
-from cranberrycleat.workflow.planner import Plan, Planner
+from cranberrycleat.workflow.planner import PermitWish, Plan, Planner
 from cranberrycleat.workflow.ports import Permit, PermitPolicy
 from cranberrycleat.workflow.spec import StepSpec
 from tests.cell import job, queue, step
@@ -29,8 +29,24 @@
     return made
 
 
-def _room(each: FleetWorker) -> Amounts:
-    return each.free
+def _choose(
+    spec: StepSpec,
+    *,
+    unknown: list[FleetWorker],
+    allowed: tuple[FleetWorker, ...] = (),
+    share: float = 0.5,
+    name: str = "a.0.0",
+) -> list[FleetWorker]:
+    return choose(
+        step_name=name,
+        gang=spec.gang,
+        pending=spec.count,
+        allowed=allowed,
+        unknown=unknown,
+        seats_now=lambda each: times(spec.needs, each.free),
+        seats_ever=lambda each: times(spec.needs, each.entry.capacity),
+        share=share,
+    )
 
 
 @pytest.mark.parametrize(
@@ -51,15 +67,7 @@
 def test_as_many_are_asked_about_as_the_step_may_need(
     spec: StepSpec, free: int, share: float, least: int, most: int
 ) -> None:
-    chosen = choose(
-        step_name="a.0.0",
-        spec=spec,
-        pending=spec.count,
-        allowed=[],
-        unknown=_workers(free),
-        room=_room,
-        share=share,
-    )
+    chosen = _choose(spec, unknown=_workers(free), share=share)
     assert least <= len(chosen) <= most
     assert len({each.name for each in chosen}) == len(chosen)
 
@@ -68,15 +76,7 @@
     workers = _workers(0)
     for each in workers[100:130]:
         each.free = attrs.evolve(each.free, processors=4000)
-    chosen = choose(
-        step_name="a.0.0",
-        spec=step(3),
-        pending=3,
-        allowed=[],
-        unknown=workers,
-        room=_room,
-        share=0.5,
-    )
+    chosen = _choose(step(3), unknown=workers)
     assert {each.name for each in chosen} <= {each.name for each in workers[100:130]}
 
 
@@ -89,15 +89,7 @@
     allowed_free: int, unknown_free: int, asks: bool
 ) -> None:
     allowed, unknown = _workers(allowed_free, 20), _workers(unknown_free)
-    chosen = choose(
-        step_name="a.0.0",
-        spec=step(3),
-        pending=3,
-        allowed=allowed,
-        unknown=unknown,
-        room=_room,
-        share=0.5,
-    )
+    chosen = _choose(step(3), allowed=tuple(allowed), unknown=unknown)
     assert bool(chosen) is asks
 
 
@@ -106,14 +98,8 @@
     found = {
         frozenset(
             each.name
-            for each in choose(
-                step_name=f"{number}.0.0",
-                spec=step(1),
-                pending=1,
-                allowed=[],
-                unknown=workers,
-                room=_room,
-                share=0.7,
+            for each in _choose(
+                step(1), unknown=workers, share=0.7, name=f"{number}.0.0"
             )
         )
         for number in range(20)
@@ -166,3 +152,39 @@
     assert [worker.name for worker, _ in found.groups[0].placements] == [only.worker]
     (second,) = _plan(planner).wishes
     assert not set(first.workers) & set(second.workers)
+
+
+def _answer(made: Board, wish: PermitWish, allowed: int) -> None:
+    """Have the service allow the first workers of a wish."""
+    permits = tuple(Permit(worker=name, ticket="t") for name in wish.workers[:allowed])
+    made.permits[wish.step.name].take(wish.workers, permits, 0.0)
+
+
+def test_a_step_that_is_kept_apart_asks_about_workers_that_it_may_still_use() -> None:
+    """Workers that hold one of its tasks have room, and no seat for another."""
+    made = board(*_workers(4000))
+    spec = step(20, most_per_worker=1)
+    submit(made, "a", job(spec), queue(permits=POLICY))
+    planner = Planner(board=made)
+    (wish,) = _plan(planner).wishes
+    _answer(made, wish, 17)
+    _plan(planner)
+    assert len(made.jobs["a"].open[0].steps[0].pending()) == 3
+    assert _plan(planner).wishes
+
+
+def test_a_task_that_failed_everywhere_it_may_go_asks_about_others() -> None:
+    """Its workers have room, but those that failed it are passed over."""
+    made = board(*(worker(f"w{n:03}", processors=1000) for n in range(FLEET)))
+    submit(made, "a", job(step(1)), queue(permits=POLICY))
+    submit(made, "b", job(step(2)), queue(priority=1))
+    planner = Planner(board=made)
+    (wish,) = _plan(planner).wishes
+    _answer(made, wish, 2)
+    task = made.jobs["a"].open[0].steps[0].tasks[0]
+    failed, full = (made.fleet.workers[name] for name in wish.workers[:2])
+    task.failed_on.add(failed.name)
+    failed.failures = 1
+    other = made.jobs["b"].open[0].steps[0].tasks[0]
+    made.place(other, full, 1, now=0.0)
+    assert _plan(planner).wishes
