An owner's decisions go by a time of day without jumps

Cause, by reading and by tests without network: ranks, due times and the forgetting of ended jobs went by the host's time of day. An owner whose clock jumps 6 s ahead took every short job that waited for worthless (three times its objective is 3.6 s), after a jump back those accepted before it seemed to have time left. Change: DayClock goes on by the clock that counts suspended time, follows small corrections, and a jump only after 15 s; a job from the inbox or an earlier owner's row was not accepted after now. Left: an owner that starts while its clock is off believes it for 15 s; an earlier owner's clock that was behind makes its jobs look older than they are.

--- a/cranberrycleat/clock.py
+++ b/cranberrycleat/clock.py
@@ -5,10 +5,18 @@
 """
 
 import time
-from typing import Protocol
+from collections.abc import Callable
+from typing import Final, Protocol
 
 import attrs
 
+JUMP_S: Final = 0.25
+"""A larger difference between two looks at the time of day, a planning round or a few
+apart, is no correction but a jump; smaller ones cost short work nothing."""
+STAYED_S: Final = 15.0
+"""How long a jump must have stayed: longer than the platform's jumps that are taken
+back (6 s), short against schedules, which go by minutes."""
+
 
 class Clock(Protocol):
     """A source of monotonic time."""
@@ -42,6 +50,44 @@
     return time.time()
 
 
+@attrs.define(kw_only=True, eq=False)
+class DayClock:
+    """The time of day as one process decides by it: a jump counts once it has stayed.
+
+    A host whose clock jumps by seconds, and often back again, would take the jump for
+    time that has passed, and short work for worthless. The time goes on by the steady
+    clock instead; slow corrections are followed.
+
+    Attributes:
+        steady: Counts the time that passes.
+        wall: Tells the host's time of day.
+    """
+
+    steady: Clock = attrs.field(factory=BootClock)
+    wall: Callable[[], float] = time_of_day
+    _offset_s: float = attrs.field(init=False)
+    _jumped_at: float | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self._offset_s = self.wall() - self.steady.now()
+
+    def now_s(self) -> float:
+        """Return the time in seconds since 1970."""
+        now = self.steady.now()
+        seen_s = self.wall() - now
+        if abs(seen_s - self._offset_s) < JUMP_S:
+            self._follow(seen_s)
+        elif self._jumped_at is None:
+            self._jumped_at = now
+        elif now - self._jumped_at > STAYED_S:
+            self._follow(seen_s)
+        return now + self._offset_s
+
+    def _follow(self, offset_s: float) -> None:
+        self._offset_s = offset_s
+        self._jumped_at = None
+
+
 @attrs.define(kw_only=True)
 class ManualClock:
     """A clock that moves only when it is told to, for tests and benches.
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -13,7 +13,7 @@
 
 from cranberrycleat import events
 from cranberrycleat.amounts import NOTHING
-from cranberrycleat.clock import BootClock, time_of_day
+from cranberrycleat.clock import BootClock, DayClock
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.fleet import (
     Fleet,
@@ -54,7 +54,7 @@
     """Jobs, workers and placements of one owner.
 
     Attributes:
-        time_of_day: Tells the time in seconds since 1970.
+        time_of_day: Tells the time in seconds since 1970, without a host's jumps.
         now: Tells the owner's clock.
         jobs: Every job whose state callers may ask for, by identity.
         fleet: The workers.
@@ -74,7 +74,7 @@
             neither stopped nor acknowledged: whoever can read them decides.
     """
 
-    time_of_day: Callable[[], float] = time_of_day
+    time_of_day: Callable[[], float] = attrs.field(factory=lambda: DayClock().now_s)
     now: Callable[[], float] = attrs.field(factory=lambda: BootClock().now)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     fleet: Fleet = attrs.field(factory=Fleet)
@@ -108,13 +108,14 @@
             queue: The queue it was handed in at.
             spec: The job.
             accepted_s: When it was accepted, since 1970; None: now. What lay in
-                the inbox has used up a part of its objective there.
+                the inbox has used up a part of its objective there. Another host's
+                clock may be ahead: nothing was accepted after now.
         """
         known = self.jobs.get(job_id)
         if known is not None:
             return known
-        if accepted_s is None:
-            accepted_s = self.time_of_day()
+        now_s = self.time_of_day()
+        accepted_s = now_s if accepted_s is None else min(now_s, accepted_s)
         job = Job(
             job_id=job_id,
             queue=queue,
@@ -159,7 +160,8 @@
         return True
 
     def restore(self, job: Job) -> None:
-        """Take in a job that an earlier owner stored."""
+        """Take in a job that an earlier owner stored, maybe by a clock ahead."""
+        job.accepted_s = min(job.accepted_s, self.time_of_day())
         self.jobs[job.job_id] = job
         self.shown[job.job_id] = job.state()
         if job.verdict is None:
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -434,4 +434,12 @@
         instead="        answered_at = now",
         test="tests/test_permits.py",
     ),
+    Row(
+        promise="faults",
+        what="a host's clock that jumps is followed only once the jump has stayed",
+        file="clock.py",
+        text="        if abs(seen_s - self._offset_s) < JUMP_S:",
+        instead="        if True:",
+        test="tests/test_day_clock.py",
+    ),
 )
