A question about a job that has ended waits until that is stored

Ruled out: the stages up to the start (9 jobs of 2,103 late by them), run times on crowded workers (ratio to the estimate 1.15 to 1.29 whatever runs beside), doors (0.003 s an answer). Change: a question about a job whose end the owner knows waits for the transaction, 0.12 s at most and not at all while the table does not answer; what is not known to have ended is answered at once. Nothing that is ready is held back: what the answer would have said is known to be out of date.

--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -387,7 +387,8 @@
         try:
             owner = self.owner()
             if owner is not None:
-                return await owner.cancel(job_id) if cancel else owner.state(job_id)
+                ask_here = owner.cancel if cancel else owner.settled_state
+                return await ask_here(job_id)
             address = self.owner_address()
             if not address or address == self.own_address:
                 return None
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -41,7 +41,7 @@
 from cranberrycleat.workflow.roster import Roster
 from cranberrycleat.workflow.signal import Signal
 from cranberrycleat.workflow.starts import Starts
-from cranberrycleat.workflow.state import JobState, TaskState
+from cranberrycleat.workflow.state import Job, JobState, TaskState
 from cranberrycleat.workflow.takeover import StoredRows, read_all, restore
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 
@@ -59,6 +59,12 @@
 """How long a caller's change may take to be stored before nobody waits for it."""
 
 
+END_STORED_S: Final = 0.12
+"""How long a question waits for an end that is being stored: 0.03 s in a calm table; it is
+less than a door waits for the owner (`patience.LEAST_S`) before it reads the table. A
+table that does not answer is not waited for."""
+
+
 class TakeoverTooSlow(Exception):
     """A host could not read the rows in the time that it had; nothing was decided."""
 
@@ -440,6 +446,31 @@
             return JobAnswer(owner=True)
         return JobAnswer(owner=True, known=True, state=state.value)
 
+    async def settled_state(self, job_id: str) -> JobAnswer:
+        """Return a job's state, after the write that is about to end it.
+
+        Callers ask when they expect a job to have ended, and again 0.25 s later. Of
+        726 short jobs that were asked for within 0.03 s of their end 717 were told
+        'running', 0.02 s before the end was stored. Such a question waits for the
+        transaction; what is not known to have ended is answered at once.
+        """
+        job = self.board.jobs.get(job_id)
+        ended = job is not None and job.verdict is not None
+        if job is not None and ended and self.store_answers:
+            await self._until_shown_as(job, END_STORED_S)
+        return self.state(job_id)
+
+    async def _until_shown_as(self, job: Job, limit_s: float) -> bool:
+        """Wait until what callers are told is what became of a final job."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while self._is_behind(job):
+                    await self._stored.wait()
+        return not self._is_behind(job)
+
+    def _is_behind(self, job: Job) -> bool:
+        return self.board.shown.get(job.job_id) is not job.verdict
+
     async def cancel(self, job_id: str) -> JobAnswer:
         """Cancel a job; the answer comes when that is stored.
 
@@ -451,11 +482,7 @@
             return JobAnswer(owner=True)
         self.changed()
         self.stop_soon()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(CHANGE_LIMIT_S):
-                while self.board.shown.get(job_id) is not job.verdict:
-                    await self._stored.wait()
-        if self.board.shown.get(job_id) is not job.verdict:
+        if not await self._until_shown_as(job, CHANGE_LIMIT_S):
             raise errors.PeerUnavailable("not known to be stored")
         return JobAnswer(owner=True, known=True, state=job.state().value)
 
--- a/cranberrycleat/workflow/peer_api.py
+++ b/cranberrycleat/workflow/peer_api.py
@@ -79,7 +79,7 @@
         held = self.owner()
         if held is None:
             return Answer(message=JobAnswer(owner=False))
-        return Answer(message=held.state(req.job_id))
+        return Answer(message=await held.settled_state(req.job_id))
 
     async def _cancel(self, body: bytes) -> Answer:
         req = codec.decode(body, JobQuestion)
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -442,4 +442,20 @@
         instead="        if True:",
         test="tests/test_day_clock.py",
     ),
+    Row(
+        promise="decisions",
+        what="a question waits for an end that is being stored",
+        file="workflow/owner.py",
+        text="        if job is not None and ended and self.store_answers:",
+        instead="        if False:",
+        test="tests/test_shown_states.py",
+    ),
+    Row(
+        promise="decisions",
+        what="a start waits for its answer as long as answers take",
+        file="workflow/links.py",
+        text="limit_s=self.patience.limit_s()",
+        instead="limit_s=0.5",
+        test="tests/test_unanswered_starts.py",
+    ),
 )
--- /dev/null
+++ b/tests/test_shown_states.py
@@ -0,0 +1,91 @@
+"""What a caller is told who asks just when a job has ended.
+
+The load that it answers: callers ask when they expect a job's last task to have ended,
+and again 0.25 s later. Nearly all of the first questions came in the 0.02 s between the
+end and its being stored, and short jobs were seen as completed 0.25 s late.
+"""
+
+import asyncio
+
+import attrs
+import pytest
+
+from cranberrycleat.standins.feed_table import MemoryFeedTable
+from cranberrycleat.table import CommitReply, Transaction
+from cranberrycleat.workflow.owner import END_STORED_S, Owner
+from tests.cell import Cell, cell, job, step, submit, until
+from tests.fakes import go
+
+SLOW_S = 0.05
+
+
+@attrs.define(kw_only=True)
+class HeldTable(MemoryFeedTable):
+    """A table whose transactions wait while it is told to hold them."""
+
+    free: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self.free.set()
+
+    async def commit(self, txn: Transaction) -> CommitReply:
+        """Apply a transaction once the table is free."""
+        await self.free.wait()
+        return await MemoryFeedTable.commit(self, txn)
+
+
+async def _ended_but_not_stored(made: Cell) -> tuple[Owner, HeldTable]:
+    owner = await made.own()
+    table = made.table
+    assert isinstance(table, HeldTable)
+    await submit(owner, "a", job(step(1)))
+    await until(lambda: len(made.fleet.starts) == 1)
+    table.free.clear()
+    await until(lambda: owner.board.jobs["a"].verdict is not None)
+    assert owner.state("a").state == "running"
+    return owner, table
+
+
+@pytest.mark.parametrize("stored_after_s", [0.0, SLOW_S])
+def test_a_question_waits_for_an_end_that_is_being_stored(
+    stored_after_s: float,
+) -> None:
+    async def run() -> None:
+        async with cell(workers=1, table=HeldTable()) as made:
+            owner, table = await _ended_but_not_stored(made)
+            asked = asyncio.create_task(owner.settled_state("a"))
+            await asyncio.sleep(stored_after_s)
+            table.free.set()
+            assert (await asked).state == "completed"
+
+    go(run())
+
+
+@pytest.mark.parametrize("answers", [True, False], ids=["slow", "does not answer"])
+def test_a_question_does_not_wait_for_a_table_that_may_not_come(answers: bool) -> None:
+    """An end that is not stored is never told; the wait for it is bounded."""
+
+    async def run() -> None:
+        async with cell(workers=1, table=HeldTable()) as made:
+            owner, table = await _ended_but_not_stored(made)
+            owner.store_answers = answers
+            began = made.clock.now()
+            assert (await owner.settled_state("a")).state == "running"
+            waited_s = made.clock.now() - began
+            assert waited_s >= (END_STORED_S if answers else 0.0)
+            assert answers or waited_s < END_STORED_S
+            table.free.set()
+
+    go(run())
+
+
+def test_a_question_about_what_goes_on_is_answered_at_once() -> None:
+    async def run() -> None:
+        async with cell(workers=1, table=HeldTable()) as made:
+            owner = await made.own()
+            await submit(owner, "a", job(step(1, processors=4000)))
+            asked = asyncio.create_task(owner.settled_state("a"))
+            await asyncio.sleep(0)
+            assert asked.done() and asked.result().known
+
+    go(run())
