--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -60,9 +60,8 @@
 
 
 END_STORED_S: Final = 0.12
-"""How long a question waits for an end that is being stored: 0.03 s in a calm table; it is
-less than a door waits for the owner (`patience.LEAST_S`) before it reads the table. A
-table that does not answer is not waited for."""
+"""How long a question waits for an end that is being stored. That takes 0.03 s in a
+calm table; a door waits 0.2 s for the owner before it reads the table itself."""
 
 
 class TakeoverTooSlow(Exception):
