Where room is scarce one call asks about many workers

Ruled out: lanes (no call waited), the store. Change: choose asks about a whole call's worth where those with room do not suffice.

--- a/cranberrycleat/workflow/permit_choice.py
+++ b/cranberrycleat/workflow/permit_choice.py
@@ -103,18 +103,23 @@
     for worker in allowed:
         now += seats_now(worker)
         ever += seats_ever(worker)
-    chosen: list[FleetWorker] = []
-    if now < pending:
-        wanted = SPARE * (pending - now) / share
-        chosen = _first(unknown, seats_now, wanted, least=0)
-    if ever < SPARE * pending:
-        wanted = (SPARE * pending - ever) / share
-        wanted -= sum(seats_ever(worker) for worker in chosen)
-        # Nobody has room: whoever has it next is likely to be among so many.
-        least = 0 if chosen else PERMITS_MOST_WORKERS
+    wanted_now = SPARE * (pending - now) / share
+    chosen = list(_until(wanted_now, unknown, seats_now))
+    ever_asked = ever + share * sum(map(seats_ever, chosen))
+    if not chosen and ever >= SPARE * pending:
+        return []
+    scarce = sum(map(seats_now, chosen)) < wanted_now
+    if scarce or ever_asked < SPARE * pending:
         names = {worker.name for worker in chosen}
-        others = (w for w in _from(step_name, unknown) if w.name not in names)
-        chosen += _first(others, seats_ever, wanted, least=least)
+        others = [w for w in _from(step_name, unknown) if w.name not in names]
+        wanted_ever = (SPARE * pending - ever_asked) / share
+        more = list(_until(wanted_ever, others, seats_ever))
+        if scarce and len(chosen) + len(more) < PERMITS_MOST_WORKERS:
+            # Room is scarce: whoever has it next is likely to be among so many. One
+            # call for few, again and again, made 560 calls a second of a backlog.
+            more = [each for each in others if seats_ever(each)]
+            more = more[: PERMITS_MOST_WORKERS - len(chosen)]
+        chosen += more
     return chosen
 
 
@@ -125,20 +130,14 @@
     yield from workers[:start]
 
 
-def _first(
-    workers: Iterable[FleetWorker],
-    seats_on: Callable[[FleetWorker], int],
-    wanted: float,
-    *,
-    least: int,
-) -> list[FleetWorker]:
-    """Return the first workers with seats until there are enough of both."""
-    found: list[FleetWorker] = []
+def _until(
+    wanted: float, workers: Iterable[FleetWorker], seats_on: Seats
+) -> Iterator[FleetWorker]:
+    """Return the first workers with seats until there are enough seats."""
     for worker in workers:
-        if wanted <= 0 and len(found) >= least:
-            break
+        if wanted <= 0:
+            return
         count = seats_on(worker)
         if count > 0:
-            found.append(worker)
+            yield worker
             wanted -= count
-    return found
--- a/tests/test_permit_choice.py
+++ b/tests/test_permit_choice.py
@@ -75,7 +75,20 @@
     for each in workers[100:130]:
         each.free = attrs.evolve(each.free, processors=4000)
     chosen = _choose(step(3), unknown=workers)
-    assert {each.name for each in chosen} <= {each.name for each in workers[100:130]}
+    assert chosen and {each.name for each in chosen} <= {
+        each.name for each in workers[100:130]
+    }
+
+
+def test_where_room_is_scarce_one_call_asks_about_many() -> None:
+    """In a backlog few have room, and others take it while a call is answered."""
+    workers = _workers(0)
+    for each in workers[100:102]:
+        each.free = attrs.evolve(each.free, processors=1000)
+    full = tuple(_workers(0, 20))
+    again = _choose(step(3), allowed=full, unknown=workers)
+    assert len(again) == 100
+    assert {each.name for each in again[:2]} == {"w100", "w101"}
 
 
 @pytest.mark.parametrize(
