A worker that answers is used for 2.5 s without an entry in the list

Ruled out: doors, which took jobs again 0.1 s after the table's return (7 refusals after it, of 34 to 47 each 0.1 s before); permits, 0 s of waiting. Change: Roster keeps a worker that answers for 2.5 s; the platform's page gives 2 s after which a missing entry means that the worker is gone. One that leaves has said so before and draws nothing; one that is lost does not answer. What nobody listed can hold comes again after 1 s, not 10, for 2.5 s after a takeover and after an outage. Left: a successor knows no address of a worker whose entry has lapsed.

--- a/cranberrycleat/workflow/feasibility.py
+++ b/cranberrycleat/workflow/feasibility.py
@@ -14,6 +14,9 @@
 
 RETRY_S: Final = 10.0
 """When to come back: the platform adds workers over seconds, not at once."""
+SETTLING_RETRY_S: Final = 1.0
+"""The same while the list of workers may not be whole: after a takeover, and after an
+outage of the table, in which entries lapse."""
 
 
 def why_hopeless(spec: WorkflowSpec, workers: list[FleetWorker]) -> str:
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -174,6 +174,7 @@
         heard_ends: The ends taken in and not yet stored, oldest first: their
             numbers and jobs.
         listed: Whether the platform lists it.
+        missing_since: Since when the list has lacked it though it answers.
         doubted: An order to it had no answer, or its data centre is silent; it
             draws no work until it answers again.
         unsized: How many attempts there are of unknown size.
@@ -201,6 +202,7 @@
         factory=collections.deque
     )
     listed: bool = True
+    missing_since: float | None = None
     doubted: bool = False
     held: bool = False
     unsized: int = 0
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -22,7 +22,7 @@
 from cranberrycleat.workflow.batches import Batch, forget_ended, note_stored, take_batch
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.directory import Directory
-from cranberrycleat.workflow.feasibility import RETRY_S, why_hopeless
+from cranberrycleat.workflow.feasibility import RETRY_S, SETTLING_RETRY_S, why_hopeless
 from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.inbox import Inbox
 from cranberrycleat.workflow.links import WorkerLink
@@ -38,7 +38,7 @@
 )
 from cranberrycleat.workflow.permit_desk import PermitDesk
 from cranberrycleat.workflow.ports import FeedTable, WorkerClient
-from cranberrycleat.workflow.roster import Roster
+from cranberrycleat.workflow.roster import MISSING_S, Roster
 from cranberrycleat.workflow.signal import Signal
 from cranberrycleat.workflow.starts import Starts
 from cranberrycleat.workflow.state import Job, JobState, TaskState
@@ -92,6 +92,8 @@
         store_answers: Whether the table answered of late.
         closing: Whether the ownership is being handed over.
         began_at: When it had taken over, on its clock.
+        list_settled_at: From when the list of workers can be believed to be whole;
+            before, what none of them holds is not known to be hopeless.
     """
 
     lease: OwnershipLease
@@ -115,6 +117,7 @@
     closing: bool = False
     _closing_at: float = float("inf")
     began_at: float = 0.0
+    list_settled_at: float = 0.0
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _plan_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     _stored: Signal = attrs.field(factory=Signal)
@@ -206,6 +209,7 @@
             if self.director is not None:
                 self._work.keep(self.director.run)
             self.began_at = self.clock.now()
+            self.list_settled_at = self.began_at + MISSING_S
             self.lease.settle()
             self.ready.set()
             self.changed()
@@ -330,6 +334,7 @@
                 await asyncio.sleep(options.STORE_RETRY_S)
         if not self.store_answers:
             emit(events.TableBack(after_s=round(self.clock.now() - since, 2)))
+            self.list_settled_at = self.clock.now() + MISSING_S
         self.store_answers = True
         note_stored(self.board, batch)
         self._stored.fire()
@@ -419,7 +424,9 @@
                 return SubmitReply(refused=True, reason=STORE_SILENT)
             hopeless = why_hopeless(req.spec, self.board.fleet.of_pool(req.queue.pool))
             if hopeless:
-                return SubmitReply(refused=True, reason=hopeless, retry_after_s=RETRY_S)
+                settled = self.clock.now() > self.list_settled_at
+                retry_s = RETRY_S if settled else SETTLING_RETRY_S
+                return SubmitReply(refused=True, reason=hopeless, retry_after_s=retry_s)
             self.board.accept(req.job_id, req.queue, req.spec)
             self.changed()
         began = self.clock.now()
--- a/cranberrycleat/workflow/roster.py
+++ b/cranberrycleat/workflow/roster.py
@@ -19,6 +19,10 @@
 from cranberrycleat.workflow.ports import WorkerEntry
 
 DOUBT_S: Final = 0.4
+MISSING_S: Final = 2.5
+"""How long a worker that answers is used though the list lacks it. Entries that lapsed
+while the table was away are back within about 2 s of its return (the platform's page);
+later a missing one means that the worker is gone."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -77,13 +81,23 @@
                     # It was only known by what an earlier owner placed there.
                     self.join(known)
         for worker in workers.values():
-            if worker.listed and worker.name not in self.directory.entries:
-                emit(
-                    events.WorkerUnlisted(
-                        worker=worker.name, tasks=len(worker.placements)
-                    )
-                )
-                worker.listed = False
+            if worker.name in self.directory.entries:
+                worker.missing_since = None
+            elif worker.listed:
+                self._miss(worker, self.board.now())
+
+    def _miss(self, worker: FleetWorker, now: float) -> None:
+        """Use a worker whose entry is gone no longer, unless it answers for now.
+
+        One that left said so before, and draws nothing; one that is lost is silent.
+        """
+        if worker.missing_since is None:
+            worker.missing_since = now
+        answers = worker.standing is Standing.LIVE and not worker.doubted
+        if answers and now - worker.missing_since <= MISSING_S:
+            return
+        emit(events.WorkerUnlisted(worker=worker.name, tasks=len(worker.placements)))
+        worker.listed = False
 
     def _serves(self, entry: WorkerEntry) -> bool:
         """Tell whether a worker is of a service that the configuration names.
@@ -125,6 +139,8 @@
 
     def check(self, worker: FleetWorker, now: float) -> None:
         """Give up what ran on a worker whose leases are all over."""
+        if worker.listed and worker.missing_since is not None:
+            self._miss(worker, now)
         if worker.standing is Standing.LIVE:
             return
         if now > worker.leases_over_at or worker.standing is Standing.GONE:
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -458,4 +458,12 @@
         instead="limit_s=0.5",
         test="tests/test_unanswered_starts.py",
     ),
+    Row(
+        promise="outages",
+        what="using workers that answer while their entries are missing",
+        file="workflow/roster.py",
+        text="        if answers and now - worker.missing_since <= MISSING_S:",
+        instead="        if False:",
+        test="tests/test_missing_entries.py::test_work_starts_on_a_worker_whose_entry_has_lapsed",
+    ),
 )
