The tests' relay outlives a target that is gone

Cause: a warning that showed once (04:48 UTC, an exception in a thread of tests/test_failures.py), traced by playing that file with the warning as an error: once of four runs, Relay._accept found nobody listening when a target was killed, and its thread ended, so that the relay took no connection more. Change: such a connection is closed, and the relay goes on. The test fails before.

--- a/tests/relay.py
+++ b/tests/relay.py
@@ -50,7 +50,12 @@
             if self.cut:
                 conn.close()
                 continue
-            onward = socket.create_connection(self.target)
+            try:
+                onward = socket.create_connection(self.target)
+            except OSError:
+                # The target is gone; a caller sees that its connection ends.
+                conn.close()
+                continue
             self._open += [conn, onward]
             for pair in ((conn, onward), (onward, conn)):
                 threading.Thread(target=_pump, args=pair, daemon=True).start()
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,24 @@
+"""The relay that tests cut links with."""
+
+import socket
+
+from tests.relay import Relay
+
+
+def test_a_relay_outlives_a_target_that_is_gone_for_a_while() -> None:
+    """Its thread ended with the first connection that found nobody listening."""
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        target = free.getsockname()
+    relay = Relay(target=target)
+    host, _, port = relay.url.removeprefix("http://").partition(":")
+    with socket.create_connection((host, int(port))) as conn:
+        conn.settimeout(5.0)
+        assert conn.recv(1) == b""
+    with socket.socket() as listener:
+        listener.bind(target)
+        listener.listen()
+        listener.settimeout(5.0)
+        with socket.create_connection((host, int(port))):
+            onward, _ = listener.accept()
+            onward.close()
