Revert "Room is kept for a gang that must begin soon, also from more urgent small work"

A failed try. Conclusion: in a backlog there is always a gang with little time left, so that a tenth of the pool stands idle all the while, and what it buys, gangs, is not served better. What would help them needs other room than idle one: saved work that gives way.

--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -27,16 +27,6 @@
 
 MOST_HELD: Final = 3
 """Gangs for which room is kept at a time; more would idle the pool."""
-HOLD_SLACK_S: Final = 4.0
-"""A gang with less time than this left has room kept for it from all other work, also
-from more urgent small work, which finds room elsewhere: about what the work that is
-there needs to end. Without it gangs of 22 to 45 tasks, at four fifths of a fleet in
-use, missed their objective, went behind all other work, and began after 50 to 60 s.
-Kept for every gang that had waited 0.5 s, short tasks waited 0.19 to 0.29 s where they
-had waited 0.05 (medians, in one process)."""
-MOST_HELD_SHARE: Final = 0.1
-"""Of the pool's processors, what is kept in this way at most, since it stands idle
-until there is enough. One gang is always kept room for."""
 NO_WORKER: Final = "every known worker is ruled out by a label, a permit or its state"
 MOST_SCANNED: Final = 400
 """Steps looked at in a round."""
@@ -84,7 +74,6 @@
     board: Board
     spread_factor: float = 1.0
     _held: dict[str, Amounts] = attrs.field(factory=dict)
-    _held_for: dict[str, dict[str, Amounts]] = attrs.field(factory=dict)
     _views: dict[str, PoolView] = attrs.field(factory=dict)
 
     def plan(self, *, now: float, now_s: float) -> Plan:
@@ -96,17 +85,13 @@
         """
         plan = Plan()
         self._held = {}
-        self._held_for = {}
         self._views = {}
         held = 0
-        ordered = self._ordered(now_s)
-        self._hold_early(ordered, now, now_s)
-        for place, step in enumerate(ordered):
+        for place, step in enumerate(self._ordered(now_s)):
             tasks = self._placeable(step, now, plan)
             if not tasks:
                 step.waits_since = None
                 continue
-            was_held = self._unhold(step)
             may_fit = self._view(step, now).may_fit(counted(step.spec))
             candidates = self._candidates(step, now)
             if may_fit or place < ASKED_AHEAD:
@@ -117,7 +102,7 @@
                 placed = self._place_single(step, tasks, candidates, now, plan)
             else:
                 placed = self._place_gang(step, tasks, candidates, now, plan)
-            if step.spec.gang and not placed and (was_held or held < MOST_HELD):
+            if step.spec.gang and not placed and held < MOST_HELD:
                 self._hold(step, candidates)
                 held += 1
             if step.spec.service:
@@ -412,49 +397,23 @@
                 break
         return seats
 
-    def _hold_early(self, ordered: list[StepRun], now: float, now_s: float) -> None:
-        """Keep room for gangs that must begin soon, before anything is placed."""
-        for step in ordered:
-            whole = len(step.pending()) == len(step.tasks)
-            if not step.spec.gang or step.spec.service or not whole:
-                continue
-            if not 0 <= rank(step, now_s).slack_s < HOLD_SLACK_S:
-                continue
-            view = self._view(step, now)
-            most = MOST_HELD_SHARE * view.processors
-            kept = sum(each.processors for each in self._held.values())
-            wanted = counted(step.spec).processors * len(step.tasks)
-            if self._held and kept + wanted > most:
-                return
-            self._hold(step, self._candidates(step, now))
-
     def _hold(self, step: StepRun, candidates: list[FleetWorker]) -> None:
         """Keep room for a gang on the workers that it will fit on soonest."""
         needs = counted(step.spec)
         left = len(step.tasks)
-        mine = self._held_for.setdefault(step.name, {})
-        by_free = sorted(candidates, key=lambda each: -self._room(each).processors)
+        by_free = sorted(candidates, key=lambda each: -each.free.processors)
         for worker in by_free:
-            held = self._held.get(worker.name, NOTHING)
-            seats = min(left, times(needs, worker.entry.capacity.minus(held)))
+            seats = min(left, times(needs, worker.entry.capacity))
             if seats <= 0:
                 continue
-            kept = NOTHING
+            held = self._held.get(worker.name, NOTHING)
             for _ in range(seats):
-                kept = kept.plus(needs)
-            self._held[worker.name] = held.plus(kept)
-            mine[worker.name] = kept
+                held = held.plus(needs)
+            self._held[worker.name] = held
             left -= seats
             if left <= 0:
                 return
 
-    def _unhold(self, step: StepRun) -> bool:
-        """Let a gang have what was kept for it; return whether anything was."""
-        kept_for = self._held_for.pop(step.name, {})
-        for name, kept in kept_for.items():
-            self._held[name] = self._held[name].minus(kept)
-        return bool(kept_for)
-
     def _place(
         self,
         step: StepRun,
--- a/cranberrycleat/workflow/pool_view.py
+++ b/cranberrycleat/workflow/pool_view.py
@@ -24,14 +24,12 @@
         roomiest: The most of each resource that one of them had free; a bound,
             since what a round places only takes away.
         smallest: The least of each resource that one of them has.
-        processors: What the drawing workers have together, in thousandths.
         by_name: The drawing workers by identity.
     """
 
     drawing: tuple[FleetWorker, ...] = ()
     roomiest: Amounts = NOTHING
     smallest: Amounts = NOTHING
-    processors: int = 0
     by_name: Mapping[str, FleetWorker] = attrs.field(factory=dict)
 
     def may_fit(self, needs: Amounts) -> bool:
@@ -50,7 +48,6 @@
         drawing=drawing,
         roomiest=_bound(max, free),
         smallest=_bound(min, whole),
-        processors=sum(each.processors for each in whole),
         by_name={each.name: each for each in drawing},
     )
 
