--- a/tests/soak.py
+++ b/tests/soak.py
@@ -244,10 +244,11 @@
         name = self.rnd.choice(sorted(self.made.fleet.workers))
         self._lives += 1
         fresh = entry(f"w-{self._lives}")
+        # Another fault may list it as soon as the fleet has it.
+        self.made.entries[fresh.worker] = fresh
         self.made.fleet.crash(name, fresh)
         self.made.unlist_worker(name)
         await asyncio.sleep(self.rnd.uniform(0.0, 0.5))
-        self.made.entries[fresh.worker] = fresh
         self.made.list_worker(fresh.worker)
 
     async def _stand_still(self) -> None:
