A trial whose worker fell with another one decides nothing

Two workers fell at one moment while a task of the same job was on trial on each; as both had only that job's tasks, each fall counted as caused by it, and the third one gave the job up.

The deciding loss now has to be the only fall at its moment. Ruled out: one trial at a time for a job (it holds up wide steps, and a fall by chance beside the trial still looks the same).

Test: test_a_trial_whose_worker_fell_with_another_decides_nothing, "together" failed before the change.

--- a/cranberrycleat/workflow/loss_ledger.py
+++ b/cranberrycleat/workflow/loss_ledger.py
@@ -68,7 +68,9 @@
         if left or worker.held or job.verdict is not None:
             return False
         record = task.step.make_losses_of(task)
-        decides = not record.is_on_trial() or self.fleet.fell_alone(worker, job.job_id)
+        decides = not record.is_on_trial() or (
+            not with_it.everywhere and self.fleet.fell_alone(worker, job.job_id)
+        )
         loss = LostWorker(
             attempt=placement.attempt,
             worker=worker.name,
--- a/cranberrycleat/workflow/suspicion.py
+++ b/cranberrycleat/workflow/suspicion.py
@@ -9,9 +9,10 @@
   everything else is not what crashed its worker, and all earlier suspicion is over;
 - it happened on several addresses, so that a machine that falls again and again
   incriminates itself and no task;
-- the last time nothing else had just begun there: a trial. What only stood beside a
-  task that crashes its workers would else share its verdict, as both are lost at the
-  same moments and placed anew together.
+- the last time nothing else had just begun there, and no other worker was lost at that
+  moment: a trial. What only stood beside a task that crashes its workers would else
+  share its verdict, as both are lost at the same moments and placed anew together; and
+  workers that are lost together may have a cause of their own.
 
 A worker that answers again was cut off and never crashed: it is taken off the record.
 However they were lost, no task takes more than `MOST_LOST` workers: what crashes them
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -229,6 +229,29 @@
     assert (made.jobs["a"].verdict is JobState.FAILED) is alone
 
 
+# Guards against sound work that is given up: two workers fall at one moment, on each of
+# which only a task of one job had just begun.
+@pytest.mark.parametrize("together", [True, False], ids=["together", "one alone"])
+def test_a_trial_whose_worker_fell_with_another_decides_nothing(together: bool) -> None:
+    pair = (worker("w"), worker("v"))
+    made = board(*pair)
+    _suspect(made, step(2))
+    on_trial = _step_of(made).tasks
+    for number, loss_of in enumerate(on_trial):
+        record = _step_of(made).make_losses_of(loss_of)
+        record.lost = [_loss(each, f"elsewhere-{number}-{each}:1") for each in range(2)]
+    for task, each in zip(on_trial, pair, strict=True):
+        placement = made.place(task, each, 3, now=0.0)
+        placement.ordered = True
+        placement.began(0.0)
+        each.heard_time(1, 0.0)
+    made.fleet.note_fall(pair[0], 0.0)
+    if together:
+        made.fleet.note_fall(pair[1], 0.0)
+    made.lapse(pair[0], Loss.REPLACED)
+    assert (made.jobs["a"].verdict is JobState.FAILED) is not together
+
+
 @pytest.mark.parametrize(
     ("spec", "early", "left"),
     [
