Callers need a key of a workspace, judged at each host and for each request

Cause: no part of the system knew a workspace or a key.

Change: the adapter decodes workspaces and keeps digests alone. `access` judges each request by the configuration held here: unknown key or none 401, at once; what the configuration may be too old to tell 503 with Retry-After. A host counts the age of its configuration from the moment it sent the question that brought nothing newer, on the clock that counts suspended time, or from another host's word of the same version. A request is sent before it is judged, so that one judged by a configuration younger than the bound was sent within the bound. The owner judges again where it holds a newer version. A job is told of to its own workspace alone; an identity of another workspace's job is no repeat.

Ruled out: a transaction that is conditional on the configuration's revision. It spans two parts of the table, which takes twice as long, and the age bounds what goes through the inbox as well.

A configuration without workspaces behaves as before.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -62,6 +62,7 @@
     objective_s: float
     stretch: float = 0.0
     slack_s: float = 0.0
+    workspace: str = ""
 
 
 @event("job.stored")
@@ -82,6 +83,16 @@
     retry_after_s: float
 
 
+@event("caller.rejected", kept=True)
+class CallerRejected:
+    """A request was not carried out for want of a good key; `key`: of its digest."""
+
+    queue: str
+    key: str
+    denied: bool
+    reason: str
+
+
 @event("job.malformed", kept=True)
 class JobMalformed:
     """A job cannot be read, or asks for what can never be."""
--- a/cranberrycleat/platform/front.py
+++ b/cranberrycleat/platform/front.py
@@ -20,6 +20,7 @@
     StateAnswer,
     read_job,
 )
+from cranberrycleat.workflow.access import Granted, key_digest
 from cranberrycleat.workflow.door import Door, DoorAnswer, DoorStatus
 from cranberrycleat.workflow.ports import Queue
 
@@ -28,9 +29,13 @@
     DoorStatus.NO_QUEUE: 404,
     DoorStatus.NO_JOB: 410,
     DoorStatus.MALFORMED: 400,
+    DoorStatus.DENIED: 401,
     DoorStatus.REFUSED: 503,
     DoorStatus.UNKNOWN: 504,
 }
+KEY_HEADER: Final = b"authorization"
+KEY_SCHEME: Final = "token"
+CHALLENGE: Final = (b"www-authenticate", b"Token")
 READY: Final = 200
 NOT_READY: Final = 503
 DEFAULT_LIMIT_S: Final = 3.0
@@ -72,9 +77,7 @@
         elif body is None:
             answer = DoorAnswer(status=DoorStatus.MALFORMED, reason="body too large")
         else:
-            job_id = path[len(queue.prefix) :]
-            limit_s = _limit_s(headers)
-            answer = await self._answer(scope["method"], queue, job_id, body, limit_s)
+            answer = await self._judge(scope["method"], queue, path, headers, body)
         is_queue = isinstance(queue, Queue) and path == queue.prefix
         message = _message(answer, is_queue=is_queue)
         if not self.is_ready():
@@ -83,30 +86,70 @@
             message = attrs.evolve(message, headers=(*message.headers, close))
         await send_answer(send, message)
 
-    async def _answer(
-        self, method: str, queue: Queue, job_id: str, body: bytes, limit_s: float
+    async def _judge(
+        self,
+        method: str,
+        queue: Queue,
+        path: str,
+        headers: dict[bytes, bytes],
+        body: bytes,
     ) -> DoorAnswer:
+        access = self.door.grant(queue, _key_digest(headers))
+        if isinstance(access, DoorAnswer):
+            return access
+        call = _Call(
+            queue=queue,
+            job_id=path[len(queue.prefix) :],
+            body=body,
+            limit_s=_limit_s(headers),
+            access=access,
+        )
+        return await self._answer(method, call)
+
+    async def _answer(self, method: str, call: "_Call") -> DoorAnswer:
+        job_id, workspace = call.job_id, call.access.workspace
         match method:
             case "GET" if not job_id:
-                return self.door.waiting(queue)
+                return self.door.waiting(call.queue)
             case "GET":
-                return await self.door.state(job_id)
+                return await self.door.state(job_id, workspace)
             case "DELETE" if job_id:
-                return await self.door.cancel(job_id, limit_s=limit_s)
+                return await self.door.cancel(
+                    job_id, limit_s=call.limit_s, workspace=workspace
+                )
             case "POST" if job_id:
-                return await self._submit(queue, job_id, body, limit_s)
+                return await self._submit(call)
             case _:
                 return DoorAnswer(status=DoorStatus.MALFORMED, reason="no such call")
 
-    async def _submit(
-        self, queue: Queue, job_id: str, body: bytes, limit_s: float
-    ) -> DoorAnswer:
+    async def _submit(self, call: "_Call") -> DoorAnswer:
+        queue, job_id = call.queue, call.job_id
         try:
-            spec = read_job(body)
+            spec = read_job(call.body)
         except errors.FindingsError as exc:
             emit(events.JobMalformed(job=job_id, queue=queue.name, reason=str(exc)))
             return DoorAnswer(status=DoorStatus.MALFORMED, reason=str(exc))
-        return await self.door.submit(queue, job_id, spec, limit_s=limit_s)
+        return await self.door.submit(
+            queue, job_id, spec, limit_s=call.limit_s, access=call.access
+        )
+
+
+@attrs.frozen(kw_only=True)
+class _Call:
+    """One request of a caller whose key is good."""
+
+    queue: Queue
+    job_id: str
+    body: bytes
+    limit_s: float
+    access: Granted
+
+
+def _key_digest(headers: dict[bytes, bytes]) -> str:
+    """Return the digest of the key that a request carries; empty: none."""
+    scheme, _, key = headers.get(KEY_HEADER, b"").decode("latin-1").partition(" ")
+    key = key.strip()
+    return key_digest(key) if key and scheme.lower() == KEY_SCHEME else ""
 
 
 def _limit_s(headers: dict[bytes, bytes]) -> float:
@@ -122,6 +165,8 @@
             return Answer(message=QueueAnswer(waiting=answer.waiting))
         return Answer(message=StateAnswer(state=answer.state))
     reason = ReasonAnswer(reason=answer.reason or answer.status.value)
+    if answer.status is DoorStatus.DENIED:
+        return Answer(message=reason, status=status, headers=(CHALLENGE,))
     if answer.status is not DoorStatus.REFUSED:
         return Answer(message=reason, status=status)
     seconds = max(1, math.ceil(answer.retry_after_s))
--- a/cranberrycleat/platform/records.py
+++ b/cranberrycleat/platform/records.py
@@ -12,12 +12,14 @@
 from cranberrycleat import codec, errors
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.table import Row
+from cranberrycleat.workflow.access import key_digest
 from cranberrycleat.workflow.ports import (
     ClusterConfig,
     PermitPolicy,
     PoolConfig,
     Queue,
     WorkerEntry,
+    Workspace,
 )
 
 CONFIG_TABLE = "op"
@@ -46,6 +48,7 @@
     stretch: float = 1.0
     slo_ms: float = 0.0
     advice: _WireAdvice | None = None
+    public: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -54,13 +57,6 @@
     standby: bool = False
 
 
-@attrs.frozen(kw_only=True)
-class _WireConfig:
-    version: int
-    routes: tuple[_WireRoute, ...] = ()
-    services: tuple[_WireService, ...] = ()
-
-
 @attrs.frozen(kw_only=True)
 class WireAmounts:
     """Amounts as the platform spells them; `cpu` in thousandths of a core."""
@@ -78,6 +74,22 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class _WireTenant:
+    name: str
+    api_keys: tuple[str, ...] = ()
+    weight: float = 0.0
+    cap: WireAmounts = WireAmounts()
+
+
+@attrs.frozen(kw_only=True)
+class _WireConfig:
+    version: int
+    routes: tuple[_WireRoute, ...] = ()
+    services: tuple[_WireService, ...] = ()
+    tenants: tuple[_WireTenant, ...] | None = None
+
+
 @attrs.frozen(kw_only=True)
 class _WireWorker:
     service: str
@@ -104,6 +116,20 @@
         pools=tuple(
             PoolConfig(name=each.name, standby=each.standby) for each in wire.services
         ),
+        workspaces=(
+            None
+            if wire.tenants is None
+            else tuple(_workspace(each) for each in wire.tenants)
+        ),
+    )
+
+
+def _workspace(tenant: _WireTenant) -> Workspace:
+    return Workspace(
+        name=tenant.name,
+        key_digests=tuple(key_digest(each) for each in tenant.api_keys),
+        weight=tenant.weight,
+        quota=tenant.cap.amounts(),
     )
 
 
@@ -118,6 +144,7 @@
         stretch=route.stretch,
         objective_s=route.slo_ms / 1000,
         permits=_permits(route.advice),
+        public=route.public,
     )
 
 
--- a/cranberrycleat/platform/settings.py
+++ b/cranberrycleat/platform/settings.py
@@ -35,6 +35,8 @@
     status_s: float = 120.0
     grace_s: float = 6.0
     config_ms: float = 3000.0
+    strict_revoke: bool = False
+    revoke_ms: float = 5000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -103,6 +105,7 @@
         status_s=bounds.status_s,
         grace_s=bounds.grace_s,
         config_bound_s=bounds.config_ms / 1000,
+        revoke_bound_s=bounds.revoke_ms / 1000 if bounds.strict_revoke else None,
     )
 
 
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -110,6 +110,7 @@
         spec: WorkflowSpec,
         *,
         accepted_s: float | None = None,
+        workspace: str = "",
     ) -> Job:
         """Take in a job; a known identity changes nothing.
 
@@ -120,6 +121,7 @@
             accepted_s: When it was accepted, since 1970; None: now. What lay in
                 the inbox has used up a part of its objective there. Another host's
                 clock may be ahead: nothing was accepted after now.
+            workspace: Whose it is.
         """
         known = self.jobs.get(job_id)
         if known is not None:
@@ -132,6 +134,7 @@
             spec=spec,
             accepted_s=accepted_s,
             spec_inline=spec.is_small(),
+            workspace=workspace,
         )
         self.jobs[job_id] = job
         self._count_unstarted(job)
@@ -147,6 +150,7 @@
                 objective_s=round(objective_s(job), 3),
                 stretch=queue.stretch,
                 slack_s=queue.objective_s,
+                workspace=workspace,
             )
         )
         self._note(job)
--- a/cranberrycleat/workflow/config_watch.py
+++ b/cranberrycleat/workflow/config_watch.py
@@ -13,6 +13,7 @@
 from cranberrycleat.clock import Clock
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.directory import ConfigFollower
+from cranberrycleat.workflow.peering import FAR_S
 from cranberrycleat.workflow.touch import STORE_FRESH_S, Touch
 
 WAIT_S: Final = 1.0
@@ -36,6 +37,8 @@
             force everywhere.
         first: Set once a reading has come to its end.
         unread: Readings in a row that came to nothing.
+        confirmed_at: As of when the configuration held here was known to be the
+            newest: when the question was sent that brought nothing newer.
     """
 
     follower: ConfigFollower
@@ -44,14 +47,16 @@
     bound_s: float
     first: asyncio.Event = attrs.field(factory=asyncio.Event)
     unread: int = 0
+    confirmed_at: float = float("-inf")
 
     async def run(self) -> None:
         """Follow for ever."""
         while True:
             began = self.clock.now()
             try:
-                await self.follower.follow(WAIT_S)
+                await self.follower.follow(0.0 if self.unread else WAIT_S)
                 self.unread = 0
+                self._confirm(began)
                 self.first.set()
                 self.touch.heard_table()
             except errors.TableUnavailable as exc:
@@ -75,9 +80,25 @@
             )
         )
 
-    def hear(self, version: int) -> None:
-        """Note the version that another host holds."""
+    def hear(self, version: int, *, asked_at: float, age_s: float) -> None:
+        """Note the version that another host holds.
+
+        Args:
+            version: The version; 0: none.
+            asked_at: When that host was asked, on this host's clock.
+            age_s: How long before its answer that was known to be the newest.
+        """
         self.follower.hear(version, self.clock.now())
+        if version and version == self.follower.version:
+            self._confirm(asked_at - age_s)
+
+    def _confirm(self, as_of: float) -> None:
+        if self.follower.readable:
+            self.confirmed_at = max(self.confirmed_at, as_of)
+
+    def age_s(self) -> float:
+        """Return how long ago the configuration was known to be the newest."""
+        return min(FAR_S, self.clock.now() - self.confirmed_at)
 
     def late_s(self) -> float:
         """Return for how long a newer version than the one in force is known of."""
--- a/cranberrycleat/workflow/directory.py
+++ b/cranberrycleat/workflow/directory.py
@@ -117,6 +117,7 @@
         read_wave: Turns a row into a wave of upkeep, if it is one.
         current: The configuration in force; None before the first.
         waves: The waves that the operator asked for, by number.
+        readable: The newest version that was met could be read.
     """
 
     store: FeedTable
@@ -126,6 +127,7 @@
     read_wave: Callable[[Row], Wave | None] = lambda row: None
     current: ClusterConfig | None = None
     waves: dict[int, Wave] = attrs.field(factory=dict)
+    readable: bool = True
     _after: int | None = None
     _size: int = 0
     _heard: dict[int, float] = attrs.field(factory=dict)
@@ -173,7 +175,9 @@
             config = self.read(row)
         except errors.FindingsError as exc:
             emit(events.ConfigUnreadable(findings=str(exc)))
+            self.readable = False
             return False
+        self.readable = True
         if not self.take(config):
             return False
         emit(
--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -18,8 +18,15 @@
 from cranberrycleat import codec, errors, events
 from cranberrycleat.clock import Clock, time_of_day
 from cranberrycleat.logs import emit, part_logger
-from cranberrycleat.table import ABSENT, Check, Put
+from cranberrycleat.table import ABSENT, Check, Put, Row
 from cranberrycleat.workflow import rows
+from cranberrycleat.workflow.access import (
+    TOLD_DIGITS,
+    Access,
+    Denied,
+    Granted,
+    Undecided,
+)
 from cranberrycleat.workflow.answer_timeout import AnswerTimeout
 from cranberrycleat.workflow.directory import ConfigFollower
 from cranberrycleat.workflow.owner import Owner
@@ -71,6 +78,7 @@
     NO_QUEUE = "no-queue"
     NO_JOB = "no-job"
     MALFORMED = "malformed"
+    DENIED = "denied"
     REFUSED = "refused"
     UNKNOWN = "unknown"
 
@@ -94,6 +102,11 @@
     retry_after_s: float = OUTAGE_RETRY_S
 
 
+FOREIGN: Final = DoorAnswer(
+    status=DoorStatus.MALFORMED, reason="this identity is another job's"
+)
+
+
 @attrs.frozen(kw_only=True)
 class _Step:
     """What one try came to; without an answer the door tries again.
@@ -129,6 +142,7 @@
 
     Attributes:
         config: The configuration in force.
+        access: Judges callers' keys.
         store: The platform's table.
         inbox: Writes jobs to the inbox, grouped.
         peers: Calls to other hosts.
@@ -146,6 +160,7 @@
     """
 
     config: ConfigFollower
+    access: Access
     store: FeedTable
     inbox: GroupedWriter
     peers: PeerClient
@@ -171,10 +186,36 @@
         found = self.config.find(host, path)
         return found or DoorAnswer(status=DoorStatus.NO_QUEUE)
 
+    def grant(self, queue: Queue, digest: str) -> Granted | DoorAnswer:
+        """Judge a request by the digest of its key; return the grant or the refusal."""
+        judged = self.access.judge(queue, digest)
+        match judged:
+            case Granted():
+                return judged
+            case Denied(reason=reason):
+                answer = DoorAnswer(status=DoorStatus.DENIED, reason=reason)
+            case Undecided(reason=reason):
+                answer = DoorAnswer(status=DoorStatus.REFUSED, reason=reason)
+        emit(
+            events.CallerRejected(
+                queue=queue.name,
+                key=digest[:TOLD_DIGITS],
+                denied=answer.status is DoorStatus.DENIED,
+                reason=reason,
+            )
+        )
+        return answer
+
     # --- handing in -----------------------------------------------------------
 
     async def submit(
-        self, queue: Queue, job_id: str, spec: WorkflowSpec, *, limit_s: float
+        self,
+        queue: Queue,
+        job_id: str,
+        spec: WorkflowSpec,
+        *,
+        limit_s: float,
+        access: Granted = Granted(),
     ) -> DoorAnswer:
         """Take in a job, trying until it is settled or the time is up.
 
@@ -183,12 +224,13 @@
             job_id: The caller's identity for it.
             spec: The job.
             limit_s: How long the caller waits for the answer.
+            access: What the caller was granted.
         """
         fault = check(spec)
         if fault:
             emit(events.JobMalformed(job=job_id, queue=queue.name, reason=fault))
             return DoorAnswer(status=DoorStatus.MALFORMED, reason=fault)
-        req = SubmitRequest(job_id=job_id, queue=queue, spec=spec)
+        req = SubmitRequest(job_id=job_id, queue=queue, spec=spec, access=access)
         began = self.clock.now()
         until = began + limit_s * USABLE_SHARE
         maybe_stored = False
@@ -278,6 +320,11 @@
             return _Step()
         if reply.accepted:
             return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
+        if reply.foreign:
+            return _Step(answer=FOREIGN)
+        if reply.denied:
+            denied = DoorAnswer(status=DoorStatus.DENIED, reason=reply.reason)
+            return _Step(answer=denied)
         if not reply.refused:
             return _Step(maybe_stored=True, with_owner=True)
         return _Step(
@@ -299,13 +346,20 @@
         return await self.peers.submit(address, req)
 
     async def _to_inbox(self, req: SubmitRequest) -> "_Step":
-        row = rows.SpecRow(queue=req.queue, spec=req.spec, accepted_s=time_of_day())
+        row = rows.SpecRow(
+            queue=req.queue,
+            spec=req.spec,
+            accepted_s=time_of_day(),
+            workspace=req.access.workspace,
+        )
         key = rows.inbox_key(req.job_id)
         change = Change(
             check=Check(key=key, version=ABSENT),
             put=Put(key=key, value=codec.encode_text(row)),
         )
         match await self._write_within(change):
+            case Lost() if not await self._is_stored_for(req):
+                return _Step(answer=FOREIGN)
             case Won() | Lost():
                 # Lost: an earlier try of the caller left the job there.
                 emit(events.JobInInbox(job=req.job_id, outcome="stored"))
@@ -317,6 +371,12 @@
                 emit(events.JobInInbox(job=req.job_id, outcome="unknown"))
                 return _Step(maybe_stored=True)
 
+    async def _is_stored_for(self, req: SubmitRequest) -> bool:
+        """Tell whether what the inbox has under an identity is this workspace's."""
+        found = await self.store.read(keys=(rows.inbox_key(req.job_id),))
+        visible = ("", req.access.workspace)
+        return all(_inbox_workspace(row) in visible for row in found)
+
     async def _write_within(self, change: Change) -> WriteResult:
         """Write to the inbox; what takes longer goes on without its caller.
 
@@ -329,9 +389,13 @@
 
     # --- asking ---------------------------------------------------------------
 
-    async def state(self, job_id: str) -> DoorAnswer:
-        """Return a job's state: the owner's word, or the table's if that is late."""
-        asked = asyncio.create_task(self._owner_says(job_id, cancel=False))
+    async def state(self, job_id: str, workspace: str = "") -> DoorAnswer:
+        """Return a job's state: the owner's word, or the table's if that is late.
+
+        To other workspaces than its own a job does not exist.
+        """
+        req = JobQuestion(job_id=job_id, workspace=workspace)
+        asked = asyncio.create_task(self._owner_says(req, cancel=False))
         done, _ = await asyncio.wait({asked}, timeout=self.answer_timeout.limit_s())
         if done:
             answer = asked.result()
@@ -342,60 +406,66 @@
         if not self.in_touch():
             return DoorAnswer(status=DoorStatus.REFUSED, reason="cut off")
         try:
-            return await self._stored_state(job_id)
+            return await self._stored_state(req)
         except (errors.TableUnavailable, errors.FindingsError) as exc:
             return DoorAnswer(status=DoorStatus.REFUSED, reason=str(exc))
 
-    async def _stored_state(self, job_id: str) -> DoorAnswer:
-        keys = (rows.job_key(job_id), rows.inbox_key(job_id))
+    async def _stored_state(self, req: JobQuestion) -> DoorAnswer:
+        keys = (rows.job_key(req.job_id), rows.inbox_key(req.job_id))
         found = {row.key: row for row in await self.store.read(keys=keys)}
+        state, workspace = "", ""
         if keys[0] in found:
             row = rows.read_row(found[keys[0]].value, keys[0])
-            return DoorAnswer(status=DoorStatus.DONE, state=row.state().value)
-        if keys[1] in found:
-            return DoorAnswer(status=DoorStatus.DONE, state=JobState.QUEUED.value)
-        return DoorAnswer(status=DoorStatus.NO_JOB)
-
-    async def cancel(self, job_id: str, *, limit_s: float) -> DoorAnswer:
+            state, workspace = row.state().value, row.workspace
+        elif keys[1] in found:
+            state = JobState.QUEUED.value
+            workspace = _inbox_workspace(found[keys[1]])
+        if not state or workspace not in ("", req.workspace):
+            return DoorAnswer(status=DoorStatus.NO_JOB)
+        return DoorAnswer(status=DoorStatus.DONE, state=state)
+
+    async def cancel(
+        self, job_id: str, *, limit_s: float, workspace: str = ""
+    ) -> DoorAnswer:
         """Cancel a job, trying until it is settled or the time is up."""
+        req = JobQuestion(job_id=job_id, workspace=workspace)
         until = self.clock.now() + limit_s * USABLE_SHARE
         while True:
-            answer = await self._cancel_once(job_id)
+            answer = await self._cancel_once(req)
             if answer.status is not DoorStatus.UNKNOWN or self.clock.now() > until:
                 told = answer.state or answer.reason or answer.status.value
                 emit(events.JobCancelled(job=job_id, state=told))
                 return answer
             await asyncio.sleep(AGAIN_S)
 
-    async def _cancel_once(self, job_id: str) -> DoorAnswer:
-        answer = await self._owner_says(job_id, cancel=True)
+    async def _cancel_once(self, req: JobQuestion) -> DoorAnswer:
+        answer = await self._owner_says(req, cancel=True)
         if answer is None:
             return DoorAnswer(status=DoorStatus.UNKNOWN, reason="no owner answers")
         if answer.known:
             return DoorAnswer(status=DoorStatus.DONE, state=answer.state)
         try:
-            stored = await self._stored_state(job_id)
+            stored = await self._stored_state(req)
         except (errors.TableUnavailable, errors.FindingsError) as exc:
             return DoorAnswer(status=DoorStatus.UNKNOWN, reason=str(exc))
         if stored.status is DoorStatus.NO_JOB:
             return stored
         return DoorAnswer(status=DoorStatus.UNKNOWN, reason="not with the owner yet")
 
-    async def _owner_says(self, job_id: str, *, cancel: bool) -> JobAnswer | None:
+    async def _owner_says(self, req: JobQuestion, *, cancel: bool) -> JobAnswer | None:
         """Return the owner's answer; None where no owner gave one."""
-        req = JobQuestion(job_id=job_id)
         try:
             owner = self.owner()
             if owner is not None:
                 ask_here = owner.cancel if cancel else owner.settled_state
-                return await ask_here(job_id)
+                return await ask_here(req.job_id, req.workspace)
             address = self.owner_address()
             if not address or address == self.own_address:
                 return None
             ask = self.peers.cancel if cancel else self.peers.state
             answer = await ask(address, req)
         except errors.PeerUnavailable as exc:
-            LOG.debug("The owner did not answer for job %s: %s", job_id, exc)
+            LOG.debug("The owner did not answer for job %s: %s", req.job_id, exc)
             return None
         return answer if answer.owner else None
 
@@ -413,6 +483,11 @@
         return DoorAnswer(status=DoorStatus.DONE, waiting=lengths.get(queue.name, 0))
 
 
+def _inbox_workspace(row: Row) -> str:
+    """Return whose job a row of the inbox is; raises `errors.FindingsError`."""
+    return codec.decode(row.value, rows.SpecRow, place=row.key).workspace
+
+
 def check(spec: WorkflowSpec) -> str:
     """Return what is wrong with a job, or nothing."""
     if not spec.steps or len(spec.steps) > MOST_STEPS:
--- a/cranberrycleat/workflow/inbox.py
+++ b/cranberrycleat/workflow/inbox.py
@@ -88,7 +88,11 @@
                 emit(events.RowUnreadable(findings=str(exc)))
                 continue
             job = self.board.accept(
-                job_id, kept.queue, kept.spec, accepted_s=kept.accepted_s
+                job_id,
+                kept.queue,
+                kept.spec,
+                accepted_s=kept.accepted_s,
+                workspace=kept.workspace,
             )
             self.board.inbox.add(job_id)
             self.board.dirty[job_id] = job
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -21,6 +21,7 @@
 from cranberrycleat.logs import emit, lines_left_out, name_host, observe, part_logger
 from cranberrycleat.metrics import Metrics
 from cranberrycleat.workflow import options
+from cranberrycleat.workflow.access import Access
 from cranberrycleat.workflow.adapter import Adapter
 from cranberrycleat.workflow.candidacy import Candidacy, strength
 from cranberrycleat.workflow.config_watch import ConfigWatch
@@ -68,6 +69,7 @@
     _candidacy: Candidacy = attrs.field(init=False)
     _lease: OwnershipLease = attrs.field(init=False)
     _config: ConfigWatch = attrs.field(init=False)
+    _access: Access = attrs.field(init=False)
     _door: Door = attrs.field(init=False)
     _peers: PeerClient = attrs.field(init=False)
     _servers: list[HttpServer] = attrs.field(factory=list)
@@ -89,6 +91,13 @@
             clock=self.clock,
             bound_s=cfg.config_bound_s,
         )
+        self._access = Access(
+            config=lambda: self._config.follower.current,
+            confirmed_at=lambda: self._config.confirmed_at,
+            clock=self.clock,
+            config_bound_s=cfg.config_bound_s,
+            revoke_bound_s=cfg.revoke_bound_s,
+        )
         self._candidacy = Candidacy(
             own=strength(cfg.room), members=self._members, clock=self.clock
         )
@@ -106,6 +115,7 @@
         )
         self._door = Door(
             config=self._config.follower,
+            access=self._access,
             store=self.adapter.store,
             inbox=GroupedWriter(
                 table=self.adapter.store,
@@ -178,6 +188,7 @@
                 owner_at=self.address,
                 holder=self._lease.holder,
                 config=self._config.follower.version,
+                config_age_s=round(self._config.age_s(), 3),
             )
         self._members.hear(req, self.clock.now())
         return DigestReply(
@@ -186,6 +197,7 @@
             epoch=max(self._lease.epoch, self._touch.hint.epoch),
             owner_at=self.owner_address(),
             config=self._config.follower.version,
+            config_age_s=round(self._config.age_s(), 3),
         )
 
     def _is_dead(self, holder: str) -> bool:
@@ -345,7 +357,10 @@
             emit(events.SettingsUnreadable(findings=str(exc)))
             return
         if changed:
-            self._config.bound_s = self.adapter.settings.config_bound_s
+            cfg = self.adapter.settings
+            self._config.bound_s = cfg.config_bound_s
+            self._access.config_bound_s = cfg.config_bound_s
+            self._access.revoke_bound_s = cfg.revoke_bound_s
             emit(events.SettingsReread(changed=changed))
 
     async def _follow_settings(self) -> None:
@@ -453,6 +468,7 @@
             spread_factor=cfg.spread_factor,
             batch_bytes=options.batch_bytes(cfg.room),
             pools=self._pools,
+            access=self._access,
             reading_limit_s=self._candidacy.reading_limit_s(believed),
         )
         owner.director = self._make_director(owner)
@@ -512,6 +528,7 @@
         )
 
     async def _ask_owner(self, address: str) -> bool:
+        asked_at = self.clock.now()
         try:
             reply = await self._peers.digest(address, self._digest())
         except errors.NotSent:
@@ -523,7 +540,7 @@
         if not reply.owner and reply.holder:
             self._suspect_owner(reply.holder)
         now = self.clock.now()
-        self._take_hint(reply)
+        self._take_hint(reply, asked_at)
         if reply.owner:
             self._touch.heard_owner()
             if self._touch.owner_is_alone(reply.table_silent_s):
@@ -535,20 +552,22 @@
             self._members.learn(reply, now)
         return reply.owner
 
-    def _take_hint(self, reply: DigestReply) -> None:
+    def _take_hint(self, reply: DigestReply, asked_at: float) -> None:
         self._touch.take_hint(reply)
-        self._config.hear(reply.config)
+        self._config.hear(reply.config, asked_at=asked_at, age_s=reply.config_age_s)
 
     async def _ask_elsewhere(self) -> None:
         """Find out whether any other data centre can be reached."""
         cfg = self.adapter.settings
         others = self._members.elsewhere(cfg.data_centre, self.address)
         for address in others[:MOST_ASKED]:
+            asked_at = self.clock.now()
             try:
-                self._take_hint(await self._peers.digest(address, self._digest()))
+                reply = await self._peers.digest(address, self._digest())
             except errors.PeerUnavailable as exc:
                 LOG.debug("A peer did not answer: %s", exc)
                 continue
+            self._take_hint(reply, asked_at)
             self._touch.heard_place()
             return
 
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -20,6 +20,7 @@
 from cranberrycleat.lifecycle import Background
 from cranberrycleat.logs import emit, part_logger
 from cranberrycleat.workflow import incarnations, options
+from cranberrycleat.workflow.access import Access
 from cranberrycleat.workflow.answer_timeout import AnswerTimeout
 from cranberrycleat.workflow.batches import Batch, forget_ended, note_stored, take_batch
 from cranberrycleat.workflow.board import Board
@@ -90,6 +91,7 @@
         batch_bytes: How many bytes of values one transaction holds.
         director: Carries out upkeep waves, where there are machines.
         pools: Tells which services the configuration names; None without one.
+        access: Judges again what other hosts granted; None: nothing needs a key.
         ready: Set once the rows were read.
         store_answers: Whether the table answered of late.
         closing: Whether the ownership is being handed over.
@@ -112,6 +114,7 @@
     batch_bytes: int = options.MOST_BATCH_BYTES
     director: UpkeepDirector | None = None
     pools: Callable[[], frozenset[str] | None] = lambda: None
+    access: Access | None = None
     board: Board = attrs.field(factory=Board)
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
     ready: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -453,9 +456,14 @@
             NotOwner: It was not taken in; the next owner may.
             PeerUnavailable: It is unknown whether it was accepted.
         """
+        known = self.board.jobs.get(req.job_id)
+        if known is not None and not known.is_visible_to(req.access.workspace):
+            return SubmitReply(foreign=True)
         if req.job_id in self.board.shown or req.job_id in self.board.unreadable:
             return SubmitReply(accepted=True)
-        if req.job_id not in self.board.jobs:
+        if known is None:
+            if self.access is not None and not self.access.still_grants(req.access):
+                return SubmitReply(denied=True, reason="the key was taken away")
             if self.closing:
                 raise errors.NotOwner("the ownership is being handed over")
             if not self.store_answers or not self.may_order():
@@ -464,7 +472,9 @@
             if hopeless:
                 retry_s = RETRY_S if self._list_is_settled() else SETTLING_RETRY_S
                 return SubmitReply(refused=True, reason=hopeless, retry_after_s=retry_s)
-            self.board.accept(req.job_id, req.queue, req.spec)
+            self.board.accept(
+                req.job_id, req.queue, req.spec, workspace=req.access.workspace
+            )
             self.changed()
         began = self.clock.now()
         shown = self.board.shown
@@ -476,14 +486,19 @@
             return SubmitReply(refused=True, reason=STORE_SILENT)
         raise errors.PeerUnavailable("not known to be stored")
 
-    def state(self, job_id: str) -> JobAnswer:
-        """Return the stored state of a job."""
+    def state(self, job_id: str, workspace: str = "") -> JobAnswer:
+        """Return the stored state of a job, as a workspace's callers are told."""
         state = self.board.shown.get(job_id)
-        if state is None:
+        if state is None or self._visible_job(job_id, workspace) is None:
             return JobAnswer(owner=True)
         return JobAnswer(owner=True, known=True, state=state.value)
 
-    async def settled_state(self, job_id: str) -> JobAnswer:
+    def _visible_job(self, job_id: str, workspace: str) -> Job | None:
+        """Return a job that a workspace's callers may be told of."""
+        job = self.board.jobs.get(job_id)
+        return job if job is not None and job.is_visible_to(workspace) else None
+
+    async def settled_state(self, job_id: str, workspace: str = "") -> JobAnswer:
         """Return a job's state, after the write that is about to end it.
 
         Callers ask when they expect a job to have ended, and again 0.25 s later. Of
@@ -491,10 +506,10 @@
         'running', 0.02 s before the end was stored. Such a question waits for the
         transaction; what is not known to have ended is answered at once.
         """
-        job = self.board.jobs.get(job_id)
+        job = self._visible_job(job_id, workspace)
         if job is not None and job.verdict is not None and self.store_answers:
             await self._until_stored(lambda: self._is_shown(job), END_STORED_S)
-        return self.state(job_id)
+        return self.state(job_id, workspace)
 
     def _is_shown(self, job: Job) -> bool:
         """Tell whether callers are told what became of a final job."""
@@ -508,15 +523,16 @@
                     await self._stored.wait()
         return holds()
 
-    async def cancel(self, job_id: str) -> JobAnswer:
+    async def cancel(self, job_id: str, workspace: str = "") -> JobAnswer:
         """Cancel a job; the answer comes when that is stored.
 
         Raises:
             PeerUnavailable: It is unknown whether it was stored.
         """
-        job = self.board.cancel(job_id)
+        job = self._visible_job(job_id, workspace)
         if job is None:
             return JobAnswer(owner=True)
+        self.board.cancel(job_id)
         self.changed()
         self.stop_soon()
         if not await self._until_stored(lambda: self._is_shown(job), CHANGE_LIMIT_S):
--- a/cranberrycleat/workflow/peer_api.py
+++ b/cranberrycleat/workflow/peer_api.py
@@ -79,7 +79,7 @@
         held = self.owner()
         if held is None:
             return Answer(message=JobAnswer(owner=False))
-        return Answer(message=await held.settled_state(req.job_id))
+        return Answer(message=await held.settled_state(req.job_id, req.workspace))
 
     async def _cancel(self, body: bytes) -> Answer:
         req = codec.decode(body, JobQuestion)
@@ -87,7 +87,7 @@
         if held is None:
             return Answer(message=JobAnswer(owner=False))
         try:
-            return Answer(message=await held.cancel(req.job_id))
+            return Answer(message=await held.cancel(req.job_id, req.workspace))
         except errors.PeerUnavailable:
             return Answer(message=JobAnswer(owner=True), status=UNSETTLED)
 
--- a/cranberrycleat/workflow/peering.py
+++ b/cranberrycleat/workflow/peering.py
@@ -6,10 +6,13 @@
 
 from cranberrycleat import codec, errors
 from cranberrycleat.http_client import HttpClient, NoAnswer
+from cranberrycleat.workflow.access import Granted
 from cranberrycleat.workflow.ports import Permit, PermitUnavailable, Queue
 from cranberrycleat.workflow.spec import WorkflowSpec
 
 T = TypeVar("T")
+FAR_S: Final = 3600.0
+"""What is told for 'never'."""
 TIMEOUT_S: Final = 0.9
 """A whole answer takes about 15 ms, with a slowed store 0.5 s; a caller waits
 3 s and the door has a second way to go after this one."""
@@ -21,11 +24,12 @@
 
 @attrs.frozen(kw_only=True)
 class SubmitRequest:
-    """A door hands a job to the owner."""
+    """A door hands a job to the owner; `access` is what its caller was granted."""
 
     job_id: str
     queue: Queue
     spec: WorkflowSpec
+    access: Granted = Granted()
 
 
 @attrs.frozen(kw_only=True)
@@ -35,21 +39,26 @@
     Attributes:
         accepted: The job is stored.
         refused: It was not accepted and never runs.
+        denied: The same, since the caller's key is good no longer.
+        foreign: Another workspace's job has this identity.
         reason: Why it was refused.
         retry_after_s: When to come back.
     """
 
     accepted: bool = False
     refused: bool = False
+    denied: bool = False
+    foreign: bool = False
     reason: str = ""
     retry_after_s: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
 class JobQuestion:
-    """A question for, or the cancelling of, one job."""
+    """A workspace's question for, or its cancelling of, one job."""
 
     job_id: str
+    workspace: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -119,6 +128,7 @@
         peers: That list; empty where who asks has this version already.
         table_silent_s: For how long the owner's table has left a write unanswered.
         config: The version of the configuration that it holds; 0: none.
+        config_age_s: How long ago that was known to be the newest.
     """
 
     owner: bool
@@ -130,6 +140,7 @@
     peers: tuple[PeerEntry, ...] = ()
     table_silent_s: float = 0.0
     config: int = 0
+    config_age_s: float = FAR_S
 
 
 @attrs.frozen(kw_only=True)
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from cranberrycleat.amounts import Amounts
+from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.table import Row, Table
 
 
@@ -43,6 +43,7 @@
         stretch: Its objective in multiples of the job's longest chain of work.
         objective_s: What is added to that, in seconds.
         permits: How placement permits are had; None where none are needed.
+        public: Callers need no API key.
     """
 
     name: str
@@ -54,6 +55,25 @@
     stretch: float = 1.0
     objective_s: float = 0.0
     permits: PermitPolicy | None = None
+    public: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Workspace:
+    """One workspace of the configuration: whose callers, keys and quota are its own.
+
+    Attributes:
+        name: Its name.
+        key_digests: The digests of its API keys (see `access.key_digest`).
+        weight: Its share where demand exceeds the room, and the jobs a second that it
+            is owed; 0: not told.
+        quota: What it may have running over all workers; 0: no limit.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    weight: float = 0.0
+    quota: Amounts = NOTHING
 
 
 @attrs.frozen(kw_only=True)
@@ -71,11 +91,19 @@
 
 @attrs.frozen(kw_only=True)
 class ClusterConfig:
-    """The configuration in force."""
+    """The configuration in force.
+
+    Attributes:
+        version: Grows with each change.
+        queues: The queues.
+        pools: The services.
+        workspaces: The workspaces; None where there are none, and callers need no key.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     pools: tuple[PoolConfig, ...]
+    workspaces: tuple[Workspace, ...] | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -456,6 +484,8 @@
         grace_s: How long a process has between SIGTERM and its end.
         config_bound_s: Within which time of its acknowledgement a configuration
             is in force everywhere.
+        revoke_bound_s: Within which time a key that was taken away is good nowhere,
+            on hosts that are cut off either; None: no such bound.
     """
 
     name: str
@@ -473,6 +503,7 @@
     status_s: float
     grace_s: float
     config_bound_s: float = 3.0
+    revoke_bound_s: float | None = None
 
 
 PERMITS_MOST_WORKERS: Final = 100
--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -37,11 +37,13 @@
         queue: The rules of its queue when it was accepted.
         spec: The job.
         accepted_s: When, in seconds since 1970.
+        workspace: Whose it is; empty: nobody's.
     """
 
     queue: Queue
     spec: WorkflowSpec
     accepted_s: float
+    workspace: str = ""
 
 
 class _StepRow(msgspec.Struct, array_like=True):
@@ -63,7 +65,8 @@
 class JobRow(msgspec.Struct, array_like=True):
     """The changing part of a job; `verdict` indexes `_VERDICTS`.
 
-    `spec` is the unchanging part of an open job that is small.
+    `spec` is the unchanging part of an open job that is small. `workspace` stands here
+    too, since that part is removed when the job ends.
     """
 
     verdict: int = 0
@@ -72,6 +75,7 @@
     next_occurrence: int = 0
     open: tuple[_OccurrenceRow, ...] = ()
     spec: SpecRow | None = None
+    workspace: str = ""
 
     def state(self) -> JobState:
         """Return what callers are told."""
@@ -102,7 +106,12 @@
 
 
 def _spec_row(job: Job) -> SpecRow:
-    return SpecRow(queue=job.queue, spec=job.spec, accepted_s=job.accepted_s)
+    return SpecRow(
+        queue=job.queue,
+        spec=job.spec,
+        accepted_s=job.accepted_s,
+        workspace=job.workspace,
+    )
 
 
 def job_put(job: Job) -> Put:
@@ -115,6 +124,7 @@
         next_occurrence=job.next_occurrence,
         open=() if job.verdict else tuple(_pack(each) for each in job.open.values()),
         spec=_spec_row(job) if whole else None,
+        workspace=job.workspace,
     )
     return Put(key=job_key(job.job_id), value=msgspec.json.encode(row).decode())
 
@@ -178,6 +188,7 @@
         started=row.started,
         spec_stored=True,
         spec_inline=row.spec is not None,
+        workspace=spec.workspace,
     )
     for packed in row.open:
         job.next_occurrence = packed.number
@@ -197,6 +208,7 @@
         ended_s=row.ended_s,
         started=row.started,
         spec_stored=True,
+        workspace=row.workspace,
     )
 
 
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -186,6 +186,7 @@
         spec_inline: Whether that part stands in the row of its changing part.
         offered: Whether any transaction with it was sent.
         attempts: Attempts of its tasks that this owner placed.
+        workspace: Whose it is; empty: nobody's, and shown to all.
     """
 
     job_id: str
@@ -201,6 +202,11 @@
     spec_inline: bool = False
     offered: bool = False
     attempts: int = 0
+    workspace: str = ""
+
+    def is_visible_to(self, workspace: str) -> bool:
+        """Tell whether a workspace's callers are told of it."""
+        return self.workspace in ("", workspace)
 
     def state(self) -> JobState:
         """Return what callers are told."""
--- a/cranberrycleat/workflow/touch.py
+++ b/cranberrycleat/workflow/touch.py
@@ -10,7 +10,7 @@
 import attrs
 
 from cranberrycleat.clock import Clock
-from cranberrycleat.workflow.peering import DigestReply
+from cranberrycleat.workflow.peering import FAR_S, DigestReply
 
 OWNER_FRESH_S: Final = 0.9
 """One digest may be missed: they come each 0.3 s and wait 0.3 s."""
@@ -28,8 +28,6 @@
 """In a slowed table an owner's silence must last so many of this host's own
 answers: two of its calls may wait behind each other."""
 NEVER: Final = float("-inf")
-FAR_S: Final = 3600.0
-"""What is told for 'never'."""
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -14,6 +14,7 @@
 from cranberrycleat.standins.fleet import StandinFleet, Worker
 from cranberrycleat.table import Put, Row, Transaction
 from cranberrycleat.workflow import options
+from cranberrycleat.workflow.access import Access
 from cranberrycleat.workflow.directory import ConfigFollower, Directory
 from cranberrycleat.workflow.door import Door
 from cranberrycleat.workflow.membership import Membership
@@ -191,6 +192,12 @@
         config.current = CONFIG
         given: dict[str, object] = {
             "config": config,
+            "access": Access(
+                config=lambda: config.current,
+                confirmed_at=self.clock.now,
+                clock=self.clock,
+                config_bound_s=3.0,
+            ),
             "store": self.table,
             "inbox": GroupedWriter(table=self.table, clock=self.clock),
             "peers": PeerClient(http=self.http),
