A successor knows every attempt that may still run, also of jobs that ended

Cause: the row of a job that was cancelled, or failed, names no placed task, and neither does that of a task which was done while a later attempt of it was being stopped. A successor learned of what still ran only when it had asked the worker; until then it counted too little.

Change: a job's row lists what still counts of it beside its placed tasks (worker, attempt, what it takes); a successor counts and stops that from its takeover on. Rows of earlier versions lack the list and read as before.

Ruled out: to start nothing for a workspace until every worker has answered. One silent worker would hold up all work for a lease after each takeover.

--- a/cranberrycleat/workflow/batches.py
+++ b/cranberrycleat/workflow/batches.py
@@ -18,7 +18,7 @@
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.fleet import Placement
 from cranberrycleat.workflow.options import MOST_BATCH_BYTES
-from cranberrycleat.workflow.state import FINAL, Job, JobState
+from cranberrycleat.workflow.state import FINAL, Job, JobState, LeftAttempt
 
 MOST_ENTRIES: Final = 96
 """A transaction holds 100 entries, one of them the owner's row. A job needs one
@@ -57,7 +57,7 @@
     deletes: list[str] = []
     size = 0
     for job in list(board.dirty.values()):
-        wanted = _puts_of(job)
+        wanted = _puts_of(board, job)
         ended = job.verdict is not None and not job.spec_inline
         entries = len(puts) + len(deletes) + len(wanted) + ended
         size += sum(len(each.value) for each in wanted)
@@ -78,13 +78,26 @@
     )
 
 
-def _puts_of(job: Job) -> list[Put]:
-    wanted = [rows.job_put(job)]
+def _puts_of(board: Board, job: Job) -> list[Put]:
+    wanted = [rows.job_put(job, tuple(_left(board, job)))]
     if job.verdict is None and not job.spec_stored and not job.spec_inline:
         wanted.append(rows.spec_put(job))
     return wanted
 
 
+def _left(board: Board, job: Job) -> Iterator[LeftAttempt]:
+    """Yield what still counts of a job though the row names no task placed so."""
+    for worker, placement in board.placements_of(job.job_id):
+        if job.verdict is None and placement.is_current:
+            continue
+        yield LeftAttempt(
+            task=placement.task,
+            attempt=placement.attempt,
+            worker=worker.name,
+            needs=placement.needs,
+        )
+
+
 def _settled_ends(board: Board) -> Iterator[tuple[str, int]]:
     """Return up to which end each worker may forget once the batch is stored.
 
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -12,7 +12,7 @@
 import attrs
 
 from cranberrycleat import events
-from cranberrycleat.amounts import NOTHING
+from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.clock import BootClock, DayClock
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.fleet import (
@@ -22,6 +22,7 @@
     Loss,
     Placement,
     Standing,
+    adopted,
     counted,
     job_of,
     listed_attempts,
@@ -41,7 +42,14 @@
 )
 from cranberrycleat.workflow.retrying import pause_s
 from cranberrycleat.workflow.spec import WorkflowSpec
-from cranberrycleat.workflow.state import Job, JobState, StepRun, Task, TaskState
+from cranberrycleat.workflow.state import (
+    Job,
+    JobState,
+    LeftAttempt,
+    StepRun,
+    Task,
+    TaskState,
+)
 
 MOST_ENDS: Final = 500
 """A worker lists this many ends at a time."""
@@ -349,6 +357,8 @@
     def adopt(self, now: float) -> None:
         """Count every placement that an earlier owner stored."""
         for job in self.jobs.values():
+            for left in job.left:
+                self._adopt_left(left, now)
             for occurrence in job.open.values():
                 for step in occurrence.steps:
                     for task in step.tasks:
@@ -356,30 +366,29 @@
                             self._adopt(task, now)
 
     def _adopt(self, task: Task, now: float) -> None:
-        worker = self.fleet.workers.get(task.worker) or self._unlisted(task)
-        placement = Placement(
-            task=task.name,
-            attempt=task.attempt,
-            needs=counted(task.step.spec),
-            subject=task,
-            program=task.step.job.spec.program,
-            planned_at=now,
-            stored=True,
-            ordered=True,
-            running=True,
-            running_since=float("-inf"),
-            advanced_at=now,
-        )
+        placement = adopted(task.name, task.attempt, counted(task.step.spec), task, now)
+        placement.program = task.step.job.spec.program
+        self._count(self._worker_of(task.worker, placement.needs), placement)
+
+    def _adopt_left(self, left: LeftAttempt, now: float) -> None:
+        """Count and stop what an earlier owner had not heard to be over."""
+        placement = adopted(left.task, left.attempt, left.needs, None, now)
+        worker = self._worker_of(left.worker, left.needs)
         self._count(worker, placement)
+        self.stop(worker, placement, "its owner died before it was heard to end")
+
+    def _worker_of(self, name: str, needs: Amounts) -> FleetWorker:
+        """Return the incarnation that an earlier owner placed work on."""
+        return self.fleet.workers.get(name) or self._unlisted(name, needs)
 
-    def _unlisted(self, task: Task) -> FleetWorker:
+    def _unlisted(self, name: str, needs: Amounts) -> FleetWorker:
         """Take in an incarnation that the platform does not list.
 
         If it lists a later one, that one's first list tells what became of the work;
         if an earlier one, the platform's list is behind.
         """
-        identity = identity_of(task.worker)
-        born_ms = int(task.worker.removeprefix(identity).removeprefix("@") or 0)
+        identity = identity_of(name)
+        born_ms = int(name.removeprefix(identity).removeprefix("@") or 0)
         newest = self.fleet.newest.get(identity)
         if newest is not None and newest.entry.born_ms < born_ms:
             next_life = newest.entry.next_life(born_ms)
@@ -390,7 +399,7 @@
             address="" if newest is None else newest.entry.address,
             data_centre="",
             leaving=newest is None,
-            capacity=counted(task.step.spec),
+            capacity=needs,
             labels=(),
             born_ms=born_ms,
         )
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -163,6 +163,24 @@
         return task is not None and task.attempt == self.attempt and bool(task.worker)
 
 
+def adopted(
+    task: str, attempt: int, needs: Amounts, subject: Task | None, now: float
+) -> Placement:
+    """Return an attempt that an earlier owner stored: it may run."""
+    return Placement(
+        task=task,
+        attempt=attempt,
+        needs=needs,
+        subject=subject,
+        planned_at=now,
+        stored=True,
+        ordered=True,
+        running=True,
+        running_since=float("-inf"),
+        advanced_at=now,
+    )
+
+
 Key = tuple[str, int]
 """A task's name and the number of an attempt."""
 
--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -17,10 +17,18 @@
 import msgspec
 
 from cranberrycleat import codec, errors
+from cranberrycleat.amounts import Amounts
 from cranberrycleat.table import Put
 from cranberrycleat.workflow.ports import Queue
 from cranberrycleat.workflow.spec import WorkflowSpec
-from cranberrycleat.workflow.state import Job, JobState, Occurrence, StepRun, TaskState
+from cranberrycleat.workflow.state import (
+    Job,
+    JobState,
+    LeftAttempt,
+    Occurrence,
+    StepRun,
+    TaskState,
+)
 from cranberrycleat.workflow.suspicion import LossRecord, LostWorker
 
 JOBS: Final = "jobs"
@@ -66,7 +74,9 @@
     """The changing part of a job; `verdict` indexes `_VERDICTS`.
 
     `spec` is the unchanging part of an open job that is small. `workspace` stands here
-    too, since that part is removed when the job ends.
+    too, since that part is removed when the job ends. `left` are attempts that may
+    still run though their tasks are not placed any more: of a job that was cancelled,
+    or stopped since another one was done.
     """
 
     verdict: int = 0
@@ -76,6 +86,7 @@
     open: tuple[_OccurrenceRow, ...] = ()
     spec: SpecRow | None = None
     workspace: str = ""
+    left: tuple[tuple[str, int, str, int, int, int], ...] = ()
 
     def state(self) -> JobState:
         """Return what callers are told."""
@@ -114,7 +125,7 @@
     )
 
 
-def job_put(job: Job) -> Put:
+def job_put(job: Job, left: tuple[LeftAttempt, ...] = ()) -> Put:
     """Return the write of a job's changing part, and of a small one's whole."""
     whole = job.spec_inline and job.verdict is None
     row = JobRow(
@@ -125,6 +136,7 @@
         open=() if job.verdict else tuple(_pack(each) for each in job.open.values()),
         spec=_spec_row(job) if whole else None,
         workspace=job.workspace,
+        left=tuple(_pack_left(each) for each in left),
     )
     return Put(key=job_key(job.job_id), value=msgspec.json.encode(row).decode())
 
@@ -156,6 +168,30 @@
     return _OccurrenceRow(number=occurrence.number, steps=tuple(steps))
 
 
+def _pack_left(each: LeftAttempt) -> tuple[str, int, str, int, int, int]:
+    needs = each.needs
+    return (
+        each.task,
+        each.attempt,
+        each.worker,
+        needs.processors,
+        needs.memory_mb,
+        needs.accelerators,
+    )
+
+
+def _unpack_left(row: JobRow) -> tuple[LeftAttempt, ...]:
+    return tuple(
+        LeftAttempt(
+            task=task,
+            attempt=attempt,
+            worker=worker,
+            needs=Amounts(processors=cpu, memory_mb=memory, accelerators=accelerators),
+        )
+        for task, attempt, worker, cpu, memory, accelerators in row.left
+    )
+
+
 def _pack_losses(step: StepRun) -> Iterator[tuple[int, int, str, str, bool]]:
     """Yield each lost worker; a successor must not begin to count anew."""
     for index, record in step.losses.items():
@@ -189,6 +225,7 @@
         spec_stored=True,
         spec_inline=row.spec is not None,
         workspace=spec.workspace,
+        left=_unpack_left(row),
     )
     for packed in row.open:
         job.next_occurrence = packed.number
@@ -209,6 +246,7 @@
         started=row.started,
         spec_stored=True,
         workspace=row.workspace,
+        left=_unpack_left(row),
     )
 
 
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from cranberrycleat.amounts import Amounts
 from cranberrycleat.workflow.ports import EndKind, Queue
 from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
 from cranberrycleat.workflow.suspicion import LossRecord
@@ -168,6 +169,23 @@
         ]
 
 
+@attrs.frozen(kw_only=True)
+class LeftAttempt:
+    """An attempt that may still run though its task is not placed any more.
+
+    Attributes:
+        task: The task's name.
+        attempt: The attempt.
+        worker: The incarnation of a worker that it was placed on.
+        needs: What it is counted with.
+    """
+
+    task: str
+    attempt: int
+    worker: str
+    needs: Amounts
+
+
 @attrs.define(kw_only=True, eq=False)
 class Job:
     """One accepted job.
@@ -187,6 +205,7 @@
         offered: Whether any transaction with it was sent.
         attempts: Attempts of its tasks that this owner placed.
         workspace: Whose it is; empty: nobody's, and shown to all.
+        left: What an earlier owner had not heard to be over.
     """
 
     job_id: str
@@ -203,6 +222,7 @@
     offered: bool = False
     attempts: int = 0
     workspace: str = ""
+    left: tuple[LeftAttempt, ...] = ()
 
     def is_visible_to(self, workspace: str) -> bool:
         """Tell whether a workspace's callers are told of it."""
