What a workspace has running is kept within its quota

Cause: no part knew a quota.

Change: a ledger charges each attempt from its placing until it is proved over, as the room on its worker. The planner places nothing beyond the quota, a gang whole or not at all, and its backlog neither keeps room nor fills the round before other workspaces' steps. A link looks again before an order leaves: after a quota has fallen what was not sent is given up, what had no answer is made void. A gang or task that never fits is refused at once; one that was accepted before the quota fell waits, a single task until its workspace has nothing else.

Ruled out: to reckon with the overshoot that the platform lets pass. It is left for what cannot be known. Open: whether tasks that fill count with their processors (docs/PLATFORM.md asks); they are charged as on their worker.

--- a/cranberrycleat/amounts.py
+++ b/cranberrycleat/amounts.py
@@ -42,6 +42,15 @@
             slots=self.slots - other.slots,
         )
 
+    def times(self, count: int) -> "Amounts":
+        """Return the sum of so many of these."""
+        return Amounts(
+            processors=self.processors * count,
+            memory_mb=self.memory_mb * count,
+            accelerators=self.accelerators * count,
+            slots=self.slots * count,
+        )
+
     def fits_in(self, free: "Amounts") -> bool:
         """Tell whether these amounts are all there in `free`."""
         return (
--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -40,6 +40,7 @@
     WorkerEntry,
     identity_of,
 )
+from cranberrycleat.workflow.quota import QuotaLedger
 from cranberrycleat.workflow.retrying import pause_s
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import (
@@ -84,6 +85,7 @@
         ended: When each final job ended, since 1970, and its identity; a heap.
         stops_due: Workers with attempts that were to end since the links were told.
         losses: The record of workers that were lost under tasks.
+        quotas: What each workspace has on workers.
         unreadable: Jobs whose rows another version wrote. What runs of them is
             neither stopped nor acknowledged: whoever can read them decides.
     """
@@ -103,6 +105,7 @@
     ended: list[tuple[float, str]] = attrs.field(factory=list)
     stops_due: set[str] = attrs.field(factory=set)
     unreadable: set[str] = attrs.field(factory=set)
+    quotas: QuotaLedger = attrs.field(factory=QuotaLedger)
     _scheduled: set[str] = attrs.field(factory=set)
     losses: LossLedger = attrs.field(init=False)
 
@@ -285,17 +288,28 @@
         if permits is not None:
             permits.refused(worker.name)
 
+    def is_over_quota(self, placement: Placement) -> bool:
+        """Tell whether an attempt's workspace has more than its quota allows."""
+        task = placement.subject
+        return task is not None and self.quotas.is_over(task.step.job.workspace)
+
     def placements_of(self, job_id: str) -> tuple[Placed, ...]:
         """Return everything of a job that counts on a worker."""
         return tuple(self.placed.get(job_id, {}).values())
 
     def _count(self, worker: FleetWorker, placement: Placement) -> None:
         worker.count(placement)
-        of_job = self.placed.setdefault(job_of(placement.task), {})
+        job_id = job_of(placement.task)
+        of_job = self.placed.setdefault(job_id, {})
         of_job[(placement.task, placement.attempt)] = (worker, placement)
+        job = self.jobs.get(job_id)
+        if job is not None:
+            key = (worker.name, placement.task, placement.attempt)
+            self.quotas.charge(key, job.workspace, placement.needs)
 
     def _uncount(self, worker: FleetWorker, placement: Placement) -> None:
         worker.uncount(placement)
+        self.quotas.release((worker.name, placement.task, placement.attempt))
         job_id = job_of(placement.task)
         of_job = self.placed.get(job_id, {})
         of_job.pop((placement.task, placement.attempt), None)
--- a/cranberrycleat/workflow/feasibility.py
+++ b/cranberrycleat/workflow/feasibility.py
@@ -1,14 +1,15 @@
 """Tells work that can never run from work that has to wait.
 
-Answers jobs that ask for more than any worker has, for a label that none has,
-or for a gang wider than the whole pool: waiting for them is in vain, and their
-callers are told so at once. Only what the platform lists counts, whatever it is
-doing now; a pool of which nothing is known rules nothing out.
+Answers jobs that ask for more than any worker has, for a label that none has, for a
+gang wider than the whole pool, or for more than their workspace's quota: waiting for
+them is in vain, and their callers are told so at once. Only what the platform lists
+counts, whatever it is doing now; a pool of which nothing is known rules nothing out.
 """
 
 from typing import Final
 
-from cranberrycleat.workflow.fleet import FleetWorker, seats
+from cranberrycleat.amounts import Amounts
+from cranberrycleat.workflow.fleet import FleetWorker, counted, seats
 from cranberrycleat.workflow.locality import could_hold
 from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
 
@@ -30,6 +31,30 @@
     return ""
 
 
+def why_over(spec: WorkflowSpec, quota: Amounts | None) -> str:
+    """Return why a job can never run within its workspace's quota, or nothing."""
+    if quota is None:
+        return ""
+    for number, step in enumerate(spec.steps):
+        together = counted(step).times(step.count if step.gang else 1)
+        if not _fits_quota(together, quota):
+            what = "the gang" if step.gang else "a task"
+            return f"step {number}: {what} takes more than the workspace's quota"
+    return ""
+
+
+def _fits_quota(needs: Amounts, quota: Amounts) -> bool:
+    """Tell whether needs are within a quota, in which 0 is no limit."""
+    return all(
+        need <= limit or not limit
+        for need, limit in (
+            (needs.processors, quota.processors),
+            (needs.memory_mb, quota.memory_mb),
+            (needs.accelerators, quota.accelerators),
+        )
+    )
+
+
 def _why_step(step: StepSpec, workers: list[FleetWorker]) -> str:
     labelled = [
         each for each in workers if not step.label or step.label in each.entry.labels
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -236,11 +236,12 @@
         unanswered = 0
         order: StartOrder | None = None
         while self._counted(placement) and not placement.stopping and not self.over:
-            if order is None and not self.worker.may_begin():
+            if order is None and not self._may_begin(placement):
                 break
-            if self.worker.entry.leaving or self.worker.is_over():
+            reason = self._why_void(placement)
+            if reason:
                 # An unanswered order must not begin anything there any more.
-                placement.stop("worker leaves, or has shrunk, before it began")
+                placement.stop(reason)
                 break
             if not self.owner.may_order() or not self._answers():
                 await asyncio.sleep(ORDER_PAUSE_S)
@@ -277,6 +278,17 @@
         elif self._counted(placement) and not self.over:
             self._order_stops()
 
+    def _may_begin(self, placement: Placement) -> bool:
+        return self.worker.may_begin() and not self.board.is_over_quota(placement)
+
+    def _why_void(self, placement: Placement) -> str:
+        """Return why an order that has had no answer must not begin anything."""
+        if self.worker.entry.leaving or self.worker.is_over():
+            return "worker leaves, or has shrunk, before it began"
+        if self.board.is_over_quota(placement):
+            return "its workspace's quota fell before it began"
+        return ""
+
     def _answers(self) -> bool:
         """Tell whether the worker has not fallen silent; it may have started again."""
         return self.worker.standing is Standing.LIVE
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -25,7 +25,12 @@
 from cranberrycleat.workflow.batches import Batch, forget_ended, note_stored, take_batch
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.directory import Directory
-from cranberrycleat.workflow.feasibility import RETRY_S, SETTLING_RETRY_S, why_hopeless
+from cranberrycleat.workflow.feasibility import (
+    RETRY_S,
+    SETTLING_RETRY_S,
+    why_hopeless,
+    why_over,
+)
 from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.inbox import Inbox
 from cranberrycleat.workflow.links import WorkerLink
@@ -136,6 +141,8 @@
     starts: Starts = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        if self.access is not None:
+            self.board.quotas.quotas = self.access.quotas
         self.inbox = Inbox(board=self.board, store=self.store, changed=self.changed)
         self.roster = Roster(
             board=self.board,
@@ -468,7 +475,9 @@
                 raise errors.NotOwner("the ownership is being handed over")
             if not self.store_answers or not self.may_order():
                 return SubmitReply(refused=True, reason=STORE_SILENT)
-            hopeless = why_hopeless(req.spec, self.board.fleet.of_pool(req.queue.pool))
+            quota = self.board.quotas.quota_of(req.access.workspace)
+            workers = self.board.fleet.of_pool(req.queue.pool)
+            hopeless = why_hopeless(req.spec, workers) or why_over(req.spec, quota)
             if hopeless:
                 retry_s = RETRY_S if self._list_is_settled() else SETTLING_RETRY_S
                 return SubmitReply(refused=True, reason=hopeless, retry_after_s=retry_s)
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -7,6 +7,7 @@
 it does not wait for ever behind small work that fits every gap.
 """
 
+import collections
 from collections.abc import Sequence
 from typing import Final
 
@@ -30,8 +31,11 @@
 """Gangs for which room is kept at a time; more would idle the pool."""
 NO_WORKER: Final = "every known worker is ruled out by a label, a permit or its state"
 TELL_AGAIN_S: Final = 10.0
+AT_QUOTA: Final = "its workspace is at its quota"
 MOST_SCANNED: Final = 400
 """Steps looked at in a round."""
+MOST_OF_ONE: Final = 100
+"""Steps of one workspace among them, where more wait than are looked at."""
 ASKED_AHEAD: Final = 60
 """Steps without room for which permits are asked for all the same, so that they
 start when room comes: what 300 starts a second begin while a call is answered.
@@ -91,7 +95,7 @@
         held = 0
         for place, step in enumerate(self._ordered(now_s)):
             tasks = self._placeable(step, now, plan)
-            if not tasks:
+            if not tasks or not self._in_quota(step):
                 step.waits_since = None
                 continue
             may_fit = self._view(step, now).may_fit(counted(step.spec))
@@ -139,7 +143,9 @@
         if not pending:
             return
         reason = "no room"
-        if not candidates:
+        if not self._in_quota(step):
+            reason = AT_QUOTA
+        elif not candidates:
             permits = self.board.permits.get(step.name)
             asking = permits is not None and (permits.calls or not permits.asked)
             reason = "permits are being asked for" if asking else NO_WORKER
@@ -165,9 +171,20 @@
         for name, step in list(self.board.waiting.items()):
             if not any(task.state is TaskState.PENDING for task in step.tasks):
                 del self.board.waiting[name]
-        steps = list(self.board.waiting.values())
+        steps = [each for each in self.board.waiting.values() if self._in_quota(each)]
         steps.sort(key=lambda step: rank(step, now_s).key())
-        return steps[:MOST_SCANNED]
+        return _scanned(steps)
+
+    def _in_quota(self, step: StepRun) -> bool:
+        """Tell whether a step's workspace may have more of it running.
+
+        The backlog of one that may not must not fill the round before the others'.
+        """
+        return self.board.quotas.may_begin(
+            step.job.workspace,
+            counted(step.spec),
+            step.spec.count if step.spec.gang else 1,
+        )
 
     def _placeable(self, step: StepRun, now: float, plan: Plan) -> list[Task]:
         tasks = []
@@ -274,6 +291,8 @@
         most = step.spec.most_per_worker
         candidates = self._near(step, candidates, now, plan)
         for task in tasks:
+            if not self._in_quota(step):
+                break
             fitting = [
                 worker
                 for worker in self._trusted(step, [task], candidates)
@@ -451,6 +470,24 @@
         group.placements.append((worker, placement))
 
 
+def _scanned(steps: list[StepRun]) -> list[StepRun]:
+    """Return the steps that a round looks at, in their order.
+
+    Answers a workspace that sends many times its usual: its backlog, which its quota
+    holds back, must not keep the round from everybody else's steps.
+    """
+    if len(steps) <= MOST_SCANNED:
+        return steps
+    taken: collections.Counter[str] = collections.Counter()
+    found = []
+    for step in steps:
+        workspace = step.job.workspace
+        taken[workspace] += bool(workspace)
+        if taken[workspace] <= MOST_OF_ONE:
+            found.append(step)
+    return found[:MOST_SCANNED]
+
+
 def _seats_beside(step: StepRun, worker: FleetWorker) -> int:
     """Return how many of a step's tasks a worker holds beside its services."""
     room = worker.entry.capacity
