--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,40 @@
+"""A listed test is told from a new failure by the documented command."""
+
+import pytest
+
+from tests import conftest
+
+pytest_plugins = ["pytester"]
+
+TESTS = """
+def test_listed():
+    assert False
+
+def test_other():
+    assert {other}
+"""
+LISTED = "test_it.py::test_listed | pytest | seen | issue 0\n"
+
+
+@pytest.mark.parametrize(("other", "exit_code"), [(True, 0), (False, 1)])
+def test_only_an_unlisted_failure_fails_a_run(
+    other: bool,
+    exit_code: int,
+    pytester: pytest.Pytester,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(conftest, "_read", lambda: conftest.known_red(LISTED))
+    pytester.makeconftest("from tests.conftest import *\n")
+    pytester.makepyfile(test_it=TESTS.format(other=other))
+    found = pytester.runpytest_inprocess("-p", "no:cacheprovider")
+    assert found.ret == exit_code
+    found.stdout.fnmatch_lines(["*test_listed: expected to fail | pytest*"])
+
+
+def test_the_list_names_tests_that_there_are(request: pytest.FixtureRequest) -> None:
+    """A line for a test that was renamed would let pass nothing, and say nothing."""
+    listed = conftest._read()
+    for name in listed:
+        path, _, function = name.partition("::")
+        source = (request.config.rootpath / path).read_text()
+        assert f"def {function.partition('[')[0]}(" in source, name
