The soak has workspaces whose quotas fall, rise and are not known for a while

The workers' stand-in judges at each start what a workspace runs over all workers, against the highest quota that may be in force, as the rule does.

--- a/cranberrycleat/standins/fleet.py
+++ b/cranberrycleat/standins/fleet.py
@@ -115,6 +115,8 @@
         work: Tells how each attempt of a task goes.
         needs: Tells what a task takes, for the record of overloads.
         gang: Tells whether a step's tasks end together.
+        workspace: Tells whose a task is; empty: nobody's.
+        over_quota: Tells what is wrong with what a workspace runs, or nothing.
         clock: The workers' clock.
         starts: Every start that was carried out.
         faults: What the record shows that must never be.
@@ -139,6 +141,8 @@
     work: Callable[[str, int], Work] = lambda task, attempt: Work()
     needs: Callable[[str], Amounts] = lambda task: NOTHING
     gang: Callable[[str], bool] = lambda step: False
+    workspace: Callable[[str], str] = lambda task: ""
+    over_quota: Callable[[str, list[Amounts]], str] = lambda workspace, running: ""
     clock: Clock = attrs.field(factory=MonotonicClock)
     workers: dict[str, Worker] = attrs.field(factory=dict)
     lost: dict[str, Worker] = attrs.field(factory=dict)
@@ -237,12 +241,26 @@
         if work.crashes_after_s is not None:
             loop = asyncio.get_running_loop()
             loop.call_later(work.crashes_after_s, self.go_down, worker)
+        self._judge_quota(self.workspace(order.task))
         used = NOTHING
         for each in worker.runs.values():
             used = used.plus(each.needs)
         if not used.fits_in(worker.entry.capacity):
             self.faults.append(f"{worker.entry.worker} is over its capacity")
 
+    def _judge_quota(self, workspace: str) -> None:
+        if not workspace:
+            return
+        running = [
+            run.needs
+            for worker in self.workers.values()
+            for run in worker.runs.values()
+            if self.workspace(run.task) == workspace
+        ]
+        fault = self.over_quota(workspace, running)
+        if fault:
+            self.faults.append(fault)
+
     async def stop(
         self, entry: WorkerEntry, task: str, attempt: int, fence: int
     ) -> OrderReply:
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import attrs
 
@@ -105,6 +105,7 @@
     permits: AllPermits = attrs.field(factory=AllPermits)
     entries: dict[str, WorkerEntry] = attrs.field(factory=dict)
     worker_lease_s: float = WORKER_LEASE_S
+    quotas: Callable[[], Mapping[str, Amounts] | None] = dict
     http: HttpClient = attrs.field(factory=HttpClient)
     tasks: "list[asyncio.Task[None]]" = attrs.field(factory=list)
 
@@ -155,7 +156,7 @@
             acts_on_s=options.RENEW_AFTER_LAPSE_S,
         )
         peers = PeerClient(http=self.http)
-        return Owner(
+        owner = Owner(
             lease=lease,
             store=self.table,
             directory=Directory(
@@ -174,6 +175,8 @@
             status_s=120.0,
             peers=Membership(),
         )
+        owner.board.quotas.quotas = self.quotas
+        return owner
 
     async def own(self, name: str = "one") -> Owner:
         """Win the lease as one host, waiting for it, and take over."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,6 +1,7 @@
 """A fault soak: random jobs and faults by a seed, judged by the workers' record.
 
     python -m tests.soak --seed 7 --runs 4 --seconds 20 [--crashing 0.03] [--restarts]
+        [--quotas]
 
 Owners on three hosts, doors, a table and workers run in one process. The fleet
 stand-in is the judge of what must never be (twice at a time, over capacity, again
@@ -12,6 +13,9 @@
 
 With `--restarts` workers start again under their identities: with counts and clocks
 that begin anew, and with orders on their way that reach the next incarnation.
+
+With `--quotas` jobs are of workspaces whose quotas fall, rise and are not known for a
+while; what they run is judged at each start (see `quota_judge`).
 """
 
 import argparse
@@ -27,6 +31,7 @@
 from cranberrycleat import errors
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.standins.fleet import Work, Worker
+from cranberrycleat.workflow.access import Granted
 from cranberrycleat.workflow.door import Door, DoorStatus
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.ports import EndKind
@@ -34,6 +39,7 @@
 from cranberrycleat.workflow.state import FINAL, JobState
 from cranberrycleat.workflow.suspicion import SETTLED_S
 from tests.cell import Cell, cell, entry, job, queue, step
+from tests.quota_judge import QuotaJudge
 
 HOSTS: Final = 3
 WORKERS: Final = 5
@@ -47,6 +53,9 @@
 """After how long the owner has heard of a worker at the latest; it lists more often."""
 TOGETHER_S: Final = 0.05
 RACKS: Final = ("r1", "r2")
+WORKSPACES: Final = ("one", "two", "three")
+QUOTAS: Final = (500, 3000, 6000, 12_000)
+"""In thousandths of a processor; the workers have 20,000."""
 
 
 @attrs.define(kw_only=True)
@@ -54,6 +63,7 @@
     """A job that was handed in, and what its caller was told each time."""
 
     spec: WorkflowSpec
+    workspace: str = ""
     told: list[DoorStatus] = attrs.field(factory=list)
     cancelled: bool = False
 
@@ -84,6 +94,7 @@
             the same as ever.
         at_fault: Those tasks.
         restarts: Whether workers start again under their identities.
+        quotas: Sets the workspaces' quotas, and judges; None: there are none.
     """
 
     rnd: random.Random
@@ -96,6 +107,7 @@
     also: random.Random = attrs.field(factory=random.Random)
     at_fault: set[str] = attrs.field(factory=set)
     restarts: bool = False
+    quotas: QuotaJudge | None = None
     _lives: int = 0
     _failed: set[str] = attrs.field(factory=set)
 
@@ -148,8 +160,21 @@
                 return Work(seconds=seconds, how=EndKind.FAILED)
             return Work(seconds=seconds)
 
+        def workspace(task: str) -> str:
+            handed = self.handed.get(task.partition(".")[0])
+            return "" if handed is None else handed.workspace
+
         fleet = self.made.fleet
         fleet.needs, fleet.gang, fleet.work = needs, gang, work
+        if self.quotas is not None:
+            self.quotas.change(self._draw_quotas())
+            self.made.quotas = self.quotas.told
+            fleet.workspace, fleet.over_quota = workspace, self.quotas.fault
+
+    def _draw_quotas(self) -> dict[str, Amounts]:
+        return {
+            each: Amounts(processors=self.also.choice(QUOTAS)) for each in WORKSPACES
+        }
 
     def _is_with_one_at_fault(self, task: str) -> bool:
         """Tell whether a member of a gang can't come to an end for another one."""
@@ -189,19 +214,24 @@
             await asyncio.sleep(self.rnd.uniform(0.02, 0.15))
             job_id = f"{self.rnd.getrandbits(64):016x}"
             handed = self.handed[job_id] = Handed(spec=self._draw_spec())
+            if self.quotas is not None:
+                handed.workspace = self.also.choice(WORKSPACES)
+            access = Granted(workspace=handed.workspace)
             if self.also.random() < self.crashing:
                 index = self.also.randrange(handed.spec.steps[0].count)
                 self.at_fault.add(f"{job_id}.0.0.{index}")
             for _ in range(self.rnd.choice((1, 1, 2))):
                 # A caller that was not refused may come again, anywhere.
                 answer = await self._door().submit(
-                    QUEUE, job_id, handed.spec, limit_s=1.0
+                    QUEUE, job_id, handed.spec, limit_s=1.0, access=access
                 )
                 handed.told.append(answer.status)
                 if answer.status is DoorStatus.REFUSED:
                     break
             if self.rnd.random() < 0.1 and handed.accepted:
-                gone = await self._door().cancel(job_id, limit_s=1.0)
+                gone = await self._door().cancel(
+                    job_id, limit_s=1.0, workspace=handed.workspace
+                )
                 handed.cancelled = gone.status is not DoorStatus.NO_JOB
 
     # --- faults -----------------------------------------------------------------
@@ -239,6 +269,8 @@
             faults = (*faults, self._fall)
         if self.restarts:
             faults = (*faults, self._restart_worker, self._restart_some)
+        if self.quotas is not None:
+            faults = (*faults, self._change_quotas, self._hide_quotas)
         while True:
             await asyncio.sleep(self.rnd.uniform(0.1, 0.8))
             await self.rnd.choice(faults)()
@@ -339,6 +371,18 @@
         if name in self.made.fleet.workers:
             self.made.list_worker(name)
 
+    async def _change_quotas(self) -> None:
+        """Lower and raise quotas, some far below what runs."""
+        assert self.quotas is not None
+        self.quotas.change(self._draw_quotas())
+
+    async def _hide_quotas(self) -> None:
+        """Have no owner know which quotas are in force."""
+        assert self.quotas is not None
+        self.quotas.change(None)
+        await asyncio.sleep(self.also.uniform(0.1, 1.0))
+        self.quotas.change(self._draw_quotas())
+
     async def _fall(self) -> None:
         """Crash every worker of a rack at the same moment."""
         rack = self.also.choice(RACKS)
@@ -348,6 +392,8 @@
         await asyncio.sleep(self.also.uniform(0.0, 2.0))
 
     def _heal(self) -> None:
+        if self.quotas is not None:
+            self.quotas.change({})
         faults = self.made.table.faults
         faults.down, faults.slow_s, faults.lose_replies = False, 0.0, 0
         for host in list(self.hosts):
@@ -448,7 +494,11 @@
 
 
 async def play(
-    seed: int, seconds: float, crashing: float = 0.0, restarts: bool = False
+    seed: int,
+    seconds: float,
+    crashing: float = 0.0,
+    restarts: bool = False,
+    quotas: bool = False,
 ) -> list[str]:
     """Play one run by its seed; return what went wrong."""
     async with cell(workers=0) as made:
@@ -463,6 +513,7 @@
             crashing=crashing,
             also=random.Random(f"crashing {seed}"),
             restarts=restarts,
+            quotas=QuotaJudge(clock=made.clock) if quotas else None,
         )
         found = await soak.run(seconds)
         accepted = [handed for handed in soak.handed.values() if handed.accepted]
@@ -485,10 +536,13 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--crashing", type=float, default=0.0)
     parser.add_argument("--restarts", action="store_true")
+    parser.add_argument("--quotas", action="store_true")
     cfg = parser.parse_args()
     bad = 0
     for seed in range(cfg.seed, cfg.seed + cfg.runs):
-        found = asyncio.run(play(seed, cfg.seconds, cfg.crashing, cfg.restarts))
+        found = asyncio.run(
+            play(seed, cfg.seconds, cfg.crashing, cfg.restarts, cfg.quotas)
+        )
         for each in found:
             print(f"  {each}")
         bad += bool(found)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,15 @@
     assert found == []
 
 
+@pytest.mark.parametrize("restarts", [False, True])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_workspace_runs_more_than_its_quota_under_faults(
+    seed: int, restarts: bool
+) -> None:
+    found = asyncio.run(soak.play(seed, SECONDS, restarts=restarts, quotas=True))
+    assert found == []
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 5, 11, 18])
 def test_the_newest_configuration_is_in_force_after_any_trouble(seed: int) -> None:
     assert asyncio.run(config_soak.Soak(seed=seed, seconds=SECONDS).run()) == []
