--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -81,12 +81,17 @@
     queue: str
     reason: str
     retry_after_s: float
+    workspace: str = ""
 
 
 @event("caller.rejected", kept=True)
 class CallerRejected:
-    """A request was not carried out for want of a good key; `key`: of its digest."""
+    """A request was not carried out for want of a good key.
+
+    `key` is the beginning of its digest; `job` is empty for a question for a queue.
+    """
 
+    job: str
     queue: str
     key: str
     denied: bool
--- a/cranberrycleat/explain.py
+++ b/cranberrycleat/explain.py
@@ -208,6 +208,11 @@
 def _door_cause(told: Story) -> Cause:
     for entry in reversed(told.own):
         match entry.event:
+            case events.CallerRejected(denied=True, reason=reason):
+                return Cause(text=f"the caller's key was denied: {reason}", entry=entry)
+            case events.CallerRejected(reason=reason):
+                text = f"the caller was told to come back: {reason}"
+                return Cause(text=text, entry=entry)
             case events.JobRefused(reason=reason):
                 return Cause(text=f"refused at the door: {reason}", entry=entry)
             case events.JobUnknown(reason=reason):
--- a/cranberrycleat/platform/front.py
+++ b/cranberrycleat/platform/front.py
@@ -94,12 +94,13 @@
         headers: dict[bytes, bytes],
         body: bytes,
     ) -> DoorAnswer:
-        access = self.door.grant(queue, _key_digest(headers))
+        job_id = path[len(queue.prefix) :]
+        access = self.door.grant(queue, job_id, _key_digest(headers))
         if isinstance(access, DoorAnswer):
             return access
         call = _Call(
             queue=queue,
-            job_id=path[len(queue.prefix) :],
+            job_id=job_id,
             body=body,
             limit_s=_limit_s(headers),
             access=access,
--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -186,7 +186,7 @@
         found = self.config.find(host, path)
         return found or DoorAnswer(status=DoorStatus.NO_QUEUE)
 
-    def grant(self, queue: Queue, digest: str) -> Granted | DoorAnswer:
+    def grant(self, queue: Queue, job_id: str, digest: str) -> Granted | DoorAnswer:
         """Judge a request by the digest of its key; return the grant or the refusal."""
         judged = self.access.judge(queue, digest)
         match judged:
@@ -198,6 +198,7 @@
                 answer = DoorAnswer(status=DoorStatus.REFUSED, reason=reason)
         emit(
             events.CallerRejected(
+                job=job_id,
                 queue=queue.name,
                 key=digest[:TOLD_DIGITS],
                 denied=answer.status is DoorStatus.DENIED,
@@ -275,6 +276,7 @@
                     queue=req.queue.name,
                     reason=answer.reason,
                     retry_after_s=answer.retry_after_s,
+                    workspace=req.access.workspace,
                 )
             )
         return answer
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -380,6 +380,8 @@
             "owner": self.owner_address(),
             "epoch": self._lease.epoch,
             "owned": None if self.owner is None else self.owner.summary(),
+            "workspaces": None if self.owner is None else self.owner.workspaces(),
+            "configuration_age_s": round(self._config.age_s(), 3),
         }
 
     # --- background -------------------------------------------------------------
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -15,6 +15,7 @@
 import attrs
 
 from cranberrycleat import errors, events
+from cranberrycleat.amounts import NOTHING
 from cranberrycleat.clock import Clock
 from cranberrycleat.lease import Changes, Deposed, OwnershipLease
 from cranberrycleat.lifecycle import Background
@@ -577,6 +578,22 @@
             table_silent_s=round(self.lease.unanswered_s(), 3),
         )
 
+    def workspaces(self) -> dict[str, dict[str, object]]:
+        """Return what each workspace has and waits for, for the state dump."""
+        quotas = self.board.quotas
+        waiting: collections.Counter[str] = collections.Counter()
+        for step in self.board.waiting.values():
+            waiting[step.job.workspace] += len(step.pending())
+        return {
+            name: {
+                "running": attrs.asdict(quotas.used_by(name)),
+                "attempts": quotas.running[name],
+                "quota": attrs.asdict(quotas.quota_of(name) or NOTHING),
+                "tasks_waiting": waiting[name],
+            }
+            for name in sorted({*quotas.used, *waiting} - {""})
+        }
+
     def summary(self) -> dict[str, int]:
         """Return counts for logs and the state dump."""
         placed = sum(len(w.placements) for w in self.board.fleet.workers.values())
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -93,7 +93,7 @@
         self._held = {}
         self._views = {}
         held = 0
-        for place, step in enumerate(self._ordered(now_s)):
+        for place, step in enumerate(self._ordered(now, now_s)):
             tasks = self._placeable(step, now, plan)
             if not tasks or not self._in_quota(step):
                 step.waits_since = None
@@ -112,7 +112,9 @@
                 held += self._hold(step, candidates)
             if step.spec.service:
                 self._make_room(step, candidates, now)
-            self._tell_waiting(step, candidates, now, now_s)
+            if step.pending():
+                reason = self._why_waiting(step, candidates)
+                self._tell_waiting(step, reason, len(candidates), now, now_s)
         return plan
 
     def _make_room(
@@ -131,28 +133,24 @@
                 if each is placement:
                     self.board.stop(worker, placement, f"makes room for {step.name}")
 
+    def _why_waiting(self, step: StepRun, candidates: list[FleetWorker]) -> str:
+        if not self._in_quota(step):
+            return AT_QUOTA
+        if candidates:
+            return "no room"
+        permits = self.board.permits.get(step.name)
+        asking = permits is not None and (permits.calls or not permits.asked)
+        return "permits are being asked for" if asking else NO_WORKER
+
     def _tell_waiting(
-        self,
-        step: StepRun,
-        candidates: list[FleetWorker],
-        now: float,
-        now_s: float,
+        self, step: StepRun, reason: str, candidates: int, now: float, now_s: float
     ) -> None:
         """Log why a step is left waiting: each reason, and again while it lasts."""
-        pending = sum(task.state is TaskState.PENDING for task in step.tasks)
-        if not pending:
-            return
-        reason = "no room"
-        if not self._in_quota(step):
-            reason = AT_QUOTA
-        elif not candidates:
-            permits = self.board.permits.get(step.name)
-            asking = permits is not None and (permits.calls or not permits.asked)
-            reason = "permits are being asked for" if asking else NO_WORKER
         if reason == step.wait_reason and now < step.wait_told_at + TELL_AGAIN_S:
             return
         step.wait_reason = reason
         step.wait_told_at = now
+        pending = len(step.pending())
         if reason == NO_WORKER:
             emit(events.StepHopeless(step=step.name, reason=reason, pending=pending))
             return
@@ -161,17 +159,22 @@
                 step=step.name,
                 reason=reason,
                 pending=pending,
-                candidates=len(candidates),
+                candidates=candidates,
                 waited_s=round(now - step.ready_at, 3),
                 slack_s=round(rank(step, now_s).slack_s, 3),
             )
         )
 
-    def _ordered(self, now_s: float) -> list[StepRun]:
+    def _ordered(self, now: float, now_s: float) -> list[StepRun]:
         for name, step in list(self.board.waiting.items()):
             if not any(task.state is TaskState.PENDING for task in step.tasks):
                 del self.board.waiting[name]
-        steps = [each for each in self.board.waiting.values() if self._in_quota(each)]
+        steps = []
+        for step in self.board.waiting.values():
+            if self._in_quota(step):
+                steps.append(step)
+            else:
+                self._tell_waiting(step, AT_QUOTA, 0, now, now_s)
         steps.sort(key=lambda step: rank(step, now_s).key())
         return _scanned(steps)
 
--- a/cranberrycleat/workflow/quota.py
+++ b/cranberrycleat/workflow/quota.py
@@ -91,6 +91,8 @@
         A single task may where its workspace has nothing else: else it would wait for
         ever once the quota has fallen below it.
         """
+        if not workspace:
+            return True
         room = self.headroom(workspace)
         if needs.times(count).fits_in(room):
             return True
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -31,10 +31,20 @@
     def _jobs(self, event: Any) -> None:
         metrics = self.metrics
         match event:
-            case events.JobAccepted(queue=queue):
+            case events.JobAccepted(queue=queue, workspace=workspace):
                 metrics.count("jobs.accepted", queue=queue)
-            case events.JobRefused(queue=queue, reason=reason):
+                if workspace:
+                    metrics.count("workspaces.jobs.accepted", workspace=workspace)
+            case events.JobRefused(queue=queue, reason=reason, workspace=workspace):
                 metrics.count("jobs.refused", queue=queue, reason=reason)
+                if workspace:
+                    metrics.count(
+                        "workspaces.jobs.refused", workspace=workspace, reason=reason
+                    )
+            case events.CallerRejected(queue=queue, denied=denied):
+                metrics.count(
+                    "callers.rejected", queue=queue, denied=str(denied).lower()
+                )
             case events.JobUnknown(queue=queue):
                 metrics.count("jobs.unknown", queue=queue)
             case events.JobMalformed(queue=queue):
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -117,6 +117,6 @@
     submit(made, "a", job(step(1)), queue())
     submit(made, "b", job(step(1, estimate_s=0.5)), queue())
     rounds = Planner(board=made)
-    first = [each.name for each in rounds._ordered(1_000_000.0)]
-    second = [each.name for each in rounds._ordered(1_000_001.2)]
+    first = [each.name for each in rounds._ordered(0.0, 1_000_000.0)]
+    second = [each.name for each in rounds._ordered(0.0, 1_000_001.2)]
     assert first == ["a.0.0", "b.0.0"] and second == ["b.0.0", "a.0.0"]
