Revert "Try: a part of a workspace's quota is kept for its more urgent work"

Not tried: to keep the reserve only where short work waits for its workspace's quota and not for room.

--- a/cranberrycleat/workflow/board.py
+++ b/cranberrycleat/workflow/board.py
@@ -305,7 +305,7 @@
         job = self.jobs.get(job_id)
         if job is not None:
             key = (worker.name, placement.task, placement.attempt)
-            self.quotas.charge(key, job.workspace, placement.needs, job.queue.priority)
+            self.quotas.charge(key, job.workspace, placement.needs)
 
     def _uncount(self, worker: FleetWorker, placement: Placement) -> None:
         worker.uncount(placement)
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -24,7 +24,6 @@
 from cranberrycleat.workflow.ordering import rank
 from cranberrycleat.workflow.permit_choice import asks_about_all, choose
 from cranberrycleat.workflow.pool_view import PoolView, look_at, suits
-from cranberrycleat.workflow.quota_reserve import QuotaReserve
 from cranberrycleat.workflow.serving import lasts, serves
 from cranberrycleat.workflow.state import StepRun, Task, TaskState
 
@@ -82,10 +81,6 @@
     spread_factor: float = 1.0
     _held: dict[str, Amounts] = attrs.field(factory=dict)
     _views: dict[str, PoolView] = attrs.field(factory=dict)
-    _reserve: QuotaReserve = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self._reserve = QuotaReserve(ledger=self.board.quotas)
 
     def plan(self, *, now: float, now_s: float) -> Plan:
         """Place what fits.
@@ -97,7 +92,6 @@
         plan = Plan()
         self._held = {}
         self._views = {}
-        self._reserve.look(now)
         held = 0
         for place, step in enumerate(self._ordered(now, now_s)):
             tasks = self._placeable(step, now, plan)
@@ -189,15 +183,11 @@
 
         The backlog of one that may not must not fill the round before the others'.
         """
-        workspace = step.job.workspace
-        if not workspace:
-            return True
-        needs = counted(step.spec)
-        count = step.spec.count if step.spec.gang else 1
-        kept = self._reserve.kept_from(
-            workspace, step.job.queue.priority, needs.times(count)
+        return self.board.quotas.may_begin(
+            step.job.workspace,
+            counted(step.spec),
+            step.spec.count if step.spec.gang else 1,
         )
-        return self.board.quotas.may_begin(workspace, needs, count, kept)
 
     def _placeable(self, step: StepRun, now: float, plan: Plan) -> list[Task]:
         tasks = []
--- a/cranberrycleat/workflow/quota.py
+++ b/cranberrycleat/workflow/quota.py
@@ -30,7 +30,6 @@
 
     workspace: str
     amounts: Amounts
-    priority: int = 0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -42,28 +41,20 @@
             may be in force.
         charges: What counts, by worker and attempt.
         used: The sum for each workspace.
-        used_at: The sum for each workspace and priority.
         running: How many charges each workspace has.
     """
 
     quotas: Callable[[], Mapping[str, Amounts] | None] = dict
     charges: dict[ChargeKey, Charge] = attrs.field(factory=dict)
     used: dict[str, Amounts] = attrs.field(factory=dict)
-    used_at: dict[tuple[str, int], Amounts] = attrs.field(factory=dict)
     running: "collections.Counter[str]" = attrs.field(factory=collections.Counter)
 
-    def charge(
-        self, key: ChargeKey, workspace: str, amounts: Amounts, priority: int = 0
-    ) -> None:
+    def charge(self, key: ChargeKey, workspace: str, amounts: Amounts) -> None:
         """Begin to count an attempt; idempotent."""
         if not workspace or key in self.charges:
             return
-        self.charges[key] = Charge(
-            workspace=workspace, amounts=amounts, priority=priority
-        )
-        level = (workspace, priority)
+        self.charges[key] = Charge(workspace=workspace, amounts=amounts)
         self.used[workspace] = self.used_by(workspace).plus(amounts)
-        self.used_at[level] = self.used_at.get(level, NOTHING).plus(amounts)
         self.running[workspace] += 1
 
     def release(self, key: ChargeKey) -> None:
@@ -72,11 +63,7 @@
         if charge is None:
             return
         workspace = charge.workspace
-        level = (workspace, charge.priority)
         self.used[workspace] = self.used[workspace].minus(charge.amounts)
-        self.used_at[level] = self.used_at[level].minus(charge.amounts)
-        if self.used_at[level] == NOTHING:
-            del self.used_at[level]
         self.running[workspace] -= 1
         if not self.running[workspace]:
             del self.running[workspace], self.used[workspace]
@@ -98,17 +85,15 @@
             return NOTHING
         return _left(quotas.get(workspace, NOTHING), self.used_by(workspace))
 
-    def may_begin(
-        self, workspace: str, needs: Amounts, count: int = 1, kept: Amounts = NOTHING
-    ) -> bool:
-        """Tell whether so many like tasks may begin together, beside what is kept.
+    def may_begin(self, workspace: str, needs: Amounts, count: int = 1) -> bool:
+        """Tell whether so many like tasks may begin together.
 
         A single task may where its workspace has nothing else: else it would wait for
         ever once the quota has fallen below it.
         """
         if not workspace:
             return True
-        room = self.headroom(workspace).minus(kept)
+        room = self.headroom(workspace)
         if needs.times(count).fits_in(room):
             return True
         return count == 1 and not self.running[workspace] and self.quotas() is not None
