Terms of the field: contact for touch, permit queue for desk, host.readiness

Module, class and attribute names alone, and the event that an operator reads (`host.touch` is `host.readiness` now); behaviour as it was.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -566,8 +566,8 @@
     findings: str
 
 
-@event("host.touch", kept=True)
-class HostTouch:
+@event("host.readiness", kept=True)
+class HostReadiness:
     """This host became ready, or not; how long ago it heard of what it needs for it."""
 
     ready: bool
--- a/cranberrycleat/workflow/config_watch.py
+++ b/cranberrycleat/workflow/config_watch.py
@@ -1,7 +1,7 @@
 """Keeps a host's configuration the newest, and knows when it is not.
 
 The node runs it and asks it whether callers may be answered; the follower (see
-`directory`) reads, and `Touch` is told whether the table answered.
+`directory`) reads, and `Contact` is told whether the table answered.
 """
 
 import asyncio
@@ -12,9 +12,9 @@
 from cranberrycleat import errors, events
 from cranberrycleat.clock import Clock
 from cranberrycleat.logs import emit
+from cranberrycleat.workflow.contact import STORE_FRESH_S, Contact
 from cranberrycleat.workflow.directory import ConfigFollower
 from cranberrycleat.workflow.peering import FAR_S
-from cranberrycleat.workflow.touch import STORE_FRESH_S, Touch
 
 WAIT_S: Final = 1.0
 """How long the table holds a question for a newer configuration open; a
@@ -31,7 +31,7 @@
 
     Attributes:
         follower: Reads it, and holds the newest.
-        touch: Told whether the table answered.
+        contact: Told whether the table answered.
         clock: Counts suspended time.
         bound_s: Within which time of its acknowledgement a configuration is in
             force everywhere.
@@ -42,7 +42,7 @@
     """
 
     follower: ConfigFollower
-    touch: Touch
+    contact: Contact
     clock: Clock
     bound_s: float
     first: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -58,11 +58,11 @@
                 self.unread = 0
                 self._confirm(began)
                 self.first.set()
-                self.touch.heard_table()
+                self.contact.heard_table()
             except errors.TableUnavailable as exc:
                 if isinstance(exc, errors.TableRefused):
                     # This host is not cut off, and others fare no better.
-                    self.touch.heard_place()
+                    self.contact.heard_place()
                 self._tell_unread(began, exc)
                 await asyncio.sleep(PAUSE_S)
 
@@ -113,4 +113,4 @@
         owner that serves its callers has the newest.
         """
         limit_s = self.bound_s - LATE_MARGIN_S
-        return self.late_s() > limit_s and self.touch.table_age_s() < STORE_FRESH_S
+        return self.late_s() > limit_s and self.contact.table_age_s() < STORE_FRESH_S
--- a/cranberrycleat/workflow/touch.py
+++ b/cranberrycleat/workflow/contact.py
@@ -31,7 +31,7 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class Touch:
+class Contact:
     """A host's evidence.
 
     Attributes:
--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -149,7 +149,7 @@
         owner: Tells the owner if it is this process and has taken over.
         owner_address: Tells where the owner answers; empty if not known.
         own_address: Where this process answers its peers.
-        in_touch: Tells whether owner or table were heard of lately.
+        in_contact: Tells whether owner or table were heard of lately.
         config_is_late: Tells whether a newer configuration must be in force by now.
         refused: Told when nobody listens where the owner should be.
         left_in_inbox: Told when a job was left in the inbox.
@@ -167,7 +167,7 @@
     owner: Callable[[], Owner | None]
     owner_address: Callable[[], str]
     own_address: str
-    in_touch: Callable[[], bool]
+    in_contact: Callable[[], bool]
     config_is_late: Callable[[], bool]
     refused: Callable[[], None]
     left_in_inbox: Callable[[], None]
@@ -236,7 +236,7 @@
         until = began + limit_s * USABLE_SHARE
         maybe_stored = False
         while True:
-            if not self.in_touch():
+            if not self.in_contact():
                 break
             step = await self._submit_once(req)
             if step.answer is not None and not (
@@ -252,7 +252,7 @@
     def _give_up(
         self, req: SubmitRequest, maybe_stored: bool, began: float
     ) -> DoorAnswer:
-        reason = "not settled in time" if self.in_touch() else "cut off"
+        reason = "not settled in time" if self.in_contact() else "cut off"
         if not maybe_stored:
             answer = DoorAnswer(status=DoorStatus.REFUSED, reason=reason)
             return self._tell_refused(req, answer)
@@ -405,7 +405,7 @@
                 return DoorAnswer(status=DoorStatus.DONE, state=answer.state)
         else:
             asked.cancel()
-        if not self.in_touch():
+        if not self.in_contact():
             return DoorAnswer(status=DoorStatus.REFUSED, reason="cut off")
         try:
             return await self._stored_state(req)
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -25,14 +25,14 @@
 from cranberrycleat.workflow.adapter import Adapter
 from cranberrycleat.workflow.candidacy import Candidacy, strength
 from cranberrycleat.workflow.config_watch import ConfigWatch
+from cranberrycleat.workflow.contact import OWNER_FRESH_S, STORE_FRESH_S, Contact
 from cranberrycleat.workflow.door import MOST_IN_INBOX_WRITE, Door
 from cranberrycleat.workflow.membership import Membership
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peer_api import PeerApi
 from cranberrycleat.workflow.peering import Digest, DigestReply, PeerClient
-from cranberrycleat.workflow.permit_desk import PermitDesk
+from cranberrycleat.workflow.permit_queue import PermitQueue
 from cranberrycleat.workflow.telemetry import Telemetry
-from cranberrycleat.workflow.touch import OWNER_FRESH_S, STORE_FRESH_S, Touch
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 from cranberrycleat.writer import GroupedWriter
 
@@ -77,17 +77,17 @@
     _look: asyncio.Event = attrs.field(factory=asyncio.Event)
     _was_ready: bool = False
     _members: Membership = attrs.field(factory=Membership)
-    _touch: Touch = attrs.field(init=False)
+    _contact: Contact = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         cfg = self.adapter.settings
         self.address = f"{cfg.ip}:{cfg.peer_port}"
         self._place = f"{cfg.name}@{self.address}"
         self._peers = PeerClient(http=self.http)
-        self._touch = Touch(clock=self.clock)
+        self._contact = Contact(clock=self.clock)
         self._config = ConfigWatch(
             follower=self.adapter.config_follower(),
-            touch=self._touch,
+            contact=self._contact,
             clock=self.clock,
             bound_s=cfg.config_bound_s,
         )
@@ -127,7 +127,7 @@
             owner=self._held,
             owner_address=self.owner_address,
             own_address=self.address,
-            in_touch=self.in_touch,
+            in_contact=self.in_contact,
             config_is_late=self._config.is_late,
             refused=self._suspect_owner,
             left_in_inbox=self._tell_owner,
@@ -148,33 +148,33 @@
         A host that is cut off sends its callers elsewhere. In an outage of the
         table no host serves better than another: then all stay ready.
         """
-        connected = self.in_touch() or self._touch.connected()
+        connected = self.in_contact() or self._contact.connected()
         config = self._config
         known = config.follower.current is not None and not config.is_late()
         ready = not self.draining and known and connected
         if ready is not self._was_ready:
             self._was_ready = ready
             emit(
-                events.HostTouch(
+                events.HostReadiness(
                     ready=ready,
-                    owner_s=round(self._touch.owner_age_s(), 2),
-                    table_s=round(self._touch.table_age_s(), 2),
+                    owner_s=round(self._contact.owner_age_s(), 2),
+                    table_s=round(self._contact.table_age_s(), 2),
                     config_late_s=round(config.late_s(), 2),
                 )
             )
         return ready
 
-    def in_touch(self) -> bool:
+    def in_contact(self) -> bool:
         """Tell whether the owner or the table were heard of lately."""
         owner = self._held()
         owns = owner is not None and owner.store_answers
-        return owns or self._touch.served()
+        return owns or self._contact.served()
 
     def owner_address(self) -> str:
         """Return where the owner answers, by the newest word of it."""
         row = self._lease.seen()
-        if row is None or row.epoch < self._touch.hint.epoch:
-            return self._touch.hint.owner_at
+        if row is None or row.epoch < self._contact.hint.epoch:
+            return self._contact.hint.owner_at
         if row.released:
             return ""
         return row.holder.partition("@")[2].partition("#")[0]
@@ -194,7 +194,7 @@
         return DigestReply(
             owner=False,
             holder=self._lease.holder,
-            epoch=max(self._lease.epoch, self._touch.hint.epoch),
+            epoch=max(self._lease.epoch, self._contact.hint.epoch),
             owner_at=self.owner_address(),
             config=self._config.follower.version,
             config_age_s=round(self._config.age_s(), 3),
@@ -212,7 +212,7 @@
         """
         place, _, _ = holder.partition("#")
         mine = place == self._place and holder != self._lease.holder
-        return mine or self._touch.suspects(holder)
+        return mine or self._contact.suspects(holder)
 
     def _suspect_owner(self, answered: str = "") -> None:
         """Note that the holder seen last does not run, and look at the row."""
@@ -227,7 +227,7 @@
 
     def _suspect(self, holder: str, evidence: str) -> None:
         emit(events.OwnerSuspected(holder=holder, evidence=evidence))
-        self._touch.suspect(holder)
+        self._contact.suspect(holder)
         self._look.set()
 
     def _held(self) -> Owner | None:
@@ -396,7 +396,7 @@
             try:
                 won = await self._look_at_row()
             except errors.TableUnavailable as exc:
-                self._touch.lost_table()
+                self._contact.lost_table()
                 LOG.debug("The owner's row was not read: %s", exc)
             else:
                 if won:
@@ -414,11 +414,11 @@
             await self._lease.look()
         else:
             won = await self._lease.acquire()
-        self._touch.looked(self.clock.now() - began)
+        self._contact.looked(self.clock.now() - began)
         return won
 
     def _look_s(self) -> float:
-        heard = self._touch.owner_age_s() < OWNER_FRESH_S
+        heard = self._contact.owner_age_s() < OWNER_FRESH_S
         return self._candidacy.look_s(self.address, owner_heard=heard)
 
     async def _act(self) -> None:
@@ -431,7 +431,7 @@
         finally:
             self.owner = None
             # An owner does not look at its row: what it knew of the table is old.
-            self._touch.lost_table()
+            self._contact.lost_table()
 
     async def _give_way(self) -> None:
         """Hand the ownership over where a much better host could hold it."""
@@ -450,7 +450,7 @@
         cfg = self.adapter.settings
         row = self._lease.seen()
         believed = 0.0 if row is None else row.strength
-        desk = PermitDesk(
+        permit_queue = PermitQueue(
             own=self.adapter.permits,
             own_address=self.address,
             peer_client=self._peers,
@@ -462,7 +462,7 @@
             store=self.adapter.store,
             directory=self.adapter.directory(),
             client=self.adapter.workers,
-            desk=desk,
+            permit_queue=permit_queue,
             clock=self.clock,
             leases=options.worker_leases(cfg.bounds),
             status_s=cfg.status_s,
@@ -512,7 +512,7 @@
         while True:
             address = self.owner_address()
             own = address == self.address
-            calm = own and self.in_touch()
+            calm = own and self.in_contact()
             if not calm:
                 if not address or own or not await self._ask_owner(address):
                     await self._ask_elsewhere()
@@ -520,7 +520,7 @@
 
     def _digest(self) -> Digest:
         cfg = self.adapter.settings
-        could_own = self._touch.table_age_s() < STORE_FRESH_S and not self.draining
+        could_own = self._contact.table_age_s() < STORE_FRESH_S and not self.draining
         return Digest(
             name=cfg.name,
             address=self.address,
@@ -544,18 +544,18 @@
         now = self.clock.now()
         self._take_hint(reply, asked_at)
         if reply.owner:
-            self._touch.heard_owner()
-            if self._touch.owner_is_alone(reply.table_silent_s):
+            self._contact.heard_owner()
+            if self._contact.owner_is_alone(reply.table_silent_s):
                 self._suspect(reply.holder, "it lost the table")
             else:
-                self._touch.trust()
+                self._contact.trust()
             self._door.digest = reply
             self._door.digest_at = now
             self._members.learn(reply, now)
         return reply.owner
 
     def _take_hint(self, reply: DigestReply, asked_at: float) -> None:
-        self._touch.take_hint(reply)
+        self._contact.take_hint(reply)
         self._config.hear(reply.config, asked_at=asked_at, age_s=reply.config_age_s)
 
     async def _ask_elsewhere(self) -> None:
@@ -570,7 +570,7 @@
                 LOG.debug("A peer did not answer: %s", exc)
                 continue
             self._take_hint(reply, asked_at)
-            self._touch.heard_place()
+            self._contact.heard_place()
             return
 
 
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -44,7 +44,7 @@
     SubmitReply,
     SubmitRequest,
 )
-from cranberrycleat.workflow.permit_desk import PermitDesk
+from cranberrycleat.workflow.permit_queue import PermitQueue
 from cranberrycleat.workflow.ports import FeedTable, WorkerClient
 from cranberrycleat.workflow.roster import MISSING_S, Roster
 from cranberrycleat.workflow.signal import Signal
@@ -86,7 +86,7 @@
         store: The platform's table.
         directory: Reads the list of workers.
         client: Speaks to workers.
-        desk: Asks for permits.
+        permit_queue: Asks for permits.
         clock: Counts suspended time.
         leases: How leases at workers are counted.
         status_s: How long an ended job's state is kept.
@@ -110,7 +110,7 @@
     store: FeedTable
     directory: Directory
     client: WorkerClient
-    desk: PermitDesk
+    permit_queue: PermitQueue
     clock: Clock
     leases: options.WorkerLeases
     status_s: float
@@ -157,7 +157,7 @@
         )
         self.starts = Starts(
             board=self.board,
-            desk=self.desk,
+            permit_queue=self.permit_queue,
             links=self.links,
             clock=self.clock,
             changed=self.changed,
--- a/cranberrycleat/workflow/permit_choice.py
+++ b/cranberrycleat/workflow/permit_choice.py
@@ -13,7 +13,7 @@
 Of workers with room the fullest are asked about first: the order in which the planner
 fills them, so that short tasks fill gaps and leave wide ones whole workers.
 
-`planner` asks; `permit_desk` carries the calls out and tells `AllowedShare` how many
+`planner` asks; `permit_queue` carries the calls out and tells `AllowedShare` how many
 were allowed.
 """
 
--- a/cranberrycleat/workflow/permit_desk.py
+++ b/cranberrycleat/workflow/permit_queue.py
@@ -37,7 +37,7 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class PermitDesk:
+class PermitQueue:
     """Asks the permit service, from this host or through another.
 
     Attributes:
--- a/cranberrycleat/workflow/starts.py
+++ b/cranberrycleat/workflow/starts.py
@@ -18,7 +18,7 @@
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
 from cranberrycleat.workflow.links import WorkerLink
 from cranberrycleat.workflow.ordering import Urgency, rank
-from cranberrycleat.workflow.permit_desk import PermitDesk
+from cranberrycleat.workflow.permit_queue import PermitQueue
 from cranberrycleat.workflow.planner import PermitWish, PlannedGroup, Planner
 from cranberrycleat.workflow.signal import Signal
 from cranberrycleat.workflow.state import StepRun
@@ -33,7 +33,7 @@
 
     Attributes:
         board: The owner's memory.
-        desk: Asks for permits.
+        permit_queue: Asks for permits.
         links: The links to workers, by identity.
         clock: The owner's clock.
         changed: Told when the board has changed.
@@ -45,7 +45,7 @@
     """
 
     board: Board
-    desk: PermitDesk
+    permit_queue: PermitQueue
     links: dict[str, WorkerLink]
     clock: Clock
     changed: Callable[[], None]
@@ -76,7 +76,9 @@
         if permits is None:
             return
         urgency = self._urgency(wish.step)
-        if not await self.desk.ask(wish.step.name, wish.workers, permits, urgency):
+        if not await self.permit_queue.ask(
+            wish.step.name, wish.workers, permits, urgency
+        ):
             await asyncio.sleep(options.TICK_S)
         self.plan_due.set()
 
@@ -135,7 +137,7 @@
         now = self.clock.now()
         stale = permits.to_renew({worker.name for worker, _ in left}, now)
         if stale:
-            await self.desk.ask(step.name, stale, permits, self._urgency(step))
+            await self.permit_queue.ask(step.name, stale, permits, self._urgency(step))
             now = self.clock.now()
         for worker, placement in left:
             placement.permit = permits.valid(worker.name, now)
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -21,7 +21,7 @@
 from cranberrycleat.workflow.options import WorkerLeases
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peering import PeerClient, SubmitRequest
-from cranberrycleat.workflow.permit_desk import PermitDesk
+from cranberrycleat.workflow.permit_queue import PermitQueue
 from cranberrycleat.workflow.ports import (
     ClusterConfig,
     LeaseBounds,
@@ -163,7 +163,7 @@
                 store=self.table, table="servers", read=self.read_worker
             ),
             client=self.fleet,
-            desk=PermitDesk(
+            permit_queue=PermitQueue(
                 own=self.permits,
                 own_address=name,
                 peer_client=peers,
@@ -207,7 +207,7 @@
             "owner": owner,
             "owner_address": lambda: "",
             "own_address": "here:1",
-            "in_touch": lambda: True,
+            "in_contact": lambda: True,
             "config_is_late": lambda: False,
             "refused": lambda: None,
             "left_in_inbox": lambda: None,
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -72,7 +72,7 @@
     ),
     Row(
         promise="faults",
-        what="an owner counts as in touch only while the table answers it",
+        what="an owner counts as in contact only while the table answers it",
         file="workflow/node.py",
         text="owns = owner is not None and owner.store_answers",
         instead="owns = owner is not None",
@@ -80,7 +80,7 @@
     ),
     Row(
         promise="faults",
-        what="only an owner with authority keeps others in touch",
+        what="only an owner with authority keeps others in contact",
         file="workflow/owner.py",
         text="            owner=self.lease.authority(),",
         instead="            owner=True,",
@@ -129,10 +129,10 @@
     Row(
         promise="decisions",
         what="permits in order of urgency",
-        file="workflow/permit_desk.py",
+        file="workflow/permit_queue.py",
         text="heapq.heappush(self._waiting, (urgency, next(self._numbers), fut))",
         instead='heapq.heappush(self._waiting, ((0, 0, 0.0, ""), next(self._numbers), fut))',
-        test="tests/test_permit_desk.py",
+        test="tests/test_permit_queue.py",
     ),
     Row(
         promise="decisions",
@@ -283,7 +283,7 @@
         promise="outages",
         what="an owner that alone lost the table is followed",
         file="workflow/node.py",
-        text="            if self._touch.owner_is_alone(reply.table_silent_s):",
+        text="            if self._contact.owner_is_alone(reply.table_silent_s):",
         instead="            if False:",
         test="tests/test_node.py::test_an_owner_that_alone_lost_the_table_is_followed"
         "_before_its_lease_is_over",
@@ -332,10 +332,10 @@
     Row(
         promise="outages",
         what="a table that has just become slow is no owner's loss",
-        file="workflow/touch.py",
+        file="workflow/contact.py",
         text="        if self._table_since is None or self.table_age_s() > OWNER_ALONE_S:",
         instead="        if self._table_since is None:",
-        test="tests/test_touch.py",
+        test="tests/test_contact.py",
     ),
     Row(
         promise="outages",
@@ -382,7 +382,7 @@
         promise="8 configuration",
         what="refusing by a configuration that is known to be old",
         file="workflow/config_watch.py",
-        text="        return self.late_s() > limit_s and self.touch.table_age_s() < STORE_FRESH_S",
+        text="        return self.late_s() > limit_s and self.contact.table_age_s() < STORE_FRESH_S",
         instead="        return False",
         test="tests/test_late_config.py::test_a_host_that_cannot_read_the_newest_refuses",
     ),
@@ -390,7 +390,7 @@
         promise="8 configuration",
         what="going on by it where the table is lost",
         file="workflow/config_watch.py",
-        text="        return self.late_s() > limit_s and self.touch.table_age_s() < STORE_FRESH_S",
+        text="        return self.late_s() > limit_s and self.contact.table_age_s() < STORE_FRESH_S",
         instead="        return self.late_s() > limit_s",
         test="tests/test_late_config.py::test_a_host_that_has_lost_the_table_goes_on_answering",
     ),
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -23,12 +23,12 @@
     key_digest,
 )
 from cranberrycleat.workflow.config_watch import ConfigWatch
+from cranberrycleat.workflow.contact import Contact
 from cranberrycleat.workflow.directory import ConfigFollower
 from cranberrycleat.workflow.door import Door
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peering import SubmitRequest
 from cranberrycleat.workflow.ports import ClusterConfig, Snapshot, Workspace
-from cranberrycleat.workflow.touch import Touch
 from tests.cell import CONFIG, Cell, cell, job, queue, step, until
 from tests.fakes import go
 
@@ -151,7 +151,7 @@
         read=lambda row: attrs.evolve(TWO, version=int(row.value)),
     )
     return ConfigWatch(
-        follower=follower, touch=Touch(clock=clock), clock=clock, bound_s=3.0
+        follower=follower, contact=Contact(clock=clock), clock=clock, bound_s=3.0
     )
 
 
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -62,7 +62,7 @@
 
     async def run() -> None:
         async with cell() as made:
-            door = made.door(lambda: None, in_touch=lambda: False)
+            door = made.door(lambda: None, in_contact=lambda: False)
             answer = await door.submit(queue(), "d", job(step(1)), limit_s=3.0)
             assert answer.status is DoorStatus.REFUSED
             assert not [key for key in made.table.rows if key.startswith("inbox/")]
@@ -117,14 +117,14 @@
 
     async def run() -> None:
         async with cell() as made:
-            touch = [True]
-            door = made.door(lambda: None, in_touch=lambda: touch[0])
+            contact = [True]
+            door = made.door(lambda: None, in_contact=lambda: contact[0])
             made.table.faults.slow_s = 30.0
             asked = asyncio.create_task(
                 door.submit(queue(), "d", job(step(1)), limit_s=60.0)
             )
             await asyncio.sleep(0.2)
-            touch[0] = False
+            contact[0] = False
             answer = await asyncio.wait_for(asked, timeout=10.0)
             assert answer.status is DoorStatus.UNKNOWN
 
--- a/tests/test_permit_desk.py
+++ b/tests/test_permit_queue.py
@@ -7,7 +7,7 @@
 from cranberrycleat.clock import MonotonicClock
 from cranberrycleat.http_client import HttpClient
 from cranberrycleat.workflow.peering import PeerClient, PermitRequest
-from cranberrycleat.workflow.permit_desk import LANE_DEPTH, PermitDesk
+from cranberrycleat.workflow.permit_queue import LANE_DEPTH, PermitQueue
 from cranberrycleat.workflow.permits import StepPermits
 from cranberrycleat.workflow.ports import Permit, PermitPolicy, PermitUnavailable
 from tests.fakes import go
@@ -51,9 +51,9 @@
         )
 
 
-def desk(own: OneAtATime, others: dict[str, OneAtATime]) -> PermitDesk:
-    """Return a desk with some other hosts."""
-    return PermitDesk(
+def permit_queue(own: OneAtATime, others: dict[str, OneAtATime]) -> PermitQueue:
+    """Return a permit_queue with some other hosts."""
+    return PermitQueue(
         own=own,
         own_address="own",
         peer_client=Peers(http=HttpClient(), hosts=others),
@@ -67,7 +67,7 @@
     own = OneAtATime()
 
     async def run() -> None:
-        made = desk(own, {})
+        made = permit_queue(own, {})
         asks = [
             made.ask(
                 f"s{number}",
@@ -90,7 +90,7 @@
     own, other = OneAtATime(), OneAtATime()
 
     async def run() -> None:
-        made = desk(own, {"other": other})
+        made = permit_queue(own, {"other": other})
         permits = [StepPermits(policy=POLICY) for _ in range(8)]
         asks = [
             made.ask(f"s{n}", ("w",), each, (0, 0, 0.0, ""))
@@ -108,7 +108,7 @@
     own, other = OneAtATime(), OneAtATime(down=True)
 
     async def run() -> None:
-        made = desk(own, {"another": other})
+        made = permit_queue(own, {"another": other})
         for number in range(4):
             permits = StepPermits(policy=POLICY)
             assert await made.ask(f"s{number}", ("w",), permits, (0, 0, 0.0, ""))
@@ -122,7 +122,7 @@
     own, near, far = OneAtATime(), OneAtATime(), OneAtATime()
 
     async def run() -> None:
-        made = desk(own, {"z-near": near, "a-far": far})
+        made = permit_queue(own, {"z-near": near, "a-far": far})
         asks = [
             made.ask(f"s{n}", ("w",), StepPermits(policy=POLICY), (0, 0, 0.0, ""))
             for n in range(2)
