--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -627,7 +627,7 @@
         test="tests/test_suspicion.py::test_sound_tasks_outlive_workers_that_fall_together_across_racks",
     ),
     Row(
-        promise="configuration",
+        promise="8 configuration",
         what="refusing a keyed request by a configuration that may be too old",
         file="workflow/access.py",
         text="        return bound_s is not None and age_s > bound_s - REVOKE_MARGIN_S",
@@ -635,7 +635,7 @@
         test="tests/test_access.py::test_a_host_that_may_have_missed_a_change_refuses_for_now",
     ),
     Row(
-        promise="configuration",
+        promise="8 configuration",
         what="counting the configuration's age from the question, not the answer",
         file="workflow/config_watch.py",
         text="            self._confirm(asked_at - age_s)",
@@ -643,7 +643,7 @@
         test="tests/test_access.py::test_what_another_host_tells_of_the_configurations_age",
     ),
     Row(
-        promise="configuration",
+        promise="8 configuration",
         what="the owner's judgement by a newer configuration",
         file="workflow/owner.py",
         text="not self.access.still_grants(req.access)",
@@ -680,7 +680,7 @@
         file="workflow/batches.py",
         text="rows.job_put(job, tuple(_left(board, job)))",
         instead="rows.job_put(job)",
-        test="tests/test_quota.py::test_no_history_has_a_workspace_run_more_than_it_may",
+        test="tests/test_quota.py::test_a_successor_counts_and_stops_what_an_ended_job_still_has",
     ),
     Row(
         promise="quota",
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -446,6 +446,27 @@
     )
 
 
+# Guards against a workspace that runs more than it may after a takeover (QUOTA): a job
+# that was cancelled has attempts at work until they are heard to have stopped.
+def test_a_successor_counts_and_stops_what_an_ended_job_still_has() -> None:
+    history = History(rnd=random.Random(1))
+    for each in history.made.fleet.workers.values():
+        each.standing = Standing.LIVE
+    history.made.accept("a", queue(), job(step(3)), workspace="one")
+    history.plan_and_store()
+    assert history.made.quotas.used_by("one") == TASK.times(3)
+    history.made.cancel("a")
+    history.plan_and_store()
+    history.take_over()
+    assert history.made.quotas.used_by("one") == TASK.times(3)
+    left = [each for _, each in history.made.placements_of("a")]
+    assert len(left) == 3 and all(each.stopping and each.ordered for each in left)
+    assert not history.made.quotas.may_begin("one", TASK)
+    for name in history.running:
+        history.made.lapse(history.made.fleet.workers[name], Loss.SILENT)
+    assert history.made.quotas.may_begin("one", TASK.times(3))
+
+
 @given(seed=st.integers(min_value=0, max_value=2**32))
 @example(seed=23_401)
 @example(seed=329)
