A job that may be stored is not denied

Cause: a host tries the owner, then the inbox, and the owner again. When a first try may have stored the job and the owner heard meanwhile that the caller's key is gone, the caller was told 401, which says that the job never runs. It was seen by reading; no run showed it. It is told now, as after a refusal, that it is not known, and comes again.

test_a_job_that_may_be_stored_is_never_denied failed before ('denied'). Also: why a step waits no longer says that a quota is reached where a newer one may be in force.

--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -102,6 +102,8 @@
     retry_after_s: float = OUTAGE_RETRY_S
 
 
+NOT_RUN: Final = frozenset({DoorStatus.REFUSED, DoorStatus.DENIED})
+"""What says that a job never runs; it must not be said of one that may be stored."""
 FOREIGN: Final = DoorAnswer(
     status=DoorStatus.MALFORMED, reason="this identity is another job's"
 )
@@ -240,7 +242,7 @@
                 break
             step = await self._submit_once(req)
             if step.answer is not None and not (
-                maybe_stored and step.answer.status is DoorStatus.REFUSED
+                maybe_stored and step.answer.status in NOT_RUN
             ):
                 return self._tell_refused(req, step.answer)
             maybe_stored = maybe_stored or step.maybe_stored
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -31,7 +31,7 @@
 """Gangs for which room is kept at a time; more would idle the pool."""
 NO_WORKER: Final = "every known worker is ruled out by a label, a permit or its state"
 TELL_AGAIN_S: Final = 10.0
-AT_QUOTA: Final = "its workspace is at its quota"
+AT_QUOTA: Final = "its workspace is at its quota, or a newer one may be in force"
 MOST_SCANNED: Final = 400
 """Steps looked at in a round."""
 MOST_OF_ONE: Final = 100
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -129,3 +129,27 @@
             assert answer.status is DoorStatus.UNKNOWN
 
     go(run())
+
+
+# Guards against a refusal that is not true: a first try may have stored the job, and an
+# owner that is asked next has heard that the caller's key is gone.
+def test_a_job_that_may_be_stored_is_never_denied() -> None:
+    async def run() -> None:
+        async with cell() as made:
+
+            class Denies:
+                tries = 0
+
+                async def submit(self, req: SubmitRequest) -> SubmitReply:
+                    """Leave the first try unsettled, and deny the next."""
+                    self.tries += 1
+                    if self.tries == 1:
+                        return SubmitReply()
+                    return SubmitReply(denied=True, reason="the key was taken away")
+
+            door = made.door(lambda: cast(Owner, denies))
+            denies = Denies()
+            answer = await door.submit(queue(), "d", job(step(1)), limit_s=1.0)
+            assert answer.status is DoorStatus.UNKNOWN and denies.tries > 1
+
+    go(run())
