Last read: one reading of a quota, in which 0 is no limit

Feasibility compared needs with a quota by a loop of its own; it asks what the quota leaves of nothing used, as the ledger does. Behaviour as it was (jobs of steps have no slots). The bound that means no limit has a name.

--- a/cranberrycleat/workflow/feasibility.py
+++ b/cranberrycleat/workflow/feasibility.py
@@ -11,6 +11,7 @@
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.workflow.fleet import FleetWorker, counted, seats
 from cranberrycleat.workflow.locality import could_hold
+from cranberrycleat.workflow.quota import left_of
 from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
 
 RETRY_S: Final = 10.0
@@ -37,24 +38,12 @@
         return ""
     for number, step in enumerate(spec.steps):
         together = counted(step).times(step.count if step.gang else 1)
-        if not _fits_quota(together, quota):
+        if not together.fits_in(left_of(quota)):
             what = "the gang" if step.gang else "a task"
             return f"step {number}: {what} takes more than the workspace's quota"
     return ""
 
 
-def _fits_quota(needs: Amounts, quota: Amounts) -> bool:
-    """Tell whether needs are within a quota, in which 0 is no limit."""
-    return all(
-        need <= limit or not limit
-        for need, limit in (
-            (needs.processors, quota.processors),
-            (needs.memory_mb, quota.memory_mb),
-            (needs.accelerators, quota.accelerators),
-        )
-    )
-
-
 def _why_step(step: StepSpec, workers: list[FleetWorker]) -> str:
     labelled = [
         each for each in workers if not step.label or step.label in each.entry.labels
--- a/cranberrycleat/workflow/quota.py
+++ b/cranberrycleat/workflow/quota.py
@@ -18,7 +18,11 @@
 
 from cranberrycleat.amounts import NOTHING, Amounts
 
-UNLIMITED: Final = Amounts(processors=1 << 60, memory_mb=1 << 60, accelerators=1 << 60)
+NO_LIMIT: Final = 1 << 60
+"""More of a resource than any cell has."""
+UNLIMITED: Final = Amounts(
+    processors=NO_LIMIT, memory_mb=NO_LIMIT, accelerators=NO_LIMIT
+)
 
 ChargeKey = tuple[str, str, int]
 """A worker's incarnation, a task's name and the number of an attempt."""
@@ -83,7 +87,7 @@
         quotas = self.quotas()
         if quotas is None:
             return NOTHING
-        return _left(quotas.get(workspace, NOTHING), self.used_by(workspace))
+        return left_of(quotas.get(workspace, NOTHING), self.used_by(workspace))
 
     def may_begin(self, workspace: str, needs: Amounts, count: int = 1) -> bool:
         """Tell whether so many like tasks may begin together.
@@ -103,10 +107,11 @@
         quota = self.quota_of(workspace)
         if quota is None or self.running[workspace] <= 1:
             return False
-        return not NOTHING.fits_in(_left(quota, self.used_by(workspace)))
+        return not NOTHING.fits_in(left_of(quota, self.used_by(workspace)))
 
 
-def _left(quota: Amounts, used: Amounts) -> Amounts:
+def left_of(quota: Amounts, used: Amounts = NOTHING) -> Amounts:
+    """Return what a quota leaves beside what is used; 0 in it is no limit."""
     return Amounts(
         processors=_part_left(quota.processors, used.processors),
         memory_mb=_part_left(quota.memory_mb, used.memory_mb),
@@ -115,4 +120,4 @@
 
 
 def _part_left(quota: int, used: int) -> int:
-    return quota - used if quota else UNLIMITED.processors
+    return quota - used if quota else NO_LIMIT
