The soak keeps the decisions behind a finding

Owners' events, what happened on each worker (orders and their verdicts, lists, ends, lives, crashes) and the faults played now stand in one record; at a fault on a worker, what each owner counts there. A run with findings writes the part about each, then everything, to `--record`; under pytest that part is printed. An exception that reached a caller keeps its traceback.

--- a/cranberrycleat/standins/fleet.py
+++ b/cranberrycleat/standins/fleet.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import attrs
@@ -68,6 +68,29 @@
     saved: str
 
 
+@attrs.frozen(kw_only=True)
+class WorkerRecord:
+    """One thing that happened on a worker.
+
+    Attributes:
+        at: When, on the fleet's clock, in seconds.
+        worker: The worker's identity.
+        born_ms: Which incarnation of it.
+        what: What happened.
+        task: The task that it concerns; empty: none.
+        attempt: The attempt.
+        detail: The verdict, the lists or the numbers, for people.
+    """
+
+    at: float
+    worker: str
+    born_ms: int
+    what: str
+    task: str = ""
+    attempt: int = 0
+    detail: str = ""
+
+
 @attrs.define(kw_only=True, eq=False)
 class Worker:
     """One life of a worker.
@@ -136,6 +159,7 @@
         came_back: Told of the life that begins then, and of the one that is over.
         tells_progress: Whether lists say how far each task has come; else each is
             said to be at work, as a service's is.
+        recorded: Told of each order, list, end and life, and of each fault.
     """
 
     work: Callable[[str, int], Work] = lambda task, attempt: Work()
@@ -158,11 +182,36 @@
     longest_lease_s: float = 10.0
     came_back: Callable[[WorkerEntry, str], None] = lambda entry, before: None
     tells_progress: bool = False
+    recorded: Callable[[WorkerRecord], None] = lambda record: None
+
+    def _record(
+        self,
+        worker: Worker,
+        what: str,
+        task: str = "",
+        attempt: int = 0,
+        detail: str = "",
+    ) -> None:
+        record = WorkerRecord(
+            at=self.clock.now(),
+            worker=worker.entry.worker,
+            born_ms=worker.entry.born_ms,
+            what=what,
+            task=task,
+            attempt=attempt,
+            detail=detail,
+        )
+        self.recorded(record)
+
+    def _note_fault(self, worker: Worker, order: StartOrder, fault: str) -> None:
+        self.faults.append(fault)
+        self._record(worker, "fault", order.task, order.attempt, fault)
 
     def add(self, entry: WorkerEntry) -> Worker:
         """Take in a worker."""
-        self.workers[entry.worker] = Worker(entry=entry)
-        return self.workers[entry.worker]
+        worker = self.workers[entry.worker] = Worker(entry=entry)
+        self._record(worker, "life begins")
+        return worker
 
     def now_ms(self, worker: Worker) -> int:
         """Return a worker's clock in milliseconds."""
@@ -180,6 +229,7 @@
         if worker.lose_starts > 0:
             worker.lose_starts -= 1
             worker.late.append(order)
+            self._record(worker, "start kept back", order.task, order.attempt)
             await asyncio.sleep(limit_s)
             raise WorkerUnreachable("the order's answer was lost")
         return self.carry_out(worker, order)
@@ -188,6 +238,8 @@
         """Do what a start order says, as a worker does."""
         now = self.now_ms(worker)
         verdict = self._verdict(worker, order, now)
+        detail = f"{verdict.value}, fence {order.fence}"
+        self._record(worker, "start", order.task, order.attempt, detail)
         if verdict is Verdict.ACCEPTED and order.task not in worker.runs:
             self._begin(worker, order)
         if verdict is not Verdict.STALE_EPOCH:
@@ -223,10 +275,14 @@
         for other in self.workers.values():
             self._settle(other)
             if order.task in other.runs:
-                self.faults.append(f"{order.task} runs twice")
+                self._note_fault(worker, order, f"{order.task} runs twice")
         if order.task in self.done - self.excused:
-            found = self.faults if worker.was_asked else self.before_first_list
-            found.append(f"{order.task} starts after it was done")
+            fault = f"{order.task} starts after it was done"
+            if worker.was_asked:
+                self._note_fault(worker, order, fault)
+            else:
+                self.before_first_list.append(fault)
+                self._record(worker, "late copy", order.task, order.attempt, fault)
         worker.runs[order.task] = run
         self.starts.append(
             Started(
@@ -241,14 +297,16 @@
         if work.crashes_after_s is not None:
             loop = asyncio.get_running_loop()
             loop.call_later(work.crashes_after_s, self.go_down, worker)
-        self._judge_quota(self.workspace(order.task))
+        self._judge_quota(worker, order)
         used = NOTHING
         for each in worker.runs.values():
             used = used.plus(each.needs)
         if not used.fits_in(worker.entry.capacity):
-            self.faults.append(f"{worker.entry.worker} is over its capacity")
+            fault = f"{worker.entry.worker} is over its capacity"
+            self._note_fault(worker, order, fault)
 
-    def _judge_quota(self, workspace: str) -> None:
+    def _judge_quota(self, at: Worker, order: StartOrder) -> None:
+        workspace = self.workspace(order.task)
         if not workspace:
             return
         running = [
@@ -259,7 +317,7 @@
         ]
         fault = self.over_quota(workspace, running)
         if fault:
-            self.faults.append(fault)
+            self._note_fault(at, order, fault)
 
     async def stop(
         self, entry: WorkerEntry, task: str, attempt: int, fence: int
@@ -271,6 +329,7 @@
                 verdict=Verdict.STALE_EPOCH, worker_time_ms=self.now_ms(worker)
             )
         worker.fence = fence
+        self._record(worker, "stop", task, attempt, f"fence {fence}")
         worker.void[task] = max(worker.void.get(task, 0), attempt)
         run = worker.runs.get(task)
         if run is not None and run.attempt <= attempt:
@@ -313,17 +372,21 @@
             if worker.over:
                 raise WorkerUnreachable("the connection was reset")
             self._settle(worker)
+        running = tuple(
+            RunningTask(
+                task=run.task,
+                attempt=run.attempt,
+                saved=run.saved,
+                percent=self._percent(run),
+            )
+            for run in worker.runs.values()
+        )
+        lists = f"running {_named(running)}, ended {_named(worker.ended)}"
+        asked = f"fence {fence}, acknowledged {ended_upto}"
+        self._record(worker, "list", detail=f"{asked}: {lists}")
         return SyncReply(
             worker_time_ms=self.now_ms(worker),
-            running=tuple(
-                RunningTask(
-                    task=run.task,
-                    attempt=run.attempt,
-                    saved=run.saved,
-                    percent=self._percent(run),
-                )
-                for run in worker.runs.values()
-            ),
+            running=running,
             ended=tuple(worker.ended),
             born_ms=worker.entry.born_ms,
         )
@@ -355,6 +418,7 @@
 
     def _end_life(self, name: str) -> Worker:
         lost = self.workers.pop(name)
+        self._record(lost, "life is over")
         if not lost.down:
             self._note_fall(name)
         lost.down = False
@@ -373,6 +437,7 @@
         if self.workers.get(name) is not worker or worker.down:
             return
         self._settle(worker)
+        self._record(worker, "crashes")
         self._note_fall(name)
         worker.down = True
         worker.runs.clear()
@@ -445,6 +510,8 @@
         del worker.runs[run.task]
         worker.void[run.task] = max(worker.void.get(run.task, 0), run.attempt)
         worker.last_end += 1
+        detail = f"{how.value}, number {worker.last_end}"
+        self._record(worker, "end", run.task, run.attempt, detail)
         if how is EndKind.DONE and self.counts_done:
             self.done.add(run.task)
         worker.ended.append(
@@ -464,3 +531,7 @@
         if worker.replaced:
             raise WorkerReplaced(entry.worker)
         return worker
+
+
+def _named(listed: Iterable[RunningTask | EndedTask]) -> str:
+    return " ".join(f"{each.task}#{each.attempt}" for each in listed) or "nothing"
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,7 @@
 """A fault soak: random jobs and faults by a seed, judged by the workers' record.
 
     python -m tests.soak --seed 7 --runs 4 --seconds 20 [--crashing 0.03] [--restarts]
-        [--quotas]
+        [--quotas] [--record DIRECTORY]
 
 Owners on three hosts, doors, a table and workers run in one process. The fleet
 stand-in is the judge of what must never be (twice at a time, over capacity, again
@@ -16,6 +16,9 @@
 
 With `--quotas` jobs are of workspaces whose quotas fall, rise and are not known for a
 while; what they run is judged at each start (see `quota_judge`).
+
+A run with findings writes its record to `--record` (see `soak_record`): the decisions
+and the workers' own record behind each finding, then everything.
 """
 
 import argparse
@@ -24,13 +27,14 @@
 import random
 import sys
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import Final
 
 import attrs
 
-from cranberrycleat import errors
+from cranberrycleat import errors, logs
 from cranberrycleat.amounts import NOTHING, Amounts
-from cranberrycleat.standins.fleet import Work, Worker
+from cranberrycleat.standins.fleet import Work, Worker, WorkerRecord
 from cranberrycleat.workflow.access import Granted
 from cranberrycleat.workflow.door import Door, DoorStatus
 from cranberrycleat.workflow.owner import Owner
@@ -40,6 +44,7 @@
 from cranberrycleat.workflow.suspicion import SETTLED_S
 from tests.cell import Cell, cell, entry, job, queue, step
 from tests.quota_judge import QuotaJudge
+from tests.soak_record import Record
 
 HOSTS: Final = 3
 WORKERS: Final = 5
@@ -95,10 +100,12 @@
         at_fault: Those tasks.
         restarts: Whether workers start again under their identities.
         quotas: Sets the workspaces' quotas, and judges; None: there are none.
+        record: What happened, to trace findings.
     """
 
     rnd: random.Random
     made: Cell
+    record: Record
     owners: dict[str, Owner] = attrs.field(factory=dict)
     hosts: "dict[str, asyncio.Task[None]]" = attrs.field(factory=dict)
     handed: dict[str, Handed] = attrs.field(factory=dict)
@@ -122,7 +129,10 @@
         for task in busy:
             task.cancel()
         found = await asyncio.gather(*busy, return_exceptions=True)
-        self.told += [repr(exc) for exc in found if isinstance(exc, Exception)]
+        for exc in found:
+            if isinstance(exc, Exception):
+                self.told.append(repr(exc))
+                self.record.raised(exc)
         self._heal()
         await self._finish()
         # While there is an owner: its lease ends soon after it is told to.
@@ -166,11 +176,32 @@
 
         fleet = self.made.fleet
         fleet.needs, fleet.gang, fleet.work = needs, gang, work
+        fleet.recorded = self._take_record
         if self.quotas is not None:
             self.quotas.change(self._draw_quotas())
             self.made.quotas = self.quotas.told
             fleet.workspace, fleet.over_quota = workspace, self.quotas.fault
 
+    def _take_record(self, record: WorkerRecord) -> None:
+        self.record.take_worker(record)
+        if record.what == "fault":
+            self._record_charges(record.worker)
+
+    def _record_charges(self, name: str) -> None:
+        """Note what each owner counts on a worker."""
+        for host, owner in self.owners.items():
+            for worker in owner.board.fleet.workers.values():
+                if worker.entry.worker != name:
+                    continue
+                counted = [
+                    f"{each.task}#{each.attempt} ({each.needs.processors})"
+                    for each in worker.placements.values()
+                ]
+                self.record.charges(
+                    f"owner.counts {host}, holder {owner.lease.authority()}, on "
+                    f"{worker.name} {worker.standing.value}: {' '.join(counted)}"
+                )
+
     def _draw_quotas(self) -> dict[str, Amounts]:
         return {
             each: Amounts(processors=self.also.choice(QUOTAS)) for each in WORKSPACES
@@ -273,7 +304,10 @@
             faults = (*faults, self._change_quotas, self._hide_quotas)
         while True:
             await asyncio.sleep(self.rnd.uniform(0.1, 0.8))
-            await self.rnd.choice(faults)()
+            fault = self.rnd.choice(faults)
+            self.record.played(fault.__name__.strip("_"))
+            await fault()
+            self.record.played(f"{fault.__name__.strip('_')} is over")
 
     async def _kill_host(self) -> None:
         host = self.rnd.choice(sorted(self.hosts))
@@ -306,6 +340,7 @@
     async def _silence(self) -> None:
         worker = self.rnd.choice(list(self.made.fleet.workers.values()))
         worker.silent = True
+        self.record.played(f"{worker.entry.worker} is silent")
         await asyncio.sleep(self.rnd.choice((0.2, 1.2, 2.5)))
         self._newest(worker).silent = False
 
@@ -313,10 +348,13 @@
         fleet = self.made.fleet
         worker = self.rnd.choice(list(fleet.workers.values()))
         worker.lose_starts = self.rnd.randint(1, 3)
+        self.record.played(f"{worker.entry.worker} leaves starts unanswered")
         await asyncio.sleep(self.rnd.uniform(0.1, 1.0))
         worker.lose_starts = 0
         newest = self._newest(worker)
         for order in newest.late:
+            at = f"{newest.entry.worker}@{newest.entry.born_ms}"
+            self.record.played(f"{at} has a late {order.task}#{order.attempt}")
             fleet.carry_out(newest, order)
         newest.late.clear()
 
@@ -361,12 +399,14 @@
     async def _stand_still(self) -> None:
         worker = self.rnd.choice(list(self.made.fleet.workers.values()))
         worker.stands_still = True
+        self.record.played(f"{worker.entry.worker} stands still")
         await asyncio.sleep(self.rnd.choice((0.5, 2.0)))
         worker.stands_still = False
 
     async def _unlist(self) -> None:
         name = self.rnd.choice(sorted(self.made.fleet.workers))
         self.made.unlist_worker(name)
+        self.record.played(f"{name} is unlisted")
         await asyncio.sleep(self.rnd.uniform(0.1, 1.0))
         if name in self.made.fleet.workers:
             self.made.list_worker(name)
@@ -406,6 +446,14 @@
             self.made.entries[name] = worker.entry
             self.made.list_worker(name)
 
+    def keep_record(self, name: str, found: list[str], where: Path | None) -> None:
+        """Keep what led to findings."""
+        if found and where is not None:
+            self.record.write(where / f"{name}.txt", found)
+        elif found:
+            for finding in found:
+                print(f"finding: {finding}", *self.record.about(finding), sep="\n")
+
     # --- the verdict --------------------------------------------------------------
 
     def _owner(self) -> Owner | None:
@@ -499,8 +547,19 @@
     crashing: float = 0.0,
     restarts: bool = False,
     quotas: bool = False,
+    record_in: Path | None = None,
 ) -> list[str]:
-    """Play one run by its seed; return what went wrong."""
+    """Play one run by its seed; return what went wrong.
+
+    Args:
+        seed: Draws everything.
+        seconds: For how long jobs and faults are played.
+        crashing: The share of jobs with a task that crashes its workers.
+        restarts: Whether workers start again under their identities.
+        quotas: Whether workspaces have quotas.
+        record_in: Where the record of a run with findings is written; None: what
+            concerns them is printed.
+    """
     async with cell(workers=0) as made:
         for number in range(WORKERS):
             rack = RACKS[number % len(RACKS)] if crashing else RACKS[0]
@@ -510,12 +569,18 @@
         soak = Soak(
             rnd=random.Random(seed),
             made=made,
+            record=Record(clock=made.clock),
             crashing=crashing,
             also=random.Random(f"crashing {seed}"),
             restarts=restarts,
             quotas=QuotaJudge(clock=made.clock) if quotas else None,
         )
-        found = await soak.run(seconds)
+        logs.observe(soak.record.take_event)
+        try:
+            found = await soak.run(seconds)
+        finally:
+            logs.observe(None)
+        soak.keep_record(f"seed-{seed}", found, record_in)
         accepted = [handed for handed in soak.handed.values() if handed.accepted]
         print(
             f"seed {seed}: {len(soak.handed)} jobs, {len(accepted)} accepted, "
@@ -537,11 +602,19 @@
     parser.add_argument("--crashing", type=float, default=0.0)
     parser.add_argument("--restarts", action="store_true")
     parser.add_argument("--quotas", action="store_true")
+    parser.add_argument("--record", type=Path, default=Path("soak-record"))
     cfg = parser.parse_args()
     bad = 0
     for seed in range(cfg.seed, cfg.seed + cfg.runs):
         found = asyncio.run(
-            play(seed, cfg.seconds, cfg.crashing, cfg.restarts, cfg.quotas)
+            play(
+                seed,
+                cfg.seconds,
+                cfg.crashing,
+                cfg.restarts,
+                cfg.quotas,
+                cfg.record,
+            )
         )
         for each in found:
             print(f"  {each}")
--- /dev/null
+++ b/tests/soak_record.py
@@ -0,0 +1,143 @@
+"""Keeps what led to a finding of the soak.
+
+Owners' events, what happened on each worker, and the faults that were played stand in
+one record, in the order of their times. `about` returns the part that concerns a
+finding: the jobs and workers that it names, and the workers that had attempts of these.
+"""
+
+import re
+import traceback
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+
+from cranberrycleat import events
+from cranberrycleat.clock import Clock
+from cranberrycleat.standins.fleet import WorkerRecord
+
+BEFORE_S: Final = 6.0
+"""How much of a worker's record before its finding is shown."""
+MOST_SHOWN: Final = 400
+_JOB: Final = re.compile(r"\b[0-9a-f]{16}\b")
+_WORKER: Final = re.compile(r"\bw-?\d+(?:\+\d+)?\b")
+
+
+@attrs.frozen(kw_only=True)
+class Entry:
+    """One line of the record.
+
+    Attributes:
+        at: When, in seconds, on the clock of the run.
+        kind: `owner`, `worker`, `played` (a fault of the soak), `fault` (what the
+            workers' record shows) or `raised` (an exception that nobody handled).
+        text: What happened.
+        what: What it was for a worker; empty else.
+    """
+
+    at: float
+    kind: str
+    text: str
+    what: str = ""
+
+    def is_raised(self, finding: str) -> bool:
+        """Tell whether it is the exception that a finding names."""
+        return self.kind == "raised" and self.text.startswith(finding)
+
+    def __str__(self) -> str:
+        return f"{self.at:9.3f} {self.kind:6} {self.text}"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Record:
+    """All that happened in one run.
+
+    Attributes:
+        clock: The clock of the run.
+        entries: What happened, oldest first.
+    """
+
+    clock: Clock
+    entries: list[Entry] = attrs.field(factory=list)
+
+    def take_event(self, event: Any) -> None:
+        """Take in an event of an owner."""
+        name = events.KINDS[type(event)].name
+        fields = attrs.asdict(event)
+        said = ", ".join(f"{key}={value}" for key, value in fields.items())
+        self._add("owner", f"{name} {said}")
+
+    def take_worker(self, record: WorkerRecord) -> None:
+        """Take in what happened on a worker."""
+        task = f" {record.task}#{record.attempt}" if record.task else ""
+        text = f"{record.worker}@{record.born_ms} {record.what}{task} {record.detail}"
+        kind = "fault" if record.what == "fault" else "worker"
+        self._add(kind, text.rstrip(), record.what)
+
+    def played(self, text: str) -> None:
+        """Note a fault that the soak plays."""
+        self._add("played", text)
+
+    def raised(self, exc: BaseException) -> None:
+        """Note an exception that reached a caller of the system."""
+        self._add("raised", "\n".join((repr(exc), *traceback.format_exception(exc))))
+
+    def charges(self, text: str) -> None:
+        """Note what an owner counts on a worker."""
+        self._add("owner", text)
+
+    def _add(self, kind: str, text: str, what: str = "") -> None:
+        self.entries.append(Entry(at=self.clock.now(), kind=kind, text=text, what=what))
+
+    def about(self, finding: str) -> list[str]:
+        """Return the lines that concern a finding, the newest if there are many."""
+        jobs = set(_JOB.findall(finding))
+        raised = [each for each in self.entries if each.is_raised(finding)]
+        if raised:
+            found = raised
+        elif jobs:
+            found = list(self._about_jobs(jobs))
+        else:
+            found = list(self._about_workers(set(_WORKER.findall(finding)), finding))
+        return [str(each) for each in found[-MOST_SHOWN:]]
+
+    def _about_jobs(self, jobs: set[str]) -> Iterator[Entry]:
+        """Yield what concerns jobs, and the lives of all workers meanwhile."""
+        named = [each for each in self.entries if jobs & set(_JOB.findall(each.text))]
+        if not named:
+            return
+        first, last = named[0].at - BEFORE_S, named[-1].at
+        lives = {"life begins", "life is over", "crashes"}
+        for each in self.entries:
+            meanwhile = first <= each.at <= last
+            if each.what == "list":
+                continue
+            if jobs & set(_JOB.findall(each.text)):
+                yield each
+            elif meanwhile and (each.what in lives or each.kind == "played"):
+                yield each
+            elif meanwhile and each.text.startswith(("worker.", "owner.")):
+                yield each
+
+    def _about_workers(self, workers: set[str], finding: str) -> Iterator[Entry]:
+        """Yield what concerned workers shortly before a fault there."""
+        faults = [
+            each.at
+            for each in self.entries
+            if each.kind == "fault" and finding in each.text
+        ]
+        for each in self.entries:
+            near = any(at - BEFORE_S <= each.at <= at + 0.1 for at in faults)
+            named = workers & set(_WORKER.findall(each.text))
+            if near and (named or each.kind in ("played", "fault")):
+                yield each
+
+    def write(self, path: Path, findings: list[str]) -> None:
+        """Write findings, the parts about each, and then the whole record."""
+        path.parent.mkdir(parents=True, exist_ok=True)
+        lines: list[str] = []
+        for each in findings:
+            lines += [f"finding: {each}", *self.about(each), ""]
+        lines += ["the whole record", *map(str, self.entries)]
+        path.write_text("\n".join(lines) + "\n")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 from cranberrycleat.workflow.ports import StartOrder, WorkerUnreachable
 from tests import config_soak, soak
 from tests.cell import cell, entry
+from tests.soak_record import Record
 
 SECONDS = 5.0
 
@@ -51,7 +52,9 @@
 
     async def run() -> None:
         async with cell(workers=0) as made:
-            played = soak.Soak(rnd=random.Random(1), made=made)
+            played = soak.Soak(
+                rnd=random.Random(1), made=made, record=Record(clock=made.clock)
+            )
             played._boot("h0")
             await asyncio.gather(played._kill_host(), played._kill_host())
             standing = [
