A repeated submission is answered where the inbox's row cannot be read

What callers saw: a submission whose identity stands in the inbox already, sent again while the table is down, ended in an unhandled error instead of an answer; where the row was of another version's form, it was answered as malformed though the job is accepted.

Cause: the write to the inbox tells only that the row is there; whose it is was read from the table, and nothing handled that read's failure.

The new test failed for both forms.

The row is there, so the job may be stored: the door answers 'unknown' (504), the caller comes again, and no refusal that may be untrue is given.

--- a/cranberrycleat/workflow/door.py
+++ b/cranberrycleat/workflow/door.py
@@ -363,21 +363,37 @@
             put=Put(key=key, value=codec.encode_text(row)),
         )
         match await self._write_within(change):
-            case Lost() if not await self._is_stored_for(req):
-                return _Step(answer=FOREIGN)
-            case Won() | Lost():
-                # Lost: an earlier try of the caller left the job there.
-                emit(events.JobInInbox(job=req.job_id, outcome="stored"))
-                self.left_in_inbox()
-                return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
+            case Won():
+                stored = True
+            case Lost():
+                # An earlier try of the caller left the job there, or another workspace.
+                try:
+                    stored = await self._is_stored_for(req)
+                except (errors.TableUnavailable, errors.FindingsError) as exc:
+                    return self._unknown_in_inbox(req, str(exc))
             case Untried():
                 return _Step()
             case Unsettled():
-                emit(events.JobInInbox(job=req.job_id, outcome="unknown"))
-                return _Step(maybe_stored=True)
+                return self._unknown_in_inbox(req, "the write is not settled")
+        if not stored:
+            return _Step(answer=FOREIGN)
+        emit(events.JobInInbox(job=req.job_id, outcome="stored"))
+        self.left_in_inbox()
+        return _Step(answer=DoorAnswer(status=DoorStatus.DONE))
+
+    @staticmethod
+    def _unknown_in_inbox(req: SubmitRequest, reason: str) -> "_Step":
+        LOG.debug("Whether job %s is in the inbox is unknown: %s", req.job_id, reason)
+        emit(events.JobInInbox(job=req.job_id, outcome="unknown"))
+        return _Step(maybe_stored=True)
 
     async def _is_stored_for(self, req: SubmitRequest) -> bool:
-        """Tell whether what the inbox has under an identity is this workspace's."""
+        """Tell whether what the inbox has under an identity is this workspace's.
+
+        Raises:
+            TableUnavailable: The table gave no answer.
+            FindingsError: The row is of a form that is not known here.
+        """
         found = await self.store.read(keys=(rows.inbox_key(req.job_id),))
         caller = req.access.workspace
         return all(may_see(caller=caller, owner=_inbox_workspace(row)) for row in found)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from cranberrycleat import errors
+from cranberrycleat.table import Row
 from cranberrycleat.workflow.door import DoorStatus
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peering import JobAnswer, SubmitReply, SubmitRequest
@@ -153,3 +155,35 @@
             assert answer.status is DoorStatus.UNKNOWN and denies.tries > 1
 
     go(run())
+
+
+class _Unreadable:
+    """A table that gives no answer to readers."""
+
+    async def read(self, *, keys: tuple[str, ...]) -> tuple[Row, ...]:
+        """Give no answer."""
+        raise errors.TableUnavailable("down")
+
+
+class _OfAnotherVersion:
+    """A table whose rows nobody here can decode."""
+
+    async def read(self, *, keys: tuple[str, ...]) -> tuple[Row, ...]:
+        """Return rows of an unknown form."""
+        return tuple(Row(key=key, version=1, value="[]") for key in keys)
+
+
+# Guards against a submission that ends in an unhandled error: the identity stands in the
+# inbox already, and whose it is cannot be read.
+@pytest.mark.parametrize("store", [_Unreadable(), _OfAnotherVersion()])
+def test_a_repeat_whose_row_cannot_be_read_is_answered(store: object) -> None:
+    async def run() -> None:
+        async with cell() as made:
+            first = made.door(lambda: None)
+            answer = await first.submit(queue(), "d", job(step(1)), limit_s=3.0)
+            assert answer.status is DoorStatus.DONE
+            repeat = made.door(lambda: None, store=store)
+            answer = await repeat.submit(queue(), "d", job(step(1)), limit_s=0.6)
+            assert answer.status is DoorStatus.UNKNOWN
+
+    go(run())
