A trial needs a machine that is known to have stood

What callers saw: a sound job shown as `failed` after three lost workers, the third in a trial that was none.

Cause: whether a machine stands was told by the losses that this owner had seen. One that takes over amid losses has seen none, and takes every machine for a sound one; a worker that joined a moment ago counted as sound too.

A machine stands since the last loss there, since the platform listed its worker, or since the owner took over from another one, whichever came last. So a successor's trials wait their 3 s. The new tests failed without (the first begins at once after a takeover).

--- a/cranberrycleat/workflow/falls.py
+++ b/cranberrycleat/workflow/falls.py
@@ -71,23 +71,26 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Falls:
-    """The falls that an owner has seen, by address."""
+    """The falls that an owner has seen.
+
+    Attributes:
+        seen: The last one at each address.
+        watched_since: Since when this owner would have seen one.
+    """
 
     seen: dict[str, Fall] = attrs.field(factory=dict)
+    watched_since: float = float("-inf")
 
     def note(self, entry: WorkerEntry, fall: Fall) -> None:
         """Put down a fall."""
         if entry.address:
             self.seen[entry.address] = fall
 
-    def of_late(self, address: str, now: float) -> bool:
-        """Tell whether a worker fell at an address not long ago."""
-        return self.stood_s(address, now) < FELL_S
-
     def stood_s(self, address: str, now: float) -> float:
         """Return for how long no worker is known to have fallen at an address."""
         fall = self.seen.get(address)
-        return float("inf") if fall is None else now - fall.noticed_at
+        fell_at = float("-inf") if fall is None else fall.noticed_at
+        return now - max(fell_at, self.watched_since)
 
     def together_with(self, address: str, mates: set[str]) -> SimultaneousFalls:
         """Return the falls that may have come with the one at an address.
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -224,6 +224,8 @@
         trial: The attempt there of a task that may crash its workers.
         generation: The fleet's when it was taken in; orders to it carry that.
         known_since: When it was taken in, on the owner's clock.
+        joined_at: When the platform listed it as a new one, on the owner's clock; long
+            ago for what was listed when the owner took over.
         before: The incarnation before it, until this one's first list tells which
             orders to that one were carried out here.
     """
@@ -257,6 +259,7 @@
     trial: Placement | None = None
     generation: int = 0
     known_since: float = 0.0
+    joined_at: float = float("-inf")
     before: "FleetWorker | None" = None
 
     def __attrs_post_init__(self) -> None:
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -260,6 +260,9 @@
         waits_s = self.leases.successor_waits_s(self.lease.inherited_s)
         began = self.clock.now()
         self._old_leases_over_at = began + waits_s
+        if self.epoch > 1:
+            # Which machines fell before, only the earlier owner knew.
+            self.board.fleet.falls.watched_since = began
         stored = await self._read_rows()
         restore(self.board, stored)
         self.inbox.take(stored.inbox)
--- a/cranberrycleat/workflow/roster.py
+++ b/cranberrycleat/workflow/roster.py
@@ -97,7 +97,10 @@
         """Take in an incarnation that the platform lists, if it is the newest."""
         before = self._newest(entry)
         if before is None:
-            worker = FleetWorker(entry=entry)
+            # The first list is read before `read_at` is set.
+            is_new = self.read_at > float("-inf")
+            joined_at = self.board.now() if is_new else float("-inf")
+            worker = FleetWorker(entry=entry, joined_at=joined_at)
             self.board.fleet.add(worker)
         elif before.entry.born_ms > entry.born_ms:
             # It wrote this before it was over, or its clock was set back: then its
--- a/cranberrycleat/workflow/trials.py
+++ b/cranberrycleat/workflow/trials.py
@@ -5,7 +5,7 @@
 beginning there meanwhile.
 """
 
-from cranberrycleat.workflow.falls import Falls
+from cranberrycleat.workflow.falls import FELL_S, Falls
 from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.state import StepRun, Task
 from cranberrycleat.workflow.suspicion import LossRecord
@@ -43,10 +43,15 @@
     return [
         each
         for each in workers
-        if each.is_quiet() and not falls.of_late(each.entry.address, now)
+        if each.is_quiet() and stood_s(each, falls, now) >= FELL_S
     ]
 
 
+def stood_s(worker: FleetWorker, falls: Falls, now: float) -> float:
+    """Return for how long a worker is known to have stood."""
+    return min(now - worker.joined_at, falls.stood_s(worker.entry.address, now))
+
+
 def lost_at(step: StepRun, tasks: list[Task]) -> set[str]:
     """Return the addresses at which workers were lost under some of a step's tasks."""
     if not step.losses:
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -15,6 +15,7 @@
 from cranberrycleat.workflow.board import Board
 from cranberrycleat.workflow.falls import FELL_S, Fall, Falls
 from cranberrycleat.workflow.fleet import FleetWorker, Loss, Placement
+from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.ports import RunningTask, SyncReply
 from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.state import JobState, StepRun
@@ -442,6 +443,54 @@
     assert _step_of(made).tasks[0].worker == "earlier"
 
 
+def test_no_trial_on_a_worker_that_has_just_joined() -> None:
+    new, busy = worker("new"), worker("busy")
+    made = board(new, busy)
+    new.joined_at = 0.0
+    _run_elsewhere(made, busy, settled=True)
+    _suspect(made, step())
+    plan(made)
+    assert _step_of(made).tasks[0].worker == "busy"
+
+
+# Guards against sound work that is given up (LOST): whoever takes over amid losses
+# knows of none, and would take the next one for the task's doing.
+def test_a_successor_does_not_judge_by_losses_it_did_not_see() -> None:
+    async def run() -> None:
+        async with cell(workers=6) as made:
+            first = made.fleet
+            first.work = lambda name, attempt: Work(seconds=0.25)
+            owner = await made.own()
+            await submit(owner, "a", job(step(1)))
+            for number in range(CRASHES):
+                await until(lambda: len(first.starts) > number)
+                if number == CRASHES - 1:
+                    break
+                first.go_down(first.workers[first.starts[-1].worker])
+                await until(lambda: _losses(owner, "a") > number)
+                if number == CRASHES - 2:
+                    await made.close()
+                    made.tasks.clear()
+                    owner = await made.own("next")
+                    # Its first look at the cell is amid the same disturbance.
+                    began = made.clock.now()
+                    await until(lambda: len(first.starts) > number + 1)
+                    assert made.clock.now() - began > TRIAL_WAIT_S / 2
+            await until(lambda: owner.board.shown["a"] is JobState.COMPLETED)
+
+    go(run())
+
+
+def _losses(owner: Owner, job_id: str) -> int:
+    """Return how many workers are on record as lost under a job's first task."""
+    steps = [
+        each for run in owner.board.jobs[job_id].open.values() for each in run.steps
+    ]
+    return sum(
+        len(each.lost) for step_run in steps for each in step_run.losses.values()
+    )
+
+
 def test_the_next_attempt_is_on_another_machine() -> None:
     """The next life of a worker that was lost has the most room there is."""
     again = worker("again")
