The test of a successor's trials fails without what it guards

As committed before it passed with and without the change: its owner was killed before the second loss was stored, so that the successor had no trial to begin. It waits for that now, asks what the successor knows, and fails without `watched_since` (the trial begins 0.01 s after the takeover).

--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -457,25 +457,27 @@
 # knows of none, and would take the next one for the task's doing.
 def test_a_successor_does_not_judge_by_losses_it_did_not_see() -> None:
     async def run() -> None:
-        async with cell(workers=6) as made:
-            first = made.fleet
-            first.work = lambda name, attempt: Work(seconds=0.25)
+        async with cell(workers=0) as made:
+            for number in range(6):
+                made.add_worker(f"w{number}", born_ms=1)
+            fleet = made.fleet
+            fleet.keeps_identity = True
+            fleet.work = lambda name, attempt: Work(seconds=0.25)
             owner = await made.own()
             await submit(owner, "a", job(step(1)))
-            for number in range(CRASHES):
-                await until(lambda: len(first.starts) > number)
-                if number == CRASHES - 1:
-                    break
-                first.go_down(first.workers[first.starts[-1].worker])
-                await until(lambda: _losses(owner, "a") > number)
-                if number == CRASHES - 2:
-                    await made.close()
-                    made.tasks.clear()
-                    owner = await made.own("next")
-                    # Its first look at the cell is amid the same disturbance.
-                    began = made.clock.now()
-                    await until(lambda: len(first.starts) > number + 1)
-                    assert made.clock.now() - began > TRIAL_WAIT_S / 2
+            for number in range(1, CRASHES):
+                await until(lambda: len(fleet.starts) == number)
+                fleet.go_down(fleet.workers[fleet.starts[-1].worker])
+                await until(lambda: _losses(owner, "a") == number)
+            owner.closing = True
+            await until(lambda: "a" not in owner.board.dirty)
+            await made.close()
+            made.tasks.clear()
+            owner = await made.own("next")
+            assert _losses(owner, "a") == CRASHES - 1
+            began = made.clock.now()
+            await until(lambda: len(fleet.starts) == CRASHES)
+            assert made.clock.now() - began > TRIAL_WAIT_S / 2
             await until(lambda: owner.board.shown["a"] is JobState.COMPLETED)
 
     go(run())
