A trial begins though owners change every few seconds

What callers would have seen: an accepted job that does not run though all workers are free.

Cause: a trial waits up to 3 s for a machine that is known to have stood, and a new owner knows none. Each takeover began that wait anew, so that owners that change more often than each 3 s never begin it.

After a takeover a trial waits 1 s: enough to see which workers are lost then.

--- a/cranberrycleat/workflow/loss_ledger.py
+++ b/cranberrycleat/workflow/loss_ledger.py
@@ -35,7 +35,7 @@
     def restore(self, job: Job) -> None:
         """Take in the records of a job that an earlier owner stored."""
         for record in _records(job):
-            record.changed_at = self.now()
+            record.inherit(self.now())
             self.suspected[job.job_id] = job
 
     def forget(self, job_id: str) -> None:
--- a/cranberrycleat/workflow/suspicion.py
+++ b/cranberrycleat/workflow/suspicion.py
@@ -40,6 +40,9 @@
 """Attempts before `MOST_LOST` that are trials, however the earlier ones were lost."""
 TRIAL_WAIT_S: Final = 3.0
 """How long a trial waits for a worker where nothing has just begun."""
+SUCCESSOR_WAIT_S: Final = 1.0
+"""How long it waits after a takeover: the new owner has to see which workers are lost,
+and where owners change every few seconds the task must still begin."""
 
 
 @attrs.frozen(kw_only=True)
@@ -80,6 +83,10 @@
         self.lost.append(loss)
         self.changed_at = now
 
+    def inherit(self, now: float) -> None:
+        """Note that another owner has taken over."""
+        self.changed_at = now - TRIAL_WAIT_S + SUCCESSOR_WAIT_S
+
     def clear(self, worker: str) -> bool:
         """Take off a worker that answers again; return whether it was there."""
         left = [each for each in self.lost if each.worker != worker]
