--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,14 @@
     assert found == []
 
 
+# Guards against a sound job that is given up (LOST) and against a worker that is given
+# more than it has (LIMIT), each of which one of these seeds has shown.
+@pytest.mark.parametrize("seed", [7029, 7352])
+def test_a_seed_that_showed_a_fault_shows_none(seed: int) -> None:
+    found = asyncio.run(soak.play(seed, 8.0, crashing=0.03, restarts=True))
+    assert found == []
+
+
 @pytest.mark.parametrize("restarts", [False, True])
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_no_workspace_runs_more_than_its_quota_under_faults(
