A start that the next incarnation refuses deposes nobody

What callers would have seen: owners that give way while workers restart, each time a start is on its way to the last incarnation.

Cause: the refusal by a fence was looked at before whether the link is over. The next incarnation has answered a higher fence of the same owner, which the old link does not carry; so the refusal was taken for a later owner's.

Found on reading the change; the new test failed (the job never ended: the owner had deposed itself) and passes. The link's end is looked at first, as it was before.

--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -288,10 +288,12 @@
                 self.board.fleet.outdate_orders(self.worker)
                 await asyncio.sleep(ORDER_PAUSE_S)
                 continue
+            if self.over:
+                return
             if reply.verdict is Verdict.STALE_EPOCH:
                 if not self._is_fenced(order.fence):
                     continue
-            elif self.over or self._settled(placement, reply, unanswered + 1):
+            elif self._settled(placement, reply, unanswered + 1):
                 return
             await asyncio.sleep(ORDER_PAUSE_S)
         if self._counted(placement) and not placement.ordered:
--- a/tests/test_unanswered_starts.py
+++ b/tests/test_unanswered_starts.py
@@ -157,3 +157,41 @@
             assert owner.lease.authority() and owner.epoch == 1
 
     go(run())
+
+
+@attrs.define(kw_only=True, eq=False)
+class RestartingFleet(StandinFleet):
+    """Has a worker start again, and answer, while the first start is on its way."""
+
+    made: "asyncio.Future[tuple[Cell, Owner]]" = attrs.field(factory=asyncio.Future)
+    restarted: bool = False
+
+    async def start(
+        self, entry: WorkerEntry, order: StartOrder, *, limit_s: float
+    ) -> OrderReply:
+        """Carry out a start; the first one reaches the next incarnation."""
+        if not self.restarted:
+            self.restarted = True
+            made, owner = self.made.result()
+            after = made.restart_worker(entry.worker)
+            newest = owner.board.fleet.newest
+            await until(lambda: newest[entry.worker].name == after.entry.incarnation)
+            await until(lambda: after.fence > order.fence)
+        return await StandinFleet.start(self, entry, order, limit_s=limit_s)
+
+
+# Guards against owners that depose themselves: what the next incarnation refuses for its
+# higher fence says nothing of a later owner.
+def test_a_start_that_reaches_the_next_incarnation_deposes_nobody() -> None:
+    async def run() -> None:
+        fleet = RestartingFleet()
+        async with cell(workers=0, fleet=fleet) as made:
+            made.add_worker("w0", born_ms=1)
+            owner = await made.own()
+            fleet.made.set_result((made, owner))
+            await submit(owner, "a", job(step(1)))
+            await until(lambda: owner.board.shown.get("a") is JobState.COMPLETED)
+            assert fleet.restarted
+            assert owner.lease.authority() and owner.epoch == 1
+
+    go(run())
