A trial that has waited does not go to a worker that has just joined

Where no machine was known to stand, the one without a loss was taken for the one that stood longest, also if its worker had joined a moment before. The time since it joined counts there as it does before the wait is over. The test, with a worker that has just joined beside the two, failed before.

--- a/cranberrycleat/workflow/trials.py
+++ b/cranberrycleat/workflow/trials.py
@@ -29,11 +29,9 @@
     if not suited and not record.may_go_anywhere(now):
         return []
     if not suited:
-        stood_s = {
-            each.name: falls.stood_s(each.entry.address, now) for each in workers
-        }
-        longest_s = max(stood_s.values(), default=0.0)
-        return [each for each in workers if stood_s[each.name] == longest_s]
+        stood = {each.name: stood_s(each, falls, now) for each in workers}
+        longest_s = max(stood.values(), default=0.0)
+        return [each for each in workers if stood[each.name] == longest_s]
     least = min(len(each.placements) for each in suited)
     return [each for each in suited if len(each.placements) == least]
 
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -440,6 +440,8 @@
     made = board(earlier, later)
     made.fleet.note_fall(earlier, 0.0)
     made.fleet.note_fall(later, 1.0)
+    made.fleet.add(worker("joined"))
+    made.fleet.workers["joined"].joined_at = 2.0
     _suspect(made, step())
     plan(made, now=TRIAL_WAIT_S)
     assert _step_of(made).tasks[0].worker == "earlier"
@@ -624,9 +626,9 @@
             owner = await made.own()
             await submit(owner, "a", job(step(1)))
             loop = asyncio.get_running_loop()
-            storm_ends = loop.time() + 3.0
+            disturbed_until = loop.time() + 3.0
             begun = 0
-            while loop.time() < storm_ends:
+            while loop.time() < disturbed_until:
                 await asyncio.sleep(0.05)
                 if len(made.fleet.starts) > begun:
                     begun = len(made.fleet.starts)
