--- a/tests/test_unanswered_starts.py
+++ b/tests/test_unanswered_starts.py
@@ -180,8 +180,8 @@
         return await StandinFleet.start(self, entry, order, limit_s=limit_s)
 
 
-# Guards against owners that depose themselves: what the next incarnation refuses for its
-# higher fence says nothing of a later owner.
+# Guards against owners that depose themselves: what the next incarnation refuses for
+# its higher fence says nothing of a later owner.
 def test_a_start_that_reaches_the_next_incarnation_deposes_nobody() -> None:
     async def run() -> None:
         fleet = RestartingFleet()
