Reverted: a higher fence after an order without answer

What it mended is open again: a process that was asked, and holds the question for an end, takes a late copy meanwhile.

--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -222,8 +222,7 @@
         rest_s: How long its last rest was.
         probing: It is on trial after a rest: one task at a time.
         trial: The attempt there of a task that may crash its workers.
-        generation: The fleet's when it was taken in, or when an order to it had no
-            answer; orders to it carry that.
+        generation: The fleet's when it was taken in; orders to it carry that.
         known_since: When it was taken in, on the owner's clock.
         joined_at: When the platform listed it as a new one, on the owner's clock; long
             ago for what was listed when the owner took over.
@@ -438,9 +437,8 @@
     Attributes:
         workers: The workers, by the names of their incarnations.
         newest: The newest incarnation of each, by identity.
-        generation: Grows with each restart that is found and each order without
-            answer, so that no worker is met with a lower one than it has seen, even if
-            it was forgotten meanwhile.
+        generation: Grows with each restart that is found, so that no worker is met
+            with a lower one than it has seen, even if it was forgotten meanwhile.
         falls: Which of them fell.
     """
 
@@ -466,11 +464,6 @@
         self.add(after)
         return after
 
-    def outdate_orders(self, worker: FleetWorker) -> None:
-        """Have a worker refuse what was ordered before, once it is asked again."""
-        self.generation += 1
-        worker.generation = self.generation
-
     def remove(self, worker: FleetWorker) -> None:
         """Forget an incarnation."""
         del self.workers[worker.name]
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -2,13 +2,8 @@
 
 A link never decides what is to run. It carries what the board says, and tells
 the board what the worker says. Before each order it looks at the owner's
-authority; an order without an answer is sent again, and counts as possible until
-the worker's word or the lease's end settles it.
-
-The copy, and whatever is asked next, carries a higher fence than the order that had
-no answer, so that a process that was asked since refuses that order if it comes late:
-also the next one under the worker's identity, which knows of no stop and no end. An
-order that a higher fence of this owner's own overtook did nothing, and is sent again.
+authority; an order without an answer is sent again unchanged, and counts as
+possible until the worker's word or the lease's end settles it.
 """
 
 import asyncio
@@ -59,8 +54,8 @@
 REFUSED_REST_S: Final = 1.0
 """A worker that refuses as unhealthy is left alone this long."""
 CONFIRM_S: Final = 1.0
-FENCES_PER_EPOCH: Final = 1_000_000
-"""Fences of one owner; it finds fewer restarts of workers and unanswered orders."""
+RESTARTS_PER_EPOCH: Final = 1_000_000
+"""Fences of one owner; it finds fewer restarts of workers."""
 
 
 class Authority(Protocol):
@@ -131,10 +126,10 @@
     def fence(self) -> int:
         """What orders carry: higher for each owner, and for each restart of a worker.
 
-        It is higher too after each order without answer. One that comes late is refused
-        by an incarnation that has seen a later fence.
+        An order to an earlier incarnation that comes late is refused by one that has
+        answered a later fence.
         """
-        return self.owner.epoch * FENCES_PER_EPOCH + self.worker.generation
+        return self.owner.epoch * RESTARTS_PER_EPOCH + self.worker.generation
 
     async def _round(self) -> None:
         try:
@@ -164,10 +159,9 @@
         # waited out, and its tasks could never be given up.
         if not first and self.owner.may_renew():
             lease_end = worker.grant(self.lease_s, sent_at, self.bounds.clock_error)
-        fence = self.fence
         reply = await self.client.sync(
             worker.entry,
-            fence=fence,
+            fence=self.fence,
             ended_upto=worker.ended_upto,
             lease_end_ms=lease_end,
             wait_ms=0 if first else self._wait_ms(),
@@ -181,22 +175,11 @@
             case SyncReply():
                 self._heard(reply, sent_at)
             case OrderReply(verdict=Verdict.STALE_EPOCH):
-                if self._is_fenced(fence):
-                    await asyncio.sleep(SILENT_PAUSE_S)
+                self.owner.fenced()
+                await asyncio.sleep(SILENT_PAUSE_S)
             case OrderReply(verdict=verdict):
                 raise WorkerUnreachable(f"{worker.name}: sync refused: {verdict.value}")
 
-    def _is_fenced(self, fence: int) -> bool:
-        """Tell whether a later owner's fence refused an order, and note that.
-
-        Args:
-            fence: What the order carried.
-        """
-        if fence < self.fence:
-            return False
-        self.owner.fenced()
-        return True
-
     def _is_of_this_life(self, reply: SyncReply) -> bool:
         return may_be_one_life(reply.born_ms, self.worker.entry.born_ms)
 
@@ -265,7 +248,6 @@
                 continue
             if order is None or not unanswered:
                 order = self._start_order(placement)
-            order = attrs.evolve(order, fence=self.fence)
             try:
                 placement.ordered = True
                 reply = await self._send_start(order)
@@ -285,15 +267,9 @@
                 )
                 unanswered += 1
                 self.worker.doubted = True
-                self.board.fleet.outdate_orders(self.worker)
                 await asyncio.sleep(ORDER_PAUSE_S)
                 continue
-            if self.over:
-                return
-            if reply.verdict is Verdict.STALE_EPOCH:
-                if not self._is_fenced(order.fence):
-                    continue
-            elif self._settled(placement, reply, unanswered + 1):
+            if self.over or self._settled(placement, reply, unanswered + 1):
                 return
             await asyncio.sleep(ORDER_PAUSE_S)
         if self._counted(placement) and not placement.ordered:
@@ -369,6 +345,9 @@
                     )
                 )
                 return True
+            case Verdict.STALE_EPOCH:
+                self.owner.fenced()
+                return False
             case Verdict.TOO_LATE if not unanswered:
                 return False
             case Verdict.NO_PERMIT:
@@ -489,10 +468,9 @@
             self._stops.discard(key)
 
     async def _send_stop(self, placement: Placement) -> None:
-        fence = self.fence
         try:
             reply = await self.client.stop(
-                self.worker.entry, placement.task, placement.attempt, fence
+                self.worker.entry, placement.task, placement.attempt, self.fence
             )
         except WorkerReplaced:
             self._end_of_life()
@@ -503,8 +481,7 @@
         if self.over:
             return
         if reply.verdict is Verdict.STALE_EPOCH:
-            if not self._is_fenced(fence) and self.owner.may_order():
-                await self._send_stop(placement)
+            self.owner.fenced()
         elif reply.verdict in (Verdict.ACCEPTED, Verdict.STALE_ATTEMPT):
             # It is void if it never began; then the next lists miss it.
             if not placement.running:
