An upkeep order without an answer counts towards the cap of its wave

What callers would have seen: more machines of a wave down at once than the operator allows (LIMIT). Found by a review of orders without answers, seen on no deployment.

Cause: an upkeep order that gets no answer may have been carried out. If its second copy was refused as busy or as one call too many, the machine left the machines being drained while the list of machines, up to 1 s old, still showed it as up: another machine was begun.

Change: a machine with an unanswered order stays among those being drained until an order is accepted, and the list is read again at once. The order is also accepted if the upkeep is done already, so the wait ends.

--- a/cranberrycleat/workflow/upkeep.py
+++ b/cranberrycleat/workflow/upkeep.py
@@ -103,6 +103,8 @@
         seen_at: When it was first seen, on the owner's clock.
         begun: Machines whose upkeep has begun or ended.
         draining: Machines that are being drained.
+        unanswered: Machines whose upkeep was ordered without an answer, so that it may
+            have begun or may yet begin.
         written_state: The state that was last written for the operator.
     """
 
@@ -110,6 +112,7 @@
     seen_at: float
     begun: set[str] = attrs.field(factory=set)
     draining: set[str] = attrs.field(factory=set)
+    unanswered: set[str] = attrs.field(factory=set)
     written_state: str = ""
 
     def left(self, machines: dict[str, Machine]) -> list[str]:
--- a/cranberrycleat/workflow/upkeep_director.py
+++ b/cranberrycleat/workflow/upkeep_director.py
@@ -127,12 +127,16 @@
     async def _start_upkeep(
         self, run: WaveRun, machine: Machine, worker: FleetWorker | None
     ) -> None:
-        verdict = await self.client.start_upkeep(
-            machine=machine.name,
-            wave=run.wave.number,
-            holder=self.holder,
-            epoch=self.epoch(),
-        )
+        try:
+            verdict = await self.client.start_upkeep(
+                machine=machine.name,
+                wave=run.wave.number,
+                holder=self.holder,
+                epoch=self.epoch(),
+            )
+        except MachinesUnavailable:
+            run.unanswered.add(machine.name)
+            raise
         emit(
             events.UpkeepOrdered(
                 wave=run.wave.number, machine=machine.name, verdict=verdict.value
@@ -142,6 +146,10 @@
             case MachineVerdict.ACCEPTED | MachineVerdict.NO_MACHINE:
                 run.begun.add(machine.name)
                 run.draining.discard(machine.name)
+                run.unanswered.discard(machine.name)
+                self._listed_at = float("-inf")
+            case _ if machine.name in run.unanswered:
+                # It still counts as unavailable, until the order is accepted.
                 self._listed_at = float("-inf")
             case _ if worker is not None:
                 worker.held = False
