The soak counts late copies as findings, and can inject more faults at a time

A start of a task that was done, in an incarnation that nobody had called, was counted apart and was no finding: it was held for something that no owner can prevent.

Stricter than before; nothing that was a finding has become none.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,7 @@
 """A fault soak: random jobs and faults, checked against the workers' record.
 
     python -m tests.soak --seed 7 --runs 4 --seconds 20 [--crashing 0.03] [--restarts]
-        [--quotas] [--record DIRECTORY]
+        [--quotas] [--injectors 5] [--record DIRECTORY]
 
 Owners on three hosts, doors, a table and workers run in one process. The stand-in fleet
 checks what must never happen (concurrent runs of one task, exceeded capacity, a new run
@@ -14,6 +14,8 @@
 With `--restarts`, workers restart under the same identity: with end numbers and clocks
 that begin anew, and with orders in flight that reach the next incarnation.
 
+With `--injectors`, more faults are injected at a time.
+
 With `--quotas`, jobs belong to workspaces whose quotas fall, rise and are unknown for a
 while; what they run is checked at each start (see `quota_checker`).
 
@@ -48,6 +50,7 @@
 
 HOSTS: Final = 3
 WORKERS: Final = 5
+INJECTORS: Final = 2
 COMPLETION_LIMIT_S: Final = 40.0
 """How long all jobs may take to end once every fault is removed: several leases."""
 QUEUE: Final = queue(max_attempts=8)
@@ -101,6 +104,7 @@
         crashing_tasks: The tasks that crash their workers.
         restarts: Whether workers restart under the same identity.
         quotas: Sets and checks the workspaces' quotas; None: there are none.
+        injectors: How many faults are injected at a time.
         record: What happened, to trace findings.
         healthy_failed: Number of healthy jobs that were failed, whether or not that was
             a finding.
@@ -118,6 +122,7 @@
     crashing_tasks: set[str] = attrs.field(factory=set)
     restarts: bool = False
     quotas: QuotaChecker | None = None
+    injectors: int = INJECTORS
     healthy_failed: int = 0
     _incarnations: int = 0
     _failed: set[str] = attrs.field(factory=set)
@@ -128,7 +133,9 @@
         for number in range(HOSTS):
             self._start_host(f"h{number}")
         activities = [asyncio.create_task(self._submit_jobs()) for _ in range(2)]
-        activities += [asyncio.create_task(self._inject_faults()) for _ in range(2)]
+        activities += [
+            asyncio.create_task(self._inject_faults()) for _ in range(self.injectors)
+        ]
         await asyncio.sleep(seconds)
         for task in activities:
             task.cancel()
@@ -502,6 +509,7 @@
         problems = [
             *self.problems,
             *fleet.faults,
+            *fleet.late_copies,
             *self._unfinished_jobs(),
             *refused,
             *still_running,
@@ -568,6 +576,7 @@
     restarts: bool = False,
     quotas: bool = False,
     record_in: Path | None = None,
+    injectors: int = INJECTORS,
 ) -> list[str]:
     """Run one seed; return its findings.
 
@@ -579,6 +588,7 @@
         quotas: Whether workspaces have quotas.
         record_in: Directory for the record of a run with findings; None: the events
             behind each finding are printed.
+        injectors: How many faults are injected at a time.
     """
     async with cell(workers=0) as harness:
         for number in range(WORKERS):
@@ -594,6 +604,7 @@
             fault_rng=random.Random(f"crashing {seed}"),
             restarts=restarts,
             quotas=QuotaChecker(clock=harness.clock) if quotas else None,
+            injectors=injectors,
         )
         logs.set_observer(soak.record.add_event)
         try:
@@ -625,6 +636,7 @@
     parser.add_argument("--crashing", type=float, default=0.0)
     parser.add_argument("--restarts", action="store_true")
     parser.add_argument("--quotas", action="store_true")
+    parser.add_argument("--injectors", type=int, default=INJECTORS)
     parser.add_argument("--record", type=Path, default=Path("soak-record"))
     cfg = parser.parse_args()
     bad = 0
@@ -637,6 +649,7 @@
                 cfg.restarts,
                 cfg.quotas,
                 cfg.record,
+                cfg.injectors,
             )
         )
         for each in found:
