A start without an answer has no effect in a later incarnation of its worker

In the soak: "late copies", "starts after it was done", "runs twice", "is over its capacity".

Cause: a start that gets no answer may be carried out seconds later. What makes it void, the end of its attempt or a stop, is known to the incarnation that was told; a later one under the same identity knows neither, and carried it out if it came. The owner forgot such a start as soon as any copy was answered or the attempt was over, acknowledged the end, gave the room away and placed the task elsewhere.

An order that the owner's own fence overtook is sent again and deposes nobody. - Starts that may still come are recorded (late_starts). For as long as the platform may delay an order, 12 s by default (--late-order-s), ends of the task are kept, the task is not placed again, and what the next incarnation may start stays reserved, charged to its workspace and counted towards its step's limit. - A start is stored as unanswered before a second copy is sent, so that the next owner knows which attempts may have more than the one start that a list settles.

An incarnation that has received any later call refuses the start by its fence; in one that has not, what it may begin was left out of what was given away.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -257,7 +257,7 @@
 
 @event("task.unanswered")
 class TaskUnanswered:
-    """A start was not answered; it is sent again unchanged."""
+    """A start was not answered; it is sent again."""
 
     task: str
     attempt: int
@@ -297,6 +297,21 @@
     reason: str
 
 
+@event("task.may_start_late")
+class StartMayBeLate:
+    """An attempt is over, but an order to start it may still be carried out.
+
+    Attributes:
+        for_s: For how long its resources stay reserved, its task is not placed and ends
+            of its task are not acknowledged.
+    """
+
+    task: str
+    attempt: int
+    worker: str
+    for_s: float
+
+
 @event("task.given_up")
 class TaskGivenUp:
     """An attempt is proved not to run; its task waits again.
--- a/cranberrycleat/options.py
+++ b/cranberrycleat/options.py
@@ -16,6 +16,7 @@
     Urls,
     setting,
 )
+from cranberrycleat.workflow.options import LATE_ORDER_S
 
 MIN_OWNER_LEASES_PER_WORKER_LEASE: Final = 2.0
 """Minimum ratio of the worker lease to the ownership lease. A task must outlive its
@@ -206,6 +207,11 @@
 class NodeOptions:
     """Options of the node; its addresses and bounds come from the platform's file."""
 
+    late_order_s: float = setting(
+        Number(low=0, high=600),
+        "How long a worker may still carry out an order that it did not answer.",
+        default=LATE_ORDER_S,
+    )
     log_level: str = setting(
         Choice(choices=("debug", "info", "warning", "error")),
         "The least severe level to log.",
--- a/cranberrycleat/platform/workers.py
+++ b/cranberrycleat/platform/workers.py
@@ -247,7 +247,7 @@
         except ConnectionClosed:
             raise
         except NoAnswer as exc:
-            raise WorkerUnreachable(str(exc)) from exc
+            raise WorkerUnreachable(str(exc), sent=exc.sent) from exc
         if reply.status == REPLACED:
             raise WorkerReplaced(entry.worker)
         return reply
--- a/cranberrycleat/workflow/batches.py
+++ b/cranberrycleat/workflow/batches.py
@@ -16,7 +16,7 @@
 from cranberrycleat.table import Put
 from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.fleet import Placement
+from cranberrycleat.workflow.fleet import Placement, job_of
 from cranberrycleat.workflow.options import MAX_BATCH_BYTES
 from cranberrycleat.workflow.state import FINAL_STATES, Job, JobState, OrphanedAttempt
 
@@ -80,7 +80,9 @@
 
 
 def _job_puts(cluster_state: ClusterState, job: Job) -> list[Put]:
-    wanted = [rows.job_put(job, tuple(_orphaned_attempts(cluster_state, job)))]
+    left = tuple(_orphaned_attempts(cluster_state, job))
+    unanswered = cluster_state.late_starts.unanswered_of(job.job_id)
+    wanted = [rows.job_put(job, left, unanswered)]
     if job.verdict is None and not job.spec_stored and not job.spec_inline:
         wanted.append(rows.spec_put(job))
     return wanted
@@ -106,13 +108,17 @@
 
     An end may be acknowledged when its job is no longer dirty. Waiting until no job
     is dirty would delay acknowledgements for a long time in a backlog. The end of a job
-    whose row this process cannot read is kept by its worker.
+    whose row this process cannot read is kept by its worker. An end that a late start
+    of its task may follow is kept as well (see `late_starts`).
     """
     for worker in cluster_state.fleet.workers.values():
         upto = worker.ended_upto
-        for number, job_id in worker.unstored_ends:
+        for number, task in worker.unstored_ends:
+            job_id = job_of(task)
             if job_id in cluster_state.dirty or job_id in cluster_state.unreadable:
                 break
+            if cluster_state.keeps_end(worker, task):
+                break
             upto = number
         if upto > worker.ended_upto:
             yield worker.name, upto
--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -5,6 +5,7 @@
 caller (see `batches`).
 """
 
+import collections
 import heapq
 from collections.abc import Callable, Iterator
 from typing import Final
@@ -27,6 +28,12 @@
     job_of,
     reserved_resources,
 )
+from cranberrycleat.workflow.late_starts import (
+    LateStart,
+    LateStartKey,
+    LateStarts,
+    step_of,
+)
 from cranberrycleat.workflow.loss_tracker import LossTracker
 from cranberrycleat.workflow.ordering import objective_s
 from cranberrycleat.workflow.permit_choice import AllowedShare
@@ -50,12 +57,18 @@
     StepRun,
     Task,
     TaskState,
+    UnansweredStart,
 )
 
 MAX_ENDS_PER_SYNC: Final = 500
 """The maximum number of ended attempts in one reply of a worker."""
+MAX_KEPT_ENDS: Final = 400
+"""How many ends of one worker are kept at most: it lists the oldest 500 only, so that
+later ones would not be received."""
 MAX_REPORTED_SURVIVAL_S: Final = 999.0
 """The survival time logged for an attempt that began before this owner took over."""
+ENDED_AT_ROUNDING_S: Final = 1.0
+"""Rows hold the time at which a job ended in whole seconds."""
 FULL_SPEED_PERCENT: Final = 100
 """The percentage from which a member of a service counts as running at full speed."""
 
@@ -92,6 +105,7 @@
         unreadable: IDs of jobs whose rows were written by another version. Their
             attempts are neither stopped nor acknowledged; that is left to an owner that
             can read the rows.
+        orphaned: The number of orphaned attempts that still count, by task.
     """
 
     time_of_day: Callable[[], float] = attrs.field(factory=lambda: WallClock().now_s)
@@ -110,6 +124,7 @@
     stops_due: set[str] = attrs.field(factory=set)
     unreadable: set[str] = attrs.field(factory=set)
     quotas: QuotaLedger = attrs.field(factory=QuotaLedger)
+    orphaned: "collections.Counter[str]" = attrs.field(factory=collections.Counter)
     _scheduled: set[str] = attrs.field(factory=set)
     losses: LossTracker = attrs.field(init=False)
 
@@ -307,25 +322,198 @@
         """Return all attempts of a job that hold capacity on a worker."""
         return tuple(self.placed.get(job_id, {}).values())
 
+    @property
+    def late_starts(self) -> LateStarts:
+        """The start orders that may still be carried out."""
+        return self.fleet.late_starts
+
     def _reserve(self, worker: FleetWorker, placement: Placement) -> None:
         worker.count(placement)
+        if placement.tracked_task is None:
+            self.orphaned[placement.task] += 1
         job_id = job_of(placement.task)
         of_job = self.placed.setdefault(job_id, {})
         of_job[(placement.task, placement.attempt)] = (worker, placement)
         job = self.jobs.get(job_id)
-        if job is not None:
+        late = self.late_starts.entries.get(late_start_key(worker, placement))
+        if job is not None and (late is None or not late.is_released):
             key = (worker.name, placement.task, placement.attempt)
             self.quotas.charge(key, job.workspace, placement.needs)
 
     def _unreserve(self, worker: FleetWorker, placement: Placement) -> None:
+        """Release an attempt, except for what a late start of it may still take."""
+        charge = (worker.name, placement.task, placement.attempt)
+        late = self.late_starts.entries.get(late_start_key(worker, placement))
+        if late is not None and not late.is_released and self._is_over(late):
+            self._expire(late)
+            late = None
+        self._uncount(worker, placement)
+        if late is None or late.is_released:
+            # What a late start began is not charged for the next one again.
+            self.quotas.release(charge)
+            return
+        late.charge = charge
+        late.is_unanswered = True
+        self.fleet.update_late_reservation(worker.entry.worker)
+        emit(
+            events.StartMayBeLate(
+                task=placement.task,
+                attempt=placement.attempt,
+                worker=worker.name,
+                for_s=round(late.until - self.now(), 3),
+            )
+        )
+
+    def _uncount(self, worker: FleetWorker, placement: Placement) -> None:
         worker.uncount(placement)
-        self.quotas.release((worker.name, placement.task, placement.attempt))
+        if placement.tracked_task is None:
+            self.orphaned[placement.task] -= 1
+            if self.orphaned[placement.task] <= 0:
+                del self.orphaned[placement.task]
         job_id = job_of(placement.task)
         of_job = self.placed.get(job_id, {})
         of_job.pop((placement.task, placement.attempt), None)
         if not of_job:
             self.placed.pop(job_id, None)
 
+    # --- starts without an answer -------------------------------------------
+
+    def start_sent(
+        self, worker: FleetWorker, placement: Placement, limit_s: float
+    ) -> float:
+        """Record that a start is being sent; return until when earlier ones may come.
+
+        Args:
+            worker: The worker.
+            placement: The attempt to start.
+            limit_s: How long its answer is waited for.
+        """
+        if not placement.may_start_late:
+            return float("-inf")
+        entry = self.late_starts.entries.get(late_start_key(worker, placement))
+        earlier_until = float("-inf") if entry is None else entry.until
+        self._add_late_start(worker, placement, limit_s + self.late_starts.bound_s)
+        return earlier_until
+
+    def start_unanswered(self, worker: FleetWorker, placement: Placement) -> None:
+        """Record that a start got no answer; it is stored before a copy is sent."""
+        if not placement.may_start_late or worker.liveness is Liveness.GONE:
+            return
+        # Counted again from now: the host may have been suspended before it sent it.
+        entry = self._add_late_start(worker, placement, self.late_starts.bound_s)
+        entry.is_unanswered = True
+        job = self.jobs.get(entry.job_id)
+        if job is not None:
+            placement.stored = False
+            self._mark_dirty(job)
+
+    def start_settled(
+        self, worker: FleetWorker, placement: Placement, earlier_until: float
+    ) -> None:
+        """Record that the last start of an attempt was answered, or never sent.
+
+        Args:
+            worker: The worker.
+            placement: The attempt.
+            earlier_until: Until when earlier orders for the same attempt may be carried
+                out (see `start_sent`).
+        """
+        entry = self.late_starts.entries.get(late_start_key(worker, placement))
+        if entry is None:
+            return
+        entry.until = earlier_until
+        if entry.until <= self.now():
+            self._expire(entry)
+
+    def _add_late_start(
+        self, worker: FleetWorker, placement: Placement, for_s: float
+    ) -> LateStart:
+        task = placement.tracked_task
+        is_member = task is not None and task.step.spec.gang
+        start = UnansweredStart(
+            task=placement.task,
+            attempt=placement.attempt,
+            worker=worker.name,
+            group=step_of(placement.task) if is_member else placement.task,
+            needs=placement.needs,
+        )
+        entry = LateStart(
+            worker=worker.entry.worker, start=start, until=self.now() + for_s
+        )
+        return self.late_starts.add(entry)
+
+    def worker_was_replaced(self, worker: FleetWorker) -> None:
+        """Record that another identity answers: it refuses orders for this one."""
+        for entry in self.late_starts.of_worker(worker.entry.worker):
+            self._expire(entry)
+
+    def expire_late_starts(self) -> bool:
+        """Release what late starts reserved for long enough; return if any did."""
+        over = [
+            each for each in self.late_starts.entries.values() if self._is_over(each)
+        ]
+        for entry in over:
+            self._expire(entry)
+        return bool(over)
+
+    def _is_over(self, entry: LateStart) -> bool:
+        """Return whether a start can neither come nor have begun anything unnoticed."""
+        now = self.now()
+        if now < entry.until:
+            return False
+        newest = self.fleet.newest.get(entry.worker)
+        if newest is None:
+            return True
+        if newest.liveness is Liveness.LIVE:
+            # It has answered since, so that what it runs is known.
+            return newest.clock_read_at >= entry.until
+        if newest.name == entry.start.worker:
+            return True
+        # A later incarnation that does not answer may have carried it out.
+        return now >= entry.until + self.late_starts.run_on_s
+
+    def _expire(self, entry: LateStart) -> None:
+        self.late_starts.remove(entry.key)
+        if entry.charge is not None:
+            self.quotas.release(entry.charge)
+            self.fleet.update_late_reservation(entry.worker)
+            return
+        reserved = self.placed.get(entry.job_id, {})
+        found = reserved.get((entry.start.task, entry.start.attempt))
+        if found is not None:
+            self.update_startable(*found)
+
+    def update_startable(self, worker: FleetWorker, placement: Placement) -> None:
+        """Stop reserving for a late start of a running attempt if there is none."""
+        key = late_start_key(worker, placement)
+        if placement.running and key not in self.late_starts.entries:
+            worker.mark_unstartable(placement)
+
+    def _note_listed(self, worker: FleetWorker, placement: Placement) -> None:
+        """Record that an attempt was carried out: it had no start but the only one."""
+        entry = self.late_starts.entries.get(late_start_key(worker, placement))
+        if entry is not None and entry.is_inherited:
+            self.late_starts.remove(entry.key)
+        if placement.is_startable:
+            self.update_startable(worker, placement)
+
+    def restricts_placing(self) -> bool:
+        """Return whether any pending task must wait for an earlier attempt of it."""
+        return bool(self.late_starts.entries or self.orphaned)
+
+    def has_earlier_attempt(self, task: Task) -> bool:
+        """Return whether an earlier attempt of a pending task may run or start late."""
+        if task.name in self.orphaned:
+            return True
+        group = task.step.name if task.step.spec.gang else task.name
+        return bool(self.late_starts.of_group(group))
+
+    def keeps_end(self, worker: FleetWorker, task: str) -> bool:
+        """Return whether a task's end must not be acknowledged to its worker yet."""
+        if not worker.entry.born_ms or len(worker.unstored_ends) > MAX_KEPT_ENDS:
+            return False
+        return self.late_starts.may_follow_end(task, self.now())
+
     def _mark_dirty(self, job: Job) -> None:
         self.dirty[job.job_id] = job
 
@@ -364,6 +552,7 @@
             program=job.spec.program,
             saved=task.saved,
             planned_at=now,
+            may_start_late=bool(worker.entry.born_ms) and job.queue.permits is None,
         )
         self._reserve(worker, placement)
         self._mark_dirty(job)
@@ -388,13 +577,23 @@
                     for task in step.tasks:
                         if task.state is TaskState.PLACED:
                             self._adopt(task, now)
+            for start in job.unanswered:
+                self._adopt_unanswered_start(job, start)
 
     def _adopt(self, task: Task, now: float) -> None:
         placement = adopted_placement(
             task.name, task.attempt, reserved_resources(task.step.spec), task, now
         )
         placement.program = task.step.job.spec.program
-        self._reserve(self._worker_of(task.worker, placement.needs), placement)
+        worker = self._worker_of(task.worker, placement.needs)
+        self._reserve(worker, placement)
+        if worker.entry.born_ms and task.step.job.queue.permits is None:
+            # Its only start may still be on its way; most were answered, so nothing is
+            # reserved for it once the attempt is released.
+            bound_s = self.late_starts.bound_s
+            entry = self._add_late_start(worker, placement, bound_s)
+            entry.is_inherited = True
+            entry.start = attrs.evolve(entry.start, needs=NOTHING)
 
     def _adopt_orphaned_attempt(self, left: OrphanedAttempt, now: float) -> None:
         """Reserve capacity for a stored orphaned attempt, and stop it."""
@@ -403,6 +602,29 @@
         self._reserve(worker, placement)
         self.stop(worker, placement, "its owner died before it was heard to end")
 
+    def _adopt_unanswered_start(self, job: Job, start: UnansweredStart) -> None:
+        """Reserve what an earlier owner's start may begin late."""
+        for_s = self.late_starts.bound_s
+        if job.verdict is not None:
+            # Nothing of the job was started after it had ended.
+            ended_ago_s = self.time_of_day() - job.ended_s - ENDED_AT_ROUNDING_S
+            for_s -= max(0.0, ended_ago_s)
+        if for_s <= 0:
+            return
+        identity = identity_of(start.worker)
+        late = LateStart(worker=identity, start=start, until=self.now() + for_s)
+        entry = self.late_starts.add(late)
+        entry.start, entry.is_unanswered, entry.is_inherited = start, True, False
+        counted = self.placed.get(job.job_id, {}).get((start.task, start.attempt))
+        if counted is not None:
+            worker, placement = counted
+            placement.may_start_late = True
+            worker.mark_startable(placement)
+            return
+        entry.charge = (start.worker, start.task, start.attempt)
+        self.quotas.charge(entry.charge, job.workspace, start.needs)
+        self.fleet.update_late_reservation(identity)
+
     def _worker_of(self, name: str, needs: Amounts) -> FleetWorker:
         """Return the worker incarnation that an earlier owner placed work on."""
         return self.fleet.workers.get(name) or self._add_unlisted_worker(name, needs)
@@ -442,7 +664,8 @@
         self, previous: FleetWorker, worker: FleetWorker, placement: Placement
     ) -> None:
         """Move an attempt to a later incarnation of its worker, which started it."""
-        self._unreserve(previous, placement)
+        self._uncount(previous, placement)
+        self.quotas.release((previous.name, placement.task, placement.attempt))
         self._reserve(worker, placement)
         placement.ordered = True
         if not placement.running:
@@ -519,7 +742,7 @@
         fresh = [end for end in reply.ended if end.number > worker.heard_upto]
         for end in fresh:
             self._handle_end(worker, end, now)
-            worker.record_end(end.number, job_of(end.task))
+            worker.record_end(end.number, end.task)
         listed = attempts_by_key(reply.running)
         for key, run in listed.items():
             self._handle_running(worker, key, run, now)
@@ -534,6 +757,7 @@
         if placement is None:
             placement = self._add_orphaned_attempt(worker, run)
         placement.apply_report(run, now)
+        self._note_listed(worker, placement)
         self.note_begun(placement)
         task = placement.tracked_task
         self.losses.attempt_survived(worker, placement)
@@ -574,6 +798,7 @@
     def _handle_end(self, worker: FleetWorker, end: EndedTask, now: float) -> None:
         placement = worker.placements.get((end.task, end.attempt))
         if placement is not None:
+            self._note_listed(worker, placement)
             self._unreserve(worker, placement)
         job = self.jobs.get(job_of(end.task))
         task = None if job is None else job.find(end.task)
@@ -687,3 +912,8 @@
                     self.stop(worker, placement, "a member's worker has fallen silent")
                     stopped = True
         return stopped
+
+
+def late_start_key(worker: FleetWorker, placement: Placement) -> LateStartKey:
+    """Return the key of a late start of an attempt."""
+    return (worker.entry.worker, placement.task, placement.attempt)
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -13,6 +13,7 @@
 
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.workflow.crash_attribution import CRASH_WINDOW_S
+from cranberrycleat.workflow.late_starts import LateStarts
 from cranberrycleat.workflow.ports import RunningTask, WorkerEntry
 from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.state import Task
@@ -99,6 +100,9 @@
         program: What it runs.
         saved: The progress that it resumes from.
         planned_at: When it was planned, on the owner's clock.
+        may_start_late: Whether a start of it that gets no answer could be carried out
+            by a later incarnation of the worker.
+        is_startable: Whether there may be such a start, or may be one later.
         stored: Whether the table has it, so that it may be ordered.
         permit: The permit to start it with.
         ordered: Whether a start order may have reached the worker.
@@ -122,6 +126,8 @@
     program: str = ""
     saved: str = ""
     planned_at: float = 0.0
+    may_start_late: bool = False
+    is_startable: bool = attrs.field(init=False)
     stored: bool = False
     permit: str = ""
     ordered: bool = False
@@ -135,6 +141,9 @@
     reading: float | None = None
     throttle: int = 100
 
+    def __attrs_post_init__(self) -> None:
+        self.is_startable = self.may_start_late
+
     def began(self, now: float) -> None:
         """Record that the worker reports it as running."""
         self.running = True
@@ -205,7 +214,11 @@
         liveness: Whether it is believed to be running.
         placements: What counts on it, by task and attempt.
         used: The sum of the resources that placements reserve.
-        free: What is left of its capacity.
+        startable: The part of it that the next incarnation could start by orders for
+            this one.
+        reserved_late: What else it could start: attempts that no longer count here,
+            whose orders may still be carried out (see `late_starts`).
+        free: What is left of its capacity, in this incarnation and in the next.
         max_capacity: The largest capacity it ever had; a worker that has shrunk is
             expected to grow again.
         worker_time_ms: Its clock at its last answer.
@@ -213,8 +226,8 @@
         leases_end_at: When every lease granted there has ended, at the latest.
         ended_upto: The number of the newest task end that was stored.
         heard_upto: The number of the newest task end that was received.
-        unstored_ends: Task ends received and not yet stored, oldest first: their
-            numbers and jobs.
+        unstored_ends: Task ends received and not yet acknowledged, oldest first: their
+            numbers and tasks.
         listed: Whether the platform lists it.
         missing_since: Since when the list has lacked it although it answers.
         unresponsive: Whether an order to it had no answer or its data centre is silent;
@@ -229,7 +242,8 @@
         rest_s: The length of its last quarantine.
         is_probed: Whether it is probed after a quarantine, with one task at a time.
         isolated_attempt: The attempt there of a task that may crash its workers.
-        generation: The fleet's generation when it was added; its fence includes it.
+        generation: The fleet's generation when it was added, or when its orders were
+            last outdated; its fence includes it.
         added_at: When it was added, on the owner's clock.
         joined_at: When the platform first listed it, on the owner's clock; minus
             infinity if it was listed when the owner took over.
@@ -241,6 +255,8 @@
     liveness: Liveness = Liveness.JOINING
     placements: dict[AttemptKey, Placement] = attrs.field(factory=dict)
     used: Amounts = NOTHING
+    startable: Amounts = NOTHING
+    reserved_late: Amounts = NOTHING
     free: Amounts = NOTHING
     max_capacity: Amounts = NOTHING
     worker_time_ms: int = 0
@@ -358,7 +374,7 @@
 
     def is_overcommitted(self) -> bool:
         """Return whether more is placed there than its (possibly shrunk) capacity."""
-        return not NOTHING.fits_in(self.free)
+        return not self.used.fits_in(self.entry.capacity)
 
     def has_unsized(self) -> bool:
         """Return whether anything runs there whose resource needs are unknown."""
@@ -379,7 +395,9 @@
         self.placements[(placement.task, placement.attempt)] = placement
         self.unsized += placement.unsized
         self.used = self.used.plus(placement.needs)
-        self.free = self.entry.capacity.minus(self.used)
+        if placement.is_startable:
+            self.startable = self.startable.plus(placement.needs)
+        self._update_free()
 
     def uncount(self, placement: Placement) -> None:
         """Remove a placement that is proved to be over; idempotent."""
@@ -387,12 +405,46 @@
             return
         self.unsized -= placement.unsized
         self.used = self.used.minus(placement.needs)
-        self.free = self.entry.capacity.minus(self.used)
+        if placement.is_startable:
+            self.startable = self.startable.minus(placement.needs)
+        self._update_free()
+
+    def mark_startable(self, placement: Placement) -> None:
+        """Record that a start of a counted placement may be carried out late."""
+        if not placement.is_startable and self.counts(placement):
+            self.startable = self.startable.plus(placement.needs)
+            self._update_free()
+        placement.is_startable = True
+
+    def mark_unstartable(self, placement: Placement) -> None:
+        """Record that no start of a running placement can be carried out any more."""
+        if placement.is_startable and self.counts(placement):
+            self.startable = self.startable.minus(placement.needs)
+            self._update_free()
+        placement.is_startable = False
+
+    def reserve_late(self, amounts: Amounts) -> None:
+        """Set what attempts reserve that no longer count here but may start late."""
+        self.reserved_late = amounts
+        self._update_free()
+
+    def free_without(self, amounts: Amounts) -> Amounts:
+        """Return what would be free if part of what runs here were stopped."""
+        next_incarnation = self.startable.plus(self.reserved_late)
+        reserved = self.used.minus(amounts).elementwise_max(next_incarnation)
+        return self.entry.capacity.minus(reserved)
+
+    def _update_free(self) -> None:
+        if self.startable is NOTHING and self.reserved_late is NOTHING:
+            self.free = self.entry.capacity.minus(self.used)
+            return
+        # What runs here and what the next incarnation may start never run together.
+        self.free = self.free_without(NOTHING)
 
-    def record_end(self, number: int, job_id: str) -> None:
+    def record_end(self, number: int, task: str) -> None:
         """Record a task end that was received."""
         self.heard_upto = max(self.heard_upto, number)
-        self.unstored_ends.append((number, job_id))
+        self.unstored_ends.append((number, task))
 
     def acknowledge(self, number: int) -> None:
         """Record that every task end up to a number was stored."""
@@ -404,7 +456,7 @@
         """Apply a newer entry of the same incarnation."""
         self.entry = entry
         self.max_capacity = self.max_capacity.elementwise_max(entry.capacity)
-        self.free = entry.capacity.minus(self.used)
+        self._update_free()
 
     def update_clock(self, worker_time_ms: int, now: float) -> None:
         """Record the worker's clock as of an answer."""
@@ -452,13 +504,16 @@
     Attributes:
         workers: The workers, by incarnation name.
         newest: The newest incarnation of each worker, by identity.
-        generation: Incremented with each restart that is detected, so that no worker
-            receives a lower fence than it has seen, even if it was removed in between.
+        generation: Incremented with each restart that is detected and each unanswered
+            start that a later incarnation could carry out, so that no worker receives a
+            lower fence than it has seen, even if it was removed in between.
         worker_failures: The failures of workers.
+        late_starts: Start orders that may still be carried out.
     """
 
     workers: dict[str, FleetWorker] = attrs.field(factory=dict)
     generation: int = 0
+    late_starts: LateStarts = attrs.field(factory=LateStarts)
     newest: dict[str, FleetWorker] = attrs.field(factory=dict)
     worker_failures: WorkerFailures = attrs.field(factory=WorkerFailures)
 
@@ -467,6 +522,13 @@
         worker.generation = self.generation
         self.workers[worker.name] = worker
         self.newest[worker.entry.worker] = worker
+        self.update_late_reservation(worker.entry.worker)
+
+    def update_late_reservation(self, identity: str) -> None:
+        """Reserve what orders for earlier incarnations may start on the newest one."""
+        worker = self.newest.get(identity)
+        if worker is not None:
+            worker.reserve_late(self.late_starts.reserved_on(identity))
 
     def replace_incarnation(
         self, previous: FleetWorker, entry: WorkerEntry, now: float
@@ -479,6 +541,11 @@
         self.add(after)
         return after
 
+    def outdate_orders(self, worker: FleetWorker) -> None:
+        """Raise a worker's fence: after its next order it refuses all earlier ones."""
+        self.generation += 1
+        worker.generation = self.generation
+
     def remove(self, worker: FleetWorker) -> None:
         """Remove an incarnation."""
         del self.workers[worker.name]
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -3,8 +3,13 @@
 Each worker has one link, which runs as an asyncio task. A link never decides what is to
 run. It sends the orders that follow from the cluster state and records what the worker
 reports. Before each order it checks the owner's authority. An order without an answer
-is sent again unchanged, and counts as possibly carried out until the worker's report or
-the end of the lease settles it.
+is sent again, and counts as possibly carried out until the worker's report or the end
+of the lease settles it.
+
+Where a later incarnation could carry out a call that had no answer (see
+`late_starts`), all later orders have a higher fence. An incarnation that has received
+any of them refuses the late one. An order that was overtaken by a higher fence of the
+same owner had no effect and is sent again.
 """
 
 import asyncio
@@ -56,9 +61,14 @@
 UNHEALTHY_QUARANTINE_S: Final = 1.0
 """How long a worker that refuses a start as unhealthy is given no work."""
 STORE_WAIT_S: Final = 1.0
+KEPT_ENDS_SYNC_PAUSE_S: Final = 0.1
+"""The pause between two syncs with a worker whose task ends may not be acknowledged
+yet: it answers each of them at once, and each is charged as a status check."""
 FENCES_PER_EPOCH: Final = 1_000_000
 """Number of fences reserved for each owner epoch; more than the worker restarts that
 one owner detects."""
+MAX_OUTDATED_FENCE: Final = FENCES_PER_EPOCH // 2
+"""Unanswered calls raise the fence no further, so that restarts still can."""
 
 
 class OrderAuthority(Protocol):
@@ -130,8 +140,8 @@
     def fence(self) -> int:
         """The fence of orders: it rises with each owner and each restart of a worker.
 
-        A late order for an earlier incarnation is refused by an incarnation that has
-        answered a higher fence.
+        It also rises with each unanswered start that a later incarnation could carry
+        out. A late order is refused by an incarnation that has received a higher fence.
         """
         return self.owner.epoch * FENCES_PER_EPOCH + self.worker.generation
 
@@ -153,6 +163,13 @@
             await asyncio.sleep(SYNC_PAUSE_S)
             if self.worker.heard_upto > self.worker.ended_upto:
                 await self.owner.batch_stored(STORE_WAIT_S)
+                if self._keeps_ends():
+                    await asyncio.sleep(KEPT_ENDS_SYNC_PAUSE_S)
+
+    def _keeps_ends(self) -> bool:
+        """Return whether the oldest task end there must not be acknowledged yet."""
+        ends = self.worker.unstored_ends
+        return bool(ends) and self.cluster_state.keeps_end(self.worker, ends[0][1])
 
     async def _sync(self) -> None:
         worker = self.worker
@@ -163,9 +180,10 @@
         # waited out, and its tasks could never be given up.
         if not first and self.owner.may_renew():
             lease_end = worker.grant(self.lease_s, sent_at, self.bounds.clock_error)
+        fence = self.fence
         reply = await self.client.sync(
             worker.entry,
-            fence=self.fence,
+            fence=fence,
             ended_upto=worker.ended_upto,
             lease_end_ms=lease_end,
             wait_ms=0 if first else self._wait_ms(),
@@ -179,11 +197,22 @@
             case SyncReply():
                 self._apply_sync_reply(reply, sent_at)
             case OrderReply(verdict=Verdict.STALE_EPOCH):
-                self.owner.fenced()
-                await asyncio.sleep(SILENT_RETRY_S)
+                if self._is_fenced(fence):
+                    await asyncio.sleep(SILENT_RETRY_S)
             case OrderReply(verdict=verdict):
                 raise WorkerUnreachable(f"{worker.name}: sync refused: {verdict.value}")
 
+    def _is_fenced(self, fence: int) -> bool:
+        """Handle an order refused as stale; return whether by a later owner's fence.
+
+        Args:
+            fence: The fence that the order carried.
+        """
+        if fence < self.fence:
+            return False
+        self.owner.fenced()
+        return True
+
     def _is_same_incarnation(self, reply: SyncReply) -> bool:
         return may_be_same_incarnation(reply.born_ms, self.worker.entry.born_ms)
 
@@ -222,6 +251,10 @@
                 )
             )
             self.worker.liveness = Liveness.SILENT
+            if self.worker.entry.born_ms:
+                # The sync may be carried out late; it acknowledges ends by numbers that
+                # the next incarnation uses again.
+                self._outdate_orders(self.fence)
 
     def _mark_replaced(self) -> None:
         """Handle a reply of another incarnation: nothing of this one still runs."""
@@ -236,6 +269,7 @@
             )
         self.closed = True
         self.worker.liveness = Liveness.GONE
+        self.cluster_state.worker_was_replaced(self.worker)
         if self.cluster_state.give_up_all(self.worker, LossCause.REPLACED):
             self.owner.changed()
 
@@ -255,18 +289,28 @@
                 # An unanswered order must no longer start anything there.
                 placement.stop(reason)
                 break
-            if not self.owner.may_order() or not self._is_live():
+            if (
+                not self.owner.may_order()
+                or not self._is_live()
+                or not placement.stored
+            ):
                 await asyncio.sleep(ORDER_RETRY_S)
                 continue
             if order is None or not unanswered:
                 order = self._start_order(placement)
+            order = attrs.evolve(order, fence=self.fence)
+            limit_s = self.answer_timeout.limit_s()
+            earlier_until = self.cluster_state.start_sent(
+                self.worker, placement, limit_s
+            )
             try:
                 placement.ordered = True
-                reply = await self._send_start(order)
+                reply = await self._send_start(order, limit_s)
             except WorkerReplaced:
                 self._mark_replaced()
                 return
             except WorkerUnreachable as exc:
+                self._note_unanswered(placement, order, exc, earlier_until)
                 if self.closed:
                     return
                 emit(
@@ -281,7 +325,13 @@
                 self.worker.unresponsive = True
                 await asyncio.sleep(ORDER_RETRY_S)
                 continue
-            if self.closed or self._apply_start_reply(placement, reply, unanswered + 1):
+            self.cluster_state.start_settled(self.worker, placement, earlier_until)
+            if self.closed:
+                return
+            if reply.verdict is Verdict.STALE_EPOCH:
+                if not self._is_fenced(order.fence):
+                    continue
+            elif self._apply_start_reply(placement, reply, unanswered + 1):
                 return
             await asyncio.sleep(ORDER_RETRY_S)
         if self._is_counted(placement) and not placement.ordered:
@@ -290,6 +340,28 @@
         elif self._is_counted(placement) and not self.closed:
             self._order_stops()
 
+    def _note_unanswered(
+        self,
+        placement: Placement,
+        order: StartOrder,
+        exc: WorkerUnreachable,
+        earlier_until: float,
+    ) -> None:
+        """Handle a start without an answer, which may be carried out later if sent."""
+        if not exc.sent:
+            self.cluster_state.start_settled(self.worker, placement, earlier_until)
+            return
+        if placement.may_start_late:
+            self.cluster_state.start_unanswered(self.worker, placement)
+            self._outdate_orders(order.fence)
+            self.owner.changed()
+
+    def _outdate_orders(self, fence: int) -> None:
+        """Have later orders carry a higher fence than an unanswered one."""
+        fleet = self.cluster_state.fleet
+        if fence == self.fence and fleet.generation < MAX_OUTDATED_FENCE:
+            fleet.outdate_orders(self.worker)
+
     def _may_start(self, placement: Placement) -> bool:
         return self.worker.may_start() and not self.cluster_state.is_over_quota(
             placement
@@ -307,7 +379,7 @@
         """Return whether the worker has not become silent; it may have restarted."""
         return self.worker.liveness is Liveness.LIVE
 
-    async def _send_start(self, order: StartOrder) -> OrderReply:
+    async def _send_start(self, order: StartOrder, limit_s: float) -> OrderReply:
         """Send a start and wait for its answer for as long as recent answers took.
 
         A worker that leaves an order unanswered usually answers the copy; the sooner
@@ -315,9 +387,7 @@
         """
         began = self.clock.now()
         try:
-            reply = await self.client.start(
-                self.worker.entry, order, limit_s=self.answer_timeout.limit_s()
-            )
+            reply = await self.client.start(self.worker.entry, order, limit_s=limit_s)
         except WorkerUnreachable:
             self.answer_timeout.missed()
             raise
@@ -361,9 +431,6 @@
                     )
                 )
                 return True
-            case Verdict.STALE_EPOCH:
-                self.owner.fenced()
-                return False
             case Verdict.TOO_LATE if not unanswered:
                 return False
             case Verdict.NO_PERMIT:
@@ -484,9 +551,10 @@
             self._stops.discard(key)
 
     async def _send_stop(self, placement: Placement) -> None:
+        fence = self.fence
         try:
             reply = await self.client.stop(
-                self.worker.entry, placement.task, placement.attempt, self.fence
+                self.worker.entry, placement.task, placement.attempt, fence
             )
         except WorkerReplaced:
             self._mark_replaced()
@@ -497,7 +565,8 @@
         if self.closed:
             return
         if reply.verdict is Verdict.STALE_EPOCH:
-            self.owner.fenced()
+            if not self._is_fenced(fence) and self.owner.may_order():
+                await self._send_stop(placement)
         elif reply.verdict in (Verdict.ACCEPTED, Verdict.STALE_ATTEMPT):
             # A task that never began is void now; the next sync replies will not list
             # it.
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -70,10 +70,13 @@
     Attributes:
         adapter: The platform adapter.
         clock: A monotonic clock that also counts time while suspended.
+        late_order_s: How long a worker may still carry out an order that it did not
+            answer.
     """
 
     adapter: Adapter
     http: HttpClient
+    late_order_s: float = options.LATE_ORDER_S
     clock: Clock = attrs.field(factory=BootClock)
     owner: Owner | None = None
     draining: bool = False
@@ -482,7 +485,7 @@
             client=self.adapter.workers,
             permit_queue=permit_queue,
             clock=self.clock,
-            leases=options.worker_leases(cfg.bounds),
+            leases=options.worker_leases(cfg.bounds, self.late_order_s),
             status_s=cfg.status_s,
             peers=self._membership,
             spread_factor=cfg.spread_factor,
--- a/cranberrycleat/workflow/options.py
+++ b/cranberrycleat/workflow/options.py
@@ -45,6 +45,9 @@
 MAX_DELETES_PER_BATCH: Final = 60
 MAX_BATCH_BYTES: Final = 600_000
 """A transaction holds 1 MB, and values grow by a third in it (base64)."""
+LATE_ORDER_S: Final = 12.0
+"""The platform's documentation gives no bound ("seconds later"); this is the longest
+delay among the disturbances that its operators list."""
 MAX_BATCH_TRANSFER_S: Final = 0.25
 """Maximum transfer time of a transaction, since it also renews the owner lease."""
 
@@ -56,10 +59,13 @@
     Attributes:
         bounds: The workers' guarantees about leases.
         length_s: The lease length requested by the owner.
+        late_order_s: How long after it was sent an order without an answer may still be
+            carried out.
     """
 
     bounds: LeaseBounds
     length_s: float
+    late_order_s: float = LATE_ORDER_S
 
     def successor_wait_s(self, inherited_s: float) -> float:
         """Return how long after a takeover earlier owners' leases may still be valid.
@@ -74,10 +80,14 @@
         return inherited_s + longest + self.bounds.stop_s
 
 
-def worker_leases(bounds: LeaseBounds) -> WorkerLeases:
+def worker_leases(
+    bounds: LeaseBounds, late_order_s: float = LATE_ORDER_S
+) -> WorkerLeases:
     """Return the lease parameters for a platform's bounds."""
     return WorkerLeases(
-        bounds=bounds, length_s=min(WORKER_LEASE_S, bounds.longest_lease_s)
+        bounds=bounds,
+        length_s=min(WORKER_LEASE_S, bounds.longest_lease_s),
+        late_order_s=late_order_s,
     )
 
 
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -157,6 +157,9 @@
     dispatcher: Dispatcher = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        late_starts = self.cluster_state.late_starts
+        late_starts.bound_s = self.leases.late_order_s
+        late_starts.run_on_s = self.leases.bounds.max_run_on_s()
         if self.access is not None:
             self.cluster_state.quotas.quotas = self.access.quotas
         self.inbox = Inbox(
@@ -470,6 +473,8 @@
             await asyncio.sleep(options.TASK_LOOP_INTERVAL_S)
             now = self.clock.now()
             self.roster.check_all(now)
+            if self.cluster_state.expire_late_starts():
+                self.changed()
             due = self.cluster_state.next_due_s()
             if due is not None and due <= self.cluster_state.time_of_day():
                 self.cluster_state.open_all_due_occurrences()
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -227,10 +227,11 @@
 
     def _placeable_tasks(self, step: StepRun, now: float, plan: Plan) -> list[Task]:
         tasks = []
+        restricted = self.cluster_state.restricts_placing()
         for task in step.pending():
             if task.not_before > now:
                 self._schedule_retry(plan, task.not_before)
-            else:
+            elif not (restricted and self.cluster_state.has_earlier_attempt(task)):
                 tasks.append(task)
         if step.spec.gang and len(tasks) < len(step.tasks):
             return []
@@ -324,7 +325,13 @@
         return worker.free if reserved is None else worker.free.minus(reserved)
 
     def _tasks_on_worker(self, step: StepRun, worker: FleetWorker) -> int:
-        return sum(task.worker == worker.name for task in step.tasks)
+        """Return how many tasks of a step a worker may run, late starts included."""
+        late_starts = self.cluster_state.late_starts
+        if not late_starts.entries:
+            return sum(task.worker == worker.name for task in step.tasks)
+        late = late_starts.released_on(worker.entry.worker, step.name)
+        placed = {task.name for task in step.tasks if task.worker == worker.name}
+        return len(placed | late)
 
     def _place_single(
         self,
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -347,7 +347,15 @@
 
 
 class WorkerUnreachable(Exception):
-    """No complete answer arrived; the order may have been or may yet be executed."""
+    """No complete answer arrived; the order may have been or may yet be executed.
+
+    Attributes:
+        sent: False if it is certain that no byte of the order was sent.
+    """
+
+    def __init__(self, reason: str, *, sent: bool = True) -> None:
+        super().__init__(reason)
+        self.sent = sent
 
 
 class WorkerReplaced(Exception):
--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -29,6 +29,7 @@
     OrphanedAttempt,
     StepRun,
     TaskState,
+    UnansweredStart,
 )
 
 JOBS: Final = "jobs"
@@ -76,7 +77,8 @@
     `spec` is the immutable part of a small open job. `workspace` is repeated here
     because that part is deleted when the job ends. `left` lists attempts that may still
     run although their tasks are no longer placed there: attempts of a cancelled job, or
-    attempts stopped because another one completed the task.
+    attempts stopped because another one completed the task. `unanswered` lists starts
+    that a later incarnation of their worker may carry out (see `late_starts`).
     """
 
     verdict: int = 0
@@ -87,6 +89,7 @@
     spec: SpecRow | None = None
     workspace: str = ""
     left: tuple[tuple[str, int, str, int, int, int], ...] = ()
+    unanswered: tuple[tuple[str, int, str, str, int, int, int], ...] = ()
 
     def state(self) -> JobState:
         """Return the state reported to callers."""
@@ -125,7 +128,11 @@
     )
 
 
-def job_put(job: Job, left: tuple[OrphanedAttempt, ...] = ()) -> Put:
+def job_put(
+    job: Job,
+    left: tuple[OrphanedAttempt, ...] = (),
+    unanswered: tuple[UnansweredStart, ...] = (),
+) -> Put:
     """Return the write of a job's mutable part, with the spec inline if it is small."""
     inline = job.spec_inline and job.verdict is None
     row = JobRow(
@@ -137,6 +144,7 @@
         spec=_spec_row(job) if inline else None,
         workspace=job.workspace,
         left=tuple(_pack_orphaned_attempt(each) for each in left),
+        unanswered=tuple(_pack_unanswered_start(each) for each in unanswered),
     )
     return Put(key=job_key(job.job_id), value=msgspec.json.encode(row).decode())
 
@@ -194,6 +202,34 @@
     )
 
 
+def _pack_unanswered_start(
+    start: UnansweredStart,
+) -> tuple[str, int, str, str, int, int, int]:
+    needs = start.needs
+    return (
+        start.task,
+        start.attempt,
+        start.worker,
+        start.group,
+        needs.processors,
+        needs.memory_mb,
+        needs.accelerators,
+    )
+
+
+def _unpack_unanswered_starts(row: JobRow) -> tuple[UnansweredStart, ...]:
+    return tuple(
+        UnansweredStart(
+            task=task,
+            attempt=attempt,
+            worker=worker,
+            group=group,
+            needs=Amounts(processors=cpu, memory_mb=memory, accelerators=accelerators),
+        )
+        for task, attempt, worker, group, cpu, memory, accelerators in row.unanswered
+    )
+
+
 def _pack_losses(step: StepRun) -> Iterator[tuple[int, int, str, str, bool]]:
     """Yield the lost workers; a successor continues the count from them."""
     for index, record in step.losses.items():
@@ -228,6 +264,7 @@
         spec_inline=row.spec is not None,
         workspace=spec.workspace,
         left=_unpack_orphaned_attempts(row),
+        unanswered=_unpack_unanswered_starts(row),
     )
     for packed in row.open:
         job.next_occurrence = packed.number
@@ -249,6 +286,7 @@
         spec_stored=True,
         workspace=row.workspace,
         left=_unpack_orphaned_attempts(row),
+        unanswered=_unpack_unanswered_starts(row),
     )
 
 
--- a/cranberrycleat/workflow/service_preemption.py
+++ b/cranberrycleat/workflow/service_preemption.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from cranberrycleat.amounts import Amounts
+from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
 
 PREEMPTION_DELAY_S: Final = 0.5
@@ -36,19 +36,19 @@
 
 
 def _victims_on_worker(needs: Amounts, worker: FleetWorker) -> list[Placement] | None:
-    available = worker.free
+    stopped = NOTHING
     for each in worker.placements.values():
         if each.stopping:
-            available = available.plus(each.needs)
+            stopped = stopped.plus(each.needs)
     chosen: list[Placement] = []
     preemptible = [each for each in worker.placements.values() if _is_preemptible(each)]
     preemptible.sort(key=_preemption_cost)
     for each in preemptible:
-        if needs.fits_in(available):
+        if needs.fits_in(worker.free_without(stopped)):
             break
         chosen.append(each)
-        available = available.plus(each.needs)
-    return chosen if needs.fits_in(available) else None
+        stopped = stopped.plus(each.needs)
+    return chosen if needs.fits_in(worker.free_without(stopped)) else None
 
 
 def _is_preemptible(placement: Placement) -> bool:
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -187,6 +187,25 @@
     needs: Amounts
 
 
+@attrs.frozen(kw_only=True)
+class UnansweredStart:
+    """A start that got no answer, so that it may be carried out late.
+
+    Attributes:
+        task: The name of the task.
+        attempt: The attempt number.
+        worker: The worker incarnation to which it was sent.
+        group: The step's name if the task is a member of a gang, otherwise the task's.
+        needs: The resources that the attempt takes.
+    """
+
+    task: str
+    attempt: int
+    worker: str
+    group: str
+    needs: Amounts
+
+
 @attrs.define(kw_only=True, eq=False)
 class Job:
     """One accepted job.
@@ -207,6 +226,7 @@
         attempts: The number of attempts of its tasks that this owner placed.
         workspace: The workspace it belongs to; empty for none: visible to everyone.
         left: Orphaned attempts whose end an earlier owner did not receive.
+        unanswered: Starts that an earlier owner sent without an answer.
     """
 
     job_id: str
@@ -224,6 +244,7 @@
     attempts: int = 0
     workspace: str = ""
     left: tuple[OrphanedAttempt, ...] = ()
+    unanswered: tuple[UnansweredStart, ...] = ()
 
     def is_visible_to(self, workspace: str) -> bool:
         """Return whether callers of a workspace may see the job."""
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -37,6 +37,8 @@
 BOUNDS = LeaseBounds(longest_lease_s=10.0, clock_error=0.02, stop_s=0.05)
 WORKER_LEASE_S = 0.8
 OWNER_LEASE_S = 0.5
+LATE_ORDER_S = 2.0
+"""Tests carry out late orders within this time of their sending."""
 
 
 def queue(name: str = "q", **changes: object) -> Queue:
@@ -105,6 +107,7 @@
     permits: AllPermits = attrs.field(factory=AllPermits)
     entries: dict[str, WorkerEntry] = attrs.field(factory=dict)
     worker_lease_s: float = WORKER_LEASE_S
+    late_order_s: float = LATE_ORDER_S
     quotas: Callable[[], Mapping[str, Amounts] | None] = dict
     http: HttpClient = attrs.field(factory=HttpClient)
     tasks: "list[asyncio.Task[None]]" = attrs.field(factory=list)
@@ -171,7 +174,11 @@
                 clock=self.clock,
             ),
             clock=self.clock,
-            leases=WorkerLeases(bounds=BOUNDS, length_s=self.worker_lease_s),
+            leases=WorkerLeases(
+                bounds=BOUNDS,
+                length_s=self.worker_lease_s,
+                late_order_s=self.late_order_s,
+            ),
             status_s=120.0,
             peers=Membership(),
         )
