A fault while a batch is taken ends the ownership, as one while it is stored

What callers saw: nothing; no input is known that raises there. Had one, a job would have stayed 'running' for ever, with the end of its task acknowledged (LOST).

Cause: `take_batch` clears the dirty flags of the jobs that it takes, and "not dirty" is read as "stored, or stored with this batch" by `_acknowledgeable_ends`. An exception after the first flag was cleared left the store loop, which `BackgroundTasks.keep` starts again: the next batch then acknowledged the end of a job that no batch held. Only an exception of the write itself released the ownership.

Why it works: the batch is taken within the same `try`, so the ownership is released and the next epoch reads the rows again; the workers still have the ends.

The other readers hold: only the store loop takes batches, one at a time, so at the loop's own checks what is not dirty is stored; `note_stored` acknowledges after the write of the batch that carries the acknowledgement.

--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -331,15 +331,15 @@
                     await self._changed.wait()
             self._changed.clear()
             await asyncio.sleep(options.STORE_BATCH_DELAY_S)
-            batch = take_batch(self.cluster_state, self.batch_bytes)
             try:
+                batch = take_batch(self.cluster_state, self.batch_bytes)
                 await self._store(batch)
             except LeaseLost:
                 emit(events.OwnerLost(epoch=self.epoch, reason="the row has another"))
                 self._ended.set()
                 return
             except Exception:
-                # The batch has already cleared its jobs' dirty flags, so the state in
+                # Taking the batch has already cleared dirty flags, so the state in
                 # memory may differ from the table. Only the stored rows can be trusted:
                 # they are read again in a new epoch.
                 LOG.exception("storing a batch failed; releasing the ownership")
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -11,6 +11,8 @@
 from cranberrycleat.lifecycle import BackgroundTasks
 from cranberrycleat.standins.fleet import SimulatedWork
 from cranberrycleat.workflow import rows
+from cranberrycleat.workflow.batches import Batch, take_batch
+from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.fleet import Liveness
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peering import Heartbeat, SubmitRequest
@@ -23,6 +25,7 @@
     SyncReply,
     Verdict,
 )
+from cranberrycleat.workflow.state import JobState
 from tests.cell import cell, entry, job, queue, step, submit, until
 from tests.fakes import run_async
 from tests.test_planner import NOW_S, cluster_state, worker as make_worker
@@ -410,6 +413,33 @@
     run_async(run())
 
 
+# Guards against an accepted job that never ends (LOST): a job taken for a batch is not
+# dirty any more, so the next batch acknowledged its end although no batch had stored
+# it.
+def test_a_fault_while_taking_a_batch_loses_no_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        async with cell() as env:
+            owner = await env.own("one")
+
+            def take(cluster_state: ClusterState, most_bytes: int) -> Batch:
+                batch = take_batch(cluster_state, most_bytes)
+                if any(stored is JobState.COMPLETED for _, stored in batch.jobs):
+                    monkeypatch.undo()
+                    raise RuntimeError("unforeseen")
+                return batch
+
+            monkeypatch.setattr("cranberrycleat.workflow.owner.take_batch", take)
+            await submit(owner, "a", job(step(2)))
+            await until(lambda: env.tasks[0].done())
+            again = await env.own("one")
+            await until(lambda: state(again, "a") == "completed")
+            assert env.fleet.faults == []
+
+    run_async(run())
+
+
 def test_leaving_worker_gets_no_more_starts() -> None:
     """A task placed there whose placement is not stored yet moves elsewhere."""
 
