The test of a next owner's knowledge lets no third attempt begin before it

What callers saw: nothing; the test was wrong.

Cause: the third attempt was placed the moment the owner recorded the second loss, and began once that was stored, 9 to 10 ms later. The test looks every 10 ms: where it looked after that, it killed an owner whose third attempt ran. The task takes 0.25 s and the killed owner's lease 0.5 s to end, so the next owner's first reply from the worker was that the task was done. A completed job has no open steps, and the test counts the losses of these: 0, though the table held both.

Trace, in all five recorded failures: loss 0, batch taken 9.0 to 9.2 ms, stored, third start 9.4 to 9.7 ms, owner's tasks cancelled 9.7 to 10.7 ms, next owner took over 521 to 537 ms, third attempt done. Ordered: with a wait for the third start before the kill the old test counted 0 (one run), with two losses in the row.

The old wait was wrong as well, though it did not cause this: `dirty` is empty as soon as the batch is taken. With 0.1, 0.2 and 0.4 s a call the row then has one loss of two; the next owner finds the other one itself, but not as a crash.

Change: the first owner has two workers, both of which have just lost one, so the third attempt waits 3 s for a stable machine; the others are listed before the next owner takes over, which sees six at its takeover as before. The test waits until the row holds both losses, instead of for `dirty`. No assertion is changed. Not covered any more, and only by accident before: that the next owner finds a third attempt placed that never began.

--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -33,7 +33,7 @@
     WorkerFailure,
     WorkerFailures,
 )
-from tests.cell import cell, entry, job, queue, step, submit, until
+from tests.cell import Cell, cell, entry, job, queue, step, submit, until
 from tests.fakes import run_async
 from tests.test_planner import NOW_S, cluster_state, plan, worker
 
@@ -480,7 +480,9 @@
 def test_new_owner_attributes_no_unobserved_failures() -> None:
     async def run() -> None:
         async with cell(workers=0) as harness:
-            for number in range(6):
+            # The first owner has no stable machine left after the last loss, so the
+            # next attempt cannot begin, or even end, before the takeover.
+            for number in range(CRASH_ADDRESS_LIMIT - 1):
                 harness.add_worker(f"w{number}", born_ms=1)
             fleet = harness.fleet
             fleet.keeps_identity = True
@@ -492,9 +494,11 @@
                 fleet.crash_and_restart(fleet.workers[fleet.starts[-1].worker])
                 await until(lambda: _losses(owner, "a") == number)
             owner.handing_over = True
-            await until(lambda: "a" not in owner.cluster_state.dirty)
+            await until(lambda: _stored_losses(harness, "a") == CRASH_ADDRESS_LIMIT - 1)
             await harness.close()
             harness.tasks.clear()
+            for number in range(CRASH_ADDRESS_LIMIT - 1, 6):
+                harness.add_worker(f"w{number}", born_ms=1)
             owner = await harness.own("next")
             assert _losses(owner, "a") == CRASH_ADDRESS_LIMIT - 1
             began = harness.clock.now()
@@ -534,6 +538,13 @@
     )
 
 
+def _stored_losses(harness: Cell, job_id: str) -> int:
+    """Return how many lost workers the table has for a job."""
+    key = rows.job_key(job_id)
+    row = rows.decode_job_row(harness.table.rows[key].value, key)
+    return sum(len(each.lost) for run in row.open for each in run.steps)
+
+
 def test_next_attempt_is_on_another_machine() -> None:
     """The next incarnation of a lost worker has the most free capacity."""
     again = worker("again")
