A loss is judged again once all failures of its moment are known

What callers saw: a job that could be done was shown as `failed`, although its workers fell together with others.

Cause: a restart that another incarnation reveals is judged at once.

Now a loss that looks like a crash is provisional until every worker believed to run has answered since, or for 0.6 s, and is then judged by all failures known. Only a loss that would fail its job as a crash holds anything back: that task is placed after the verdict.

--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -51,6 +51,7 @@
     Task,
     TaskState,
 )
+from cranberrycleat.workflow.worker_failures import CorrelatedFailures, WorkerFailure
 
 MAX_ENDS_PER_SYNC: Final = 500
 """The maximum number of ended attempts in one reply of a worker."""
@@ -498,6 +499,20 @@
             self.give_up(worker, placement, loss.value)
         return len(placements)
 
+    def settle_losses(self) -> bool:
+        """Judge the losses that can be judged now; return whether there were any."""
+        settled = self.losses.take_settled()
+        correlated: dict[tuple[str, WorkerFailure], CorrelatedFailures] = {}
+        for each in settled:
+            key = (each.worker.name, each.failure)
+            if key not in correlated:
+                correlated[key] = self.fleet.failures_correlated_with(
+                    each.worker, each.failure
+                )
+            if self.losses.settle(each, correlated[key]):
+                self._finish_job(each.task.step.job, JobState.FAILED)
+        return bool(settled)
+
     @staticmethod
     def _fail_job(placement: Placement) -> None:
         """Set the job of an attempt to fail once the attempt is given up."""
--- a/cranberrycleat/workflow/crash_attribution.py
+++ b/cranberrycleat/workflow/crash_attribution.py
@@ -77,11 +77,15 @@
 
     Attributes:
         lost: The lost workers, at most one for each attempt.
+        undecided: The lost workers whose losses fail the task if they are crashes,
+            while that is not settled. Meanwhile the losses are not recorded as early,
+            and the task is not placed.
         changed_at: When one was added last, on the owner's clock. A takeover shifts it
             so that the remaining wait is `TAKEOVER_ISOLATION_WAIT_S`.
     """
 
     lost: list[LostWorker] = attrs.field(factory=list)
+    undecided: set[str] = attrs.field(factory=set)
     changed_at: float = 0.0
 
     def add_loss(self, loss: LostWorker, now: float) -> None:
@@ -93,12 +97,30 @@
         self.lost.append(loss)
         self.changed_at = now
 
+    def would_fail_task(self, loss: LostWorker) -> bool:
+        """Return whether the task is to be failed only if a loss is a crash."""
+        addresses = {each.address for each in self.lost if each.early}
+        return (
+            len(addresses | {loss.address}) >= CRASH_ADDRESS_LIMIT
+            and len({loss.attempt, *(each.attempt for each in self.lost)})
+            < LOST_WORKER_LIMIT
+        )
+
+    def exonerate(self, loss: LostWorker) -> bool:
+        """Record that an early loss is not a crash; return whether it was recorded."""
+        if loss not in self.lost:
+            return False
+        at = self.lost.index(loss)
+        self.lost[at] = attrs.evolve(loss, early=False)
+        return True
+
     def record_takeover(self, now: float) -> None:
         """Shorten the isolation wait after another owner has taken over."""
         self.changed_at = now - ISOLATION_WAIT_S + TAKEOVER_ISOLATION_WAIT_S
 
     def clear(self, worker: str) -> bool:
         """Remove a worker that answers again; return whether it was recorded."""
+        self.undecided.discard(worker)
         left = [each for each in self.lost if each.worker != worker]
         removed = len(left) < len(self.lost)
         self.lost = left
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -508,13 +508,30 @@
             return 0.0
         return now - failure.detected_at
 
-    def failed_without_other_starts(self, worker: FleetWorker, job_id: str) -> bool:
-        """Return whether no other job had just begun on a worker that failed."""
-        failure = self.worker_failures.by_address.get(worker.entry.address)
-        return failure is None or failure.jobs <= {job_id}
+    def failure_of(self, worker: FleetWorker) -> WorkerFailure | None:
+        """Return the latest failure recorded at a worker's address, if any."""
+        return self.worker_failures.by_address.get(worker.entry.address)
+
+    def heard_until(self) -> float:
+        """Return the time since which every worker believed to run has answered."""
+        return min(
+            (
+                each.clock_read_at
+                for each in self.workers.values()
+                if each.liveness is Liveness.LIVE
+            ),
+            default=float("inf"),
+        )
 
-    def failures_correlated_with(self, worker: FleetWorker) -> CorrelatedFailures:
-        """Return the failures that may have the same cause as a worker's."""
+    def failures_correlated_with(
+        self, worker: FleetWorker, failure: WorkerFailure | None = None
+    ) -> CorrelatedFailures:
+        """Return the failures that may have the same cause as a worker's.
+
+        Args:
+            worker: The failed worker.
+            failure: Its failure; None for the latest at its address.
+        """
         racks = set(worker.entry.racks)
         own = worker.entry.address
         rack_addresses = {
@@ -522,7 +539,7 @@
             for each in self.workers.values()
             if each.entry.address != own and not racks.isdisjoint(each.entry.racks)
         }
-        return self.worker_failures.correlated_with(own, rack_addresses)
+        return self.worker_failures.correlated_with(own, rack_addresses, failure)
 
     def workers_in_pool(self, pool: str) -> list[FleetWorker]:
         """Return the workers of one pool."""
--- a/cranberrycleat/workflow/loss_tracker.py
+++ b/cranberrycleat/workflow/loss_tracker.py
@@ -3,6 +3,12 @@
 The cluster state reports what happens to workers and attempts. `crash_attribution`
 interprets a record, `worker_failures` tells which workers failed together, and `rows`
 stores the records with their jobs.
+
+A loss that looks like a crash is judged again once all failures of the same moment must
+have been detected (`WorkerFailure.may_miss_others`): workers that fail together are not
+found to have failed at the same time. Only a loss that would fail its task as a crash
+delays anything: until then the task is not placed. A successor does not know which
+failures coincided, so to it such a loss is not a crash.
 """
 
 from collections.abc import Callable
@@ -13,8 +19,31 @@
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.crash_attribution import LossRecord, LostWorker
 from cranberrycleat.workflow.fleet import Fleet, FleetWorker, Placement
-from cranberrycleat.workflow.state import Job
-from cranberrycleat.workflow.worker_failures import CorrelatedFailures
+from cranberrycleat.workflow.state import Job, Task, TaskState
+from cranberrycleat.workflow.worker_failures import CorrelatedFailures, WorkerFailure
+
+
+@attrs.frozen(kw_only=True)
+class ProvisionalCrash:
+    """A loss that looks like a crash and is to be judged again.
+
+    Attributes:
+        task: The task.
+        record: The loss record of the task or its gang.
+        loss: The loss, as a crash.
+        worker: The lost worker.
+        failure: Its failure.
+        isolated: Whether the attempt was isolated.
+        decides: Whether the task is to be failed if it is a crash.
+    """
+
+    task: Task
+    record: LossRecord
+    loss: LostWorker
+    worker: FleetWorker
+    failure: WorkerFailure
+    isolated: bool
+    decides: bool
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -26,12 +55,14 @@
         now: Returns the time on the owner's clock.
         changed: Called with a job whose records must be stored.
         jobs_with_losses: Open jobs with tasks under which workers were lost, by job ID.
+        provisional: Losses to be judged again, oldest first.
     """
 
     fleet: Fleet
     now: Callable[[], float]
     changed: Callable[[Job], None]
     jobs_with_losses: dict[str, Job] = attrs.field(factory=dict)
+    provisional: list[ProvisionalCrash] = attrs.field(factory=list)
 
     def restore(self, job: Job) -> None:
         """Load the records of a job that an earlier owner stored."""
@@ -42,6 +73,9 @@
     def forget(self, job_id: str) -> None:
         """Remove a job that has ended."""
         self.jobs_with_losses.pop(job_id, None)
+        self.provisional = [
+            each for each in self.provisional if each.task.step.job.job_id != job_id
+        ]
 
     def record_loss(
         self, worker: FleetWorker, placement: Placement, correlated: CorrelatedFailures
@@ -70,18 +104,77 @@
         if left or worker.held or job.verdict is not None:
             return False
         record = task.step.ensure_losses_of(task)
-        decides = not record.needs_isolation() or (
-            not correlated.all_failures
-            and self.fleet.failed_without_other_starts(worker, job.job_id)
-        )
+        failure = self.fleet.failure_of(worker)
+        isolated = record.needs_isolation()
         loss = LostWorker(
             attempt=placement.attempt,
             worker=worker.name,
             address=worker.entry.address,
-            early=just_begun and decides and not correlated.exonerates(job.job_id),
+            early=just_begun and _is_crash(job, failure, correlated, isolated=isolated),
         )
+        if (
+            loss.early
+            and failure is not None
+            and failure.may_miss_others(self.now(), self.fleet.heard_until())
+        ):
+            provisional = ProvisionalCrash(
+                task=task,
+                record=record,
+                loss=loss,
+                worker=worker,
+                failure=failure,
+                isolated=isolated,
+                decides=record.would_fail_task(loss),
+            )
+            self.provisional.append(provisional)
+            if provisional.decides:
+                record.undecided.add(worker.name)
+                loss = attrs.evolve(loss, early=False)
         record.add_loss(loss, self.now())
         self.jobs_with_losses[job.job_id] = job
+        return self._limit_reached(task, record)
+
+    def take_settled(self) -> list[ProvisionalCrash]:
+        """Remove and return the losses that can be judged now."""
+        if not self.provisional:
+            return []
+        now, heard_until = self.now(), self.fleet.heard_until()
+        settled: list[ProvisionalCrash] = []
+        unsettled: list[ProvisionalCrash] = []
+        for each in self.provisional:
+            waits = each.failure.may_miss_others(now, heard_until)
+            (unsettled if waits else settled).append(each)
+        self.provisional = unsettled
+        return settled
+
+    def settle(
+        self, provisional: ProvisionalCrash, correlated: CorrelatedFailures
+    ) -> bool:
+        """Judge a loss again; return whether its job is to be failed.
+
+        Args:
+            provisional: The loss.
+            correlated: The failures that may have the same cause, as known by now.
+        """
+        task, record, loss = provisional.task, provisional.record, provisional.loss
+        job = task.step.job
+        record.undecided.discard(loss.worker)
+        if job.verdict is not None or task.state is TaskState.DONE:
+            return False
+        crashed = _is_crash(
+            job, provisional.failure, correlated, isolated=provisional.isolated
+        )
+        if crashed and provisional.decides:
+            record.add_loss(loss, self.now())
+            self.changed(job)
+            return self._limit_reached(task, record)
+        if not crashed and record.exonerate(loss):
+            self.changed(job)
+        return False
+
+    @staticmethod
+    def _limit_reached(task: Task, record: LossRecord) -> bool:
+        """Return whether a task has lost too many workers, and log that."""
         if not record.limit_reached():
             return False
         lost = tuple(each.worker for each in record.lost)
@@ -94,6 +187,9 @@
 
     def clear(self, worker: FleetWorker) -> None:
         """Remove a worker that answers again from all records: no task crashed it."""
+        self.provisional = [
+            each for each in self.provisional if each.worker is not worker
+        ]
         for job in self.jobs_with_losses.values():
             for record in _records(job):
                 if record.clear(worker.name):
@@ -115,6 +211,28 @@
             self.changed(task.step.job)
 
 
+def _is_crash(
+    job: Job,
+    failure: WorkerFailure | None,
+    correlated: CorrelatedFailures,
+    *,
+    isolated: bool,
+) -> bool:
+    """Return whether a failure is attributed to a job that had just begun there.
+
+    Args:
+        job: The job.
+        failure: The failure, if it was recorded.
+        correlated: The failures that may have the same cause.
+        isolated: Whether the attempt was isolated. Where it was not alone after all, it
+            is inconclusive.
+    """
+    beside_others = failure is not None and not failure.jobs <= {job.job_id}
+    if isolated and (correlated.all_failures or beside_others):
+        return False
+    return not correlated.exonerates(job.job_id)
+
+
 def _records(job: Job) -> list[LossRecord]:
     return [
         record
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -469,6 +469,8 @@
         while True:
             await asyncio.sleep(options.TASK_LOOP_INTERVAL_S)
             now = self.clock.now()
+            if self.cluster_state.settle_losses():
+                self.changed()
             self.roster.check_all(now)
             due = self.cluster_state.next_due_s()
             if due is not None and due <= self.cluster_state.time_of_day():
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -228,6 +228,9 @@
     def _placeable_tasks(self, step: StepRun, now: float, plan: Plan) -> list[Task]:
         tasks = []
         for task in step.pending():
+            losses = step.losses_of(task)
+            if losses is not None and losses.undecided:
+                continue
             if task.not_before > now:
                 self._schedule_retry(plan, task.not_before)
             else:
--- a/cranberrycleat/workflow/worker_failures.py
+++ b/cranberrycleat/workflow/worker_failures.py
@@ -3,9 +3,11 @@
 A rack or its power supply takes all its workers down at once, and so does any other
 cause that workers share; a task only takes down the workers that start it.
 
-A failure is recorded when a link finds its worker silent or replaced, long before the
-worker's leases end. By the time the attempts there are judged
-(`ClusterState.give_up_all`), all failures that belong together are therefore known.
+A failure is recorded when a link finds its worker silent or replaced. When a worker is
+silent, its attempts are judged (`ClusterState.give_up_all`) only after its leases have
+ended, so all failures that belong together are known by then. A restart is judged as
+soon as another incarnation answers, perhaps before other workers that failed at the
+same moment are found to have failed; such a judgement is provisional (`LossTracker`).
 """
 
 from typing import Final
@@ -23,6 +25,10 @@
 RACK_FAILURE_SHARE: Final = 0.5
 """Share of a rack's other machines that must fail together with one to assume a cause
 within the rack; some may be out of use or have failed earlier."""
+DETECTION_LIMIT_S: Final = 0.6
+"""How long after a failure others of the same moment may still be detected. Connections
+that break are noticed within milliseconds, and a link whose sync failed repeats it
+after 0.25 s."""
 
 
 @attrs.frozen(kw_only=True)
@@ -48,6 +54,19 @@
             and other.last_heard_at <= self.detected_at
         )
 
+    def may_miss_others(self, now: float, heard_until: float) -> bool:
+        """Return whether failures of the same moment may not be detected yet.
+
+        Args:
+            now: The time.
+            heard_until: When every worker that is not known to have failed has answered
+                at the earliest (see `Fleet.heard_until`).
+        """
+        return (
+            heard_until < self.detected_at
+            and now - self.detected_at < DETECTION_LIMIT_S
+        )
+
 
 @attrs.frozen(kw_only=True)
 class CorrelatedFailures:
@@ -98,16 +117,20 @@
         return now - max(failed_at, self.observing_since)
 
     def correlated_with(
-        self, address: str, rack_addresses: set[str]
+        self,
+        address: str,
+        rack_addresses: set[str],
+        failure: WorkerFailure | None = None,
     ) -> CorrelatedFailures:
-        """Return the failures that may have the same cause as the one at an address.
+        """Return the failures that may have the same cause as one at an address.
 
         Args:
             address: The address of the failed worker.
             rack_addresses: The addresses of its rack's other machines (see
                 `rack_failures`).
+            failure: The failure; None for the latest at that address.
         """
-        failure = self.by_address.get(address)
+        failure = failure or self.by_address.get(address)
         if failure is None:
             return CorrelatedFailures()
         all_failures = tuple(
@@ -115,11 +138,14 @@
             for other, each in self.by_address.items()
             if other != address and each.may_be_simultaneous(failure)
         )
-        rack = self.rack_failures(address, rack_addresses)
+        rack = self.rack_failures(address, rack_addresses, failure)
         return CorrelatedFailures(rack=rack, all_failures=all_failures)
 
     def rack_failures(
-        self, address: str, rack_addresses: set[str]
+        self,
+        address: str,
+        rack_addresses: set[str],
+        failure: WorkerFailure | None = None,
     ) -> tuple[WorkerFailure, ...]:
         """Return the failures in a rack that coincide with that of one of its workers.
 
@@ -128,12 +154,13 @@
             rack_addresses: The addresses of its rack's other machines. Machines that
                 are out of use because they failed too are added from the recorded
                 failures.
+            failure: The failure; None for the latest at that address.
 
         Returns:
             The failures that may have occurred at the same moment; empty if they are
             too small a share of the rack.
         """
-        failure = self.by_address.get(address)
+        failure = failure or self.by_address.get(address)
         if failure is None:
             return ()
         rack_addresses = rack_addresses | {
