A trial on a machine that has just failed decides nothing

What callers saw: a job that could be done was shown as `failed` after its isolated attempt (trial) was lost.

Cause: a trial that finds no stable machine is placed, once its wait has expired, on the one that was stable for longest, and its loss decided like any other.

Now such a loss counts as lost late. A takeover alone does not make a machine unstable here: the trial has waited for the new owner to observe the workers, and verdicts would otherwise be suspended for 10 s after each takeover.

Evidence: the new test ended in `failed` in the run without the mechanism (the row in tests/prove_workflow.py).

--- a/cranberrycleat/workflow/crash_attribution.py
+++ b/cranberrycleat/workflow/crash_attribution.py
@@ -11,8 +11,9 @@
   suspicion of its task.
 - It happened at several addresses, so that a machine that fails repeatedly is not
   attributed to a task.
-- At the last loss nothing else had just begun on the worker and no other worker was
-  lost at that moment. Such an attempt is called isolated. Without it, tasks that merely
+- At the last loss nothing else had just begun on the worker, no other worker was lost
+  at that moment, and the machine had not failed shortly before. Such an attempt is
+  called isolated. Without it, tasks that merely
   ran beside one that crashes its workers would be held responsible with it, since they
   are lost at the same moments and are placed together again; and workers that are lost
   together may have a cause in common.
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -113,6 +113,8 @@
         advanced_at: When that share was last seen to rise, on the owner's clock.
         reading: The worker's load reading for it (see `RunningTask`).
         throttle: The share at which it was ordered to work.
+        on_unstable_machine: Whether its machine had failed or its worker had joined
+            shortly before it was planned, as far as known; set for isolated attempts.
     """
 
     task: str
@@ -134,6 +136,7 @@
     advanced_at: float = 0.0
     reading: float | None = None
     throttle: int = 100
+    on_unstable_machine: bool = False
 
     def began(self, now: float) -> None:
         """Record that the worker reports it as running."""
--- a/cranberrycleat/workflow/isolation.py
+++ b/cranberrycleat/workflow/isolation.py
@@ -29,7 +29,8 @@
     """Return the workers for an isolated attempt: the least loaded of the stable ones.
 
     An attempt that has waited too long goes to the machine that has been stable for
-    longest; it is inconclusive if it is lost beside others (see `LossTracker`).
+    longest; it is inconclusive if that machine is unstable (see `is_known_unstable`) or
+    if it is lost beside others (see `LossTracker`).
     """
     stable = stable_workers(workers, worker_failures, now)
     if not stable and not record.isolation_wait_expired(now):
@@ -56,6 +57,19 @@
     ]
 
 
+def is_known_unstable(
+    worker: FleetWorker, worker_failures: WorkerFailures, now: float
+) -> bool:
+    """Return whether a worker may fail again by itself.
+
+    Unlike `stable_for_s`, a takeover does not count, as a new owner would otherwise
+    reach no verdict for `FAILED_MACHINE_COOLDOWN_S`.
+    """
+    failure = worker_failures.by_address.get(worker.entry.address)
+    failed_at = float("-inf") if failure is None else failure.detected_at
+    return now - max(failed_at, worker.joined_at) < FAILED_MACHINE_COOLDOWN_S
+
+
 def stable_for_s(
     worker: FleetWorker, worker_failures: WorkerFailures, now: float
 ) -> float:
--- a/cranberrycleat/workflow/loss_tracker.py
+++ b/cranberrycleat/workflow/loss_tracker.py
@@ -110,7 +110,9 @@
             attempt=placement.attempt,
             worker=worker.name,
             address=worker.entry.address,
-            early=just_begun and _is_crash(job, failure, correlated, isolated=isolated),
+            early=just_begun
+            and not placement.on_unstable_machine
+            and _is_crash(job, failure, correlated, isolated=isolated),
         )
         if (
             loss.early
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -534,6 +534,9 @@
     ) -> None:
         placement = self.cluster_state.place(task, worker, attempt, now=now)
         if isolation.record_for(task) is not None:
+            placement.on_unstable_machine = isolation.is_known_unstable(
+                worker, self.cluster_state.fleet.worker_failures, now
+            )
             worker.isolated_attempt = placement
         group.placements.append((worker, placement))
 
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -710,6 +710,14 @@
         replacement="if isolated and beside_others:",
         test="tests/test_crash_attribution.py::test_isolated_attempt_in_correlated_failure_is_inconclusive",
     ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="an isolated attempt is conclusive only on a machine that did not fail before",
+        file="workflow/loss_tracker.py",
+        text="            and not placement.on_unstable_machine\n",
+        replacement="",
+        test="tests/test_crash_attribution.py::test_isolated_attempt_on_unstable_machine_is_inconclusive",
+    ),
     Mutant(
         guarantee="decisions",
         mechanism="judging a loss again once failures of the same moment are detected",
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -238,6 +238,35 @@
     assert (owner_board.jobs["a"].verdict is JobState.FAILED) is alone
 
 
+# Guards against healthy work that is failed: where no machine is stable, an isolated
+# attempt is placed on one that has just failed and fails again.
+@pytest.mark.parametrize(
+    ("stable_s", "fails"),
+    [(FAILED_MACHINE_COOLDOWN_S - 0.1, False), (FAILED_MACHINE_COOLDOWN_S, True)],
+    ids=["just failed", "failed long ago"],
+)
+@pytest.mark.parametrize("joined", [True, False], ids=["joined", "failed"])
+@pytest.mark.parametrize("spec", [step(), step(1, gang=True)], ids=["single", "gang"])
+def test_isolated_attempt_on_unstable_machine_is_inconclusive(
+    spec: StepSpec, joined: bool, stable_s: float, fails: bool
+) -> None:
+    only = worker("w")
+    owner_board = cluster_state(only)
+    _accept_suspected_job(owner_board, spec)
+    if joined:
+        only.joined_at = 0.0
+    else:
+        owner_board.fleet.record_worker_failure(only, 0.0)
+    ((_, placement),) = plan(owner_board, now=stable_s).groups[0].placements
+    placement.ordered = True
+    placement.began(stable_s)
+    only.update_clock(1, stable_s)
+    owner_board.fleet.record_worker_failure(only, stable_s)
+    owner_board.give_up_all(only, LossCause.REPLACED)
+    assert (owner_board.jobs["a"].verdict is JobState.FAILED) is fails
+    assert [each.early for each in _step_of(owner_board).losses[0].lost][-1] is fails
+
+
 # Guards against healthy work that is failed: two workers fail at the same moment, on
 # each of which only a task of one job had just begun.
 @pytest.mark.parametrize("together", [True, False], ids=["together", "one alone"])
