A worker that fails again does not hide its earlier failure

What callers could see: a job that could be done shown as `failed`, although its worker fell together with another one.

Cause: of each address only the latest failure was kept. A worker that fell at the same moment, started again at once and fell once more before the loss was judged (a silent worker's when its leases are over, a restarted one's after 0.6 s at most) had a later failure only, which did not coincide.

Now failures that were superseded are kept for 10 s.

Evidence: test_other_worker_that_fails_twice_still_counts ended in `failed` in the run without the mechanism (the row in tests/prove_workflow.py); a test bounds what is kept.

--- a/cranberrycleat/workflow/worker_failures.py
+++ b/cranberrycleat/workflow/worker_failures.py
@@ -25,6 +25,9 @@
 RACK_FAILURE_SHARE: Final = 0.5
 """Share of a rack's other machines that must fail together with one to assume a cause
 within the rack; some may be out of use or have failed earlier."""
+SUPERSEDED_FAILURES_KEPT_S: Final = 10.0
+"""How long a failure is remembered where a worker has failed again: until the attempts
+on silent workers have been judged, whose leases last 6 s."""
 DETECTION_LIMIT_S: Final = 0.6
 """How long after a failure others of the same moment may still be detected. Connections
 that break are noticed within milliseconds, and a link whose sync failed repeats it
@@ -99,16 +102,28 @@
 
     Attributes:
         by_address: The latest failure at each address.
+        superseded: Recent failures at addresses where a worker has failed again, with
+            the address, oldest first.
         observing_since: Since when this owner would have noticed a failure.
     """
 
     by_address: dict[str, WorkerFailure] = attrs.field(factory=dict)
+    superseded: list[tuple[str, WorkerFailure]] = attrs.field(factory=list)
     observing_since: float = float("-inf")
 
     def record_failure(self, entry: WorkerEntry, failure: WorkerFailure) -> None:
         """Record a worker's failure under its address."""
-        if entry.address:
-            self.by_address[entry.address] = failure
+        if not entry.address:
+            return
+        since = failure.detected_at - SUPERSEDED_FAILURES_KEPT_S
+        self.superseded = [
+            (address, each)
+            for address, each in self.superseded
+            if each.detected_at >= since
+        ]
+        if entry.address in self.by_address:
+            self.superseded.append((entry.address, self.by_address[entry.address]))
+        self.by_address[entry.address] = failure
 
     def stable_for_s(self, address: str, now: float) -> float:
         """Return for how long no worker is known to have failed at an address."""
@@ -133,11 +148,7 @@
         failure = failure or self.by_address.get(address)
         if failure is None:
             return CorrelatedFailures()
-        all_failures = tuple(
-            each
-            for other, each in self.by_address.items()
-            if other != address and each.may_be_simultaneous(failure)
-        )
+        all_failures = tuple(self._simultaneous_with(address, failure).values())
         rack = self.rack_failures(address, rack_addresses, failure)
         return CorrelatedFailures(rack=rack, all_failures=all_failures)
 
@@ -168,14 +179,23 @@
             for each, other in self.by_address.items()
             if each != address and other.racks & failure.racks
         }
-        failed = [
-            self.by_address[each] for each in rack_addresses if each in self.by_address
-        ]
         simultaneous = tuple(
-            each for each in failed if each.may_be_simultaneous(failure)
+            each
+            for other, each in self._simultaneous_with(address, failure).items()
+            if other in rack_addresses
         )
         return (
             simultaneous
             if len(simultaneous) >= RACK_FAILURE_SHARE * len(rack_addresses)
             else ()
         )
+
+    def _simultaneous_with(
+        self, address: str, failure: WorkerFailure
+    ) -> dict[str, WorkerFailure]:
+        """Return a failure that may have been simultaneous, for each other address."""
+        return {
+            other: each
+            for other, each in (*self.superseded, *self.by_address.items())
+            if other != address and each.may_be_simultaneous(failure)
+        }
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -718,6 +718,14 @@
         replacement="",
         test="tests/test_crash_attribution.py::test_isolated_attempt_on_unstable_machine_is_inconclusive",
     ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="remembering the failures of a worker that fails again",
+        file="workflow/worker_failures.py",
+        text="            for other, each in (*self.superseded, *self.by_address.items())",
+        replacement="            for other, each in self.by_address.items()",
+        test="tests/test_provisional_losses.py::test_other_worker_that_fails_twice_still_counts",
+    ),
     Mutant(
         guarantee="decisions",
         mechanism="judging a loss again once failures of the same moment are detected",
--- a/tests/test_provisional_losses.py
+++ b/tests/test_provisional_losses.py
@@ -31,7 +31,11 @@
 )
 from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.state import JobState, Task, TaskState
-from cranberrycleat.workflow.worker_failures import DETECTION_LIMIT_S
+from cranberrycleat.workflow.worker_failures import (
+    DETECTION_LIMIT_S,
+    SUPERSEDED_FAILURES_KEPT_S,
+    WorkerFailures,
+)
 from tests.cell import Cell, cell, job, queue, step, submit, until
 from tests.fakes import run_async
 from tests.test_crashing_tasks import crash_on, starts_of
@@ -279,6 +283,28 @@
     assert len(plan(owner_board).groups) == 1
 
 
+# Guards against a healthy job that is failed (LOST): a worker that fell with its own
+# restarts and fails again before the loss is judged.
+def test_other_worker_that_fails_twice_still_counts() -> None:
+    owner_board, other = _lose_isolated_attempt(step())
+    owner_board.fleet.record_worker_failure(other, 0.0)
+    other.clock_read_at = 0.2
+    owner_board.fleet.record_worker_failure(other, LATE_S)
+    other.liveness = Liveness.SILENT
+    assert owner_board.settle_losses()
+    assert owner_board.jobs["a"].verdict is None
+
+
+def test_failures_are_remembered_for_a_limited_time() -> None:
+    """Else a fleet in which workers fail for days would remember each failure."""
+    unstable, failures = worker("w"), WorkerFailures()
+    fleet = cluster_state(unstable).fleet
+    fleet.worker_failures = failures
+    for number in range(100):
+        fleet.record_worker_failure(unstable, number * SUPERSEDED_FAILURES_KEPT_S / 4)
+    assert len(failures.superseded) == 4
+
+
 @pytest.mark.parametrize("together", [True, False], ids=["with others", "alone"])
 def test_loss_that_does_not_decide_is_judged_again(together: bool) -> None:
     lost, *others = worker("w"), worker("v"), worker("u")
