--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -228,8 +228,7 @@
     def _placeable_tasks(self, step: StepRun, now: float, plan: Plan) -> list[Task]:
         tasks = []
         for task in step.pending():
-            losses = step.losses_of(task)
-            if losses is not None and losses.undecided:
+            if step.losses and step.awaits_verdict(task):
                 continue
             if task.not_before > now:
                 self._schedule_retry(plan, task.not_before)
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -141,6 +141,11 @@
         """Return the record of workers lost under a task or its gang; create it."""
         return self.losses.setdefault(self._loss_record_key(task), LossRecord())
 
+    def awaits_verdict(self, task: Task) -> bool:
+        """Return whether a loss that may fail a task is still to be judged."""
+        losses = self.losses_of(task)
+        return losses is not None and bool(losses.undecided)
+
     def _loss_record_key(self, task: Task) -> int:
         return 0 if self.spec.gang else task.index
 
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -738,7 +738,7 @@
         guarantee="decisions",
         mechanism="placing a task only after the verdict that may fail it",
         file="workflow/planner.py",
-        text="            if losses is not None and losses.undecided:",
+        text="            if step.losses and step.awaits_verdict(task):",
         replacement="            if False:",
         test="tests/test_provisional_losses.py::test_deciding_loss_is_held_until_others_are_heard",
     ),
