--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -472,6 +472,8 @@
         while True:
             await asyncio.sleep(options.TASK_LOOP_INTERVAL_S)
             now = self.clock.now()
+            if self.cluster_state.settle_losses():
+                self.changed()
             self.roster.check_all(now)
             if self.cluster_state.expire_late_starts():
                 self.changed()
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -229,6 +229,8 @@
         tasks = []
         restricted = self.cluster_state.restricts_placing()
         for task in step.pending():
+            if step.losses and step.awaits_verdict(task):
+                continue
             if task.not_before > now:
                 self._schedule_retry(plan, task.not_before)
             elif not (restricted and self.cluster_state.has_earlier_attempt(task)):
@@ -538,6 +540,9 @@
     ) -> None:
         placement = self.cluster_state.place(task, worker, attempt, now=now)
         if isolation.record_for(task) is not None:
+            placement.on_unstable_machine = isolation.is_known_unstable(
+                worker, self.cluster_state.fleet.worker_failures, now
+            )
             worker.isolated_attempt = placement
         group.placements.append((worker, placement))
 
