A start answered on another clock extends its worker's leases

Cause: TWICE, found by forced tests, seen in no deployment. A worker restarts under its identity; before the owner's next call shows that, the new process answers a start and is then cut off. Its lease was counted on the previous process's clock, far ahead, so it held the task for up to the longest lease. The owner waited for the lease that it had granted and placed the task elsewhere. Callers would have seen two runs of the task at one time, for some seconds.

Change: an answer to a start whose clock is behind extends the worker's leases by the longest one.

Tests: tests/test_restarted_workers.py, a forced order (fails without: "runs twice") and an overtaken answer that must extend nothing; two prover rows.

--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -468,6 +468,11 @@
             self.clock_read_at = now
             self.unresponsive = False
 
+    def least_clock_ms(self, now: float, clock_error: float) -> int:
+        """Return what this incarnation's clock shows at the given time, at least."""
+        since = (now - self.clock_read_at) * (1 - clock_error)
+        return self.worker_time_ms + int(since * 1000)
+
     def grant(self, lease_s: float, now: float, clock_error: float) -> int:
         """Count a lease as granted and return its end on the worker's clock."""
         since = now - self.clock_read_at
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -386,12 +386,19 @@
         that is sent, the more is left of the 0.6 s that a short job has.
         """
         began = self.clock.now()
+        least_ms = self.worker.least_clock_ms(began, self.bounds.clock_error)
         try:
             reply = await self.client.start(self.worker.entry, order, limit_s=limit_s)
         except WorkerUnreachable:
             self.answer_timeout.missed()
             raise
-        self.answer_timeout.answered(self.clock.now() - began)
+        now = self.clock.now()
+        self.answer_timeout.answered(now - began)
+        if reply.worker_time_ms is not None and reply.worker_time_ms < least_ms:
+            # The next incarnation answered: the lease was counted on another clock. No
+            # margin is needed, since an answer is given after its order was sent, even
+            # if it is overtaken by later ones.
+            self.worker.extend_leases_until(now + self.bounds.max_run_on_s())
         return reply
 
     def _start_order(self, placement: Placement) -> StartOrder:
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -198,6 +198,22 @@
         replacement="            if True:",
         test="tests/test_cluster_state.py::test_a_given_up_attempt_that_was_done_ends_its_task",
     ),
+    Mutant(
+        guarantee="2 one place",
+        mechanism="the longest lease where an answer's clock is behind",
+        file="workflow/links.py",
+        text="reply.worker_time_ms < least_ms:",
+        replacement="reply.worker_time_ms < 0:",
+        test="tests/test_restarted_workers.py::test_lease_in_unnoticed_incarnation_is_waited_out",
+    ),
+    Mutant(
+        guarantee="3 once",
+        mechanism="comparing an answer's clock with the one known when its order was sent",
+        file="workflow/links.py",
+        text="reply.worker_time_ms < least_ms:",
+        replacement="reply.worker_time_ms < self.worker.worker_time_ms:",
+        test="tests/test_restarted_workers.py::test_overtaken_answer_is_not_taken_for_next_incarnation",
+    ),
     Mutant(
         guarantee="2 one place",
         mechanism="a successor inherits the lease length that its predecessor stored",
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -14,13 +14,19 @@
 import pytest
 
 from cranberrycleat.amounts import Amounts
-from cranberrycleat.standins.fleet import SimulatedWork
+from cranberrycleat.standins.fleet import SimulatedWork, StandinFleet
 from cranberrycleat.workflow import incarnations
 from cranberrycleat.workflow.batches import note_stored, take_batch
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.fleet import FleetWorker, Liveness
 from cranberrycleat.workflow.owner import Owner
-from cranberrycleat.workflow.ports import Verdict
+from cranberrycleat.workflow.ports import (
+    OrderReply,
+    StartOrder,
+    SyncReply,
+    Verdict,
+    WorkerEntry,
+)
 from cranberrycleat.workflow.state import JobState
 from tests.cell import Cell, cell, entry, job, queue, step, submit, until
 from tests.fakes import run_async
@@ -350,6 +356,112 @@
     run_async(run())
 
 
+@attrs.define(kw_only=True, eq=False)
+class HeldFleet(StandinFleet):
+    """Holds syncs back before they reach a worker, and answers to starts after that.
+
+    Attributes:
+        syncs_pass: Whether syncs reach the workers.
+        answers_pass: Whether the answers to starts reach the owner.
+        held: How many syncs are held back.
+    """
+
+    syncs_pass: asyncio.Event = attrs.field(factory=asyncio.Event)
+    answers_pass: asyncio.Event = attrs.field(factory=asyncio.Event)
+    held: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.syncs_pass.set()
+        self.answers_pass.set()
+
+    async def sync(
+        self,
+        entry: WorkerEntry,
+        *,
+        fence: int,
+        ended_upto: int,
+        lease_end_ms: int | None,
+        wait_ms: int,
+    ) -> SyncReply | OrderReply:
+        """Answer a sync once syncs pass."""
+        self.held += 1
+        await self.syncs_pass.wait()
+        self.held -= 1
+        return await StandinFleet.sync(
+            self,
+            entry,
+            fence=fence,
+            ended_upto=ended_upto,
+            lease_end_ms=lease_end_ms,
+            wait_ms=wait_ms,
+        )
+
+    async def start(
+        self, entry: WorkerEntry, order: StartOrder, *, limit_s: float
+    ) -> OrderReply:
+        """Carry a start out at once; the answer passes when answers do."""
+        reply = await StandinFleet.start(self, entry, order, limit_s=limit_s)
+        await self.answers_pass.wait()
+        return reply
+
+
+# Guards against two concurrent runs of one task (TWICE): the next incarnation answers
+# a start unnoticed, counts its lease on a clock that is behind, and is cut off.
+def test_lease_in_unnoticed_incarnation_is_waited_out() -> None:
+    async def run() -> None:
+        fleet = HeldFleet()
+        async with cell(workers=0, fleet=fleet) as env:
+            set_run_time(env, 30.0)
+            env.add_worker("w0", born_ms=1)
+            owner = await env.own()
+            workers = owner.cluster_state.fleet.workers
+            await until(lambda: bool(workers))
+            (known,) = workers.values()
+            await until(lambda: known.liveness is Liveness.LIVE)
+            await asyncio.sleep(1.0)
+            fleet.syncs_pass.clear()
+            await until(lambda: fleet.held > 0)
+            after = fleet.restart("w0")
+            await submit(owner, "a", job(step(1)))
+            await until(lambda: starts_of(env, "a.0.0.0") == 1)
+            await asyncio.sleep(0.05)
+            after.silent = True
+            env.add_worker("w1", born_ms=1)
+            fleet.syncs_pass.set()
+            await until(lambda: starts_of(env, "a.0.0.0") == 2, limit_s=15.0)
+            assert not env.fleet.faults
+
+    run_async(run())
+
+
+# Guards against work that waits for a lease that nobody has (LOST): answers of one
+# incarnation may overtake each other, so that its clock seems to run backwards.
+def test_overtaken_answer_is_not_taken_for_next_incarnation() -> None:
+    async def run() -> None:
+        fleet = HeldFleet()
+        async with cell(workers=0, fleet=fleet) as env:
+            set_run_time(env, 30.0)
+            env.add_worker("w0", born_ms=1)
+            owner = await env.own()
+            workers = owner.cluster_state.fleet.workers
+            await until(lambda: bool(workers))
+            (known,) = workers.values()
+            await until(lambda: known.liveness is Liveness.LIVE)
+            fleet.answers_pass.clear()
+            await submit(owner, "a", job(step(1)))
+            await until(lambda: starts_of(env, "a.0.0.0") == 1)
+            clock_ms = known.worker_time_ms
+            await until(lambda: known.worker_time_ms > clock_ms + 300)
+            fleet.answers_pass.set()
+            placement = known.placements[("a.0.0.0", 1)]
+            await until(lambda: placement.running)
+            await asyncio.sleep(0.05)
+            lease_s = known.leases_end_at - owner.clock.now()
+            assert lease_s < 2 * env.worker_lease_s
+
+    run_async(run())
+
+
 # Guards against two concurrent runs of one task (TWICE): a start sent by an owner that
 # has died may begin in the next incarnation before the new owner has synced with it.
 def test_new_owner_keeps_task_begun_by_late_start() -> None:
