--- a/tests/test_late_start_effects.py
+++ b/tests/test_late_start_effects.py
@@ -27,6 +27,7 @@
     WorkerUnreachable,
 )
 from cranberrycleat.workflow.service_preemption import select_victims
+from cranberrycleat.workflow.state import JobState
 from cranberrycleat.workflow.takeover import StoredRows, restore
 from tests.cell import LATE_ORDER_S, cell, entry, job, queue, step, submit, until
 from tests.fakes import run_async
@@ -182,6 +183,60 @@
     run_async(run())
 
 
+# Guards against two concurrent runs of one task (TWICE): the next incarnation, of which
+# nobody knows, carries a start out just before the bound and does not answer.
+def test_late_start_in_unknown_incarnation_does_not_outlast_wait() -> None:
+    async def run() -> None:
+        async with cell(workers=0, worker_lease_s=0.3) as env:
+            add_workers(env, 2)
+            set_run_time(env, 3.0)
+            owner = await env.own()
+            name = await leave_unanswered(env, owner, "a")
+            sent_at = env.clock.now()
+            await expire_leases(env, owner, name)
+            after = env.fleet.restart(name)
+            await asyncio.sleep(sent_at + LATE_ORDER_S - 0.5 - env.clock.now())
+            carry_out_late(env, after)
+            await until(lambda: starts_of(env, "a.0.0.0") == 2, 15.0)
+            check_record(env)
+
+    run_async(run())
+
+
+# Guards against exceeding a worker's capacity (LIMIT): the next incarnation is smaller
+# than the one that was asked.
+def test_late_start_fits_into_smaller_incarnation() -> None:
+    async def run() -> None:
+        async with cell(workers=0) as env:
+            add_workers(env, 1)
+            set_run_time(env, 0.05)
+            check_capacity(env, 3000)
+            owner = await env.own()
+            name = await leave_unanswered(env, owner, "a", processors=3000)
+            after = env.fleet.restart(name)
+            smaller = Amounts(processors=1000, memory_mb=4000)
+            after.entry = attrs.evolve(after.entry, capacity=smaller)
+            carry_out_late(env, after)
+            check_record(env)
+
+    run_async(run())
+
+
+# Guards against a task that runs more often than its queue allows (BUDGET): a late
+# start of an attempt that was given up is heard to have failed.
+def test_failure_of_late_start_counts_as_attempt() -> None:
+    board = Board()
+    worker = board.add("w0")
+    board.state.accept("a", queue(max_attempts=1), job(step(1)))
+    board.plan()
+    board.leave_unanswered(worker, only(worker))
+    board.state.give_up_all(worker, LossCause.SILENT)
+    after = board.restart(worker)
+    board.hear(after, running=(("a.0.0.0", 1),))
+    board.hear(after, ended=(end(1, "a.0.0.0", EndKind.FAILED),))
+    assert board.state.jobs["a"].verdict is JobState.FAILED
+
+
 @attrs.define(kw_only=True, eq=False)
 class HangingFleet(StandinFleet):
     """Its syncs can be made to hang, as where a crashed host resets no connection."""
