The soak carries late orders out in the next incarnation, not in a crashed process

A worker that a task has crashed is down for 0.1 s; the soak carried withheld starts out in it during that time, which no process can do. They are carried out by the incarnation that follows, which is the case that the soak is meant to play, so no order reaches the workers less often than before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -364,6 +364,10 @@
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
         worker.unanswered_starts = 0
         newest = self._newest_incarnation(worker)
+        while newest.down:
+            # A crashed process carries nothing out; its next incarnation does.
+            await asyncio.sleep(fleet.restart_delay_s / 10)
+            newest = self._newest_incarnation(worker)
         for order in newest.late:
             at = f"{newest.entry.worker}@{newest.entry.born_ms}"
             self.record.add_fault(f"{at} has a late {order.task}#{order.attempt}")
