A start that an earlier owner sent and a worker lists late keeps no quota charge

What callers would have seen: a workspace whose quota is never free again with this owner.

Cause: an attempt that a new owner adopted, and whose only start no worker listed at first, is released with its charge kept; when it was listed after all, its record was dropped without the charge. The record is expired as others are, which releases the charge.

--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -494,7 +494,7 @@
         """Record that an attempt was carried out: it had no start but the only one."""
         entry = self.late_starts.entries.get(late_start_key(worker, placement))
         if entry is not None and entry.is_inherited:
-            self.late_starts.remove(entry.key)
+            self._expire(entry)
         if placement.is_startable:
             self.update_startable(worker, placement)
 
