A gang is placed although only a worker that is being probed has not failed it

What callers saw: a job that stays 'running' for good (LOST).

Cause: a gang does not go to workers that failed its members or were lost under it if the others could hold it when empty. A worker that is probed after a rest counted with all its room there, but is given one task at a time; its probation ends only with a task that is done there. With all other workers excluded the gang waited for ever.

The new test fails without the change.

A probed worker counts as one task in that decision.

--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/planner.py
@@ -384,7 +384,7 @@
         A worker that fails every task it starts has free resources again at once and
         would receive the same task until its attempts are used up. The same holds for
         the next incarnation of a lost worker. If the other workers could not hold the
-        tasks even when empty, nothing is excluded.
+        tasks even when empty, nothing is excluded; one that is being probed holds one.
         """
         failed_on = {name for task in tasks for name in task.failed_on}
         lost_worker_addresses = isolation.lost_worker_addresses(step, tasks)
@@ -396,7 +396,10 @@
             if (each.name not in failed_on or not each.failures)
             and each.entry.address not in lost_worker_addresses
         ]
-        fitting = sum(self._fits_when_empty(step, each) for each in eligible)
+        fitting = sum(
+            min(self._fits_when_empty(step, each), 1 if each.is_probed else len(tasks))
+            for each in eligible
+        )
         return eligible if fitting >= len(tasks) else candidates
 
     def _preference(
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -71,6 +71,20 @@
     assert placed(owner_board) == {"w": ["new.0.0.0"]}
 
 
+# Guards against a gang that is never placed (LOST): the only worker that has not failed
+# its members takes one task at a time, because it is being probed.
+def test_gang_is_placed_although_only_a_probed_worker_has_not_failed_it() -> None:
+    probed, failed = worker("probed"), worker("failed")
+    probed.is_probed = True
+    failed.failures = 1
+    owner_board = cluster_state(probed, failed)
+    submit(owner_board, "g", job(step(2, gang=True)), queue())
+    for task in owner_board.jobs["g"].open[0].steps[0].tasks:
+        task.failed_on.add("failed")
+    plan(owner_board)
+    assert sum(len(tasks) for tasks in placed(owner_board).values()) == 2
+
+
 def test_gang_placement_is_all_or_nothing() -> None:
     """Three members of 2000 millicores each need two workers of 4000."""
     owner_board = cluster_state(worker("w"))
