A new owner reserves what a start that no worker lists may take

What callers saw: a worker given more than it has (LIMIT), after a takeover.

Cause: nothing was reserved for the start of an adopted attempt. The owner handed over 10 ms after two starts had got no answer and while a third was on its way; the next owner's first list named none of them, their room was given to two other starts, and the next incarnation, which nobody had called, began all five.

Nothing was reserved so that answered work does not hold room after a takeover. That is not needed: an attempt that a worker lists is settled before it is released, so that only those remain which no worker ever listed.

The test of such a start checks the room as well; it fails without the change.

--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -589,12 +589,10 @@
         worker = self._worker_of(task.worker, placement.needs)
         self._reserve(worker, placement)
         if worker.entry.born_ms and task.step.job.queue.permits is None:
-            # Its only start may still be on its way; most were answered, so nothing is
-            # reserved for it once the attempt is released.
+            # Its only start may still be on its way, unless a worker lists it.
             bound_s = self.late_starts.bound_s
             entry = self._add_late_start(worker, placement, bound_s)
             entry.is_inherited = True
-            entry.start = attrs.evolve(entry.start, needs=NOTHING)
 
     def _adopt_orphaned_attempt(self, left: OrphanedAttempt, now: float) -> None:
         """Reserve capacity for a stored orphaned attempt, and stop it."""
--- a/tests/test_late_start_effects.py
+++ b/tests/test_late_start_effects.py
@@ -371,8 +371,9 @@
     assert not other.placements
 
 
-# Guards against two concurrent runs of one task (TWICE): the previous owner may have
-# been killed while a start was on its way, so that no worker lists it yet.
+# Guards against two concurrent runs of one task (TWICE) and exceeding a worker's
+# capacity (LIMIT): the previous owner may have been killed while a start was on its
+# way, so that no worker lists it yet.
 def test_next_owner_waits_for_start_that_no_worker_lists() -> None:
     board = Board()
     board.add("w0")
@@ -383,6 +384,7 @@
         board.hear(each)
     board.plan()
     assert not any(each.placements for each in workers)
+    assert [each.free.processors for each in workers] == [3000, 4000]
     board.time += BOUND_S
     for each in workers:
         board.hear(each)
