--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -7,6 +7,7 @@
 
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.workflow.cluster_state import ClusterState
+from cranberrycleat.workflow.crash_attribution import LostWorker
 from cranberrycleat.workflow.feasibility import infeasibility_reason
 from cranberrycleat.workflow.fleet import FleetWorker, Liveness
 from cranberrycleat.workflow.planner import Plan, Planner
@@ -85,6 +86,29 @@
     assert sum(len(tasks) for tasks in placed(owner_board).values()) == 2
 
 
+# Guards against a gang that waits beside idle workers (LOST): workers were lost under
+# it at their addresses, and the only other one that could hold it stays in use.
+def test_gang_does_not_wait_for_ever_beside_idle_workers() -> None:
+    workers = [worker("lost-1"), worker("lost-2"), worker("used")]
+    owner_board = cluster_state(*workers)
+    submit(owner_board, "g", job(step(4, gang=True)), queue(max_attempts=9))
+    gang = owner_board.jobs["g"].open[0].steps[0]
+    for number, lost in enumerate(workers[:2]):
+        loss = LostWorker(
+            attempt=number + 1,
+            worker=f"{lost.name}-before",
+            address=lost.entry.address,
+            early=False,
+        )
+        gang.ensure_losses_of(gang.tasks[0]).add_loss(loss, 0.0)
+    submit(owner_board, "s", job(step(1)), queue())
+    (long,) = owner_board.jobs["s"].open[0].steps[0].tasks
+    owner_board.place(long, workers[2], 1, now=0.0)
+    for now in (0.0, 5.0, 14.0):
+        plan(owner_board, now=now)
+    assert all(task.worker for task in gang.tasks)
+
+
 def test_gang_placement_is_all_or_nothing() -> None:
     """Three members of 2000 millicores each need two workers of 4000."""
     owner_board = cluster_state(worker("w"))
