--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(BIN)/isort --check -q cranberrycleat tests
 	$(BIN)/flake8 cranberrycleat tests
 	$(BIN)/mypy
+	$(BIN)/lint-imports
 
 format: $(STAMP)
 	$(BIN)/black -q cranberrycleat tests
--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -16,6 +16,9 @@
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.clock import BootClock, WallClock
 from cranberrycleat.logs import emit
+from cranberrycleat.workflow.decisions.ordering import objective_s
+from cranberrycleat.workflow.decisions.permit_choice import AllowedShare
+from cranberrycleat.workflow.decisions.retrying import retry_delay_s
 from cranberrycleat.workflow.fleet import (
     AttemptKey,
     Fleet,
@@ -35,8 +38,6 @@
     step_of,
 )
 from cranberrycleat.workflow.loss_tracker import LossTracker
-from cranberrycleat.workflow.ordering import objective_s
-from cranberrycleat.workflow.permit_choice import AllowedShare
 from cranberrycleat.workflow.permits import StepPermits
 from cranberrycleat.workflow.ports import (
     EndedTask,
@@ -48,7 +49,6 @@
     identity_of,
 )
 from cranberrycleat.workflow.quota import QuotaLedger
-from cranberrycleat.workflow.retrying import retry_delay_s
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import (
     Job,
--- /dev/null
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -0,0 +1,16 @@
+"""Decisions of the owner, without I/O: the policies to read and extend first.
+
+A module here takes typed snapshots or the cluster state and returns what to do. It
+opens no connection, reads no row and awaits nothing, so that a test plays thousands of
+jobs through it in a second; an import contract (`pyproject.toml`) enforces this. The
+owner and its dispatcher carry the results out (`workflow/owner`, `workflow/dispatcher`,
+`workflow/links`).
+
+- `planner`: one scheduling round; calls the modules below
+- `ordering`: in which order waiting steps are placed
+- `pool_snapshot`, `locality`, `permit_choice`: on which workers a step may be placed
+- `isolation`, `retrying`: how a failed or suspect task is retried
+- `preemption`, `filler_throttling`, `progress`, `evacuation`: which running
+  attempts are stopped or slowed down
+- `feasibility`: which jobs can never run
+"""
--- a/cranberrycleat/workflow/feasibility.py
+++ b/cranberrycleat/workflow/decisions/feasibility.py
@@ -10,8 +10,8 @@
 from typing import Final
 
 from cranberrycleat.amounts import Amounts
+from cranberrycleat.workflow.decisions.locality import could_hold_gang
 from cranberrycleat.workflow.fleet import FleetWorker, max_tasks_on, reserved_resources
-from cranberrycleat.workflow.locality import could_hold_gang
 from cranberrycleat.workflow.quota import remaining_quota
 from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
 
--- a/cranberrycleat/workflow/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -16,32 +16,38 @@
 from cranberrycleat import events
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.logs import emit
-from cranberrycleat.workflow import isolation
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.filler_throttling import runs_until_cancelled, serves
-from cranberrycleat.workflow.fleet import (
-    FleetWorker,
-    Placement,
-    how_many_fit,
-    job_of,
-    reserved_resources,
+from cranberrycleat.workflow.decisions import isolation
+from cranberrycleat.workflow.decisions.filler_throttling import (
+    runs_until_cancelled,
+    serves,
 )
-from cranberrycleat.workflow.locality import (
+from cranberrycleat.workflow.decisions.locality import (
     could_hold_gang,
     rack_wait_s,
     workers_by_rack,
 )
-from cranberrycleat.workflow.ordering import rank
-from cranberrycleat.workflow.permit_choice import queries_all_workers, select_workers
-from cranberrycleat.workflow.pool_snapshot import (
+from cranberrycleat.workflow.decisions.ordering import rank
+from cranberrycleat.workflow.decisions.permit_choice import (
+    queries_all_workers,
+    select_workers,
+)
+from cranberrycleat.workflow.decisions.pool_snapshot import (
     PoolSnapshot,
     could_run_on,
     take_snapshot,
 )
-from cranberrycleat.workflow.service_preemption import (
+from cranberrycleat.workflow.decisions.preemption import (
     PREEMPTION_DELAY_S,
     select_victims,
 )
+from cranberrycleat.workflow.fleet import (
+    FleetWorker,
+    Placement,
+    how_many_fit,
+    job_of,
+    reserved_resources,
+)
 from cranberrycleat.workflow.state import StepRun, Task, TaskState
 
 MAX_RESERVED_GANGS: Final = 3
--- a/cranberrycleat/workflow/progress.py
+++ b/cranberrycleat/workflow/decisions/progress.py
@@ -12,8 +12,8 @@
 
 from typing import Final
 
+from cranberrycleat.workflow.decisions.ordering import EXPIRED_BAND, SERVICE_BAND, rank
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
-from cranberrycleat.workflow.ordering import EXPIRED_BAND, SERVICE_BAND, rank
 
 STALL_TIMEOUT_S: Final = 1.2
 """A task without progress for this long is stalled. A task that resumes from a
--- a/cranberrycleat/workflow/dispatcher.py
+++ b/cranberrycleat/workflow/dispatcher.py
@@ -15,11 +15,11 @@
 from cranberrycleat.lifecycle import BackgroundTasks
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.cluster_state import ClusterState
+from cranberrycleat.workflow.decisions.ordering import Urgency, rank
+from cranberrycleat.workflow.decisions.planner import PermitQuery, PlannedGroup, Planner
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
 from cranberrycleat.workflow.links import WorkerLink
-from cranberrycleat.workflow.ordering import Urgency, rank
 from cranberrycleat.workflow.permit_queue import PermitQueue
-from cranberrycleat.workflow.planner import PermitQuery, PlannedGroup, Planner
 from cranberrycleat.workflow.repeating_event import RepeatingEvent
 from cranberrycleat.workflow.state import StepRun
 
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -22,11 +22,12 @@
 from cranberrycleat.clock import Clock
 from cranberrycleat.lifecycle import BackgroundTasks
 from cranberrycleat.logs import emit, part_logger
-from cranberrycleat.workflow import incarnations, progress
+from cranberrycleat.workflow import incarnations
 from cranberrycleat.workflow.answer_timeout import AnswerTimeout
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.evacuation import placements_to_stop
-from cranberrycleat.workflow.filler_throttling import (
+from cranberrycleat.workflow.decisions import progress
+from cranberrycleat.workflow.decisions.evacuation import placements_to_stop
+from cranberrycleat.workflow.decisions.filler_throttling import (
     ThrottleOrder,
     fills,
     pressure,
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -31,14 +31,14 @@
     take_batch,
 )
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.directory import WorkerDirectory
-from cranberrycleat.workflow.dispatcher import Dispatcher
-from cranberrycleat.workflow.feasibility import (
+from cranberrycleat.workflow.decisions.feasibility import (
     RETRY_AFTER_S,
     SETTLING_RETRY_AFTER_S,
     infeasibility_reason,
     quota_violation_reason,
 )
+from cranberrycleat.workflow.directory import WorkerDirectory
+from cranberrycleat.workflow.dispatcher import Dispatcher
 from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.inbox import Inbox
 from cranberrycleat.workflow.links import WorkerLink
--- a/cranberrycleat/workflow/permit_queue.py
+++ b/cranberrycleat/workflow/permit_queue.py
@@ -18,7 +18,7 @@
 from cranberrycleat import events
 from cranberrycleat.clock import Clock
 from cranberrycleat.logs import emit
-from cranberrycleat.workflow.ordering import Urgency
+from cranberrycleat.workflow.decisions.ordering import Urgency
 from cranberrycleat.workflow.peering import PeerClient, PermitRequest
 from cranberrycleat.workflow.permits import StepPermits
 from cranberrycleat.workflow.ports import (
--- a/cranberrycleat/workflow/permits.py
+++ b/cranberrycleat/workflow/permits.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from cranberrycleat.workflow.permit_choice import AllowedShare
+from cranberrycleat.workflow.decisions.permit_choice import AllowedShare
 from cranberrycleat.workflow.ports import Permit, PermitTiming
 
 VALIDITY_MARGIN_S: Final = 0.15
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -137,7 +137,7 @@
     Mutant(
         guarantee="decisions",
         mechanism="reserving resources for a waiting gang",
-        file="workflow/planner.py",
+        file="workflow/decisions/planner.py",
         text="                reserved_gangs += self._reserve_for_gang(step, candidates)",
         replacement="                pass",
         test="tests/test_planner.py::test_waiting_gang_reserves_resources",
@@ -145,7 +145,7 @@
     Mutant(
         guarantee="decisions",
         mechanism="stopping fillers beyond the latency limit",
-        file="workflow/filler_throttling.py",
+        file="workflow/decisions/filler_throttling.py",
         text="    if share >= 1.0:",
         replacement="    if False:",
         test="tests/test_services.py::test_fillers_are_throttled_near_latency_limit",
@@ -265,7 +265,7 @@
     Mutant(
         guarantee="decisions",
         mechanism="a task avoids the worker on which it failed",
-        file="workflow/planner.py",
+        file="workflow/decisions/planner.py",
         text="        if not failed_on and not lost_worker_addresses:",
         replacement="        if True:",
         test="tests/test_planner.py::test_task_avoids_worker_that_failed_it",
@@ -273,7 +273,7 @@
     Mutant(
         guarantee="decisions",
         mechanism="skipping a step that exceeds the largest free capacity of any worker",
-        file="workflow/pool_snapshot.py",
+        file="workflow/decisions/pool_snapshot.py",
         text="        return needs.fits_in(self.max_free)",
         replacement="        return True",
         test="tests/test_backlog.py::test_round_cost_is_linear_on_full_pool",
@@ -305,7 +305,7 @@
     Mutant(
         guarantee="decisions",
         mechanism="no back-off before a retry on another worker",
-        file="workflow/retrying.py",
+        file="workflow/decisions/retrying.py",
         text="    is_last_attempt = most_attempts - failures <= 1",
         replacement="    is_last_attempt = True",
         test="tests/test_retrying.py",
@@ -433,7 +433,7 @@
     Mutant(
         guarantee="decisions",
         mechanism="requesting permits on as many workers as the step may need",
-        file="workflow/planner.py",
+        file="workflow/decisions/planner.py",
         text="        if not queries_all_workers(step.spec):",
         replacement="        if False:",
         test="tests/test_permit_choice.py::test_partially_placed_step_queries_further_workers",
@@ -513,7 +513,7 @@
     Mutant(
         guarantee="decisions",
         mechanism="isolated attempts only on workers without recent starts",
-        file="workflow/planner.py",
+        file="workflow/decisions/planner.py",
         text="fitting = isolation.candidates_for(\n                    isolated_attempt,\n                    fitting,\n                    self.cluster_state.fleet.worker_failures,\n                    now,\n                )",
         replacement="pass",
         test="tests/test_crash_attribution.py::test_isolated_attempt_waits_for_worker_without_recent_starts",
@@ -529,7 +529,7 @@
     Mutant(
         guarantee="decisions",
         mechanism="retrying on another machine after a worker was lost",
-        file="workflow/planner.py",
+        file="workflow/decisions/planner.py",
         text="            and each.entry.address not in lost_worker_addresses\n",
         replacement="",
         test="tests/test_crash_attribution.py::test_next_attempt_is_on_another_machine",
@@ -545,7 +545,7 @@
     Mutant(
         guarantee="decisions",
         mechanism="no isolated attempt on a recently failed machine",
-        file="workflow/isolation.py",
+        file="workflow/decisions/isolation.py",
         text="if each.has_no_recent_starts()\n        and stable_for_s(each, worker_failures, now) >= FAILED_MACHINE_COOLDOWN_S",
         replacement="if each.has_no_recent_starts()",
         test="tests/test_crash_attribution.py::test_no_isolated_attempt_on_recently_failed_machine",
@@ -713,7 +713,7 @@
     Mutant(
         guarantee="quota",
         mechanism="scanning other workspaces' steps beside the backlog of one",
-        file="workflow/planner.py",
+        file="workflow/decisions/planner.py",
         text="        if scanned_per_workspace[workspace] <= MAX_STEPS_PER_WORKSPACE:",
         replacement="        if True:",
         test="tests/test_quota.py::test_backlog_of_one_workspace_does_not_exhaust_a_round",
@@ -809,7 +809,7 @@
     Mutant(
         guarantee="1 capacity",
         mechanism="counting late starts towards the limit per worker",
-        file="workflow/planner.py",
+        file="workflow/decisions/planner.py",
         text="        return len(placed | late)",
         replacement="        return len(placed)",
         test="tests/test_late_starts.py::test_late_start_counts_towards_limit_per_worker",
@@ -849,7 +849,7 @@
     Mutant(
         guarantee="decisions",
         mechanism="placing a task only after the verdict that may fail it",
-        file="workflow/planner.py",
+        file="workflow/decisions/planner.py",
         text="            if step.losses and step.awaits_verdict(task):",
         replacement="            if False:",
         test="tests/test_provisional_losses.py::test_deciding_loss_is_held_until_others_are_heard",
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -6,12 +6,12 @@
 from hypothesis import given, settings, strategies as st
 
 from cranberrycleat.amounts import Amounts
-from cranberrycleat.workflow import planner as planning
 from cranberrycleat.workflow.cluster_state import ClusterState
+from cranberrycleat.workflow.decisions import planner as planning
+from cranberrycleat.workflow.decisions.planner import Planner
+from cranberrycleat.workflow.decisions.pool_snapshot import take_snapshot
 from cranberrycleat.workflow.dispatcher import Dispatcher
 from cranberrycleat.workflow.fleet import Fleet
-from cranberrycleat.workflow.planner import Planner
-from cranberrycleat.workflow.pool_snapshot import take_snapshot
 from cranberrycleat.workflow.ports import PermitTiming
 from tests.cell import POOL, cell, job, queue, step
 from tests.fakes import run_async
--- a/tests/test_day_clock.py
+++ b/tests/test_day_clock.py
@@ -9,7 +9,7 @@
 
 from cranberrycleat.clock import ManualClock, WallClock
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.ordering import EXPIRED_BAND, rank
+from cranberrycleat.workflow.decisions.ordering import EXPIRED_BAND, rank
 from cranberrycleat.workflow.state import Job
 from tests.cell import job, queue, step
 
--- a/tests/test_lasting_waits.py
+++ b/tests/test_lasting_waits.py
@@ -8,9 +8,9 @@
 import pytest
 
 from cranberrycleat.workflow.cluster_state import ClusterState
+from cranberrycleat.workflow.decisions.planner import Planner
 from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.permits import StepPermits
-from cranberrycleat.workflow.planner import Planner
 from cranberrycleat.workflow.ports import Permit, PermitTiming
 from cranberrycleat.workflow.state import TaskState
 from tests.cell import job, queue, step
--- a/tests/test_late_start_effects.py
+++ b/tests/test_late_start_effects.py
@@ -15,8 +15,9 @@
 from cranberrycleat.workflow import incarnations
 from cranberrycleat.workflow.batches import note_stored, take_batch
 from cranberrycleat.workflow.cluster_state import MAX_ENDS_PER_SYNC, ClusterState
+from cranberrycleat.workflow.decisions.planner import Planner
+from cranberrycleat.workflow.decisions.preemption import select_victims
 from cranberrycleat.workflow.fleet import FleetWorker, Liveness, LossCause, Placement
-from cranberrycleat.workflow.planner import Planner
 from cranberrycleat.workflow.ports import (
     EndedTask,
     EndKind,
@@ -26,7 +27,6 @@
     WorkerEntry,
     WorkerUnreachable,
 )
-from cranberrycleat.workflow.service_preemption import select_victims
 from cranberrycleat.workflow.state import JobState
 from cranberrycleat.workflow.takeover import StoredRows, restore
 from tests.cell import LATE_ORDER_S, cell, entry, job, queue, step, submit, until
--- a/tests/test_permit_choice.py
+++ b/tests/test_permit_choice.py
@@ -9,9 +9,9 @@
 import pytest
 
 from cranberrycleat.workflow.cluster_state import ClusterState
+from cranberrycleat.workflow.decisions.permit_choice import AllowedShare, select_workers
+from cranberrycleat.workflow.decisions.planner import PermitQuery, Plan, Planner
 from cranberrycleat.workflow.fleet import FleetWorker, how_many_fit
-from cranberrycleat.workflow.permit_choice import AllowedShare, select_workers
-from cranberrycleat.workflow.planner import PermitQuery, Plan, Planner
 from cranberrycleat.workflow.ports import Permit, PermitTiming
 from cranberrycleat.workflow.spec import StepSpec
 from tests.cell import job, queue, step
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -8,9 +8,9 @@
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.crash_attribution import LostWorker
-from cranberrycleat.workflow.feasibility import infeasibility_reason
+from cranberrycleat.workflow.decisions.feasibility import infeasibility_reason
+from cranberrycleat.workflow.decisions.planner import Plan, Planner
 from cranberrycleat.workflow.fleet import FleetWorker, Liveness
-from cranberrycleat.workflow.planner import Plan, Planner
 from cranberrycleat.workflow.ports import Permit, PermitTiming, Queue
 from cranberrycleat.workflow.spec import Schedule, StepSpec, WorkflowSpec
 from tests.cell import entry, job, queue, step
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -6,9 +6,9 @@
 import pytest
 
 from cranberrycleat.standins.fleet import SimulatedWork
-from cranberrycleat.workflow import progress
+from cranberrycleat.workflow.decisions import progress
+from cranberrycleat.workflow.decisions.planner import Planner
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
-from cranberrycleat.workflow.planner import Planner
 from cranberrycleat.workflow.ports import RunningTask
 from cranberrycleat.workflow.spec import StepSpec
 from tests.cell import cell, job, queue, step, submit, until
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -15,7 +15,8 @@
 from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.batches import Batch, note_stored, take_batch
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.feasibility import quota_violation_reason
+from cranberrycleat.workflow.decisions.feasibility import quota_violation_reason
+from cranberrycleat.workflow.decisions.planner import MAX_STEPS_SCANNED, Planner
 from cranberrycleat.workflow.fleet import (
     FleetWorker,
     Liveness,
@@ -23,7 +24,6 @@
     Placement,
     job_of,
 )
-from cranberrycleat.workflow.planner import MAX_STEPS_SCANNED, Planner
 from cranberrycleat.workflow.ports import EndedTask, EndKind, RunningTask, SyncReply
 from cranberrycleat.workflow.quota import UNLIMITED, QuotaLedger
 from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
--- a/tests/test_retrying.py
+++ b/tests/test_retrying.py
@@ -3,15 +3,15 @@
 import pytest
 
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.fleet import FleetWorker, Liveness
-from cranberrycleat.workflow.planner import Planner
-from cranberrycleat.workflow.ports import EndedTask, EndKind, SyncReply
-from cranberrycleat.workflow.retrying import (
+from cranberrycleat.workflow.decisions.planner import Planner
+from cranberrycleat.workflow.decisions.retrying import (
     LAST_ATTEMPT_DELAY_S,
     MAX_SERVICE_RESTART_DELAY_S,
     SERVICE_RESTART_DELAY_S,
     retry_delay_s,
 )
+from cranberrycleat.workflow.fleet import FleetWorker, Liveness
+from cranberrycleat.workflow.ports import EndedTask, EndKind, SyncReply
 from tests.cell import entry, job, queue, step
 
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -7,13 +7,13 @@
 
 from cranberrycleat.standins.fleet import SimulatedWork
 from cranberrycleat.table import Put
-from cranberrycleat.workflow.evacuation import placements_to_stop
-from cranberrycleat.workflow.filler_throttling import throttle_orders
+from cranberrycleat.workflow.decisions.evacuation import placements_to_stop
+from cranberrycleat.workflow.decisions.filler_throttling import throttle_orders
+from cranberrycleat.workflow.decisions.planner import Planner
+from cranberrycleat.workflow.decisions.preemption import select_victims
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
 from cranberrycleat.workflow.owner import Owner
-from cranberrycleat.workflow.planner import Planner
 from cranberrycleat.workflow.ports import EndKind
-from cranberrycleat.workflow.service_preemption import select_victims
 from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.upkeep import (
     Machine,
--- a/tests/test_shrinking_workers.py
+++ b/tests/test_shrinking_workers.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cranberrycleat.amounts import Amounts
-from cranberrycleat.workflow.feasibility import infeasibility_reason
+from cranberrycleat.workflow.decisions.feasibility import infeasibility_reason
 from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.ports import WorkerEntry
 from tests.cell import Cell, cell, entry, job, queue, step, submit, until
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -13,10 +13,10 @@
 from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.batches import Batch, take_batch
 from cranberrycleat.workflow.cluster_state import ClusterState
+from cranberrycleat.workflow.decisions.planner import Planner
 from cranberrycleat.workflow.fleet import Liveness
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peering import Heartbeat, SubmitRequest
-from cranberrycleat.workflow.planner import Planner
 from cranberrycleat.workflow.ports import (
     EndedTask,
     EndKind,
