Interfaces of the policies for hard load, all disabled by default

Typed empty modules for step order, fair share, speeds, run times, forecast, admission and preemption, built once by LoadControl and selected by five settings of the node. The new order by delay cost is complete; it is not enabled anywhere yet.

--- a/cranberrycleat/cli.py
+++ b/cranberrycleat/cli.py
@@ -161,7 +161,12 @@
     from cranberrycleat.workflow.node import Node
 
     http = HttpClient()
-    return Node(adapter=make_adapter(http), http=http, late_order_s=cfg.late_order_s)
+    return Node(
+        adapter=make_adapter(http),
+        http=http,
+        late_order_s=cfg.late_order_s,
+        policies=cfg.load_policies(),
+    )
 
 
 @click.group()
--- a/cranberrycleat/options.py
+++ b/cranberrycleat/options.py
@@ -16,6 +16,7 @@
     Urls,
     setting,
 )
+from cranberrycleat.workflow.decisions.load_policies import LoadPolicies
 from cranberrycleat.workflow.options import LATE_ORDER_S
 
 MIN_OWNER_LEASES_PER_WORKER_LEASE: Final = 2.0
@@ -212,6 +213,31 @@
         "How long a worker may still carry out an order that it did not answer.",
         default=LATE_ORDER_S,
     )
+    step_order: str = setting(
+        Choice(choices=("deadline", "delay-cost")),
+        "How waiting steps are ranked.",
+        default="deadline",
+    )
+    fair_share: str = setting(
+        Choice(choices=("off", "weights")),
+        "Whether the weights of workspaces count.",
+        default="off",
+    )
+    worker_speeds: str = setting(
+        Choice(choices=("off", "learned")),
+        "Whether steps are placed by the learned speeds of workers.",
+        default="off",
+    )
+    load_admission: str = setting(
+        Choice(choices=("off", "forecast")),
+        "Whether jobs that would end too late are rejected.",
+        default="off",
+    )
+    preemption: str = setting(
+        Choice(choices=("services", "checkpoints")),
+        "For which steps running attempts are preempted.",
+        default="services",
+    )
     log_level: str = setting(
         Choice(choices=("debug", "info", "warning", "error")),
         "The least severe level to log.",
@@ -220,3 +246,13 @@
     log_form: str = setting(
         Choice(choices=("text", "json")), "The form of log lines.", default="json"
     )
+
+    def load_policies(self) -> LoadPolicies:
+        """Return the enabled policies for hard load."""
+        return LoadPolicies(
+            delay_cost_order=self.step_order == "delay-cost",
+            weighted_fair_share=self.fair_share == "weights",
+            learned_speeds=self.worker_speeds == "learned",
+            forecast_admission=self.load_admission == "forecast",
+            checkpoint_preemption=self.preemption == "checkpoints",
+        )
--- a/cranberrycleat/workflow/access.py
+++ b/cranberrycleat/workflow/access.py
@@ -87,6 +87,7 @@
     _indexed: ClusterConfig | None = None
     _by_digest: dict[str, Workspace] = attrs.field(factory=dict)
     _quotas: dict[str, Amounts] = attrs.field(factory=dict)
+    _weights: dict[str, float] = attrs.field(factory=dict)
 
     def authorize(self, queue: Queue, digest: str) -> Granted | Denied | Undecided:
         """Authorize a request to a queue by the digest of its key; empty for no key.
@@ -133,6 +134,14 @@
         self._index(config)
         return self._quotas
 
+    def weights(self) -> Mapping[str, float]:
+        """Return the weight of each workspace that has one, as last configured."""
+        config = self.config()
+        if config is None or config.workspaces is None:
+            return {}
+        self._index(config)
+        return self._weights
+
     def _may_be_revoked(self, age_s: float) -> bool:
         bound_s = self.revoke_bound_s
         return bound_s is not None and age_s > bound_s - REVOKED_KEY_MARGIN_S
@@ -152,5 +161,6 @@
             for workspace in workspaces
             for digest in workspace.key_digests
         }
+        self._weights = {each.name: each.weight for each in workspaces if each.weight}
         # A removed workspace keeps its last quota for attempts that are still running.
         self._quotas |= {workspace.name: workspace.quota for workspace in workspaces}
--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -16,6 +16,7 @@
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.clock import BootClock, WallClock
 from cranberrycleat.logs import emit
+from cranberrycleat.workflow.decisions.load_control import LoadControl
 from cranberrycleat.workflow.decisions.ordering import objective_s
 from cranberrycleat.workflow.decisions.permit_choice import AllowedShare
 from cranberrycleat.workflow.decisions.retrying import retry_delay_s
@@ -107,6 +108,7 @@
             attempts are neither stopped nor acknowledged; that is left to an owner that
             can read the rows.
         orphaned: The number of orphaned attempts that still count, by task.
+        load: The policies for hard load; told of accepted jobs and ended attempts.
     """
 
     time_of_day: Callable[[], float] = attrs.field(factory=lambda: WallClock().now_s)
@@ -126,6 +128,7 @@
     unreadable: set[str] = attrs.field(factory=set)
     quotas: QuotaLedger = attrs.field(factory=QuotaLedger)
     orphaned: "collections.Counter[str]" = attrs.field(factory=collections.Counter)
+    load: LoadControl = attrs.field(factory=LoadControl)
     _scheduled: set[str] = attrs.field(factory=set)
     losses: LossTracker = attrs.field(init=False)
 
@@ -171,6 +174,8 @@
         )
         self.jobs[job_id] = job
         self._track_unstarted(job)
+        if self.load.fair_share is not None:
+            self.load.fair_share.record_accepted(job)
         emit(
             events.JobAccepted(
                 job=job_id,
@@ -205,6 +210,8 @@
             self._unreserve(worker, placement)
         self._remove_waiting_steps(job)
         self.dirty.pop(job_id, None)
+        if self.load.fair_share is not None:
+            self.load.fair_share.forget(job_id)
         del self.jobs[job_id]
         return True
 
@@ -213,6 +220,8 @@
         job.accepted_s = min(job.accepted_s, self.time_of_day())
         self.jobs[job.job_id] = job
         self.reported[job.job_id] = job.state()
+        if self.load.fair_share is not None:
+            self.load.fair_share.record_accepted(job)
         if job.verdict is None:
             self._track_unstarted(job)
             self.losses.restore(job)
@@ -826,6 +835,8 @@
             )
         )
         self._update_worker_health(worker, end, now)
+        if placement is not None and end.how is EndKind.DONE:
+            self._record_run_time(worker, placement, now)
         if job is None or task is None or job.verdict is not None:
             return
         self._untrack_unstarted(job)
@@ -845,6 +856,21 @@
         self._mark_dirty(job)
         self._after_end(job, task.step)
 
+    def _record_run_time(
+        self, worker: FleetWorker, placement: Placement, now: float
+    ) -> None:
+        """Tell the models of run times how long an attempt ran that was done."""
+        task = placement.tracked_task
+        speeds, estimates = self.load.speeds, self.load.estimates
+        if task is None or speeds is None or estimates is None:
+            return
+        ran_s = placement.ran_s(now)
+        step = task.step
+        estimates.record_end(
+            step.job.queue.name, step.spec, ran_s, speeds.speed_of(worker)
+        )
+        speeds.record_end(worker, placement, ran_s)
+
     def _delay_retry(self, task: Task, now: float) -> None:
         """Set when a task may be retried after a failed attempt."""
         step = task.step
--- /dev/null
+++ b/cranberrycleat/workflow/decisions/load_control.py
@@ -0,0 +1,71 @@
+"""The enabled policies for hard load, built once for each owner.
+
+`ClusterState` holds one `LoadControl` and notifies it of accepted jobs and ended
+attempts; `planner`, `dispatcher` and `owner` consult its parts.
+"""
+
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from cranberrycleat.workflow.decisions.fair_share import FairShare
+from cranberrycleat.workflow.decisions.job_admission import JobAdmission
+from cranberrycleat.workflow.decisions.load_forecast import LoadForecast
+from cranberrycleat.workflow.decisions.load_policies import LoadPolicies
+from cranberrycleat.workflow.decisions.ordering import (
+    DeadlineOrder,
+    DelayCostOrder,
+    StepOrder,
+)
+from cranberrycleat.workflow.decisions.preemption import Preemption
+from cranberrycleat.workflow.decisions.runtime_estimates import RuntimeEstimates
+from cranberrycleat.workflow.decisions.speed_model import SpeedModel
+
+
+@attrs.define(kw_only=True, eq=False)
+class LoadControl:
+    """The parts that decide under load; a part is None if it is disabled.
+
+    Attributes:
+        order: Ranks waiting steps; every other part uses this order.
+        fair_share: Classifies the jobs of workspaces by their weights.
+        speeds: Learns the speeds of workers.
+        estimates: Learns how far the estimates of each queue are off.
+        forecast: Predicts when a job would begin and end.
+        admission: Decides which jobs are accepted.
+        preemption: Selects running attempts that give way to a waiting step.
+    """
+
+    order: StepOrder = attrs.field(factory=DeadlineOrder)
+    fair_share: FairShare | None = None
+    speeds: SpeedModel | None = None
+    estimates: RuntimeEstimates | None = None
+    forecast: LoadForecast | None = None
+    admission: JobAdmission | None = None
+    preemption: Preemption = attrs.field(factory=Preemption)
+
+
+def make_load_control(
+    policies: LoadPolicies, weights: Callable[[], Mapping[str, float]]
+) -> LoadControl:
+    """Return the parts that are enabled.
+
+    Args:
+        policies: The enabled policies.
+        weights: Returns the positive weight of each workspace that has one.
+    """
+    fair_share = FairShare(weights=weights) if policies.weighted_fair_share else None
+    estimates = RuntimeEstimates() if policies.learned_speeds else None
+    order: StepOrder = DeadlineOrder()
+    if policies.delay_cost_order:
+        order = DelayCostOrder(fair_share=fair_share, estimates=estimates)
+    forecast = LoadForecast() if policies.forecast_admission else None
+    return LoadControl(
+        order=order,
+        fair_share=fair_share,
+        speeds=SpeedModel() if policies.learned_speeds else None,
+        estimates=estimates,
+        forecast=forecast,
+        admission=JobAdmission() if forecast is not None else None,
+        preemption=Preemption(for_urgent_work=policies.checkpoint_preemption),
+    )
--- a/cranberrycleat/workflow/decisions/ordering.py
+++ b/cranberrycleat/workflow/decisions/ordering.py
@@ -1,16 +1,23 @@
 """Ranks the steps that wait for resources.
 
-At base load nearly everything fits, and the order only has to keep short urgent
-work from waiting behind wide work: priority first, then least slack. In a burst
-not everything can meet its objective. Steps that have missed it rank behind those
+`DeadlineOrder`: at base load nearly everything fits, and the order only has to keep
+short urgent work from waiting behind wide work: priority first, then least slack. In a
+burst not everything can meet its objective. Steps that have missed it rank behind those
 that can still meet it, and steps whose result is worth nothing any more rank
 last, so that late work does not make other work late as well.
+
+`DelayCostOrder`: ranks by the value that is lost per second of waiting, which is low
+for a step with much slack even if it is on time, and high for a short step even if it
+is slightly late.
 """
 
-from typing import Final
+import math
+from typing import Final, Protocol
 
 import attrs
 
+from cranberrycleat.workflow.decisions.fair_share import FairShare, ShareTier
+from cranberrycleat.workflow.decisions.runtime_estimates import RuntimeEstimates
 from cranberrycleat.workflow.state import Job, StepRun, StepUrgency
 
 LATE_FACTOR: Final = 3.0
@@ -22,6 +29,18 @@
 """Services rank first: a service has value only while its members are running."""
 EXPIRED_BAND: Final = 2
 """Band of steps whose completion has no value any more."""
+LATE_VALUE: Final = 0.2
+"""Value of a late job as a fraction of its full value (the platform's documentation of
+job benefit)."""
+PRIORITY_VALUE_FACTOR: Final = 4.0
+"""How many times the value per unit of work a step has compared with one of the next
+lower priority."""
+DELAY_SCALE_S: Final = 2.0
+"""Slack over which the cost of a delay fades by e: about the time until running tasks
+of a full pool end and free resources for a step that is not started now."""
+STARVATION_BOUND_S: Final = 120.0
+"""Longest time that a step ranks behind others for having lost its value or for being
+beyond its workspace's share. Longer than any overload seen so far (40 s)."""
 
 
 @attrs.frozen(kw_only=True)
@@ -33,16 +52,21 @@
         priority: The priority of its queue.
         slack_s: Time left until it must start to meet its objective.
         name: The step's name, which makes the order deterministic.
+        delay_cost: The value lost per unit of work if it has to wait; None if steps are
+            not ranked by it.
     """
 
     band: int
     priority: int
     slack_s: float
     name: str
+    delay_cost: float | None = None
 
     def key(self) -> "Urgency":
         """Return the sort key."""
-        return (self.band, self.priority, self.slack_s, self.name)
+        if self.delay_cost is None:
+            return (self.band, self.priority, self.slack_s, self.name)
+        return (self.band, 0, -self.delay_cost, self.name)
 
 
 Urgency = tuple[int, int, float, str]
@@ -99,3 +123,71 @@
     else:
         band = 1 if late_slack >= 0 else EXPIRED_BAND
     return Rank(band=band, priority=job.queue.priority, slack_s=slack, name=step.name)
+
+
+class StepOrder(Protocol):
+    """Ranks waiting steps; planner, permit calls and forecasts use the same order."""
+
+    def rank(self, step: StepRun, now_s: float) -> Rank:
+        """Return a step's rank at a Unix time in seconds."""
+
+
+@attrs.frozen(kw_only=True)
+class DeadlineOrder:
+    """Ranks by whether the objective can be met, then priority, then slack."""
+
+    def rank(self, step: StepRun, now_s: float) -> Rank:
+        """Return a step's rank at a Unix time in seconds."""
+        return rank(step, now_s)
+
+
+@attrs.frozen(kw_only=True)
+class DelayCostOrder:
+    """Ranks by the value lost per unit of work if a step has to wait.
+
+    A step loses most of its value when its slack is used up, and the rest when it is
+    three times over its objective. Before each of these times the loss is discounted
+    by how far away it is, since resources may become free until then.
+
+    Attributes:
+        fair_share: Tiers of jobs; surplus ranks behind all due work.
+        estimates: Corrects the callers' estimates of run times.
+    """
+
+    fair_share: FairShare | None = None
+    estimates: RuntimeEstimates | None = None
+
+    def rank(self, step: StepRun, now_s: float) -> Rank:
+        """Return a step's rank at a Unix time in seconds."""
+        by_deadline = rank(step, now_s)
+        if by_deadline.band == SERVICE_BAND or step.urgency is None:
+            return by_deadline
+        band = self._band(step, by_deadline)
+        late_slack_s = by_deadline.slack_s + step.urgency.tolerated_lateness_s
+        cost = delay_cost(by_deadline.slack_s, late_slack_s) / (
+            PRIORITY_VALUE_FACTOR**by_deadline.priority
+        )
+        return attrs.evolve(by_deadline, band=band, delay_cost=cost)
+
+    def _band(self, step: StepRun, by_deadline: Rank) -> int:
+        """Return 0 for due work, 1 for surplus, `EXPIRED_BAND` for worthless work."""
+        if by_deadline.slack_s < -STARVATION_BOUND_S:
+            return 0
+        if by_deadline.band == EXPIRED_BAND:
+            return EXPIRED_BAND
+        if self.fair_share is None:
+            return 0
+        return int(self.fair_share.tier(step.job) is ShareTier.SURPLUS)
+
+
+def delay_cost(slack_s: float, late_slack_s: float) -> float:
+    """Return the expected loss of value of a step that waits, as a fraction.
+
+    Args:
+        slack_s: Time left until its objective is missed.
+        late_slack_s: Time left until it is worth nothing.
+    """
+    if slack_s >= 0:
+        at_objective = (1 - LATE_VALUE) * math.exp(-slack_s / DELAY_SCALE_S)
+        return at_objective + LATE_VALUE * math.exp(-late_slack_s / DELAY_SCALE_S)
+    return LATE_VALUE * math.exp(-max(0.0, late_slack_s) / DELAY_SCALE_S)
--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -27,7 +27,7 @@
     rack_wait_s,
     workers_by_rack,
 )
-from cranberrycleat.workflow.decisions.ordering import rank
+from cranberrycleat.workflow.decisions.ordering import StepOrder
 from cranberrycleat.workflow.decisions.permit_choice import (
     queries_all_workers,
     select_workers,
@@ -202,10 +202,14 @@
                 pending=pending,
                 candidates=candidates,
                 waited_s=round(now - step.ready_at, 3),
-                slack_s=round(rank(step, now_s).slack_s, 3),
+                slack_s=round(self._order.rank(step, now_s).slack_s, 3),
             )
         )
 
+    @property
+    def _order(self) -> StepOrder:
+        return self.cluster_state.load.order
+
     def _steps_by_rank(self, now: float, now_s: float) -> list[StepRun]:
         for name, step in list(self.cluster_state.waiting.items()):
             if not any(task.state is TaskState.PENDING for task in step.tasks):
@@ -216,7 +220,7 @@
                 steps.append(step)
             else:
                 self._log_waiting(step, AT_QUOTA, 0, now, now_s)
-        steps.sort(key=lambda step: rank(step, now_s).key())
+        steps.sort(key=lambda step: self._order.rank(step, now_s).key())
         return _limit_scan(steps)
 
     def _count_within_quota(self, step: StepRun) -> bool:
--- a/cranberrycleat/workflow/decisions/preemption.py
+++ b/cranberrycleat/workflow/decisions/preemption.py
@@ -7,6 +7,8 @@
 
 from typing import Final
 
+import attrs
+
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
 
@@ -67,3 +69,14 @@
     lost = 0.2 if spec.checkpoints else 1.0
     members = spec.count if spec.gang else 1
     return urgency * lost * members * max(1, placement.needs.processors)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Preemption:
+    """Selects running attempts that give way to a waiting step.
+
+    Attributes:
+        for_urgent_work: Whether steps that would be late may preempt, besides services.
+    """
+
+    for_urgent_work: bool = False
--- a/cranberrycleat/workflow/dispatcher.py
+++ b/cranberrycleat/workflow/dispatcher.py
@@ -15,7 +15,7 @@
 from cranberrycleat.lifecycle import BackgroundTasks
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.decisions.ordering import Urgency, rank
+from cranberrycleat.workflow.decisions.ordering import Urgency
 from cranberrycleat.workflow.decisions.planner import PermitQuery, PlannedGroup, Planner
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
 from cranberrycleat.workflow.links import WorkerLink
@@ -86,7 +86,8 @@
         self.plan_due.set()
 
     def _urgency(self, step: StepRun) -> Urgency:
-        return rank(step, self.cluster_state.time_of_day()).key()
+        order = self.cluster_state.load.order
+        return order.rank(step, self.cluster_state.time_of_day()).key()
 
     async def _dispatch(self, group: PlannedGroup) -> None:
         """Send the starts of a group once they are stored and have permits."""
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -31,6 +31,7 @@
 from cranberrycleat.workflow.adapter import Adapter
 from cranberrycleat.workflow.candidacy import Candidacy, strength
 from cranberrycleat.workflow.config_watch import ConfigWatch
+from cranberrycleat.workflow.decisions.load_policies import LoadPolicies
 from cranberrycleat.workflow.job_frontend import MAX_JOBS_PER_INBOX_WRITE, JobFrontend
 from cranberrycleat.workflow.membership import Membership
 from cranberrycleat.workflow.owner import Owner
@@ -72,11 +73,13 @@
         clock: A monotonic clock that also counts time while suspended.
         late_order_s: How long a worker may still carry out an order that it did not
             answer.
+        policies: The enabled policies for hard load.
     """
 
     adapter: Adapter
     http: HttpClient
     late_order_s: float = options.LATE_ORDER_S
+    policies: LoadPolicies = LoadPolicies()
     clock: Clock = attrs.field(factory=BootClock)
     owner: Owner | None = None
     draining: bool = False
@@ -492,6 +495,7 @@
             batch_bytes=options.batch_bytes(cfg.room),
             pools=self._pools,
             access=self._access,
+            policies=self.policies,
             takeover_read_timeout_s=self._candidacy.takeover_read_timeout_s(
                 recorded_strength
             ),
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -37,6 +37,8 @@
     infeasibility_reason,
     quota_violation_reason,
 )
+from cranberrycleat.workflow.decisions.load_control import make_load_control
+from cranberrycleat.workflow.decisions.load_policies import LoadPolicies
 from cranberrycleat.workflow.directory import WorkerDirectory
 from cranberrycleat.workflow.dispatcher import Dispatcher
 from cranberrycleat.workflow.fleet import FleetWorker
@@ -108,6 +110,7 @@
         director: Carries out upkeep waves; None where there are no machines.
         pools: Returns the pools named in the configuration; None without one.
         access: Rechecks what other hosts granted; None if no request needs a key.
+        policies: The enabled policies for hard load.
         cluster_state: All jobs, workers and placements.
         links: The link to each worker, by the worker's name.
         ready: Set when the takeover is complete.
@@ -136,6 +139,7 @@
     director: UpkeepDirector | None = None
     pools: Callable[[], frozenset[str] | None] = lambda: None
     access: KeyAuthorizer | None = None
+    policies: LoadPolicies = LoadPolicies()
     cluster_state: ClusterState = attrs.field(factory=ClusterState)
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
     ready: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -162,6 +166,9 @@
         late_starts.run_on_s = self.leases.bounds.max_run_on_s()
         if self.access is not None:
             self.cluster_state.quotas.quotas = self.access.quotas
+        self.cluster_state.load = make_load_control(
+            self.policies, dict if self.access is None else self.access.weights
+        )
         self.inbox = Inbox(
             cluster_state=self.cluster_state, store=self.store, changed=self.changed
         )
