--- a/cranberrycleat/workflow/decisions/ordering.py
+++ b/cranberrycleat/workflow/decisions/ordering.py
@@ -38,6 +38,10 @@
 DELAY_SCALE_S: Final = 2.0
 """Slack over which the cost of a delay fades by e: about the time until running tasks
 of a full pool end and free resources for a step that is not started now."""
+DEFAULT_ESTIMATE_ERROR: Final = 0.5
+"""Fraction by which a run time may exceed its estimate as long as nothing was learned.
+A job's objective grows with its true run time, so that a step may still be on time for
+this long after its estimated latest start."""
 STARVATION_BOUND_S: Final = 120.0
 """Longest time that a step ranks behind others for having lost its value or for being
 beyond its workspace's share. Longer than any overload seen so far (40 s)."""
@@ -164,7 +168,8 @@
             return by_deadline
         band = self._band(step, by_deadline)
         late_slack_s = by_deadline.slack_s + step.urgency.tolerated_lateness_s
-        cost = delay_cost(by_deadline.slack_s, late_slack_s) / (
+        margin_s = DEFAULT_ESTIMATE_ERROR * estimated_objective_s(step)
+        cost = delay_cost(by_deadline.slack_s, late_slack_s, margin_s) / (
             PRIORITY_VALUE_FACTOR**by_deadline.priority
         )
         return attrs.evolve(by_deadline, band=band, delay_cost=cost)
@@ -180,14 +185,22 @@
         return int(self.fair_share.tier(step.job) is ShareTier.SURPLUS)
 
 
-def delay_cost(slack_s: float, late_slack_s: float) -> float:
+def estimated_objective_s(step: StepRun) -> float:
+    """Return the part of the objective that grows with the run time, in seconds."""
+    assert step.urgency is not None
+    objective_s = step.urgency.tolerated_lateness_s / (LATE_FACTOR - 1)
+    return max(0.0, objective_s - step.job.queue.objective_s)
+
+
+def delay_cost(slack_s: float, late_slack_s: float, margin_s: float) -> float:
     """Return the expected loss of value of a step that waits, as a fraction.
 
     Args:
-        slack_s: Time left until its objective is missed.
+        slack_s: Time left until its objective is missed, by the caller's estimate.
         late_slack_s: Time left until it is worth nothing.
+        margin_s: How long after its estimated latest start it may still be on time.
     """
-    if slack_s >= 0:
-        at_objective = (1 - LATE_VALUE) * math.exp(-slack_s / DELAY_SCALE_S)
-        return at_objective + LATE_VALUE * math.exp(-late_slack_s / DELAY_SCALE_S)
-    return LATE_VALUE * math.exp(-max(0.0, late_slack_s) / DELAY_SCALE_S)
+    cost = LATE_VALUE * math.exp(-max(0.0, late_slack_s) / DELAY_SCALE_S)
+    if slack_s >= -margin_s:
+        cost += (1 - LATE_VALUE) * math.exp(-max(0.0, slack_s) / DELAY_SCALE_S)
+    return cost
--- a/cranberrycleat/workflow/permit_queue.py
+++ b/cranberrycleat/workflow/permit_queue.py
@@ -65,6 +65,7 @@
             it processes a long one.
         current_urgency: Returns the present urgency of a step, or None if it needs no
             permits any more; without it, calls keep the urgency they were queued with.
+        rerank_interval_s: The minimum time between two rankings of the waiting calls.
     """
 
     own: PermitClient
@@ -74,6 +75,7 @@
     clock: Clock
     yield_to_urgent: bool = False
     current_urgency: Callable[[str], Urgency | None] | None = None
+    rerank_interval_s: float = RERANK_INTERVAL_S
     _work_in_flight_s: dict[str, float] = attrs.field(factory=dict)
     _calls_in_flight: dict[str, int] = attrs.field(factory=dict)
     _backoff_until: dict[str, float] = attrs.field(factory=dict)
@@ -189,7 +191,9 @@
     def _rerank_waiters(self) -> None:
         """Rank waiting calls by their present urgency; drop those no longer needed."""
         now = self.clock.now()
-        if self.current_urgency is None or now < self._reranked_at + RERANK_INTERVAL_S:
+        if self.current_urgency is None:
+            return
+        if now < self._reranked_at + self.rerank_interval_s:
             return
         self._reranked_at = now
         remaining = []
--- a/tests/test_permit_queue.py
+++ b/tests/test_permit_queue.py
@@ -3,9 +3,11 @@
 import asyncio
 
 import attrs
+import pytest
 
 from cranberrycleat.clock import MonotonicClock
 from cranberrycleat.http_client import HttpClient
+from cranberrycleat.workflow.decisions.ordering import Urgency
 from cranberrycleat.workflow.peering import PeerClient, PermitRequest
 from cranberrycleat.workflow.permit_queue import MAX_CALLS_PER_HOST, PermitQueue
 from cranberrycleat.workflow.permits import StepPermits
@@ -138,3 +140,65 @@
 
     run_async(run())
     assert (len(own.steps), len(near.steps), len(far.steps)) == (1, 1, 0)
+
+
+# Guards against short steps that wait behind the call of a wide gang (1.3 s) through one
+# host although another becomes free earlier.
+@pytest.mark.parametrize(("yields", "in_flight"), [(False, 4), (True, 2)])
+def test_long_call_blocks_its_host_only_if_set(yields: bool, in_flight: int) -> None:
+    own, other = SerialPermitService(), SerialPermitService()
+    slow = PermitTiming(decide_s=1.0, each_s=0.0, valid_s=5.0)
+
+    async def run() -> int:
+        queue = permit_queue(own, {"other": other})
+        queue.yield_to_urgent = yields
+        asks = [
+            asyncio.ensure_future(
+                queue.ask(f"s{n}", ("w",), StepPermits(policy=slow), (0, 2, 0.0, ""))
+            )
+            for n in range(4)
+        ]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        sent = own.waiting + other.waiting
+        await asyncio.gather(*asks)
+        return sent
+
+    found: list[int] = []
+
+    async def collect() -> None:
+        found.append(await run())
+
+    run_async(collect())
+    assert found == [in_flight]
+
+
+# Guards against calls that keep the urgency they were queued with: a step that has
+# become urgent waited behind every new one, and ended jobs still used the service.
+def test_waiting_calls_are_ranked_by_present_urgency() -> None:
+    own = SerialPermitService()
+    ranks: dict[str, Urgency | None] = {
+        "s0": (0, 0, 0.0, ""),
+        "s1": (0, 0, 0.0, ""),
+        "was-urgent": None,
+        "now-urgent": (0, 0, 0.0, ""),
+        "patient": (0, 2, 0.0, ""),
+    }
+
+    async def run() -> None:
+        queue = permit_queue(own, {})
+        queue.current_urgency = ranks.__getitem__
+        queue.rerank_interval_s = 0.0
+        asks = [
+            queue.ask(
+                name,
+                ("w",),
+                StepPermits(policy=POLICY),
+                (0, 0 if name == "was-urgent" else 3, 0.0, name),
+            )
+            for name in ("s0", "s1", "patient", "was-urgent", "now-urgent")
+        ]
+        assert sum(await asyncio.gather(*asks)) == 4
+
+    run_async(run())
+    assert own.steps == ["s0", "s1", "now-urgent", "patient"]
