--- a/tests/test_permit_queue.py
+++ b/tests/test_permit_queue.py
@@ -142,8 +142,8 @@
     assert (len(own.steps), len(near.steps), len(far.steps)) == (1, 1, 0)
 
 
-# Guards against short steps that wait behind the call of a wide gang (1.3 s) through one
-# host although another becomes free earlier.
+# Guards against short steps that wait behind the call of a wide gang (1.3 s) through
+# one host although another is free earlier.
 @pytest.mark.parametrize(("yields", "in_flight"), [(False, 4), (True, 2)])
 def test_long_call_blocks_its_host_only_if_set(yields: bool, in_flight: int) -> None:
     own, other = SerialPermitService(), SerialPermitService()
