Learn worker speeds and run times, and keep a summary for the next owner

A successor reads it beside the other rows without waiting for it, and ignores it with a log line if it is unreadable or older than 60 s.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -581,6 +581,61 @@
     findings: str
 
 
+@event("speeds.uneven", essential=True)
+class SpeedsUneven:
+    """Whether the known speeds of a pool's workers differ by more than their error."""
+
+    pool: str
+    uneven: bool
+    known: int
+    slow: float
+    fast: float
+    error: float
+
+
+@event("speeds.discarded")
+class SpeedDiscarded:
+    """A worker came back as another kind or size; its learned speed was discarded."""
+
+    worker: str
+    kind: str
+    kind_before: str
+    speed: float
+
+
+@event("speeds.restored")
+class SpeedsRestored:
+    """A new owner adopted the speeds of workers that an earlier one had learned."""
+
+    pool: str
+    workers: int
+    age_s: float
+
+
+@event("speeds.ignored", essential=True)
+class SpeedsIgnored:
+    """Stored speeds cannot be read or are too old; the owner starts without them."""
+
+    key: str
+    reason: str
+
+
+@event("step.placed_by_speed")
+class StepPlacedBySpeed:
+    """Tasks of a step were placed where speeds differ; with the speed it needs."""
+
+    step: str
+    queue: str
+    tasks: int
+    needed_speed: float
+    slowest: float
+    fastest: float
+    expected_s: float
+    left_s: float
+    in_time: bool
+    evidence_age_s: float
+
+
 @event("row.unreadable", essential=True)
 class RowUnreadable:
     """A row of the table cannot be decoded; it is left unchanged."""
--- a/cranberrycleat/workflow/batches.py
+++ b/cranberrycleat/workflow/batches.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import itertools
 from collections.abc import Iterable, Iterator
 from typing import Final
 
@@ -70,6 +71,8 @@
         puts += wanted
         if ended:
             deletes.append(rows.spec_key(job.job_id))
+    if len(puts) + len(deletes) < MAX_ENTRIES and size <= most_bytes:
+        puts += _speed_puts(cluster_state, MAX_ENTRIES - len(puts) - len(deletes))
     return Batch(
         jobs=tuple((job, job.state()) for job in chosen),
         puts=tuple(puts),
@@ -88,6 +91,23 @@
     return wanted
 
 
+def _speed_puts(cluster_state: ClusterState, max_puts: int) -> Iterable[Put]:
+    """Return the summaries of learned speeds that are due, with room in the batch.
+
+    One of 176 workers takes about 10 KB; a transaction has room for that beside its
+    jobs (1 MB against `MAX_BATCH_BYTES`).
+    """
+    speeds = cluster_state.load.speeds
+    if speeds is None:
+        return ()
+    due = speeds.take_due_summaries(cluster_state.fleet.newest, cluster_state.now())
+    now_s = cluster_state.time_of_day()
+    return (
+        rows.speeds_put(pool, summary, now_s)
+        for pool, summary in itertools.islice(due, max_puts)
+    )
+
+
 def _orphaned_attempts(
     cluster_state: ClusterState, job: Job
 ) -> Iterator[OrphanedAttempt]:
--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -20,6 +20,7 @@
 from cranberrycleat.workflow.decisions.ordering import objective_s
 from cranberrycleat.workflow.decisions.permit_choice import AllowedShare
 from cranberrycleat.workflow.decisions.retrying import retry_delay_s
+from cranberrycleat.workflow.decisions.speed_model import DEFAULT_SPEED, is_evidence
 from cranberrycleat.workflow.fleet import (
     AttemptKey,
     Fleet,
@@ -865,11 +866,22 @@
         if task is None or speeds is None or estimates is None:
             return
         ran_s = placement.ran_s(now)
-        step = task.step
+        if not placement.is_current or not is_evidence(placement):
+            # A gang counts once: after its first end, its members are not placed.
+            return
         estimates.record_end(
-            step.job.queue.name, step.spec, ran_s, speeds.speed_of(worker)
+            task.step.job.queue.name, task.step.spec, ran_s, self._speed_run_at(task)
+        )
+        speeds.record_end(worker, placement, ran_s, now)
+
+    def _speed_run_at(self, task: Task) -> float:
+        """Return the speed at which a task ran; a gang runs at its slowest member's."""
+        members = task.step.tasks if task.step.spec.gang else [task]
+        placed = [self.fleet.workers.get(member.worker) for member in members]
+        return min(
+            (self.load.speed_of(each) for each in placed if each is not None),
+            default=DEFAULT_SPEED,
         )
-        speeds.record_end(worker, placement, ran_s)
 
     def _delay_retry(self, task: Task, now: float) -> None:
         """Set when a task may be retried after a failed attempt."""
--- a/cranberrycleat/workflow/decisions/load_control.py
+++ b/cranberrycleat/workflow/decisions/load_control.py
@@ -19,7 +19,8 @@
 )
 from cranberrycleat.workflow.decisions.preemption import Preemption
 from cranberrycleat.workflow.decisions.runtime_estimates import RuntimeEstimates
-from cranberrycleat.workflow.decisions.speed_model import SpeedModel
+from cranberrycleat.workflow.decisions.speed_model import DEFAULT_SPEED, SpeedModel
+from cranberrycleat.workflow.fleet import FleetWorker
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -44,6 +45,12 @@
     admission: JobAdmission | None = None
     preemption: Preemption = attrs.field(factory=Preemption)
 
+    def speed_of(self, worker: FleetWorker) -> float:
+        """Return a worker's speed; 1 where speeds are equal, unknown or not learned."""
+        if self.speeds is None or not self.speeds.is_uneven(worker.entry.pool):
+            return DEFAULT_SPEED
+        return self.speeds.speed_of(worker)
+
 
 def make_load_control(
     policies: LoadPolicies, weights: Callable[[], Mapping[str, float]]
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -58,7 +58,12 @@
 from cranberrycleat.workflow.repeating_event import RepeatingEvent
 from cranberrycleat.workflow.roster import MISSING_ENTRY_GRACE_S, Roster
 from cranberrycleat.workflow.state import Job, JobState, TaskState
-from cranberrycleat.workflow.takeover import StoredRows, read_all, restore
+from cranberrycleat.workflow.takeover import (
+    StoredRows,
+    read_all,
+    restore,
+    restore_speeds,
+)
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 
 LOG: Final[logging.Logger] = part_logger("owner")
@@ -296,6 +301,7 @@
             self.cluster_state.fleet.worker_failures.observing_since = began
         stored = await self._read_rows()
         restore(self.cluster_state, stored)
+        restore_speeds(self.cluster_state, stored)
         self.inbox.accept_rows(stored.inbox)
         self.roster.refresh()
         self.cluster_state.adopt(self.clock.now())
@@ -326,7 +332,12 @@
         """
         try:
             async with asyncio.timeout(self.takeover_read_timeout_s):
-                return await read_all(self.lease, self.store, self.directory)
+                return await read_all(
+                    self.lease,
+                    self.store,
+                    self.directory,
+                    with_speeds=self.policies.learned_speeds,
+                )
         except TimeoutError:
             emit(events.OwnerGivesWay(epoch=self.epoch))
             await self._release()
--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -1,4 +1,4 @@
-"""The stored form of jobs: one or two rows per job.
+"""The stored form of jobs, one or two rows per job, and of learned speeds.
 
 `jobs/ID` holds the mutable part of a job and is written on every change. A small
 specification is stored inline in that row: a short job then uses three transaction
@@ -8,9 +8,11 @@
 ends. The platform's table charges by the byte, so `jobs` rows are encoded as arrays
 without field names (msgspec's `array_like`, which attrs classes do not support): a job
 with ten placed tasks takes about 300 bytes instead of 900.
+
+`speeds/POOL` holds the speeds of a pool's workers, for the next owner.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 import attrs
@@ -20,6 +22,7 @@
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.table import Put
 from cranberrycleat.workflow.crash_attribution import LossRecord, LostWorker
+from cranberrycleat.workflow.decisions.speed_model import LearnedSpeed
 from cranberrycleat.workflow.ports import Queue
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import (
@@ -35,6 +38,7 @@
 JOBS: Final = "jobs"
 SPECS: Final = "specs"
 INBOX: Final = "inbox"
+SPEEDS: Final = "speeds"
 _VERDICTS: Final = (None, JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 
@@ -312,3 +316,63 @@
             task.state = TaskState.PLACED
             task.attempt = attempt
             task.worker = worker
+
+
+class SpeedsRow(msgspec.Struct, array_like=True):
+    """The learned speeds of a pool's workers, and when they were written (Unix time).
+
+    A worker has its identity, start time, kind, capacity (three amounts), logarithm of
+    its speed, and samples.
+    """
+
+    written_s: float
+    workers: tuple[tuple[str, int, str, int, int, int, float, float], ...]
+
+
+def speeds_put(pool: str, speeds: Iterable[LearnedSpeed], now_s: float) -> Put:
+    """Return the write of the learned speeds of a pool at a Unix time in seconds."""
+    row = SpeedsRow(
+        written_s=round(now_s, 1),
+        workers=tuple(
+            (
+                each.worker,
+                each.born_ms,
+                each.kind,
+                each.capacity.processors,
+                each.capacity.memory_mb,
+                each.capacity.accelerators,
+                each.log_speed,
+                each.samples,
+            )
+            for each in speeds
+        ),
+    )
+    return Put(key=f"{SPEEDS}/{pool}", value=msgspec.json.encode(row).decode())
+
+
+def decode_speeds(text: str, place: str) -> tuple[float, tuple[LearnedSpeed, ...]]:
+    """Decode the learned speeds of a pool, and when they were written (Unix time).
+
+    Raises:
+        FindingsError: The row is malformed.
+    """
+    try:
+        row = msgspec.json.decode(text, type=SpeedsRow)
+    except msgspec.DecodeError as exc:
+        found = errors.finding(place, errors.MALFORMED, reason=str(exc))
+        raise errors.FindingsError(findings=(found,)) from None
+    return row.written_s, tuple(
+        LearnedSpeed(
+            worker=worker,
+            born_ms=born_ms,
+            kind=kind,
+            capacity=Amounts(
+                processors=cpu, memory_mb=memory, accelerators=accelerators
+            ),
+            log_speed=log_speed,
+            samples=samples,
+        )
+        for worker, born_ms, kind, cpu, memory, accelerators, log_speed, samples in (
+            row.workers
+        )
+    )
--- a/cranberrycleat/workflow/takeover.py
+++ b/cranberrycleat/workflow/takeover.py
@@ -22,6 +22,12 @@
 from cranberrycleat.workflow.ports import FeedTable
 
 LOG: Final[logging.Logger] = part_logger("takeover")
+SPEEDS_TIMEOUT_S: Final = 0.05
+"""How long a takeover waits for the learned speeds after all other rows were read. All
+are requested at once, and a takeover without speeds is better than a late one."""
+MAX_SPEEDS_AGE_S: Final = 60.0
+"""Older speeds are not used: a worker may have been replaced since by one of the same
+kind on another machine."""
 
 
 @attrs.frozen(kw_only=True)
@@ -31,18 +37,29 @@
     specs: tuple[Row, ...]
     jobs: tuple[Row, ...]
     inbox: tuple[Row, ...]
+    speeds: tuple[Row, ...] = ()
 
 
 async def read_all(
-    lease: OwnershipLease, store: FeedTable, directory: WorkerDirectory
+    lease: OwnershipLease,
+    store: FeedTable,
+    directory: WorkerDirectory,
+    *,
+    with_speeds: bool = False,
 ) -> StoredRows:
     """Read all rows and the list of workers, retrying while the table is unavailable.
 
+    Args:
+        lease: The ownership lease, renewed while reading.
+        store: The platform's table.
+        directory: Reads the list of workers.
+        with_speeds: Whether learned speeds are read as well.
+
     Raises:
         Deposed: Another process has acquired the lease.
     """
     while True:
-        reading = asyncio.ensure_future(_read(store, directory))
+        reading = asyncio.ensure_future(_read(store, directory, with_speeds))
         await _renew_while(lease, reading)
         try:
             return reading.result()
@@ -52,14 +69,44 @@
             await _renew(lease)
 
 
-async def _read(store: FeedTable, directory: WorkerDirectory) -> StoredRows:
-    specs, jobs, inbox, _ = await asyncio.gather(
-        store.scan(prefix=f"{rows.SPECS}/"),
-        store.scan(prefix=f"{rows.JOBS}/"),
-        store.scan(prefix=f"{rows.INBOX}/"),
-        directory.read_all(),
-    )
-    return StoredRows(specs=specs, jobs=jobs, inbox=inbox)
+async def _read(
+    store: FeedTable, directory: WorkerDirectory, with_speeds: bool
+) -> StoredRows:
+    speeds = asyncio.ensure_future(_read_speeds(store)) if with_speeds else None
+    try:
+        specs, jobs, inbox, _ = await asyncio.gather(
+            store.scan(prefix=f"{rows.SPECS}/"),
+            store.scan(prefix=f"{rows.JOBS}/"),
+            store.scan(prefix=f"{rows.INBOX}/"),
+            directory.read_all(),
+        )
+        found = await _speeds_read_by_now(speeds)
+    finally:
+        if speeds is not None:
+            speeds.cancel()
+    return StoredRows(specs=specs, jobs=jobs, inbox=inbox, speeds=found)
+
+
+async def _speeds_read_by_now(
+    reading: "asyncio.Future[tuple[Row, ...]] | None",
+) -> tuple[Row, ...]:
+    """Return the learned speeds if they have been read soon after all other rows."""
+    if reading is None:
+        return ()
+    await asyncio.wait({reading}, timeout=SPEEDS_TIMEOUT_S)
+    if reading.done():
+        return reading.result()
+    emit(events.SpeedsIgnored(key=f"{rows.SPEEDS}/", reason="not read in time"))
+    return ()
+
+
+async def _read_speeds(store: FeedTable) -> tuple[Row, ...]:
+    """Read the learned speeds; without an answer, the owner starts without them."""
+    try:
+        return await store.scan(prefix=f"{rows.SPEEDS}/")
+    except (errors.TableUnavailable, errors.FindingsError) as exc:
+        emit(events.SpeedsIgnored(key=f"{rows.SPEEDS}/", reason=str(exc)))
+        return ()
 
 
 async def _renew_while(lease: OwnershipLease, reading: "asyncio.Future[Any]") -> None:
@@ -94,6 +141,32 @@
             emit(events.RowUnreadable(findings=str(exc)))
 
 
+def restore_speeds(cluster_state: ClusterState, stored: StoredRows) -> None:
+    """Adopt the learned speeds of earlier owners; unusable rows are logged."""
+    speeds = cluster_state.load.speeds
+    if speeds is None:
+        return
+    for row in stored.speeds:
+        try:
+            written_s, summary = rows.decode_speeds(row.value, row.key)
+        except errors.FindingsError as exc:
+            emit(events.SpeedsIgnored(key=row.key, reason=str(exc)))
+            continue
+        # The clock of the host that wrote it may have been ahead.
+        age_s = max(0.0, cluster_state.time_of_day() - written_s)
+        if age_s > MAX_SPEEDS_AGE_S:
+            reason = f"written {age_s:.0f} s ago"
+            emit(events.SpeedsIgnored(key=row.key, reason=reason))
+            continue
+        pool = row.key.partition("/")[2]
+        speeds.restore(pool, summary, now=cluster_state.now(), age_s=age_s)
+        emit(
+            events.SpeedsRestored(
+                pool=pool, workers=len(summary), age_s=round(age_s, 1)
+            )
+        )
+
+
 def _restore_job(
     cluster_state: ClusterState, job_id: str, row: Row, spec: Row | None
 ) -> None:
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -28,6 +28,7 @@
         self._record_job_event(event)
         self._record_task_event(event)
         self._record_owner_event(event)
+        self._record_speed_event(event)
 
     def _record_job_event(self, event: Any) -> None:
         metrics = self.metrics
@@ -106,3 +107,24 @@
                 metrics.count("workers.silent")
             case events.WorkerLeasesOver(tasks=tasks):
                 metrics.count("workers.leases_over.tasks", tasks)
+
+    def _record_speed_event(self, event: Any) -> None:
+        metrics = self.metrics
+        match event:
+            case events.StepPlacedBySpeed(queue=queue, in_time=in_time):
+                metrics.count(
+                    "steps.placed_by_speed", queue=queue, in_time=str(in_time).lower()
+                )
+                metrics.record(
+                    "steps.placed_by_speed.margin.duration",
+                    max(0.0, event.left_s - event.expected_s),
+                    queue=queue,
+                )
+            case events.SpeedsUneven(uneven=uneven):
+                metrics.count("speeds.uneven", uneven=str(uneven).lower())
+            case events.SpeedDiscarded():
+                metrics.count("speeds.discarded")
+            case events.SpeedsRestored(workers=workers):
+                metrics.count("speeds.restored.workers", workers)
+            case events.SpeedsIgnored():
+                metrics.count("speeds.ignored")
