Place steps by the speeds of workers where they differ

On workers of speeds 0.6, 1.0 and 1.6, a short task of 0.85 s takes 1.4 s on the slowest ones, which leaves 0.1 s of its objective, while patient steps took fast workers.

In a pool whose known speeds differ by more than their error, a step goes to the slowest class of workers on which it is expected to end in time, within a class to the fullest as before, and to the fastest if none suffices. A gang takes the slowest assignment that ends in time and wastes the least speed beside its slowest member; it never waits for faster workers.

A stall is judged against the worker's own speed; the timeout is at most doubled.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -41,6 +41,7 @@
     PREEMPTION_DELAY_S,
     select_victims,
 )
+from cranberrycleat.workflow.decisions.speed_choice import SpeedChoice
 from cranberrycleat.workflow.fleet import (
     FleetWorker,
     Placement,
@@ -113,6 +114,7 @@
     spread_factor: float = 1.0
     _reserved: dict[str, Amounts] = attrs.field(factory=dict)
     _snapshots: dict[str, PoolSnapshot] = attrs.field(factory=dict)
+    _speed_choice: SpeedChoice = attrs.field(factory=SpeedChoice)
 
     def plan(self, *, now: float, now_s: float) -> Plan:
         """Run one round and place all waiting tasks that fit.
@@ -124,6 +126,10 @@
         plan = Plan()
         self._reserved = {}
         self._snapshots = {}
+        load = self.cluster_state.load
+        self._speed_choice = SpeedChoice(
+            speeds=load.speeds, estimates=load.estimates, now_s=now_s
+        )
         reserved_gangs = 0
         for position, step in enumerate(self._steps_by_rank(now, now_s)):
             tasks = self._placeable_tasks(step, now, plan)
@@ -384,6 +390,8 @@
             self._place(step, task, best, step.last_attempt + 1, now, group)
         if group.placements:
             plan.groups.append(group)
+            used = [worker for worker, _ in group.placements]
+            self._speed_choice.log_placement(step, used, now)
         return bool(group.placements)
 
     def _exclude_failed_workers(
@@ -414,12 +422,21 @@
 
     def _preference(
         self, step: StepRun, worker: FleetWorker
-    ) -> tuple[bool, int, int, str]:
+    ) -> tuple[bool, int, int, int, str]:
         away = bool(step.spec.data_rack) and (
             step.spec.data_rack not in worker.entry.labels
         )
         interference = self._interference(step, worker)
-        return (away, interference, worker.free.processors, worker.name)
+        speed = self._speed_choice.rank(step, worker)
+        return (away, interference, speed, worker.free.processors, worker.name)
+
+    def _gang_preference(
+        self, step: StepRun, worker: FleetWorker
+    ) -> tuple[bool, int, int, int, str]:
+        """Return the preference among workers fast enough for a gang, slowest first."""
+        away, interference, _, free, name = self._preference(step, worker)
+        speed_class = self._speed_choice.class_of(step, worker) or 0
+        return (away, interference, speed_class, free, name)
 
     @staticmethod
     def _interference(step: StepRun, worker: FleetWorker) -> int:
@@ -457,6 +474,7 @@
                 for task, worker in zip(tasks, assigned, strict=True):
                     self._place(step, task, worker, attempt, now, group)
                 plan.groups.append(group)
+                self._speed_choice.log_placement(step, assigned, now)
                 return True
         return False
 
@@ -500,9 +518,17 @@
         candidates: list[FleetWorker],
         count: int,
     ) -> list[FleetWorker]:
-        """Return one worker per gang member, fullest first; fewer if not all fit."""
+        """Return one worker per gang member; fewer if not all fit.
+
+        The fullest workers go first; where speeds differ, those of like speed.
+        """
         assigned: list[FleetWorker] = []
-        for worker in sorted(candidates, key=lambda each: self._preference(step, each)):
+        workers = self._speed_choice.workers_for_gang(
+            step, candidates, count, lambda each: self._fits_now(step, each)
+        )
+        for worker in sorted(
+            workers, key=lambda each: self._gang_preference(step, each)
+        ):
             fits = min(count - len(assigned), self._fits_now(step, worker))
             assigned += [worker] * fits
             if len(assigned) == count:
--- a/cranberrycleat/workflow/decisions/progress.py
+++ b/cranberrycleat/workflow/decisions/progress.py
@@ -19,6 +19,9 @@
 """A task without progress for this long is stalled. A task that resumes from a
 checkpoint makes no progress for its first 0.6 s; a task of 16 s on a worker eight
 times too slow advances one percent in 1.3 s; reports arrive at least every 1.5 s."""
+MIN_STALL_SPEED: Final = 0.5
+"""The timeout is at most doubled, so that a worker whose stalls were taken for a low
+speed is still noticed before tasks of 5 s have lost their value."""
 MIN_SLACK_S: Final = 2.0
 """With less slack, a task cannot wait for the next report, which may take 1.5 s, and
 for its restart elsewhere. Stopping every task that had run for less than 3 s also
@@ -27,16 +30,32 @@
 COMPLETE_PERCENT: Final = 100.0
 
 
-def is_stalled(worker: FleetWorker, now: float) -> bool:
-    """Return whether a worker is stalled, judged by a report that has just arrived."""
+def stall_timeout_s(speed: float) -> float:
+    """Return after how long without progress a task on a worker of a speed is stalled.
+
+    A slow worker advances and resumes in proportion to its speed. A fast one is not
+    judged sooner, since reports arrive only every 1.5 s.
+    """
+    return STALL_TIMEOUT_S / max(MIN_STALL_SPEED, min(1.0, speed))
+
+
+def is_stalled(worker: FleetWorker, now: float, speed: float = 1.0) -> bool:
+    """Return whether a worker is stalled, judged by a report that has just arrived.
+
+    Args:
+        worker: The worker.
+        now: The owner's clock.
+        speed: The worker's own speed.
+    """
+    timeout_s = stall_timeout_s(speed)
     indicators = [
         each
         for each in worker.placements.values()
-        if _indicates_worker_state(each, now)
+        if _indicates_worker_state(each, now, timeout_s)
     ]
     if not indicators:
         return False
-    return all(now - each.advanced_at >= STALL_TIMEOUT_S for each in indicators)
+    return all(now - each.advanced_at >= timeout_s for each in indicators)
 
 
 def placements_to_stop(worker: FleetWorker, now_s: float) -> list[Placement]:
@@ -53,7 +72,7 @@
     ]
 
 
-def _indicates_worker_state(placement: Placement, now: float) -> bool:
+def _indicates_worker_state(placement: Placement, now: float, timeout_s: float) -> bool:
     """Return whether an attempt's progress reflects the state of its worker.
 
     The progress of a gang does not, since it waits for members on other workers that
@@ -70,7 +89,7 @@
         or placement.percent >= COMPLETE_PERCENT
     ):
         return False
-    return now - placement.running_since >= STALL_TIMEOUT_S
+    return now - placement.running_since >= timeout_s
 
 
 def _must_restart_elsewhere(placement: Placement, now_s: float) -> bool:
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -527,7 +527,8 @@
         """Stop tasks that cannot wait on a worker where no task makes progress."""
         worker = self.worker
         now = self.clock.now()
-        if not progress.is_stalled(worker, now):
+        speed = self.cluster_state.load.speed_of(worker)
+        if not progress.is_stalled(worker, now, speed):
             return
         stopped = progress.placements_to_stop(worker, self.cluster_state.time_of_day())
         for placement in stopped:
