Preemption by checkpoint for steps that would be late

Cause: only services preempt, so that a short step waits behind work that checkpoints and could resume on time.

Gangs give way whole. The cost is limited by a budget of 1% of the pool, by the value of the step and by a wait of 6 s between two preemptions of a task. Freed resources are reserved for the step. An event, counters and explain name each preemption.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -297,6 +297,31 @@
     reason: str
 
 
+@event("task.preempted")
+class TaskPreempted:
+    """An attempt is stopped to make room for a service or for an urgent step.
+
+    Attributes:
+        beneficiary: The step that gets the resources.
+        service: Whether that step is a service.
+        cost_core_s: The processor time lost at most, in core-seconds.
+        slack_s: The time left until the beneficiary must start to meet its objective.
+        victim_slack_s: For urgent work, how long the attempt may wait to be resumed and
+            still meet its objective; for a service, until when it had to start.
+        report_age_s: The age of what its worker last reported.
+    """
+
+    task: str
+    attempt: int
+    worker: str
+    beneficiary: str
+    service: bool
+    cost_core_s: float
+    slack_s: float
+    victim_slack_s: float
+    report_age_s: float
+
+
 @event("task.may_start_late")
 class StartMayBeLate:
     """An attempt is over, but an order to start it may still be carried out.
--- a/cranberrycleat/explain.py
+++ b/cranberrycleat/explain.py
@@ -17,6 +17,8 @@
 PREFIX_TIME_PARTS: Final = 3
 SLOW_STAGE_S: Final = 0.25
 """A stage longer than this counts as slow: short jobs have 0.5 s to spare."""
+PREEMPTED_ENDS: Final = ("stopped", "member-ended")
+"""How a preempted attempt ends, unless it ends by itself first."""
 EVENTS_BY_NAME: Final = {kind.name: cls for cls, kind in events.KINDS.items()}
 CONTEXT_EVENTS: Final = (
     events.OwnerWon,
@@ -276,7 +278,9 @@
             case events.TaskEnded(how=how, ran_s=ran_s) if how != "done":
                 stages.append(
                     _Stage(
-                        seconds=ran_s + SLOW_STAGE_S, text=f"attempt {how}", entry=entry
+                        seconds=ran_s + SLOW_STAGE_S,
+                        text=_preemption_text(timeline, entry) or f"attempt {how}",
+                        entry=entry,
                     )
                 )
             case events.TaskPlaced(waited_s=waited_s, attempt=1):
@@ -297,6 +301,19 @@
     return stages
 
 
+def _preemption_text(timeline: JobTimeline, ended: Entry) -> str:
+    """Return for what the attempt that ended was preempted; empty if it was not."""
+    for entry in timeline.job_entries:
+        match entry.event:
+            case events.TaskPreempted(task=task, attempt=attempt, beneficiary=name) if (
+                task == ended.event.task
+                and attempt == ended.event.attempt
+                and ended.event.how in PREEMPTED_ENDS
+            ):
+                return f"attempt preempted for {name}"
+    return ""
+
+
 def _wait_reason(timeline: JobTimeline, placed: Entry) -> str:
     """Return the last waiting reason that was logged before a task was placed."""
     step = placed.event.task.rpartition(".")[0]
--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -8,7 +8,7 @@
 """
 
 import collections
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import attrs
@@ -37,9 +37,11 @@
     could_run_on,
     take_snapshot,
 )
-from cranberrycleat.workflow.decisions.preemption import (
-    PREEMPTION_DELAY_S,
-    select_victims,
+from cranberrycleat.workflow.decisions.preemption import Room, Selection
+from cranberrycleat.workflow.decisions.preemption_victims import (
+    Claim,
+    VictimFinder,
+    preemption_cost_core_s,
 )
 from cranberrycleat.workflow.fleet import (
     FleetWorker,
@@ -117,6 +119,7 @@
     spread_factor: float = 1.0
     _reserved: dict[str, Amounts] = attrs.field(factory=dict)
     _snapshots: dict[str, PoolSnapshot] = attrs.field(factory=dict)
+    _preemption_round_at: float = float("-inf")
 
     def plan(self, *, now: float, now_s: float) -> Plan:
         """Run one round and place all waiting tasks that fit.
@@ -128,6 +131,7 @@
         plan = Plan()
         self._reserved = {}
         self._snapshots = {}
+        self.cluster_state.load.preemption.begin_round(now)
         reserved_gangs = 0
         for position, step in enumerate(self._steps_by_rank(now, now_s)):
             tasks = self._placeable_tasks(step, now, plan)
@@ -146,34 +150,174 @@
                 placed = self._place_single(step, tasks, candidates, now, plan)
             else:
                 placed = self._place_gang(step, tasks, candidates, now, plan)
-            if step.spec.gang and not placed and reserved_gangs < MAX_RESERVED_GANGS:
+            is_held = self._preempt_for_urgent_work(
+                step, tasks, candidates, now, now_s, plan
+            )
+            unplaced_gang = step.spec.gang and not placed and not is_held
+            if unplaced_gang and reserved_gangs < MAX_RESERVED_GANGS:
                 reserved_gangs += self._reserve_for_gang(step, candidates)
             if step.spec.service:
-                self._preempt_for_service(step, candidates, now)
+                self._preempt_for_service(step, candidates, now, now_s)
             if step.pending():
                 reason = self._wait_reason(step, candidates)
                 self._log_waiting(step, reason, len(candidates), now, now_s)
         return plan
 
     def _preempt_for_service(
-        self, step: StepRun, candidates: list[FleetWorker], now: float
+        self, step: StepRun, candidates: list[FleetWorker], now: float, now_s: float
     ) -> None:
         """Preempt other work if service members have waited too long for resources."""
-        if not step.pending():
-            step.waits_since = None
-            return
-        if step.waits_since is None:
-            step.waits_since = now
-        if now - step.waits_since < PREEMPTION_DELAY_S:
-            return
-        for placement in select_victims(reserved_resources(step.spec), candidates):
+        preemption = self.cluster_state.load.preemption
+        slack_s = self._order.rank(step, now_s).slack_s
+        for placement in preemption.choose_for_service(step, candidates, now):
             for worker, each in self.cluster_state.placements_of(
                 job_of(placement.task)
             ):
-                if each is placement:
-                    self.cluster_state.stop(
-                        worker, placement, f"makes room for {step.name}"
-                    )
+                if each is placement and each.tracked_task is not None:
+                    victim = self._order.rank(each.tracked_task.step, now_s)
+                    self._preempt(worker, each, step, now, slack_s, victim.slack_s)
+
+    def _preempt(
+        self,
+        worker: FleetWorker,
+        placement: Placement,
+        step: StepRun,
+        now: float,
+        slack_s: float,
+        victim_slack_s: float,
+    ) -> None:
+        """Stop an attempt for a step and log the decision with its inputs."""
+        self.cluster_state.stop(worker, placement, f"makes room for {step.name}")
+        emit(
+            events.TaskPreempted(
+                task=placement.task,
+                attempt=placement.attempt,
+                worker=worker.name,
+                beneficiary=step.name,
+                service=step.spec.service,
+                cost_core_s=round(preemption_cost_core_s(placement, now), 3),
+                slack_s=round(slack_s, 3),
+                victim_slack_s=round(victim_slack_s, 3),
+                report_age_s=round(now - worker.clock_read_at, 3),
+            )
+        )
+
+    def _preempt_for_urgent_work(
+        self,
+        step: StepRun,
+        tasks: list[Task],
+        candidates: list[FleetWorker],
+        now: float,
+        now_s: float,
+        plan: Plan,
+    ) -> bool:
+        """Preempt other work if a step would be late, once this is its last chance.
+
+        Returns:
+            Whether resources are reserved for the step.
+        """
+        preemption = self.cluster_state.load.preemption
+        waiting = [task for task in tasks if task.state is TaskState.PENDING]
+        if not preemption.for_urgent_work or not waiting or not _may_preempt(step):
+            return False
+        held = preemption.held_for(step)
+        self._reserve_slots(step, held)
+        slots = self._slots_within_quota(step, len(waiting) - held.total())
+        rank = self._order.rank(step, now_s)
+        evaluates_at = preemption.evaluates_at(now)
+        if slots <= 0:
+            return bool(held)
+        if not preemption.is_due(step, rank.slack_s):
+            self._wake_for_preemption(
+                plan, now, preemption.due_in_s(step, rank.slack_s)
+            )
+            return bool(held)
+        if evaluates_at > now:
+            self._schedule_retry(plan, evaluates_at)
+            return bool(held)
+        finder = preemption.finder(lambda: self._victim_finder(now, now_s), now)
+        claim = Claim(
+            step=step,
+            rank=rank,
+            surplus=finder.is_surplus(step.job),
+            slots=slots,
+        )
+        rooms = self._rooms(step, waiting, candidates, now, plan)
+        snapshot = self._snapshot(step, now)
+        selection = preemption.choose(claim, rooms, finder, snapshot.cores(), now)
+        self._preempt_selected(claim, selection, now)
+        self._reserve_slots(step, selection.slots)
+        return bool(held or selection.slots)
+
+    def _preempt_selected(self, claim: Claim, selection: Selection, now: float) -> None:
+        for group in selection.victims:
+            for worker, placement in group.attempts:
+                self._preempt(
+                    worker,
+                    placement,
+                    claim.step,
+                    now,
+                    claim.rank.slack_s,
+                    group.slack_s,
+                )
+
+    def _victim_finder(self, now: float, now_s: float) -> VictimFinder:
+        cluster_state = self.cluster_state
+        preemption = cluster_state.load.preemption
+        return VictimFinder(
+            order=self._order,
+            fair_share=cluster_state.load.fair_share,
+            attempts_of=cluster_state.placements_of,
+            is_allowed=lambda task: preemption.may_be_victim(task, now),
+            may_resume=lambda job: not cluster_state.quotas.is_over(job.workspace),
+            stop_s=preemption.stop_s,
+            now=now,
+            now_s=now_s,
+        )
+
+    def _rooms(
+        self,
+        step: StepRun,
+        tasks: list[Task],
+        candidates: list[FleetWorker],
+        now: float,
+        plan: Plan,
+    ) -> list[Room]:
+        """Return what a step may use on each worker if others give way."""
+        near = self._workers_near_data(step, candidates, now, plan)
+        return [
+            Room(
+                worker=worker,
+                reserved=self._reserved.get(worker.name, NOTHING),
+                max_tasks=self._remaining_worker_limit(step, worker),
+            )
+            for worker in self._exclude_failed_workers(step, tasks, near, now)
+            if worker.may_accept_work(now) and not worker.is_probed
+        ]
+
+    def _slots_within_quota(self, step: StepRun, slots: int) -> int:
+        """Return for how many more tasks, up to `slots`, the quota has room."""
+        if step.spec.gang:
+            return slots
+        needs = reserved_resources(step.spec)
+        quotas = self.cluster_state.quotas
+        while slots > 0 and not quotas.may_begin(step.job.workspace, needs, slots):
+            slots -= 1
+        return slots
+
+    def _reserve_slots(self, step: StepRun, slots: Mapping[str, int]) -> None:
+        """Reserve resources on workers against steps that rank behind a step."""
+        needs = reserved_resources(step.spec)
+        for name, tasks in slots.items():
+            reserved = self._reserved.get(name, NOTHING)
+            self._reserved[name] = reserved.plus(needs.times(tasks))
+
+    def _wake_for_preemption(self, plan: Plan, now: float, due_in_s: float) -> None:
+        """Have a round run when a step is due to preempt, unless one is planned."""
+        at = now + due_in_s
+        if due_in_s > 0 and not now < self._preemption_round_at <= at:
+            self._preemption_round_at = at
+            self._schedule_retry(plan, at)
 
     def _wait_reason(self, step: StepRun, candidates: list[FleetWorker]) -> str:
         if not self._count_within_quota(step):
@@ -583,6 +727,7 @@
                 worker, self.cluster_state.fleet.worker_failures, now
             )
             worker.isolated_attempt = placement
+        self.cluster_state.load.preemption.note_placed(step, worker)
         group.placements.append((worker, placement))
 
 
@@ -611,6 +756,18 @@
     return max(lost_at, default=float("-inf")) + LOST_ADDRESS_EXCLUSION_S
 
 
+def _may_preempt(step: StepRun) -> bool:
+    """Return whether a step may preempt as urgent work.
+
+    A gang that needs a common rack and a task that must run isolated would need more
+    than free resources.
+    """
+    spec = step.spec
+    if spec.service or spec.filler or (spec.gang and spec.same_rack):
+        return False
+    return not any(isolation.record_for(task) for task in step.pending())
+
+
 def _fits_beside_services(step: StepRun, worker: FleetWorker) -> int:
     """Return how many tasks of a step fit on a worker next to its services."""
     available = worker.entry.capacity
--- a/cranberrycleat/workflow/decisions/pool_snapshot.py
+++ b/cranberrycleat/workflow/decisions/pool_snapshot.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from cranberrycleat.amounts import NOTHING, Amounts
+from cranberrycleat.amounts import MILLI, NOTHING, Amounts
 from cranberrycleat.workflow.fleet import Fleet, FleetWorker, reserved_resources
 from cranberrycleat.workflow.spec import StepSpec
 
@@ -37,6 +37,10 @@
         """Return whether a task might fit on some worker; False is definite."""
         return needs.fits_in(self.max_free)
 
+    def cores(self) -> float:
+        """Return the number of processors of the schedulable workers."""
+        return sum(each.entry.capacity.processors for each in self.drawing) / MILLI
+
 
 def take_snapshot(fleet: Fleet, pool: str, now: float) -> PoolSnapshot:
     """Return a snapshot of a pool at a time on the owner's clock."""
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -169,6 +169,7 @@
         self.cluster_state.load = make_load_control(
             self.policies, dict if self.access is None else self.access.weights
         )
+        self.cluster_state.load.preemption.stop_s = self.leases.bounds.stop_s
         self.inbox = Inbox(
             cluster_state=self.cluster_state, store=self.store, changed=self.changed
         )
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -10,6 +10,7 @@
 import attrs
 
 from cranberrycleat import events
+from cranberrycleat.amounts import MILLI
 from cranberrycleat.metrics import Metrics
 
 
@@ -71,6 +72,11 @@
                 metrics.record("tasks.started.duration", after_s)
             case events.TaskUnanswered():
                 metrics.count("tasks.unanswered")
+            case events.TaskPreempted(service=service, cost_core_s=cost_core_s):
+                cause = "service" if service else "urgent"
+                metrics.count("tasks.preempted", cause=cause)
+                cost_core_ms = round(cost_core_s * MILLI)
+                metrics.count("tasks.preempted.core_ms", cost_core_ms, cause=cause)
             case events.TaskRefused(verdict=verdict):
                 metrics.count("tasks.refused", verdict=verdict)
             case events.TaskGivenUp(reason=reason):
--- /dev/null
+++ b/tests/test_urgent_preemption.py
@@ -0,0 +1,403 @@
+"""Tests of preemption by checkpoint for steps that would be late."""
+
+from collections.abc import Callable
+
+import attrs
+import pytest
+
+from cranberrycleat import events
+from cranberrycleat.amounts import Amounts
+from cranberrycleat.explain import Entry, JobTimeline, cause
+from cranberrycleat.metrics import Metrics
+from cranberrycleat.workflow.cluster_state import ClusterState
+from cranberrycleat.workflow.decisions.fair_share import FairShare, ShareTier
+from cranberrycleat.workflow.decisions.load_control import LoadControl
+from cranberrycleat.workflow.decisions.planner import Planner
+from cranberrycleat.workflow.decisions.preemption import Preemption
+from cranberrycleat.workflow.decisions.preemption_budget import DEPTH_S, Budget
+from cranberrycleat.workflow.fleet import FleetWorker, LossCause, Placement
+from cranberrycleat.workflow.ports import (
+    EndedTask,
+    EndKind,
+    Permit,
+    PermitTiming,
+    Queue,
+    SyncReply,
+)
+from cranberrycleat.workflow.spec import StepSpec
+from cranberrycleat.workflow.state import Job, TaskState
+from cranberrycleat.workflow.telemetry import Telemetry
+from tests.cell import job, queue, step
+from tests.test_planner import NOW_S, cluster_state, placed, worker
+
+SHORT = step(1, processors=2000, estimate_s=1.0)
+PATIENT = step(4, processors=1000, estimate_s=4.0, checkpoints=True)
+SHORT_QUEUE = queue(priority=0, stretch=1.5, objective_s=0.25)
+PATIENT_QUEUE = queue(priority=2, stretch=4.0, objective_s=3.0)
+ARRIVAL_S = 10.0
+"""When urgent steps arrive; they have 0.75 s of slack."""
+DUE_S = ARRIVAL_S + 0.3
+
+
+class SurplusPatients(FairShare):
+    """Classifies the patient jobs as surplus."""
+
+    def tier(self, job: Job) -> ShareTier:
+        """Return the tier of a job."""
+        return ShareTier.SURPLUS if job.job_id == "p" else ShareTier.DUE
+
+
+@attrs.define(kw_only=True, eq=False)
+class Pool:
+    """A pool whose planner runs at the times that a test chooses."""
+
+    board: ClusterState
+    planner: Planner
+    ends: int = 0
+
+    def plan(self, now: float, shift_s: float = 0.0) -> None:
+        """Run a round; the time of day is shifted by a number of seconds."""
+        self.planner.plan(now=now, now_s=NOW_S + now + shift_s)
+
+    def submit(self, name: str, spec: StepSpec, at: Queue, when: float) -> None:
+        """Submit a job at a time."""
+        self.board.accept(name, at, job(spec), workspace=name).accepted_s = NOW_S + when
+
+    def placements(self) -> list[tuple[FleetWorker, Placement]]:
+        """Return all attempts."""
+        workers = self.board.fleet.workers.values()
+        return [(w, each) for w in workers for each in w.placements.values()]
+
+    def begin(self, since: float, percent: float = 25.0) -> None:
+        """Have every attempt run since a time."""
+        for _, each in self.placements():
+            if not each.running:
+                each.stored = each.ordered = True
+                each.began(since)
+                each.percent = percent
+
+    def stopping(self) -> list[str]:
+        """Return the tasks that are being stopped."""
+        return sorted(each.task for _, each in self.placements() if each.stopping)
+
+    def end(self, on: FleetWorker, of: Placement, how: EndKind) -> None:
+        """Report an end."""
+        self.ends += 1
+        end = EndedTask(
+            number=self.ends, task=of.task, attempt=of.attempt, how=how, saved="new"
+        )
+        reply = SyncReply(worker_time_ms=1, running=(), ended=(end,))
+        self.board.sync(on, reply, sent_at=-1.0, now=DUE_S)
+
+    def end_first_stopping(self, how: EndKind = EndKind.STOPPED) -> None:
+        """Report the end of the first attempt that is being stopped."""
+        on, first = next(pair for pair in self.placements() if pair[1].stopping)
+        self.end(on, first, how)
+
+
+def full_pool(
+    spec: StepSpec = PATIENT,
+    at: Queue = PATIENT_QUEUE,
+    *,
+    workers: int = 1,
+    began: float = 9.0,
+    percent: float = 25.0,
+    load: LoadControl | None = None,
+) -> Pool:
+    """Return a pool that has been full of one job since the planner's first round."""
+    board = cluster_state(*(worker(f"w{number}") for number in range(workers)))
+    board.load = load or LoadControl(preemption=Preemption(for_urgent_work=True))
+    pool = Pool(board=board, planner=Planner(cluster_state=board))
+    pool.submit("p", spec, at, 0.0)
+    pool.plan(0.0)
+    pool.begin(began, percent)
+    pool.submit("u", SHORT, SHORT_QUEUE, ARRIVAL_S)
+    return pool
+
+
+# Guards against needless or harmful preemption: work that would be late because of it,
+# that ends in time, that cannot resume, and steps that can wait or are late anyway.
+@pytest.mark.parametrize(
+    ("spec", "at", "percent", "now", "stopped"),
+    [
+        pytest.param({}, {}, 25, DUE_S, 2, id="no more than needed"),
+        pytest.param({"checkpoints": False}, {}, 25, DUE_S, 0, id="no checkpoints"),
+        pytest.param({"service": True}, {}, 25, DUE_S, 0, id="service"),
+        pytest.param({}, {"priority": 0}, 25, DUE_S, 0, id="as urgent"),
+        pytest.param(
+            {}, {"stretch": 1, "objective_s": 11}, 25, DUE_S, 0, id="would be late"
+        ),
+        pytest.param(
+            {}, {"stretch": 1, "objective_s": 5}, 25, DUE_S, 2, id="late already"
+        ),
+        pytest.param({}, {}, 99, DUE_S, 0, id="ends in time"),
+        pytest.param({}, {}, 25, ARRIVAL_S, 0, id="can still wait"),
+        pytest.param({}, {}, 25, ARRIVAL_S + 0.5, 0, id="late even so"),
+    ],
+)
+def test_which_work_gives_way(
+    spec: dict[str, object],
+    at: dict[str, object],
+    percent: float,
+    now: float,
+    stopped: int,
+) -> None:
+    changed = attrs.evolve(PATIENT, **spec)  # type: ignore[arg-type]
+    changed_queue = attrs.evolve(PATIENT_QUEUE, **at)  # type: ignore[arg-type]
+    pool = full_pool(changed, changed_queue, percent=percent)
+    pool.plan(now)
+    pool.plan(now + 0.01)
+    assert len(pool.stopping()) == stopped
+
+
+# Guards against a change of today's behaviour with `--preemption services`.
+@pytest.mark.parametrize("arrives", [True, False])
+def test_disabled_preemption_stops_and_starts_as_before(arrives: bool) -> None:
+    pool = full_pool(load=LoadControl())
+    if not arrives:
+        pool.board.cancel("u")
+    before = placed(pool.board)
+    pool.plan(DUE_S)
+    assert not pool.stopping() and placed(pool.board) == before
+    pool.submit("s", step(1, processors=1000, service=True), queue(), 11.0)
+    for now in (11.0, 11.4, 11.6):
+        pool.plan(now)
+        assert len(pool.stopping()) == (now == 11.6)
+
+
+# Guards against a workspace that keeps others waiting by work beyond its share.
+@pytest.mark.parametrize(("fair_share", "stopped"), [(None, 0), (SurplusPatients(), 2)])
+def test_surplus_gives_way_to_due_work(
+    fair_share: FairShare | None, stopped: int
+) -> None:
+    load = LoadControl(
+        preemption=Preemption(for_urgent_work=True), fair_share=fair_share
+    )
+    pool = full_pool(at=attrs.evolve(PATIENT_QUEUE, priority=0), load=load)
+    pool.plan(DUE_S)
+    assert len(pool.stopping()) == stopped
+
+
+def _begin_all_but_one(pool: Pool) -> None:
+    pool.placements()[0][1].running = False
+
+
+def _lower_quota(pool: Pool) -> None:
+    quotas = {"p": Amounts(processors=1000)}
+    pool.board.quotas.quotas = lambda: quotas
+
+
+def _lower_own_quota(pool: Pool) -> None:
+    quotas = {"u": Amounts(processors=1000)}
+    pool.board.quotas.quotas = lambda: quotas
+    pool.submit("v", SHORT, SHORT_QUEUE, ARRIVAL_S)
+    pool.board.jobs["v"].workspace = "u"
+    pool.board.quotas.running["u"] = 1
+
+
+def _nothing(pool: Pool) -> None:
+    """Change nothing."""
+
+
+# Guards against half a gang that holds its workers for nothing, against a preempted job
+# that a lowered quota keeps from resuming, and against room that a quota leaves unused.
+@pytest.mark.parametrize(
+    ("gang", "change", "stopped"),
+    [
+        (True, _nothing, 4),
+        (True, _begin_all_but_one, 0),
+        (False, _lower_quota, 0),
+        (False, _lower_own_quota, 0),
+    ],
+)
+def test_gangs_and_quotas(
+    gang: bool, change: Callable[[Pool], None], stopped: int
+) -> None:
+    spec = attrs.evolve(PATIENT, gang=gang, needs=Amounts(processors=2000, memory_mb=1))
+    pool = full_pool(spec, workers=2)
+    change(pool)
+    pool.plan(DUE_S)
+    assert len(pool.stopping()) == stopped
+
+
+# Guards against a gang of 4 that is stopped for a step of a fraction of its value.
+@pytest.mark.parametrize(("processors", "stopped"), [(500, 0), (2000, 4)])
+def test_cost_does_not_exceed_value(processors: int, stopped: int) -> None:
+    pool = full_pool(attrs.evolve(PATIENT, gang=True), workers=1)
+    pool.board.cancel("u")
+    pool.submit(
+        "v", step(1, processors=processors, estimate_s=0.5), SHORT_QUEUE, ARRIVAL_S
+    )
+    pool.plan(DUE_S - 0.1)
+    assert len(pool.stopping()) == stopped
+
+
+# Guards against stops on workers that the step may not use.
+def test_only_workers_with_permits_give_way() -> None:
+    pool = full_pool(workers=3)
+    for number in (0, 1, 2):
+        pool.submit(f"q{number}", PATIENT, PATIENT_QUEUE, 0.0)
+    pool.plan(0.5)
+    pool.begin(9.0)
+    pool.board.cancel("u")
+    timing = PermitTiming(decide_s=0.01, each_s=0.0, valid_s=1.5)
+    pool.submit("v", SHORT, attrs.evolve(SHORT_QUEUE, permits=timing), ARRIVAL_S)
+    (run,) = pool.board.jobs["v"].open[0].steps
+    permits = pool.board.permits_of(run)
+    assert permits is not None
+    permit = Permit(worker="w1", ticket="t")
+    permits.record_answer(("w0", "w1", "w2"), (permit,), DUE_S)
+    pool.plan(DUE_S)
+    assert {w.name for w, each in pool.placements() if each.stopping} == {"w1"}
+
+
+# Guards against lower-ranked work that takes the freed resources, and lost progress.
+@pytest.mark.parametrize("how", [EndKind.STOPPED, EndKind.DONE])
+def test_freed_resources_reach_the_step(how: EndKind) -> None:
+    pool = full_pool()
+    pool.plan(DUE_S)
+    pool.submit("small", step(4, processors=1000), queue(priority=1), ARRIVAL_S)
+    tasks = [pool.board.jobs["p"].find(each) for each in pool.stopping()]
+    pool.end_first_stopping(how)
+    pool.plan(DUE_S + 0.1)
+    assert all("small" not in task for task in placed(pool.board)["w0"])
+    pool.end_first_stopping(how)
+    pool.plan(DUE_S + 0.2)
+    assert "u.0.0.0" in placed(pool.board)["w0"]
+    expected = TaskState.DONE if how is EndKind.DONE else TaskState.PENDING
+    assert all(each and each.state is expected for each in tasks)
+    pool.board.cancel("u")
+    pool.board.cancel("small")
+    for on, each in pool.placements():
+        if each.stopping:
+            pool.end(on, each, EndKind.STOPPED)
+    pool.plan(DUE_S + 0.3)
+    resumed = [each.saved for _, each in pool.placements() if each.attempt > 4]
+    assert resumed == (["new"] * 2 if how is EndKind.STOPPED else [])
+
+
+# Guards against capacity that is counted free before a victim is proved to have ended,
+# and against more and more stops while one gets no answer.
+def test_stop_without_an_answer_keeps_its_resources() -> None:
+    pool = full_pool()
+    pool.plan(DUE_S)
+    stopped = pool.stopping()
+    for now in (DUE_S + 0.05, DUE_S + 0.12, DUE_S + 3.0):
+        pool.plan(now)
+    assert pool.stopping() == stopped
+    assert "u.0.0.0" not in placed(pool.board)["w0"]
+    assert pool.board.fleet.workers["w0"].free.processors == 0
+
+
+# Guards against a checkpoint that replaces a newer one or ends a later attempt: the
+# worker crashes or is unreachable while the victim saves, and its end comes late.
+@pytest.mark.parametrize("how", [EndKind.STOPPED, EndKind.DONE])
+def test_late_checkpoint_of_a_lost_victim(how: EndKind) -> None:
+    pool = full_pool()
+    for member in pool.board.jobs["p"].open[0].steps[0].tasks:
+        member.saved = "old"
+    pool.plan(DUE_S)
+    lost, victim = next(pair for pair in pool.placements() if pair[1].stopping)
+    pool.board.give_up_all(lost, LossCause.SILENT)
+    pool.board.fleet.workers["w1"] = worker("w1")
+    pool.board.cancel("u")
+    del pool.board.fleet.workers["w0"]
+    pool.plan(DUE_S + 7.0)
+    task = victim.tracked_task
+    assert task is not None and (task.worker, task.saved) == ("w1", "old")
+    pool.end(lost, victim, how)
+    assert task.saved == ("old" if how is EndKind.STOPPED else "new")
+    assert (task.state is TaskState.DONE) == (how is EndKind.DONE)
+    again = [each for _, each in pool.placements() if each.task == task.name]
+    assert [each.stopping for each in again] == [how is EndKind.DONE]
+
+
+# Guards against preemption by a new owner that cannot know what was preempted before,
+# and against stops because the time of day has jumped: nothing is due then.
+@pytest.mark.parametrize(
+    ("began_s", "shift_s", "stopped"),
+    [(0.0, 0.0, 2), (5.0, 0.0, 0), (0.0, 3600.0, 0), (0.0, -3600.0, 0)],
+)
+def test_new_owner_and_clock_jumps(
+    began_s: float, shift_s: float, stopped: int
+) -> None:
+    pool = full_pool()
+    pool.board.load = LoadControl(preemption=Preemption(for_urgent_work=True))
+    pool.plan(began_s)
+    pool.plan(DUE_S, shift_s)
+    assert len(pool.stopping()) == stopped
+
+
+# Guards against an unlimited budget after the clock of a suspended owner has jumped.
+@pytest.mark.parametrize(("jump_s", "tokens"), [(2.0, 2.0), (1e6, DEPTH_S), (-9.0, 0)])
+def test_budget_is_bounded_after_a_jump(jump_s: float, tokens: float) -> None:
+    budget = Budget(rate=1.0, refilled_at=10.0)
+    budget.refill(1.0, 10.0 + jump_s)
+    assert budget.tokens == tokens
+    budget.refill(1.0, 10.0 + jump_s + 0.5)
+    assert budget.tokens == min(DEPTH_S, tokens + 0.5)
+
+
+# Guards against a task that makes no progress because it is preempted again and again.
+@pytest.mark.parametrize(("later_s", "stopped"), [(5.0, 0), (7.0, 2)])
+def test_a_task_is_not_preempted_twice_in_a_row(later_s: float, stopped: int) -> None:
+    needs = Amounts(processors=2000, memory_mb=1)
+    spec = attrs.evolve(PATIENT, count=2, needs=needs, label="r1")
+    pool = full_pool(spec, at=attrs.evolve(PATIENT_QUEUE, objective_s=90))
+    pool.board.cancel("u")
+    for number in range(60):
+        # They add to the budget only.
+        other = worker(f"other{number}", rack="r2")
+        pool.board.fleet.workers[other.name] = other
+    big = attrs.evolve(spec, needs=needs.times(2), count=1, estimate_s=1.0)
+    pool.submit("v0", big, SHORT_QUEUE, ARRIVAL_S)
+    pool.plan(DUE_S)
+    assert len(pool.stopping()) == 2
+    for _ in range(2):
+        pool.end_first_stopping()
+    pool.board.cancel("v0")
+    pool.plan(DUE_S + 1.5)
+    pool.begin(DUE_S + later_s - 1)
+    pool.submit("v1", big, SHORT_QUEUE, ARRIVAL_S + later_s)
+    pool.plan(DUE_S + later_s)
+    assert len(pool.stopping()) == stopped
+
+
+# Load pattern: a burst of short jobs into a pool full of other work. Guards against a
+# burst that stops more than the budget, and against stops of work without checkpoints.
+@pytest.mark.parametrize(("checkpoints", "least"), [(True, 3), (False, 0)])
+def test_burst_stays_within_the_budget(checkpoints: bool, least: int) -> None:
+    spec = attrs.evolve(PATIENT, count=160, checkpoints=checkpoints)
+    pool = full_pool(spec, workers=40)
+    for number in range(60):
+        pool.submit(f"b{number}", SHORT, SHORT_QUEUE, ARRIVAL_S)
+    for now in (DUE_S, DUE_S + 0.05, DUE_S + 0.12):
+        pool.plan(now)
+    cost_core_s = 1.25 * len(pool.stopping())
+    assert least * 1.25 <= cost_core_s <= 0.01 * 160 * (DEPTH_S + 0.2)
+
+
+# Guards against a preempted job whose delay nothing explains.
+def test_explanation_and_metrics_name_the_preemption() -> None:
+    stop = events.TaskPreempted(
+        task="p.0.0.0",
+        attempt=1,
+        worker="w",
+        beneficiary="u.0.0",
+        service=False,
+        cost_core_s=1.25,
+        slack_s=0.4,
+        victim_slack_s=4.0,
+        report_age_s=0.1,
+    )
+    end = events.TaskEnded(
+        task="p.0.0.0", attempt=1, worker="w", how="stopped", ran_s=2.0, current=True
+    )
+    stored = events.JobStored(job="p", after_s=0.0)
+    entries = [Entry(at=0.0, host="h", event=each) for each in (stored, stop, end)]
+    text = cause(JobTimeline(job="p", job_entries=entries)).text
+    assert text == "attempt preempted for u.0.0 (2.25 s)"
+    metrics = Metrics(role="node", name="n")
+    Telemetry(metrics=metrics).record_event(stop)
+    assert 'tasks_preempted{cause="urgent"} 1' in metrics.text()
+    assert 'tasks_preempted_core_ms{cause="urgent"} 1250' in metrics.text()
