--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -8,7 +8,7 @@
 """
 
 import collections
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import attrs
@@ -37,9 +37,11 @@
     could_run_on,
     take_snapshot,
 )
-from cranberrycleat.workflow.decisions.preemption import (
-    PREEMPTION_DELAY_S,
-    select_victims,
+from cranberrycleat.workflow.decisions.preemption import Room, Selection
+from cranberrycleat.workflow.decisions.preemption_victims import (
+    Claim,
+    VictimFinder,
+    preemption_cost_core_s,
 )
 from cranberrycleat.workflow.decisions.speed_choice import SpeedChoice
 from cranberrycleat.workflow.fleet import (
@@ -58,6 +60,10 @@
 )
 WAIT_LOG_INTERVAL_S: Final = 10.0
 AT_QUOTA: Final = "its workspace is at its quota, or a newer one may be in force"
+LOST_ADDRESS_EXCLUSION_S: Final = 10.0
+"""How long a task waits for room elsewhere rather than use an address where it lost a
+worker: as long as such a machine is not used for isolated attempts. Without a
+bound, a task waits beside idle workers while the only other one stays in use."""
 MAX_STEPS_SCANNED: Final = 400
 """Steps considered in one scheduling round."""
 MAX_STEPS_PER_WORKSPACE: Final = 100
@@ -115,6 +121,7 @@
     _reserved: dict[str, Amounts] = attrs.field(factory=dict)
     _snapshots: dict[str, PoolSnapshot] = attrs.field(factory=dict)
     _speed_choice: SpeedChoice = attrs.field(factory=SpeedChoice)
+    _preemption_round_at: float = float("-inf")
 
     def plan(self, *, now: float, now_s: float) -> Plan:
         """Run one round and place all waiting tasks that fit.
@@ -130,6 +137,7 @@
         self._speed_choice = SpeedChoice(
             speeds=load.speeds, estimates=load.estimates, now_s=now_s
         )
+        self.cluster_state.load.preemption.begin_round(now)
         reserved_gangs = 0
         for position, step in enumerate(self._steps_by_rank(now, now_s)):
             tasks = self._placeable_tasks(step, now, plan)
@@ -148,34 +156,174 @@
                 placed = self._place_single(step, tasks, candidates, now, plan)
             else:
                 placed = self._place_gang(step, tasks, candidates, now, plan)
-            if step.spec.gang and not placed and reserved_gangs < MAX_RESERVED_GANGS:
+            is_held = self._preempt_for_urgent_work(
+                step, tasks, candidates, now, now_s, plan
+            )
+            unplaced_gang = step.spec.gang and not placed and not is_held
+            if unplaced_gang and reserved_gangs < MAX_RESERVED_GANGS:
                 reserved_gangs += self._reserve_for_gang(step, candidates)
             if step.spec.service:
-                self._preempt_for_service(step, candidates, now)
+                self._preempt_for_service(step, candidates, now, now_s)
             if step.pending():
                 reason = self._wait_reason(step, candidates)
                 self._log_waiting(step, reason, len(candidates), now, now_s)
         return plan
 
     def _preempt_for_service(
-        self, step: StepRun, candidates: list[FleetWorker], now: float
+        self, step: StepRun, candidates: list[FleetWorker], now: float, now_s: float
     ) -> None:
         """Preempt other work if service members have waited too long for resources."""
-        if not step.pending():
-            step.waits_since = None
-            return
-        if step.waits_since is None:
-            step.waits_since = now
-        if now - step.waits_since < PREEMPTION_DELAY_S:
-            return
-        for placement in select_victims(reserved_resources(step.spec), candidates):
+        preemption = self.cluster_state.load.preemption
+        slack_s = self._order.rank(step, now_s).slack_s
+        for placement in preemption.choose_for_service(step, candidates, now):
             for worker, each in self.cluster_state.placements_of(
                 job_of(placement.task)
             ):
-                if each is placement:
-                    self.cluster_state.stop(
-                        worker, placement, f"makes room for {step.name}"
-                    )
+                if each is placement and each.tracked_task is not None:
+                    victim = self._order.rank(each.tracked_task.step, now_s)
+                    self._preempt(worker, each, step, now, slack_s, victim.slack_s)
+
+    def _preempt(
+        self,
+        worker: FleetWorker,
+        placement: Placement,
+        step: StepRun,
+        now: float,
+        slack_s: float,
+        victim_slack_s: float,
+    ) -> None:
+        """Stop an attempt for a step and log the decision with its inputs."""
+        self.cluster_state.stop(worker, placement, f"makes room for {step.name}")
+        emit(
+            events.TaskPreempted(
+                task=placement.task,
+                attempt=placement.attempt,
+                worker=worker.name,
+                beneficiary=step.name,
+                service=step.spec.service,
+                cost_core_s=round(preemption_cost_core_s(placement, now), 3),
+                slack_s=round(slack_s, 3),
+                victim_slack_s=round(victim_slack_s, 3),
+                report_age_s=round(now - worker.clock_read_at, 3),
+            )
+        )
+
+    def _preempt_for_urgent_work(
+        self,
+        step: StepRun,
+        tasks: list[Task],
+        candidates: list[FleetWorker],
+        now: float,
+        now_s: float,
+        plan: Plan,
+    ) -> bool:
+        """Preempt other work if a step would be late, once this is its last chance.
+
+        Returns:
+            Whether resources are reserved for the step.
+        """
+        preemption = self.cluster_state.load.preemption
+        waiting = [task for task in tasks if task.state is TaskState.PENDING]
+        if not preemption.for_urgent_work or not waiting or not _may_preempt(step):
+            return False
+        held = preemption.held_for(step)
+        self._reserve_slots(step, held)
+        slots = self._slots_within_quota(step, len(waiting) - held.total())
+        rank = self._order.rank(step, now_s)
+        evaluates_at = preemption.evaluates_at(now)
+        if slots <= 0:
+            return bool(held)
+        if not preemption.is_due(step, rank.slack_s):
+            self._wake_for_preemption(
+                plan, now, preemption.due_in_s(step, rank.slack_s)
+            )
+            return bool(held)
+        if evaluates_at > now:
+            self._schedule_retry(plan, evaluates_at)
+            return bool(held)
+        finder = preemption.finder(lambda: self._victim_finder(now, now_s), now)
+        claim = Claim(
+            step=step,
+            rank=rank,
+            surplus=finder.is_surplus(step.job),
+            slots=slots,
+        )
+        rooms = self._rooms(step, waiting, candidates, now, plan)
+        snapshot = self._snapshot(step, now)
+        selection = preemption.choose(claim, rooms, finder, snapshot.cores(), now)
+        self._preempt_selected(claim, selection, now)
+        self._reserve_slots(step, selection.slots)
+        return bool(held or selection.slots)
+
+    def _preempt_selected(self, claim: Claim, selection: Selection, now: float) -> None:
+        for group in selection.victims:
+            for worker, placement in group.attempts:
+                self._preempt(
+                    worker,
+                    placement,
+                    claim.step,
+                    now,
+                    claim.rank.slack_s,
+                    group.slack_s,
+                )
+
+    def _victim_finder(self, now: float, now_s: float) -> VictimFinder:
+        cluster_state = self.cluster_state
+        preemption = cluster_state.load.preemption
+        return VictimFinder(
+            order=self._order,
+            fair_share=cluster_state.load.fair_share,
+            attempts_of=cluster_state.placements_of,
+            is_allowed=lambda task: preemption.may_be_victim(task, now),
+            may_resume=lambda job: not cluster_state.quotas.is_over(job.workspace),
+            stop_s=preemption.stop_s,
+            now=now,
+            now_s=now_s,
+        )
+
+    def _rooms(
+        self,
+        step: StepRun,
+        tasks: list[Task],
+        candidates: list[FleetWorker],
+        now: float,
+        plan: Plan,
+    ) -> list[Room]:
+        """Return what a step may use on each worker if others give way."""
+        near = self._workers_near_data(step, candidates, now, plan)
+        return [
+            Room(
+                worker=worker,
+                reserved=self._reserved.get(worker.name, NOTHING),
+                max_tasks=self._remaining_worker_limit(step, worker),
+            )
+            for worker in self._exclude_failed_workers(step, tasks, near, now)
+            if worker.may_accept_work(now) and not worker.is_probed
+        ]
+
+    def _slots_within_quota(self, step: StepRun, slots: int) -> int:
+        """Return for how many more tasks, up to `slots`, the quota has room."""
+        if step.spec.gang:
+            return slots
+        needs = reserved_resources(step.spec)
+        quotas = self.cluster_state.quotas
+        while slots > 0 and not quotas.may_begin(step.job.workspace, needs, slots):
+            slots -= 1
+        return slots
+
+    def _reserve_slots(self, step: StepRun, slots: Mapping[str, int]) -> None:
+        """Reserve resources on workers against steps that rank behind a step."""
+        needs = reserved_resources(step.spec)
+        for name, tasks in slots.items():
+            reserved = self._reserved.get(name, NOTHING)
+            self._reserved[name] = reserved.plus(needs.times(tasks))
+
+    def _wake_for_preemption(self, plan: Plan, now: float, due_in_s: float) -> None:
+        """Have a round run when a step is due to preempt, unless one is planned."""
+        at = now + due_in_s
+        if due_in_s > 0 and not now < self._preemption_round_at <= at:
+            self._preemption_round_at = at
+            self._schedule_retry(plan, at)
 
     def _wait_reason(self, step: StepRun, candidates: list[FleetWorker]) -> str:
         if not self._count_within_quota(step):
@@ -253,6 +401,8 @@
                 tasks.append(task)
         if step.spec.gang and len(tasks) < len(step.tasks):
             return []
+        if step.losses and now < (until := _exclusion_ends_at(step, tasks)):
+            self._schedule_retry(plan, until)
         return tasks
 
     @staticmethod
@@ -294,7 +444,7 @@
             unknown = select_workers(
                 step_name=step.name,
                 pending=len(tasks),
-                allowed=self._exclude_failed_workers(step, tasks, candidates),
+                allowed=self._exclude_failed_workers(step, tasks, candidates, now),
                 unknown=unknown,
                 fits_now=lambda worker: self._fits_now(step, worker),
                 fits_when_empty=lambda worker: self._fits_when_empty(step, worker),
@@ -369,7 +519,9 @@
                 break
             fitting = [
                 worker
-                for worker in self._exclude_failed_workers(step, [task], candidates)
+                for worker in self._exclude_failed_workers(
+                    step, [task], candidates, now
+                )
                 if needs.fits_in(self._unreserved(worker))
                 and worker.may_accept_work(now)
                 and (not limit or self._tasks_on_worker(step, worker) < limit)
@@ -395,31 +547,49 @@
         return bool(group.placements)
 
     def _exclude_failed_workers(
-        self, step: StepRun, tasks: list[Task], candidates: list[FleetWorker]
+        self,
+        step: StepRun,
+        tasks: list[Task],
+        candidates: list[FleetWorker],
+        now: float,
     ) -> list[FleetWorker]:
         """Exclude workers that failed these tasks and have not succeeded since.
 
         A worker that fails every task it starts has free resources again at once and
         would receive the same task until its attempts are used up. The same holds for
-        the next incarnation of a lost worker. If the other workers could not hold the
-        tasks even when empty, nothing is excluded; one that is being probed holds one.
+        the next incarnation of a lost worker, for `LOST_ADDRESS_EXCLUSION_S`. If the
+        other workers could not hold the tasks even when empty, nothing is excluded; one
+        that is being probed holds one.
         """
         failed_on = {name for task in tasks for name in task.failed_on}
         lost_worker_addresses = isolation.lost_worker_addresses(step, tasks)
         if not failed_on and not lost_worker_addresses:
             return candidates
-        eligible = [
+        not_failed = [
             each
             for each in candidates
-            if (each.name not in failed_on or not each.failures)
-            and each.entry.address not in lost_worker_addresses
+            if each.name not in failed_on or not each.failures
         ]
+        eligible = [
+            each
+            for each in not_failed
+            if each.entry.address not in lost_worker_addresses
+        ]
+        expired = now >= _exclusion_ends_at(step, tasks)
+        if expired and not self._fit_now(step, tasks, eligible):
+            eligible = not_failed
         fitting = sum(
             min(self._fits_when_empty(step, each), 1 if each.is_probed else len(tasks))
             for each in eligible
         )
         return eligible if fitting >= len(tasks) else candidates
 
+    def _fit_now(
+        self, step: StepRun, tasks: list[Task], workers: list[FleetWorker]
+    ) -> bool:
+        """Return whether workers have free resources for all given tasks of a step."""
+        return sum(self._fits_now(step, each) for each in workers) >= len(tasks)
+
     def _preference(
         self, step: StepRun, worker: FleetWorker
     ) -> tuple[bool, int, int, int, str]:
@@ -457,7 +627,7 @@
         now: float,
         plan: Plan,
     ) -> bool:
-        eligible = self._exclude_failed_workers(step, tasks, candidates)
+        eligible = self._exclude_failed_workers(step, tasks, candidates, now)
         isolated_attempt = isolation.record_for(tasks[0])
         if (
             isolated_attempt is not None
@@ -583,6 +753,7 @@
                 worker, self.cluster_state.fleet.worker_failures, now
             )
             worker.isolated_attempt = placement
+        self.cluster_state.load.preemption.note_placed(step, worker)
         group.placements.append((worker, placement))
 
 
@@ -604,6 +775,25 @@
     return found[:MAX_STEPS_SCANNED]
 
 
+def _exclusion_ends_at(step: StepRun, tasks: list[Task]) -> float:
+    """Return when addresses where workers were lost under some tasks may be used."""
+    records = [step.losses_of(task) for task in tasks]
+    lost_at = [record.changed_at for record in records if record is not None]
+    return max(lost_at, default=float("-inf")) + LOST_ADDRESS_EXCLUSION_S
+
+
+def _may_preempt(step: StepRun) -> bool:
+    """Return whether a step may preempt as urgent work.
+
+    A gang that needs a common rack and a task that must run isolated would need more
+    than free resources.
+    """
+    spec = step.spec
+    if spec.service or spec.filler or (spec.gang and spec.same_rack):
+        return False
+    return not any(isolation.record_for(task) for task in step.pending())
+
+
 def _fits_beside_services(step: StepRun, worker: FleetWorker) -> int:
     """Return how many tasks of a step fit on a worker next to its services."""
     available = worker.entry.capacity
