--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -130,8 +130,8 @@
         guarantee="decisions",
         mechanism="granting permits in order of urgency",
         file="workflow/permit_queue.py",
-        text="heapq.heappush(self._waiters, (urgency, next(self._sequence), fut))",
-        replacement='heapq.heappush(self._waiters, ((0, 0, 0.0, ""), next(self._sequence), fut))',
+        text="_Waiter(urgency, next(self._sequence), step, fut)",
+        replacement='_Waiter((0, 0, 0.0, ""), next(self._sequence), step, fut)',
         test="tests/test_permit_queue.py",
     ),
     Mutant(
