--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -430,14 +430,6 @@
         speed = self._speed_choice.rank(step, worker)
         return (away, interference, speed, worker.free.processors, worker.name)
 
-    def _gang_preference(
-        self, step: StepRun, worker: FleetWorker
-    ) -> tuple[bool, int, int, int, str]:
-        """Return the preference among workers fast enough for a gang, slowest first."""
-        away, interference, _, free, name = self._preference(step, worker)
-        speed_class = self._speed_choice.class_of(step, worker) or 0
-        return (away, interference, speed_class, free, name)
-
     @staticmethod
     def _interference(step: StepRun, worker: FleetWorker) -> int:
         """Return how many serving tasks on a worker interfere with the step.
@@ -518,23 +510,41 @@
         candidates: list[FleetWorker],
         count: int,
     ) -> list[FleetWorker]:
-        """Return one worker per gang member; fewer if not all fit.
-
-        The fullest workers go first; where speeds differ, those of like speed.
-        """
+        """Return one worker per gang member, fullest first; fewer if not all fit."""
+        if self._speed_choice.is_uneven(step):
+            return self._assign_gang_by_speed(step, candidates, count)
         assigned: list[FleetWorker] = []
-        workers = self._speed_choice.workers_for_gang(
-            step, candidates, count, lambda each: self._fits_now(step, each)
-        )
-        for worker in sorted(
-            workers, key=lambda each: self._gang_preference(step, each)
-        ):
+        for worker in sorted(candidates, key=lambda each: self._preference(step, each)):
             fits = min(count - len(assigned), self._fits_now(step, worker))
             assigned += [worker] * fits
             if len(assigned) == count:
                 break
         return assigned
 
+    def _assign_gang_by_speed(
+        self, step: StepRun, candidates: list[FleetWorker], count: int
+    ) -> list[FleetWorker]:
+        """Return one worker of like speed per gang member; none if not all fit.
+
+        The slowest and then the fullest of the workers chosen go first.
+        """
+        needs = reserved_resources(step.spec)
+        fits = {
+            each: self._fits_now(step, each)
+            for each in candidates
+            if needs.fits_in(each.free)
+        }
+        classes = self._speed_choice.gang_classes(step, fits, count)
+
+        def preference(worker: FleetWorker) -> tuple[bool, int, int, int, str]:
+            away, interference, _, free, name = self._preference(step, worker)
+            return (away, interference, classes[worker], free, name)
+
+        assigned: list[FleetWorker] = []
+        for worker in sorted(classes, key=preference):
+            assigned += [worker] * min(count - len(assigned), fits[worker])
+        return assigned
+
     def _reserve_for_gang(self, step: StepRun, candidates: list[FleetWorker]) -> bool:
         """Reserve resources for a gang on the workers that will fit it soonest.
 
--- a/cranberrycleat/workflow/decisions/speed_choice.py
+++ b/cranberrycleat/workflow/decisions/speed_choice.py
@@ -7,7 +7,7 @@
 
 import collections
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import attrs
@@ -145,8 +145,12 @@
     speeds: SpeedModel | None = None
     estimates: RuntimeEstimates | None = None
     now_s: float = 0.0
-    _classes: dict[str, dict[str, int] | None] = attrs.field(factory=dict)
-    _needs: dict[str, SpeedNeed] = attrs.field(factory=dict)
+    _classes: dict[str, dict[FleetWorker, int] | None] = attrs.field(factory=dict)
+    _needs: dict[StepRun, SpeedNeed] = attrs.field(factory=dict)
+
+    def is_uneven(self, step: StepRun) -> bool:
+        """Return whether the speeds of the workers of a step's pool differ."""
+        return self._classes_of(step) is not None
 
     def rank(self, step: StepRun, worker: FleetWorker) -> int:
         """Return the preference for a worker; always 0 where speeds are equal."""
@@ -155,47 +159,43 @@
 
     def class_of(self, step: StepRun, worker: FleetWorker) -> int | None:
         """Return a worker's speed class; None where speeds are equal or unknown."""
-        pool = step.job.queue.pool
-        if pool not in self._classes:
-            uneven = self.speeds is not None and self.speeds.is_uneven(pool)
-            self._classes[pool] = {} if uneven else None
-        classes = self._classes[pool]
+        classes = self._classes_of(step)
         if classes is None or self.speeds is None:
             return None
-        found = classes.get(worker.name)
+        found = classes.get(worker)
         if found is None:
-            found = classes[worker.name] = self.speeds.speed_class(worker)
+            found = classes[worker] = self.speeds.speed_class(worker)
         return found
 
-    def workers_for_gang(
-        self,
-        step: StepRun,
-        candidates: Sequence[FleetWorker],
-        count: int,
-        fits_now: Callable[[FleetWorker], int],
-    ) -> Sequence[FleetWorker]:
-        """Return the candidates that are not slower than a gang's best assignment.
+    def _classes_of(self, step: StepRun) -> dict[FleetWorker, int] | None:
+        """Return the classes looked up so far, or None where speeds are equal."""
+        pool = step.job.queue.pool
+        if pool not in self._classes:
+            uneven = self.speeds is not None and self.speeds.is_uneven(pool)
+            self._classes[pool] = {} if uneven else None
+        return self._classes[pool]
 
-        All are returned where speeds are equal, or if the gang does not fit.
+    def gang_classes(
+        self, step: StepRun, fits: Mapping[FleetWorker, int], count: int
+    ) -> dict[FleetWorker, int]:
+        """Return the workers of a gang's best assignment, with their classes.
 
         Args:
             step: The gang's step.
-            candidates: The workers on which it may run.
+            fits: How many members each worker would be assigned now.
             count: The number of members.
-            fits_now: Returns how many members a worker would be assigned now.
+
+        Returns:
+            Workers that hold all members; none if they do not fit.
         """
+        classes = {each: self.class_of(step, each) or 0 for each in fits}
         fits_by_class: collections.Counter[int] = collections.Counter()
-        for worker in candidates:
-            found = self.class_of(step, worker)
-            if found is None:
-                return candidates
-            fits_by_class[found] += fits_now(worker)
+        for worker, number in fits.items():
+            fits_by_class[classes[worker]] += number
         slowest = slowest_class_for_gang(self._need_of(step), fits_by_class, count)
         if slowest is None:
-            return candidates
-        return [
-            each for each in candidates if (self.class_of(step, each) or 0) >= slowest
-        ]
+            return {}
+        return {each: found for each, found in classes.items() if found >= slowest}
 
     def log_placement(
         self, step: StepRun, workers: Sequence[FleetWorker], now: float
@@ -223,8 +223,8 @@
         )
 
     def _need_of(self, step: StepRun) -> SpeedNeed:
-        need = self._needs.get(step.name)
+        need = self._needs.get(step)
         if need is None:
             need = speed_need(step, self.estimates, self.now_s)
-            self._needs[step.name] = need
+            self._needs[step] = need
         return need
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -906,8 +906,8 @@
         guarantee="decisions",
         mechanism="placing a gang on workers of like speed",
         file="workflow/decisions/speed_choice.py",
-        text="        if slowest is None:\n            return candidates",
-        replacement="        if True:\n            return candidates",
+        text="        return {each: found for each, found in classes.items() if found >= slowest}",
+        replacement="        return classes",
         test="tests/test_speed_choice.py::test_step_goes_to_slowest_workers_that_suffice",
     ),
     Mutant(
