--- a/cranberrycleat/workflow/decisions/__init__.py
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -9,6 +9,8 @@
 - `planner`: one scheduling round; calls the modules below
 - `ordering`: in which order waiting steps are placed
 - `pool_snapshot`, `locality`, `permit_choice`: on which workers a step may be placed
+- `speed_model`, `runtime_estimates`, `speed_choice`: how fast workers are, how long
+  tasks run, and which speed a step needs
 - `isolation`, `retrying`: how a failed or suspect task is retried
 - `preemption`, `filler_throttling`, `progress`, `evacuation`: which running
   attempts are stopped or slowed down
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -892,7 +892,7 @@
         file="workflow/decisions/speed_choice.py",
         text="            uneven = self.speeds is not None and self.speeds.is_uneven(pool)",
         replacement="            uneven = self.speeds is not None",
-        test="tests/test_speed_choice.py::test_plan_is_identical_where_speeds_are_equal",
+        test="tests/test_speed_choice.py::test_plan_is_identical_where_speeds_are_equal_or_unknown",
     ),
     Mutant(
         guarantee="decisions",
--- a/tests/test_speed_choice.py
+++ b/tests/test_speed_choice.py
@@ -13,6 +13,7 @@
     SpeedNeed,
     slowest_class_for_gang,
 )
+from cranberrycleat.workflow.decisions.speed_model import SpeedModel
 from cranberrycleat.workflow.ports import (
     EndedTask,
     EndKind,
@@ -114,17 +115,19 @@
     assert SPEEDS[int(query.workers[0][1:]) % 3] == 1.0
 
 
-def test_plan_is_identical_where_speeds_are_equal() -> None:
+def test_plan_is_identical_where_speeds_are_equal_or_unknown() -> None:
     """Guards against noise in learned speeds that moves work to other workers."""
     plans = []
-    for learned in (False, True):
-        owner_board = board(learned=learned, even=True)
+    for case in ("off", "unknown", "equal"):
+        owner_board = board(learned=case != "off", even=True)
+        if case == "unknown":
+            owner_board.load.speeds = SpeedModel()
         for number in range(12):
             spec = step(1 + number % 4, 500 + 300 * (number % 3), gang=not number % 3)
             owner_board.accept(f"j{number}", (URGENT, PATIENT)[number % 2], job(spec))
         groups = plan(owner_board).groups
         plans.append([[(w.name, p.task) for w, p in g.placements] for g in groups])
-    assert plans[0] == plans[1] != []
+    assert plans[0] == plans[1] == plans[2] != []
     speeds, workers = owner_board.load.speeds, owner_board.fleet.workers.values()
     assert speeds is not None and any(map(speeds.speed_class, workers)), "no noise"
 
