Fair share: jobs beyond a workspace's weight rank behind due work

`Workspace.weight` was decoded and not used: a workspace that sent six times its usual load took the pool up to its quota. Each workspace with a weight now has a token bucket (`weight` jobs per second, one second deep, at least one job). A job that finds no token when it is accepted is surplus. `DelayCostOrder` ranked surplus already; `TieredOrder` does the same for the order by deadline. Restored jobs are classified in order of acceptance, inbox jobs of one scan as well; purged and withdrawn jobs are dropped.

`job.accepted` has the tier, `workspaces.jobs.tiers` counts it, the owner's dump and `explain` show it. A configuration with a negative weight, or with one that is missing or 0 where others have one, is unreadable, with the place of the fault; the previous one stays in force.

The order by dominant share among equals is left out: ranks contain times as floating-point numbers and tie only for equal jobs accepted at the same instant.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -50,7 +50,10 @@
 
 @event("job.accepted")
 class JobAccepted:
-    """The owner accepted a job in memory; it is not stored yet."""
+    """The owner accepted a job in memory; it is not stored yet.
+
+    `tier` is `due` or `surplus`; empty without fair share or a weight.
+    """
 
     job: str
     queue: str
@@ -63,6 +66,7 @@
     stretch: float = 0.0
     slack_s: float = 0.0
     workspace: str = ""
+    tier: str = ""
 
 
 @event("job.stored")
--- a/cranberrycleat/explain.py
+++ b/cranberrycleat/explain.py
@@ -17,6 +17,9 @@
 PREFIX_TIME_PARTS: Final = 3
 SLOW_STAGE_S: Final = 0.25
 """A stage longer than this counts as slow: short jobs have 0.5 s to spare."""
+RANK_REASONS: Final = ("no room", "permits are being asked for")
+"""Reasons for which a step waits because others go first; steps at the end of a long
+queue do not ask for permits yet."""
 EVENTS_BY_NAME: Final = {kind.name: cls for cls, kind in events.KINDS.items()}
 CONTEXT_EVENTS: Final = (
     events.OwnerWon,
@@ -280,7 +283,8 @@
                     )
                 )
             case events.TaskPlaced(waited_s=waited_s, attempt=1):
-                text = f"waited for a place: {_wait_reason(timeline, entry)}"
+                reason = _wait_reason(timeline, entry)
+                text = f"waited for a place: {reason}{_surplus_note(timeline, reason)}"
                 stages.append(_Stage(seconds=waited_s, text=text, entry=entry))
             case events.TaskStarted(after_s=after_s):
                 text = "placed, but its start came late"
@@ -297,6 +301,15 @@
     return stages
 
 
+def _surplus_note(timeline: JobTimeline, reason: str) -> str:
+    """Return a note if a job waited because others went first; otherwise empty."""
+    accepted = timeline.first(events.JobAccepted)
+    surplus = accepted is not None and accepted.event.tier == "surplus"
+    if not surplus or reason not in RANK_REASONS:
+        return ""
+    return "; surplus: its workspace sent more than its weight allows"
+
+
 def _wait_reason(timeline: JobTimeline, placed: Entry) -> str:
     """Return the last waiting reason that was logged before a task was placed."""
     step = placed.event.task.rpartition(".")[0]
--- a/cranberrycleat/platform/records.py
+++ b/cranberrycleat/platform/records.py
@@ -107,9 +107,14 @@
     """Return the operator's configuration.
 
     Raises:
-        FindingsError: The row does not have the platform's format.
+        FindingsError: The row does not have the platform's format, or a tenant's weight
+            is invalid.
     """
     wire = codec.decode(row.value, _WireConfig, place=row.key)
+    found = errors.Findings()
+    _check_weights(f"{row.key}.tenants", wire.tenants or (), found)
+    if found.items:
+        raise errors.FindingsError(findings=found.sorted())
     return ClusterConfig(
         version=wire.version,
         queues=tuple(_queue(route) for route in wire.routes),
@@ -124,6 +129,22 @@
     )
 
 
+def _check_weights(
+    place: str, tenants: tuple[_WireTenant, ...], found: errors.Findings
+) -> None:
+    """Check the weights of tenants; either all have one, or none.
+
+    The format leaves out fields that are zero, so a weight of 0 is a missing one.
+    """
+    weighted = any(tenant.weight > 0 for tenant in tenants)
+    for number, tenant in enumerate(tenants):
+        field = f"{place}[{number}].weight"
+        if tenant.weight < 0:
+            found.add(field, errors.BAD_VALUE, value=tenant.weight, allowed="> 0")
+        elif weighted and not tenant.weight:
+            found.add(field, errors.MISSING, allowed="> 0, as other tenants have")
+
+
 def _workspace(tenant: _WireTenant) -> Workspace:
     return Workspace(
         name=tenant.name,
--- a/cranberrycleat/workflow/batches.py
+++ b/cranberrycleat/workflow/batches.py
@@ -173,5 +173,7 @@
         _, job_id = heapq.heappop(cluster_state.ended)
         if cluster_state.jobs.pop(job_id, None) is not None:
             old.append(job_id)
+        if cluster_state.load.fair_share is not None:
+            cluster_state.load.fair_share.forget(job_id)
         cluster_state.reported.pop(job_id, None)
     return tuple(rows.job_key(job_id) for job_id in old)
--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -174,8 +174,9 @@
         )
         self.jobs[job_id] = job
         self._track_unstarted(job)
+        tier = None
         if self.load.fair_share is not None:
-            self.load.fair_share.record_accepted(job)
+            tier = self.load.fair_share.record_accepted(job)
         emit(
             events.JobAccepted(
                 job=job_id,
@@ -191,6 +192,7 @@
                 stretch=queue.stretch,
                 slack_s=queue.objective_s,
                 workspace=workspace,
+                tier="" if tier is None else tier.name.lower(),
             )
         )
         self._mark_dirty(job)
@@ -211,7 +213,7 @@
         self._remove_waiting_steps(job)
         self.dirty.pop(job_id, None)
         if self.load.fair_share is not None:
-            self.load.fair_share.forget(job_id)
+            self.load.fair_share.withdraw(job)
         del self.jobs[job_id]
         return True
 
@@ -220,8 +222,6 @@
         job.accepted_s = min(job.accepted_s, self.time_of_day())
         self.jobs[job.job_id] = job
         self.reported[job.job_id] = job.state()
-        if self.load.fair_share is not None:
-            self.load.fair_share.record_accepted(job)
         if job.verdict is None:
             self._track_unstarted(job)
             self.losses.restore(job)
--- a/cranberrycleat/workflow/decisions/__init__.py
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -7,7 +7,8 @@
 `workflow/links`).
 
 - `planner`: one scheduling round; calls the modules below
-- `ordering`: in which order waiting steps are placed
+- `ordering`, `tiered_order`: in which order waiting steps are placed
+- `fair_share`: which jobs are within the entitlement of their workspace
 - `pool_snapshot`, `locality`, `permit_choice`: on which workers a step may be placed
 - `isolation`, `retrying`: how a failed or suspect task is retried
 - `preemption`, `filler_throttling`, `progress`, `evacuation`: which running
--- a/cranberrycleat/workflow/decisions/load_control.py
+++ b/cranberrycleat/workflow/decisions/load_control.py
@@ -20,6 +20,7 @@
 from cranberrycleat.workflow.decisions.preemption import Preemption
 from cranberrycleat.workflow.decisions.runtime_estimates import RuntimeEstimates
 from cranberrycleat.workflow.decisions.speed_model import SpeedModel
+from cranberrycleat.workflow.decisions.tiered_order import TieredOrder
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -59,6 +60,8 @@
     order: StepOrder = DeadlineOrder()
     if policies.delay_cost_order:
         order = DelayCostOrder(fair_share=fair_share, estimates=estimates)
+    elif fair_share is not None:
+        order = TieredOrder(order=order, fair_share=fair_share)
     forecast = LoadForecast() if policies.forecast_admission else None
     return LoadControl(
         order=order,
--- a/cranberrycleat/workflow/inbox.py
+++ b/cranberrycleat/workflow/inbox.py
@@ -89,6 +89,7 @@
 
     def accept_rows(self, found: tuple[Row, ...]) -> None:
         """Accept jobs; rows that cannot be decoded are logged with their keys."""
+        decoded: list[tuple[str, rows.SpecRow]] = []
         for row in found:
             job_id = row.key.partition("/")[2]
             try:
@@ -96,6 +97,11 @@
             except errors.FindingsError as exc:
                 emit(events.RowUnreadable(findings=str(exc)))
                 continue
+            decoded.append((job_id, spec_row))
+        if self.cluster_state.load.fair_share is not None:
+            # Jobs take the tokens of their workspace in order of acceptance.
+            decoded.sort(key=lambda each: (each[1].accepted_s, each[0]))
+        for job_id, spec_row in decoded:
             job = self.cluster_state.accept(
                 job_id,
                 spec_row.queue,
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -31,6 +31,7 @@
     take_batch,
 )
 from cranberrycleat.workflow.cluster_state import ClusterState
+from cranberrycleat.workflow.decisions.fair_share import ShareTier
 from cranberrycleat.workflow.decisions.feasibility import (
     RETRY_AFTER_S,
     SETTLING_RETRY_AFTER_S,
@@ -649,15 +650,23 @@
     def workspaces(self) -> dict[str, dict[str, object]]:
         """Return the usage, quota and waiting tasks of each workspace, for dumps."""
         quotas = self.cluster_state.quotas
+        fair_share = self.cluster_state.load.fair_share
         waiting: collections.Counter[str] = collections.Counter()
+        surplus: collections.Counter[str] = collections.Counter()
         for step in self.cluster_state.waiting.values():
-            waiting[step.job.workspace] += len(step.pending())
+            pending = len(step.pending())
+            waiting[step.job.workspace] += pending
+            if fair_share and fair_share.tier(step.job) is ShareTier.SURPLUS:
+                surplus[step.job.workspace] += pending
+        weights = {} if fair_share is None else fair_share.weights()
         return {
             name: {
                 "running": attrs.asdict(quotas.used_by(name)),
                 "attempts": quotas.running[name],
                 "quota": attrs.asdict(quotas.quota_of(name) or NOTHING),
                 "tasks_waiting": waiting[name],
+                "surplus_tasks_waiting": surplus[name],
+                "weight": weights.get(name, 0.0),
             }
             for name in sorted({*quotas.used, *waiting} - {""})
         }
--- a/cranberrycleat/workflow/takeover.py
+++ b/cranberrycleat/workflow/takeover.py
@@ -92,6 +92,9 @@
         except errors.FindingsError as exc:
             cluster_state.unreadable.add(job_id)
             emit(events.RowUnreadable(findings=str(exc)))
+    fair_share = cluster_state.load.fair_share
+    if fair_share is not None:
+        fair_share.record_restored(cluster_state.jobs.values())
 
 
 def _restore_job(
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -32,10 +32,14 @@
     def _record_job_event(self, event: Any) -> None:
         metrics = self.metrics
         match event:
-            case events.JobAccepted(queue=queue, workspace=workspace):
+            case events.JobAccepted(queue=queue, workspace=workspace, tier=tier):
                 metrics.count("jobs.accepted", queue=queue)
                 if workspace:
                     metrics.count("workspaces.jobs.accepted", workspace=workspace)
+                if tier:
+                    metrics.count(
+                        "workspaces.jobs.tiers", workspace=workspace, tier=tier
+                    )
             case events.JobRefused(queue=queue, reason=reason, workspace=workspace):
                 metrics.count("jobs.refused", queue=queue, reason=reason)
                 if workspace:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -106,6 +106,18 @@
 ACCEPTED = events.JobAccepted(
     job="a", queue="q", steps=1, tasks=1, runs=1, due_in_s=0, labels=(), objective_s=1
 )
+SURPLUS = events.JobAccepted(
+    job="a",
+    queue="r",
+    steps=1,
+    tasks=1,
+    runs=1,
+    due_in_s=0,
+    labels=(),
+    objective_s=1,
+    workspace="one",
+    tier="surplus",
+)
 STORED = events.JobStored(job="a", after_s=0.01)
 ENDED = events.JobEnded(
     job="a",
@@ -149,6 +161,16 @@
             [ACCEPTED, STORED, waiting("no room"), placed(3.0), ENDED],
             "waited for a place: no room",
         ),
+        (
+            [
+                SURPLUS,
+                STORED,
+                waiting("no room"),
+                placed(3.0),
+                ENDED,
+            ],
+            "waited for a place: no room; surplus: its workspace sent more",
+        ),
         (
             [
                 ACCEPTED,
@@ -308,10 +330,11 @@
     """Counters have labels and histograms are in seconds, in the text format."""
     metrics = Metrics(role="node", name="n")
     telemetry = Telemetry(metrics=metrics)
-    for event in (ACCEPTED, ENDED, placed(0.2), waiting("no room")):
+    for event in (ACCEPTED, SURPLUS, ENDED, placed(0.2), waiting("no room")):
         telemetry.record_event(event)
     text = metrics.text()
     assert 'cranberrycleat_jobs_accepted{queue="q"} 1' in text
+    assert 'workspaces_jobs_tiers{tier="surplus",workspace="one"} 1' in text
     assert 'jobs_ended{late="true",queue="q",state="completed"} 1' in text
     assert 'cranberrycleat_tasks_waited_duration_bucket{le="0.25"} 1' in text
     assert "cranberrycleat_tasks_waited_duration_count 1" in text
