Steps of one round preempt different victims; failing stops are tested

Cause: attempts that an earlier step of the round had stopped were still offered to the next one, which then counted their resources twice; a second round was planned for each round in which a step waited for its victims.

Change: attempts that are being stopped are left out, one later round is planned at most, and work whose workspace has no known quota is not stopped. An owner with workers whose first stops get no answer, or crash them, runs each task to its end.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -37,7 +37,11 @@
     could_run_on,
     take_snapshot,
 )
-from cranberrycleat.workflow.decisions.preemption import Room, Selection
+from cranberrycleat.workflow.decisions.preemption import (
+    EVALUATION_INTERVAL_S,
+    Room,
+    Selection,
+)
 from cranberrycleat.workflow.decisions.preemption_victims import (
     Claim,
     VictimFinder,
@@ -217,23 +221,25 @@
             Whether resources are reserved for the step.
         """
         preemption = self.cluster_state.load.preemption
+        if not preemption.for_urgent_work or not _may_preempt(step):
+            return False
         waiting = [task for task in tasks if task.state is TaskState.PENDING]
-        if not preemption.for_urgent_work or not waiting or not _may_preempt(step):
+        if not waiting:
             return False
         held = preemption.held_for(step)
         self._reserve_slots(step, held)
-        slots = self._slots_within_quota(step, len(waiting) - held.total())
         rank = self._order.rank(step, now_s)
-        evaluates_at = preemption.evaluates_at(now)
-        if slots <= 0:
-            return bool(held)
         if not preemption.is_due(step, rank.slack_s):
             self._wake_for_preemption(
                 plan, now, preemption.due_in_s(step, rank.slack_s)
             )
             return bool(held)
+        slots = self._slots_within_quota(step, len(waiting) - held.total())
+        evaluates_at = preemption.evaluates_at(now)
+        if slots <= 0:
+            return bool(held)
         if evaluates_at > now:
-            self._schedule_retry(plan, evaluates_at)
+            self._wake_for_preemption(plan, now, evaluates_at - now)
             return bool(held)
         finder = preemption.finder(lambda: self._victim_finder(now, now_s), now)
         claim = Claim(
@@ -247,6 +253,8 @@
         selection = preemption.choose(claim, rooms, finder, snapshot.cores(), now)
         self._preempt_selected(claim, selection, now)
         self._reserve_slots(step, selection.slots)
+        if selection.slots.total() < slots:
+            self._wake_for_preemption(plan, now, EVALUATION_INTERVAL_S)
         return bool(held or selection.slots)
 
     def _preempt_selected(self, claim: Claim, selection: Selection, now: float) -> None:
@@ -269,7 +277,7 @@
             fair_share=cluster_state.load.fair_share,
             attempts_of=cluster_state.placements_of,
             is_allowed=lambda task: preemption.may_be_victim(task, now),
-            may_resume=lambda job: not cluster_state.quotas.is_over(job.workspace),
+            may_resume=lambda job: cluster_state.quotas.allows_more(job.workspace),
             stop_s=preemption.stop_s,
             now=now,
             now_s=now_s,
@@ -765,6 +773,8 @@
     spec = step.spec
     if spec.service or spec.filler or (spec.gang and spec.same_rack):
         return False
+    if not step.losses:
+        return True
     return not any(isolation.record_for(task) for task in step.pending())
 
 
--- a/cranberrycleat/workflow/decisions/preemption.py
+++ b/cranberrycleat/workflow/decisions/preemption.py
@@ -234,7 +234,7 @@
         groups = [
             each
             for each in self.finder.groups_on(room.worker)
-            if each not in self.selection.victims and each.may_give_way(self.claim)
+            if self._is_available(each)
         ]
         groups.sort(key=lambda each: each.cost_core_s)
         chosen: list[VictimGroup] = []
@@ -250,6 +250,12 @@
                 chosen = others
         return _Offer(room=room, groups=tuple(chosen))
 
+    def _is_available(self, group: VictimGroup) -> bool:
+        """Return whether a group may be stopped and is not being stopped already."""
+        stopping = any(placement.stopping for _, placement in group.attempts)
+        chosen = group in self.selection.victims
+        return not stopping and not chosen and group.may_give_way(self.claim)
+
     def _fits(self, room: Room, stopped: Sequence[VictimGroup]) -> bool:
         """Return whether one more task fits if some groups are stopped."""
         worker = room.worker
--- a/cranberrycleat/workflow/quota.py
+++ b/cranberrycleat/workflow/quota.py
@@ -103,6 +103,12 @@
             return True
         return count == 1 and not self.running[workspace] and self.quotas() is not None
 
+    def allows_more(self, workspace: str) -> bool:
+        """Return whether an attempt of a workspace that is stopped may start again."""
+        if not workspace:
+            return True
+        return self.quotas() is not None and not self.is_over(workspace)
+
     def is_over(self, workspace: str) -> bool:
         """Return whether a workspace exceeds its quota, which may have been lowered."""
         quota = self.quota_of(workspace)
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -918,4 +918,12 @@
         replacement="",
         test="tests/test_urgent_preemption.py::test_freed_resources_reach_the_step",
     ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="stopping other victims for the next step of a round",
+        file="workflow/decisions/preemption.py",
+        text="        return not stopping and not chosen and group.may_give_way(self.claim)",
+        replacement="        return not chosen and group.may_give_way(self.claim)",
+        test="tests/test_urgent_preemption.py::test_steps_of_one_round_get_different_victims",
+    ),
 )
--- a/tests/test_urgent_preemption.py
+++ b/tests/test_urgent_preemption.py
@@ -1,5 +1,6 @@
 """Tests of preemption by checkpoint for steps that would be late."""
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -9,6 +10,7 @@
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.explain import Entry, JobTimeline, cause
 from cranberrycleat.metrics import Metrics
+from cranberrycleat.standins.fleet import SimulatedWork, StandinFleet
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.decisions.fair_share import FairShare, ShareTier
 from cranberrycleat.workflow.decisions.load_control import LoadControl
@@ -19,15 +21,19 @@
 from cranberrycleat.workflow.ports import (
     EndedTask,
     EndKind,
+    OrderReply,
     Permit,
     PermitTiming,
     Queue,
     SyncReply,
+    WorkerEntry,
+    WorkerUnreachable,
 )
 from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.state import Job, TaskState
 from cranberrycleat.workflow.telemetry import Telemetry
-from tests.cell import job, queue, step
+from tests.cell import cell, job, queue, step, submit, until
+from tests.fakes import run_async
 from tests.test_planner import NOW_S, cluster_state, placed, worker
 
 SHORT = step(1, processors=2000, estimate_s=1.0)
@@ -338,22 +344,26 @@
     assert budget.tokens == min(DEPTH_S, tokens + 0.5)
 
 
-# Guards against a task that makes no progress because it is preempted again and again.
-@pytest.mark.parametrize(("later_s", "stopped"), [(5.0, 0), (7.0, 2)])
-def test_a_task_is_not_preempted_twice_in_a_row(later_s: float, stopped: int) -> None:
-    needs = Amounts(processors=2000, memory_mb=1)
-    spec = attrs.evolve(PATIENT, count=2, needs=needs, label="r1")
-    pool = full_pool(spec, at=attrs.evolve(PATIENT_QUEUE, objective_s=90))
+def full_pool_in_a_large_one() -> Pool:
+    """Return a full pool of one worker, with a budget of 61 workers."""
+    patient = attrs.evolve(PATIENT, label="r1")
+    pool = full_pool(patient, at=attrs.evolve(PATIENT_QUEUE, objective_s=90))
     pool.board.cancel("u")
     for number in range(60):
-        # They add to the budget only.
         other = worker(f"other{number}", rack="r2")
         pool.board.fleet.workers[other.name] = other
-    big = attrs.evolve(spec, needs=needs.times(2), count=1, estimate_s=1.0)
+    return pool
+
+
+# Guards against a task that makes no progress because it is preempted again and again.
+@pytest.mark.parametrize(("later_s", "stopped"), [(5.0, 0), (7.0, 4)])
+def test_a_task_is_not_preempted_twice_in_a_row(later_s: float, stopped: int) -> None:
+    pool = full_pool_in_a_large_one()
+    big = step(1, processors=4000, estimate_s=1.0, label="r1")
     pool.submit("v0", big, SHORT_QUEUE, ARRIVAL_S)
     pool.plan(DUE_S)
-    assert len(pool.stopping()) == 2
-    for _ in range(2):
+    assert len(pool.stopping()) == 4
+    for _ in range(4):
         pool.end_first_stopping()
     pool.board.cancel("v0")
     pool.plan(DUE_S + 1.5)
@@ -363,6 +373,15 @@
     assert len(pool.stopping()) == stopped
 
 
+# Guards against two steps that count on the resources of the same victims.
+def test_steps_of_one_round_get_different_victims() -> None:
+    pool = full_pool_in_a_large_one()
+    for name in ("v0", "v1"):
+        pool.submit(name, attrs.evolve(SHORT, label="r1"), SHORT_QUEUE, ARRIVAL_S)
+    pool.plan(DUE_S)
+    assert len(pool.stopping()) == 4
+
+
 # Load pattern: a burst of short jobs into a pool full of other work. Guards against a
 # burst that stops more than the budget, and against stops of work without checkpoints.
 @pytest.mark.parametrize(("checkpoints", "least"), [(True, 3), (False, 0)])
@@ -377,6 +396,55 @@
     assert least * 1.25 <= cost_core_s <= 0.01 * 160 * (DEPTH_S + 0.2)
 
 
+@attrs.define(kw_only=True, eq=False)
+class FailingStops(StandinFleet):
+    """Workers on which the first stops fail: "no answer", "crash" or none do."""
+
+    failure: str = ""
+    stops: int = 0
+
+    async def stop(
+        self, entry: WorkerEntry, task: str, attempt: int, fence: int
+    ) -> OrderReply:
+        """Stop an attempt, or fail."""
+        self.stops += 1
+        if self.failure and self.stops <= 2:
+            if self.failure == "crash":
+                self.crash_and_restart(self.workers[entry.worker])
+            raise WorkerUnreachable("no answer")
+        return await super().stop(entry, task, attempt, fence)
+
+
+# Guards against tasks that run twice, are lost or start from nothing after a stop. It
+# is carried out, does not reach the worker, or the worker crashes while it saves.
+@pytest.mark.parametrize("failure", ["", "no answer", "crash"])
+def test_preempted_work_resumes(monkeypatch: pytest.MonkeyPatch, failure: str) -> None:
+    decisions = "cranberrycleat.workflow.decisions"
+    monkeypatch.setattr(f"{decisions}.preemption_budget.VICTIM_INTERVAL_S", 0.3)
+    monkeypatch.setattr(f"{decisions}.preemption.POOL_FRACTION", 2.0)
+    fleet = FailingStops(failure=failure, reports_progress=True)
+    fleet.work = lambda task, attempt: SimulatedWork(
+        seconds=0.1 if task.startswith("u") else 2.0
+    )
+
+    async def run() -> None:
+        async with cell(workers=1, fleet=fleet) as env:
+            owner = await env.own()
+            owner.cluster_state.load.preemption.for_urgent_work = True
+            patient = attrs.evolve(PATIENT, estimate_s=2.0)
+            await submit(owner, "p", job(patient), PATIENT_QUEUE)
+            await asyncio.sleep(0.8)
+            short = attrs.evolve(SHORT, estimate_s=0.2)
+            await submit(owner, "u", job(short), SHORT_QUEUE)
+            await until(lambda: owner.state("u").state == "completed")
+            await until(lambda: owner.state("p").state == "completed")
+            resumed = [each for each in fleet.starts if each.saved]
+            assert fleet.stops and not fleet.faults
+            assert len(resumed) == (0 if failure == "crash" else 2)
+
+    run_async(run())
+
+
 # Guards against a preempted job whose delay nothing explains.
 def test_explanation_and_metrics_name_the_preemption() -> None:
     stop = events.TaskPreempted(
