--- a/cranberrycleat/workflow/decisions/__init__.py
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -10,7 +10,7 @@
 - `ordering`: in which order waiting steps are placed
 - `pool_snapshot`, `locality`, `permit_choice`: on which workers a step may be placed
 - `isolation`, `retrying`: how a failed or suspect task is retried
-- `preemption`, `filler_throttling`, `progress`, `evacuation`: which running
-  attempts are stopped or slowed down
+- `preemption`, `preemption_victims`, `preemption_budget`, `filler_throttling`,
+  `progress`, `evacuation`: which running attempts are stopped or slowed down
 - `feasibility`: which jobs can never run
 """
--- a/tests/test_urgent_preemption.py
+++ b/tests/test_urgent_preemption.py
@@ -382,6 +382,21 @@
     assert len(pool.stopping()) == 4
 
 
+# Guards against stops for a gang that cannot have room for all of its members.
+@pytest.mark.parametrize(("members", "stopped"), [(2, 4), (3, 0)])
+def test_a_gang_gets_room_for_all_members_or_none(members: int, stopped: int) -> None:
+    pool = full_pool_in_a_large_one()
+    gang = attrs.evolve(SHORT, count=members, gang=True, label="r1")
+    pool.submit("v", gang, SHORT_QUEUE, ARRIVAL_S)
+    pool.plan(DUE_S)
+    assert len(pool.stopping()) == stopped
+    for number in range(stopped):
+        assert not any("v." in each for each in placed(pool.board)["w0"])
+        pool.end_first_stopping()
+        pool.plan(DUE_S + 0.01 * number)
+    assert ("v.0.0.0" in placed(pool.board)["w0"]) == bool(stopped)
+
+
 # Load pattern: a burst of short jobs into a pool full of other work. Guards against a
 # burst that stops more than the budget, and against stops of work without checkpoints.
 @pytest.mark.parametrize(("checkpoints", "least"), [(True, 3), (False, 0)])
