--- a/cranberrycleat/workflow/decisions/__init__.py
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -13,7 +13,7 @@
 - `speed_model`, `runtime_estimates`, `speed_choice`: how fast workers are, how long
   tasks run, and which speed a step needs
 - `isolation`, `retrying`: how a failed or suspect task is retried
-- `preemption`, `filler_throttling`, `progress`, `evacuation`: which running
-  attempts are stopped or slowed down
+- `preemption`, `preemption_victims`, `preemption_budget`, `filler_throttling`,
+  `progress`, `evacuation`: which running attempts are stopped or slowed down
 - `feasibility`: which jobs can never run
 """
