--- a/cranberrycleat/cli_explain.py
+++ b/cranberrycleat/cli_explain.py
@@ -10,6 +10,7 @@
     Cause,
     Entry,
     cause,
+    forecast_summary,
     job_timeline,
     job_timelines,
     read_lines,
@@ -61,6 +62,9 @@
     ):
         click.echo(entry.text())
     _print_cause(cause(timeline))
+    forecast = forecast_summary(timeline)
+    if forecast:
+        click.echo(f"forecast at its acceptance: {forecast}")
 
 
 def _print_cause(found: Cause) -> None:
--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -65,6 +65,42 @@
     workspace: str = ""
 
 
+@event("job.forecast")
+class JobForecast:
+    """When an accepted job was forecast to begin and to end, from its acceptance.
+
+    Attributes:
+        start_s: The optimistic, the expected and the pessimistic start.
+        end_s: The same for its end.
+        age_s: The age of the data on which the forecast is based.
+    """
+
+    job: str
+    queue: str
+    start_s: tuple[float, float, float]
+    end_s: tuple[float, float, float]
+    age_s: float
+
+
+@event("job.forecast_outcome")
+class JobForecastOutcome:
+    """A job began or was completed; `forecast_s` is what was forecast for that.
+
+    Attributes:
+        what: "start" or "end".
+        forecast_s: The optimistic, the expected and the pessimistic value.
+        after_s: The outcome.
+        age_s: The age of the data on which the forecast was based.
+    """
+
+    job: str
+    queue: str
+    what: str
+    forecast_s: tuple[float, float, float]
+    after_s: float
+    age_s: float
+
+
 @event("job.stored")
 class JobStored:
     """A new job was stored: the caller may now be told that it is accepted."""
--- a/cranberrycleat/explain.py
+++ b/cranberrycleat/explain.py
@@ -213,6 +213,40 @@
     return _stage_cause(timeline)
 
 
+def forecast_summary(timeline: JobTimeline) -> str:
+    """Return what was forecast for a job at its acceptance; empty if nothing was."""
+    made = timeline.first(events.JobForecast)
+    if made is None:
+        return ""
+    outcomes = {
+        entry.event.what: entry.event.after_s
+        for entry in timeline.job_entries
+        if isinstance(entry.event, events.JobForecastOutcome)
+    }
+    start, end = (
+        _compare(what, bounds, outcomes.get(what))
+        for what, bounds in (("start", made.event.start_s), ("end", made.event.end_s))
+    )
+    return f"{start}; {end}; from data {made.event.age_s:.2f} s old"
+
+
+def _compare(
+    what: str, bounds: tuple[float, float, float], after_s: float | None
+) -> str:
+    optimistic_s, expected_s, pessimistic_s = bounds
+    text = (
+        f"{what} after {expected_s:.2f} s "
+        f"({optimistic_s:.2f} to {pessimistic_s:.2f} s), "
+    )
+    if after_s is None:
+        return text + "not seen"
+    if after_s > pessimistic_s:
+        return text + f"seen after {after_s:.2f} s, later than forecast"
+    if after_s < optimistic_s:
+        return text + f"seen after {after_s:.2f} s, earlier than forecast"
+    return text + f"seen after {after_s:.2f} s, as forecast"
+
+
 def _rejection_cause(timeline: JobTimeline) -> Cause:
     for entry in reversed(timeline.job_entries):
         match entry.event:
--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -193,6 +193,7 @@
                 workspace=workspace,
             )
         )
+        self.load.record_forecast(job, self.now(), now_s)
         self._mark_dirty(job)
         self.open_due_occurrences(job)
         return job
@@ -212,6 +213,7 @@
         self.dirty.pop(job_id, None)
         if self.load.fair_share is not None:
             self.load.fair_share.forget(job_id)
+        self.load.outcomes.forget(job_id)
         del self.jobs[job_id]
         return True
 
@@ -270,6 +272,10 @@
         job.ended_s = self.time_of_day()
         heapq.heappush(self.ended, (job.ended_s, job.job_id))
         self._emit_job_ended(job)
+        if verdict is JobState.COMPLETED:
+            self.load.outcomes.ended(job.job_id, self.now())
+        else:
+            self.load.outcomes.forget(job.job_id)
         self._mark_dirty(job)
         self._remove_waiting_steps(job)
         for worker, placement in self.placements_of(job.job_id):
@@ -754,7 +760,9 @@
     def note_begun(self, placement: Placement) -> None:
         """Record that a worker started an attempt: its job is no longer unstarted."""
         if placement.tracked_task is not None:
-            self._untrack_unstarted(placement.tracked_task.step.job)
+            job = placement.tracked_task.step.job
+            self._untrack_unstarted(job)
+            self.load.outcomes.began(job.job_id, self.now())
 
     def sync(
         self, worker: FleetWorker, reply: SyncReply, *, sent_at: float, now: float
--- a/cranberrycleat/workflow/decisions/__init__.py
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -8,6 +8,8 @@
 
 - `planner`: one scheduling round; calls the modules below
 - `ordering`: in which order waiting steps are placed
+- `load_forecast` (with `load_snapshot`, `capacity_curve`, `job_shape`, `first_rank`):
+  when a job would begin and end; `forecast_outcomes` compares that with the outcome
 - `pool_snapshot`, `locality`, `permit_choice`: on which workers a step may be placed
 - `isolation`, `retrying`: how a failed or suspect task is retried
 - `preemption`, `filler_throttling`, `progress`, `evacuation`: which running
--- a/cranberrycleat/workflow/decisions/load_control.py
+++ b/cranberrycleat/workflow/decisions/load_control.py
@@ -8,9 +8,11 @@
 
 import attrs
 
-from cranberrycleat.workflow.decisions.fair_share import FairShare
+from cranberrycleat.workflow.decisions.fair_share import FairShare, ShareTier
+from cranberrycleat.workflow.decisions.first_rank import urgency_if_accepted
+from cranberrycleat.workflow.decisions.forecast_outcomes import ForecastOutcomes
 from cranberrycleat.workflow.decisions.job_admission import JobAdmission
-from cranberrycleat.workflow.decisions.load_forecast import LoadForecast
+from cranberrycleat.workflow.decisions.load_forecast import JobDemand, LoadForecast
 from cranberrycleat.workflow.decisions.load_policies import LoadPolicies
 from cranberrycleat.workflow.decisions.ordering import (
     DeadlineOrder,
@@ -20,6 +22,7 @@
 from cranberrycleat.workflow.decisions.preemption import Preemption
 from cranberrycleat.workflow.decisions.runtime_estimates import RuntimeEstimates
 from cranberrycleat.workflow.decisions.speed_model import SpeedModel
+from cranberrycleat.workflow.state import Job
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -32,6 +35,7 @@
         speeds: Learns the speeds of workers.
         estimates: Learns how far the estimates of each queue are off.
         forecast: Predicts when a job would begin and end.
+        outcomes: Compares these forecasts with what became of the jobs.
         admission: Decides which jobs are accepted.
         preemption: Selects running attempts that give way to a waiting step.
     """
@@ -41,9 +45,38 @@
     speeds: SpeedModel | None = None
     estimates: RuntimeEstimates | None = None
     forecast: LoadForecast | None = None
+    outcomes: ForecastOutcomes = attrs.field(factory=ForecastOutcomes)
     admission: JobAdmission | None = None
     preemption: Preemption = attrs.field(factory=Preemption)
 
+    def record_forecast(self, job: Job, now: float, now_s: float) -> None:
+        """Record the forecast of an accepted job and count the job in later ones.
+
+        Args:
+            job: The job.
+            now: The owner's clock.
+            now_s: Unix time in seconds.
+        """
+        if self.forecast is None:
+            return
+        surplus = (
+            self.fair_share is not None
+            and self.fair_share.tier(job) is ShareTier.SURPLUS
+        )
+        demand = JobDemand(
+            job_id=job.job_id,
+            queue=job.queue,
+            spec=job.spec,
+            workspace=job.workspace,
+            surplus=surplus,
+            sent_s=job.accepted_s,
+        )
+        urgency = urgency_if_accepted(self.order, demand, now_s)
+        found = self.forecast.forecast(demand, urgency, now)
+        self.forecast.add_accepted(demand, urgency)
+        if found is not None:
+            self.outcomes.record(job.job_id, job.queue.name, found, now)
+
 
 def make_load_control(
     policies: LoadPolicies, weights: Callable[[], Mapping[str, float]]
@@ -59,7 +92,9 @@
     order: StepOrder = DeadlineOrder()
     if policies.delay_cost_order:
         order = DelayCostOrder(fair_share=fair_share, estimates=estimates)
-    forecast = LoadForecast() if policies.forecast_admission else None
+    forecast = (
+        LoadForecast(estimates=estimates) if policies.forecast_admission else None
+    )
     return LoadControl(
         order=order,
         fair_share=fair_share,
--- a/cranberrycleat/workflow/dispatcher.py
+++ b/cranberrycleat/workflow/dispatcher.py
@@ -15,6 +15,7 @@
 from cranberrycleat.lifecycle import BackgroundTasks
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.cluster_state import ClusterState
+from cranberrycleat.workflow.decisions.load_snapshot import update_forecast
 from cranberrycleat.workflow.decisions.ordering import Urgency
 from cranberrycleat.workflow.decisions.planner import PermitQuery, PlannedGroup, Planner
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
@@ -25,6 +26,11 @@
 
 PERMIT_RETRY_S: Final = 0.05
 PERMIT_ATTEMPTS: Final = 4
+FORECAST_INTERVAL_S: Final = 0.1
+"""Minimum time between two snapshots for the load forecast."""
+FORECAST_TIME_SHARE: Final = 0.1
+"""Maximum share of its time that the owner spends on these snapshots; on a weak host
+with a long backlog they are taken less often."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -55,6 +61,7 @@
     plan_due: asyncio.Event
     spread_factor: float = 1.0
     planner: Planner = attrs.field(init=False)
+    _forecast_due_at: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
         self.planner = Planner(
@@ -73,6 +80,17 @@
         if plan.retry_at is not None:
             loop = asyncio.get_running_loop()
             loop.call_later(max(0.0, plan.retry_at - now), self.plan_due.set)
+        self._update_forecast()
+
+    def _update_forecast(self) -> None:
+        """Update the load forecast if it is enabled and its snapshot is old enough."""
+        forecast, began = self.cluster_state.load.forecast, self.clock.now()
+        if forecast is None or began < self._forecast_due_at:
+            return
+        update_forecast(self.cluster_state, forecast, began)
+        took_s = self.clock.now() - began
+        pause_s = max(FORECAST_INTERVAL_S, took_s / FORECAST_TIME_SHARE)
+        self._forecast_due_at = began + pause_s
 
     async def _ask_permits(self, query: PermitQuery) -> None:
         permits = self.cluster_state.permits.get(query.step.name)
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -401,6 +401,7 @@
             "epoch": self._lease.epoch,
             "owned": None if self.owner is None else self.owner.summary(),
             "workspaces": None if self.owner is None else self.owner.workspaces(),
+            "forecast": None if self.owner is None else self.owner.forecast_inputs(),
             "configuration_age_s": round(self._config.age_s(), 3),
         }
 
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -662,6 +662,27 @@
             for name in sorted({*quotas.used, *waiting} - {""})
         }
 
+    def forecast_inputs(self) -> list[dict[str, object]]:
+        """Return what the newest load forecasts are based on, for the state dump."""
+        forecast = self.cluster_state.load.forecast
+        if forecast is None:
+            return []
+        now = self.clock.now()
+        return [
+            {
+                "pool": load.pool,
+                "age_s": round(now - load.taken_at, 3),
+                "capacity": attrs.asdict(load.capacity),
+                "free": attrs.asdict(load.free),
+                "running": len(load.running),
+                "waiting_steps": len(load.waiting),
+                "quotas": {
+                    name: attrs.asdict(room) for name, room in load.headroom.items()
+                },
+            }
+            for load in forecast.loads()
+        ]
+
     def summary(self) -> dict[str, int]:
         """Return counts of jobs and tasks, for logs and the state dump."""
         placed = sum(
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -5,13 +5,17 @@
 durations in seconds.
 """
 
-from typing import Any
+from typing import Any, Final
 
 import attrs
 
 from cranberrycleat import events
 from cranberrycleat.metrics import Metrics
 
+MIN_OUTCOME_S: Final = 0.1
+"""Outcomes below this count as this long in the relative error of a forecast: a start
+after 0.03 s that was expected after 0.06 s is no error that matters to anyone."""
+
 
 @attrs.define(kw_only=True, eq=False)
 class Telemetry:
@@ -57,9 +61,36 @@
                     "jobs.ended", queue=queue, state=state, late=str(late).lower()
                 )
                 metrics.record("jobs.duration", after_s, queue=queue)
+            case events.JobForecastOutcome(
+                queue=queue, what=what, forecast_s=forecast_s, after_s=after_s
+            ):
+                self._record_forecast_outcome(queue, what, forecast_s, after_s)
             case events.JobShown(after_end_s=after_s):
                 metrics.record("jobs.shown.duration", after_s)
 
+    def _record_forecast_outcome(
+        self,
+        queue: str,
+        what: str,
+        forecast_s: tuple[float, float, float],
+        after_s: float,
+    ) -> None:
+        """Count where an outcome lies, and record its distance from what was expected.
+
+        The distance is relative to the outcome.
+        """
+        optimistic_s, expected_s, pessimistic_s = forecast_s
+        position = "within"
+        if after_s < optimistic_s:
+            position = "before"
+        elif after_s > pessimistic_s:
+            position = "after"
+        self.metrics.count(
+            "jobs.forecast.outcomes", queue=queue, what=what, position=position
+        )
+        error = abs(after_s - expected_s) / max(after_s, MIN_OUTCOME_S)
+        self.metrics.record("jobs.forecast.error", error, queue=queue, what=what)
+
     def _record_task_event(self, event: Any) -> None:
         metrics = self.metrics
         match event:
