--- a/cranberrycleat/cli_bench.py
+++ b/cranberrycleat/cli_bench.py
@@ -80,6 +80,22 @@
         _print_rows(f"{case.case}: {case.tasks} tasks", case.rows)
 
 
+@bench.command("forecast")
+@click.option("--seed", default=1, help="The seed of run times and demands.")
+@click.option("--quick", is_flag=True, help="A backlog of 500 steps, not 5,000.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def bench_forecast(seed: int, quick: bool, as_json: bool) -> None:
+    """Measure what snapshots and forecasts of a pool cost."""
+    from cranberrycleat.bench.forecast import run_forecast_bench
+
+    logs.set_up(level="error", form="text")
+    rows = run_forecast_bench(seed, quick=quick)
+    if as_json:
+        click.echo(codec.encode_text(rows))
+        return
+    _print_rows("forecast, by workers", rows)
+
+
 @bench.command("control")
 @click.option("--quick", is_flag=True, help="Shorter measurements; ends within 50 s.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
