--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -862,4 +862,20 @@
         replacement="            and True",
         test="tests/test_provisional_losses.py::test_deciding_loss_is_held_no_longer_than_detection_takes",
     ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="counting what was accepted since the snapshot in a forecast",
+        file="workflow/decisions/load_forecast.py",
+        text="            if each.urgency < urgency and self._holds(each, gangs):",
+        replacement="            if False:",
+        test="tests/test_load_forecast_model.py::test_jobs_accepted_since_the_snapshot_are_counted_once",
+    ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="leaving out of a forecast what the quota of another workspace holds back",
+        file="workflow/decisions/load_forecast.py",
+        text="            widths[position] = within",
+        replacement="            pass",
+        test="tests/test_load_forecast_model.py::test_expected_start",
+    ),
 )
