--- a/cranberrycleat/workflow/decisions/__init__.py
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -9,6 +9,8 @@
 - `planner`: one scheduling round; calls the modules below
 - `ordering`, `tiered_order`: in which order waiting steps are placed
 - `fair_share`: which jobs are within the entitlement of their workspace
+- `load_forecast` (with `load_snapshot`, `capacity_curve`, `job_shape`, `first_rank`):
+  when a job would begin and end; `forecast_outcomes` compares that with the outcome
 - `pool_snapshot`, `locality`, `permit_choice`: on which workers a step may be placed
 - `speed_model`, `runtime_estimates`, `speed_choice`: how fast workers are, how long
   tasks run, and which speed a step needs
