Admission control rejects jobs that would end without value

Cause: nothing limits what is accepted.

Retry-After spreads the callers over the time in which the backlog drains. The inbox is read before a rejection, since the job may be stored there. Hosts do not reject by themselves: requests do not say which attempt they are.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -84,6 +84,38 @@
     workspace: str = ""
 
 
+@event("job.rejected", essential=True)
+class JobRejected:
+    """The owner rejected a job because of the load; it never runs.
+
+    `start_s`, `end_s` (its optimistic bound) and `bound_s` (the latest end at which the
+    job would have been accepted) are from now; `age_s` is the age of the forecast.
+    """
+
+    job: str
+    queue: str
+    tier: str
+    reason: str
+    start_s: float
+    end_s: float
+    bound_s: float
+    age_s: float
+    sent_ago_s: float
+    retry_after_s: float
+    workspace: str = ""
+
+
+@event("job.admitted_for_size")
+class JobAdmittedForSize:
+    """The owner accepted a late job because too many of its size were rejected."""
+
+    job: str
+    queue: str
+    end_s: float
+    age_s: float
+    workspace: str = ""
+
+
 @event("caller.rejected", essential=True)
 class CallerRejected:
     """A request was rejected because it had no valid key.
--- a/cranberrycleat/explain.py
+++ b/cranberrycleat/explain.py
@@ -223,6 +223,8 @@
                 return Cause(text=text, entry=entry)
             case events.JobRefused(reason=reason):
                 return Cause(text=f"refused by the front end: {reason}", entry=entry)
+            case events.JobRejected(reason=reason):
+                return Cause(text=f"rejected for load: {reason}", entry=entry)
             case events.JobUnknown(reason=reason):
                 return Cause(text=f"given up by the front end: {reason}", entry=entry)
             case events.JobMalformed(reason=reason):
--- a/cranberrycleat/platform/front.py
+++ b/cranberrycleat/platform/front.py
@@ -35,8 +35,12 @@
     RequestStatus.MALFORMED: 400,
     RequestStatus.DENIED: 401,
     RequestStatus.REFUSED: 503,
+    RequestStatus.OVERLOADED: 429,
     RequestStatus.UNKNOWN: 504,
 }
+RETRYABLE_STATUSES: Final = (RequestStatus.REFUSED, RequestStatus.OVERLOADED)
+"""Statuses of jobs that never run, with a Retry-After: 503 in an outage, 429 because of
+the load."""
 KEY_HEADER: Final = b"authorization"
 KEY_SCHEME: Final = "token"
 CHALLENGE: Final = (b"www-authenticate", b"Token")
@@ -178,7 +182,7 @@
     reason = ReasonAnswer(reason=answer.reason or answer.status.value)
     if answer.status is RequestStatus.DENIED:
         return Answer(message=reason, status=status, headers=(CHALLENGE,))
-    if answer.status is not RequestStatus.REFUSED:
+    if answer.status not in RETRYABLE_STATUSES:
         return Answer(message=reason, status=status)
     seconds = max(1, math.ceil(answer.retry_after_s))
     later = (b"retry-after", str(seconds).encode())
--- a/cranberrycleat/workflow/job_frontend.py
+++ b/cranberrycleat/workflow/job_frontend.py
@@ -84,6 +84,7 @@
     MALFORMED = "malformed"
     DENIED = "denied"
     REFUSED = "refused"
+    OVERLOADED = "overloaded"
     UNKNOWN = "unknown"
 
 
@@ -106,7 +107,9 @@
     retry_after_s: float = OUTAGE_RETRY_AFTER_S
 
 
-NEVER_RUN_STATUSES: Final = frozenset({RequestStatus.REFUSED, RequestStatus.DENIED})
+NEVER_RUN_STATUSES: Final = frozenset(
+    {RequestStatus.REFUSED, RequestStatus.OVERLOADED, RequestStatus.DENIED}
+)
 """Statuses that promise that the job never runs. They must not be returned for a
 job that may have been stored."""
 JOB_ID_TAKEN: Final = RequestResult(
@@ -345,7 +348,11 @@
             return _Step(possibly_stored=True, owner_is_storing=True)
         return _Step(
             answer=RequestResult(
-                status=RequestStatus.REFUSED,
+                status=(
+                    RequestStatus.OVERLOADED
+                    if reply.overloaded
+                    else RequestStatus.REFUSED
+                ),
                 reason=reply.reason,
                 retry_after_s=reply.retry_after_s,
             )
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -310,6 +310,7 @@
         metrics.add_gauge("owner.lease.left", self._lease_left)
         metrics.add_gauge("tasks.pending", lambda: self._owner_gauge("pending"))
         metrics.add_gauge("tasks.held", lambda: self._owner_gauge("placed"))
+        metrics.add_gauge("jobs.rejected.share", self._rejected_share)
         metrics.add_gauge("jobs.open", lambda: self._owner_gauge("open"))
 
     def _lease_left(self) -> float:
@@ -317,6 +318,10 @@
             return 0.0
         return max(0.0, self._lease.valid_until() - self.clock.now())
 
+    def _rejected_share(self) -> float:
+        owner = self._active_owner()
+        return 0.0 if owner is None else owner.load_admission.rejected_share()
+
     def _owner_gauge(self, key: str) -> float:
         owner = self._active_owner()
         return 0.0 if owner is None else float(owner.summary()[key])
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -44,6 +44,7 @@
 from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.inbox import Inbox
 from cranberrycleat.workflow.links import WorkerLink
+from cranberrycleat.workflow.load_admission import LoadAdmission
 from cranberrycleat.workflow.membership import Membership
 from cranberrycleat.workflow.peering import (
     Heartbeat,
@@ -120,6 +121,7 @@
         worker_list_settled_at: When the list of workers can be assumed to be complete;
             until then, a job that fits no listed worker may still become feasible.
         inbox: Accepts jobs that front ends stored themselves.
+        load_admission: Decides which submitted jobs are accepted.
         roster: Keeps the workers in step with the platform's list.
         dispatcher: Plans placements and starts stored ones.
     """
@@ -157,6 +159,7 @@
     _answer_timeout: AnswerTimeout = attrs.field(factory=AnswerTimeout)
     _old_leases_over_at: float = 0.0
     inbox: Inbox = attrs.field(init=False)
+    load_admission: LoadAdmission = attrs.field(init=False)
     roster: Roster = attrs.field(init=False)
     dispatcher: Dispatcher = attrs.field(init=False)
 
@@ -172,6 +175,14 @@
         self.inbox = Inbox(
             cluster_state=self.cluster_state, store=self.store, changed=self.changed
         )
+        self.load_admission = LoadAdmission(
+            cluster_state=self.cluster_state,
+            inbox=self.inbox,
+            clock=self.clock,
+            is_settled=self._is_worker_list_settled,
+            may_order=self.may_order,
+            changed=self.changed,
+        )
         self.roster = Roster(
             cluster_state=self.cluster_state,
             directory=self.directory,
@@ -546,10 +557,13 @@
                 return SubmitReply(
                     refused=True, reason=infeasible, retry_after_s=retry_s
                 )
-            self.cluster_state.accept(
-                req.job_id, req.queue, req.spec, workspace=req.access.workspace
-            )
-            self.changed()
+            rejection = await self.load_admission.rejection_of(req)
+            if rejection is not None:
+                return rejection
+            if req.job_id in self.cluster_state.jobs:
+                # It was found in the inbox, or sent twice, during the check.
+                return await self.submit(req)
+            self.load_admission.accept(req)
         began = self.clock.now()
         reported = self.cluster_state.reported
         if await self._until_stored(lambda: req.job_id in reported, CHANGE_LIMIT_S):
--- a/cranberrycleat/workflow/peering.py
+++ b/cranberrycleat/workflow/peering.py
@@ -39,6 +39,7 @@
     Attributes:
         accepted: The job is stored.
         refused: The job was not accepted and never runs.
+        overloaded: As `refused`, because the load would make the job too late.
         denied: As `refused`, because the caller's key is no longer valid.
         foreign: The job ID belongs to a job of another workspace.
         reason: Why the job was refused.
@@ -47,6 +48,7 @@
 
     accepted: bool = False
     refused: bool = False
+    overloaded: bool = False
     denied: bool = False
     foreign: bool = False
     reason: str = ""
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -42,6 +42,10 @@
                     metrics.count(
                         "workspaces.jobs.refused", workspace=workspace, reason=reason
                     )
+            case events.JobRejected():
+                self._record_rejection(event)
+            case events.JobAdmittedForSize(queue=queue):
+                metrics.count("jobs.admitted_for_size", queue=queue)
             case events.CallerRejected(queue=queue, denied=denied):
                 metrics.count(
                     "callers.rejected", queue=queue, denied=str(denied).lower()
@@ -60,6 +64,18 @@
             case events.JobShown(after_end_s=after_s):
                 metrics.record("jobs.shown.duration", after_s)
 
+    def _record_rejection(self, event: events.JobRejected) -> None:
+        self.metrics.count(
+            "jobs.rejected", queue=event.queue, tier=event.tier, reason=event.reason
+        )
+        self.metrics.record(
+            "jobs.rejected.retry_after", event.retry_after_s, queue=event.queue
+        )
+        if event.workspace:
+            self.metrics.count(
+                "workspaces.jobs.rejected", workspace=event.workspace, tier=event.tier
+            )
+
     def _record_task_event(self, event: Any) -> None:
         metrics = self.metrics
         match event:
