--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -89,17 +89,18 @@
     """The owner rejected a job because of the load; it never runs.
 
     `start_s`, `end_s` (its optimistic bound) and `bound_s` (the latest end at which the
-    job would have been accepted) are from now; `age_s` is the age of the forecast.
+    job would have been accepted) are from now; `age_s` is the age of the forecast. They
+    may be empty if a rejection is repeated.
     """
 
     job: str
     queue: str
     tier: str
     reason: str
-    start_s: float
-    end_s: float
+    start_s: float | None
+    end_s: float | None
     bound_s: float
-    age_s: float
+    age_s: float | None
     sent_ago_s: float
     retry_after_s: float
     workspace: str = ""
--- a/cranberrycleat/workflow/decisions/job_admission.py
+++ b/cranberrycleat/workflow/decisions/job_admission.py
@@ -25,7 +25,11 @@
     Urgency,
     objective_s,
 )
-from cranberrycleat.workflow.decisions.retry_spread import RetryWindow, retry_after_s
+from cranberrycleat.workflow.decisions.retry_spread import (
+    MIN_RETRY_AFTER_S,
+    RetryWindow,
+    retry_after_s,
+)
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import Job, StepRun
 
@@ -174,12 +178,16 @@
     sent_s = first_sent_s(demand, now_s)
     worthless_s = LATE_FACTOR * objective_s(as_job(demand, now_s))
     runs_s = max(0.0, forecast.end.optimistic_s - forecast.start.optimistic_s)
-    # The class opens again when a new job of this kind would be below the lower bound.
-    drained_s = forecast.end.optimistic_s - REOPEN_FRACTION * _allowance_s(demand)
+    worth_s = sent_s + worthless_s - now_s - runs_s
+    if worth_s >= MIN_RETRY_AFTER_S:
+        # The class opens again when a new job of this kind is below the lower bound.
+        drained_s = forecast.end.optimistic_s - REOPEN_FRACTION * _allowance_s(demand)
+    else:
+        drained_s = forecast.start.expected_s
     window = RetryWindow(
         drained_s=drained_s,
-        worth_s=sent_s + worthless_s - now_s - runs_s,
-        waited_fraction=(now_s - sent_s) / worthless_s if worthless_s > 0 else 1.0,
+        worth_s=worth_s,
+        waited_fraction=(now_s - sent_s) / worthless_s,
         surplus=demand.surplus,
     )
     return Rejected(
--- a/cranberrycleat/workflow/load_admission.py
+++ b/cranberrycleat/workflow/load_admission.py
@@ -29,6 +29,7 @@
     urgency_if_accepted,
 )
 from cranberrycleat.workflow.decisions.load_forecast import Forecast, JobDemand
+from cranberrycleat.workflow.decisions.retry_spread import MIN_RETRY_AFTER_S
 from cranberrycleat.workflow.inbox import Inbox
 from cranberrycleat.workflow.peering import SubmitReply, SubmitRequest
 
@@ -36,9 +37,28 @@
 INBOX_CHECK_LIMIT_S: Final = 0.1
 """How long a rejection waits for the check of the inbox. A read takes 0.01 s; a front
 end waits 0.2 s for the owner before it stores the job in the inbox itself."""
-MAX_FIRST_ATTEMPTS: Final = 5000
-"""Rejected jobs whose first attempt is remembered, about 0.5 MB: ten minutes of eight
-rejections per second, longer than any job keeps its value."""
+REPEAT_S: Final = MIN_RETRY_AFTER_S
+"""How long a rejection is repeated for its job. No caller returns sooner than the least
+Retry-After, so a submission within that time is a copy of an earlier attempt, from a
+host that its caller has given up; accepting it would break the promise."""
+MAX_REJECTIONS: Final = 5000
+"""Rejected jobs that are remembered, about 1.5 MB: ten minutes of eight rejections per
+second, longer than any job keeps its value."""
+
+
+@attrs.frozen(kw_only=True)
+class _Rejection:
+    """The latest rejection of a job.
+
+    Attributes:
+        decision: The decision.
+        at: When it was made, on the owner's clock.
+        sent_s: When the job was first sent, since 1970.
+    """
+
+    decision: Rejected
+    at: float
+    sent_s: float
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -61,7 +81,7 @@
     is_settled: Callable[[], bool]
     may_order: Callable[[], bool]
     changed: Callable[[], None]
-    _first_sent_s: dict[str, float] = attrs.field(factory=dict)
+    _rejections: dict[str, _Rejection] = attrs.field(factory=dict)
 
     async def rejection_of(self, req: SubmitRequest) -> SubmitReply | None:
         """Return the reply that rejects a job; None if it is to be accepted.
@@ -77,17 +97,18 @@
         now, now_s = self.clock.now(), self.cluster_state.time_of_day()
         demand = self._demand(req, now_s)
         forecast = self._forecast(demand, now, now_s)
-        decision = admission.decide(demand, forecast, now=now, now_s=now_s)
-        if forecast is None or decision == Admitted():
-            return None
+        decision = self._repeated(req.job_id, now) or admission.decide(
+            demand, forecast, now=now, now_s=now_s
+        )
         if isinstance(decision, Admitted):
-            _log_admitted_for_size(demand, forecast)
+            if decision.for_size and forecast is not None:
+                _log_admitted_for_size(demand, forecast)
             return None
         if await self._may_be_stored(req.job_id):
             return None
         if not self.may_order():
             raise errors.NotOwner("the ownership was lost")
-        self._remember(demand, now_s)
+        self._remember(demand, decision, now, now_s)
         _log_rejection(demand, forecast, decision, now_s)
         return SubmitReply(
             refused=True,
@@ -98,7 +119,7 @@
 
     def accept(self, req: SubmitRequest) -> None:
         """Accept a job, and count it in the forecast at once."""
-        self._first_sent_s.pop(req.job_id, None)
+        self._rejections.pop(req.job_id, None)
         if not is_exempt(req.spec):
             self._count_accepted(req)
         self.cluster_state.accept(
@@ -123,6 +144,7 @@
 
     def _demand(self, req: SubmitRequest, now_s: float) -> JobDemand:
         workspace = req.access.workspace
+        past = self._rejections.get(req.job_id)
         fair_share = self.cluster_state.load.fair_share
         surplus = (
             fair_share is not None
@@ -134,7 +156,7 @@
             spec=req.spec,
             workspace=workspace,
             surplus=surplus,
-            sent_s=self._first_sent_s.get(req.job_id, now_s),
+            sent_s=now_s if past is None else past.sent_s,
         )
 
     def _forecast(self, demand: JobDemand, now: float, now_s: float) -> Forecast | None:
@@ -144,11 +166,25 @@
         urgency = urgency_if_accepted(load.order, demand, now_s)
         return load.forecast.forecast(demand, urgency, now)
 
-    def _remember(self, demand: JobDemand, now_s: float) -> None:
-        """Remember when a rejected job was first sent, for when it returns."""
-        self._first_sent_s.setdefault(demand.job_id, first_sent_s(demand, now_s))
-        if len(self._first_sent_s) > MAX_FIRST_ATTEMPTS:
-            del self._first_sent_s[next(iter(self._first_sent_s))]
+    def _repeated(self, job_id: str, now: float) -> Rejected | None:
+        """Return the rejection that was given for a job a moment ago, if any."""
+        past = self._rejections.get(job_id)
+        if past is None or now - past.at >= REPEAT_S:
+            return None
+        return past.decision
+
+    def _remember(
+        self, demand: JobDemand, decision: Rejected, now: float, now_s: float
+    ) -> None:
+        """Remember a rejection, for when the caller returns."""
+        past = self._rejections.get(demand.job_id)
+        if past is not None and past.decision is decision:
+            return
+        self._rejections[demand.job_id] = _Rejection(
+            decision=decision, at=now, sent_s=first_sent_s(demand, now_s)
+        )
+        if len(self._rejections) > MAX_REJECTIONS:
+            del self._rejections[next(iter(self._rejections))]
 
     async def _may_be_stored(self, job_id: str) -> bool:
         """Return whether a job may be stored; accept it if it is in the inbox."""
@@ -168,7 +204,7 @@
 
 
 def _log_rejection(
-    demand: JobDemand, forecast: Forecast, decision: Rejected, now_s: float
+    demand: JobDemand, forecast: Forecast | None, decision: Rejected, now_s: float
 ) -> None:
     emit(
         events.JobRejected(
@@ -176,10 +212,10 @@
             queue=demand.queue.name,
             tier=_tier(demand),
             reason=decision.reason,
-            start_s=round(forecast.start.expected_s, 3),
-            end_s=round(forecast.end.optimistic_s, 3),
+            start_s=None if forecast is None else round(forecast.start.expected_s, 3),
+            end_s=None if forecast is None else round(forecast.end.optimistic_s, 3),
             bound_s=round(decision.bound_s, 3),
-            age_s=round(forecast.age_s, 3),
+            age_s=None if forecast is None else round(forecast.age_s, 3),
             sent_ago_s=round(now_s - first_sent_s(demand, now_s), 3),
             retry_after_s=round(decision.retry_after_s, 3),
             workspace=demand.workspace,
