--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -125,6 +125,20 @@
     )
 
 
+REJECTED = events.JobRejected(
+    job="a",
+    queue="q",
+    tier="due",
+    reason="too late",
+    start_s=8.0,
+    end_s=9.0,
+    bound_s=5.0,
+    age_s=None,
+    sent_ago_s=0.0,
+    retry_after_s=3.0,
+)
+
+
 def waiting(reason: str) -> events.StepWaiting:
     """Return an event of a step that keeps waiting."""
     return events.StepWaiting(
@@ -143,6 +157,7 @@
             [events.JobUnknown(job="a", queue="q", reason="no time", after_s=2.5)],
             "given up by the front end: no time",
         ),
+        ([REJECTED], "rejected for load: too late"),
         ([events.JobMalformed(job="a", queue="q", reason="x")], "malformed job: x"),
         ([events.JobWithdrawn(job="a", after_s=1)], "withdrawn"),
         (
@@ -308,10 +323,11 @@
     """Counters have labels and histograms are in seconds, in the text format."""
     metrics = Metrics(role="node", name="n")
     telemetry = Telemetry(metrics=metrics)
-    for event in (ACCEPTED, ENDED, placed(0.2), waiting("no room")):
+    for event in (ACCEPTED, ENDED, placed(0.2), waiting("no room"), REJECTED):
         telemetry.record_event(event)
     text = metrics.text()
     assert 'cranberrycleat_jobs_accepted{queue="q"} 1' in text
+    assert 'jobs_rejected{queue="q",reason="too late",tier="due"} 1' in text
     assert 'jobs_ended{late="true",queue="q",state="completed"} 1' in text
     assert 'cranberrycleat_tasks_waited_duration_bucket{le="0.25"} 1' in text
     assert "cranberrycleat_tasks_waited_duration_count 1" in text
