--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,7 @@
 """A fault soak: random jobs and faults, checked against the workers' record.
 
     python -m tests.soak --seed 7 --runs 4 --seconds 20 [--crashing 0.03] [--restarts]
-        [--quotas] [--injectors 5] [--record DIRECTORY]
+        [--quotas] [--rejections] [--injectors 5] [--record DIRECTORY]
 
 Owners on three hosts, doors, a table and workers run in one process. The stand-in fleet
 checks what must never happen (concurrent runs of one task, exceeded capacity, a new run
@@ -19,6 +19,10 @@
 With `--quotas`, jobs belong to workspaces whose quotas fall, rise and are unknown for a
 while; what they run is checked at each start (see `quota_checker`).
 
+With `--rejections`, owners reject a share of the jobs because of the load, and their
+callers return, some of them at once. A job of which every attempt was rejected must
+never run, and none may be rejected after it was accepted.
+
 A run with findings writes its record to `--record` (see `soak_record`): for each
 finding the decisions and the workers' own events behind it, then everything.
 """
@@ -39,6 +43,14 @@
 from cranberrycleat.standins.fleet import SimulatedWork, SimulatedWorker, WorkerEvent
 from cranberrycleat.workflow.access import Granted
 from cranberrycleat.workflow.crash_attribution import CRASH_WINDOW_S
+from cranberrycleat.workflow.decisions.job_admission import JobAdmission
+from cranberrycleat.workflow.decisions.load_forecast import (
+    Forecast,
+    Interval,
+    JobDemand,
+    LoadForecast,
+)
+from cranberrycleat.workflow.decisions.ordering import Urgency
 from cranberrycleat.workflow.job_frontend import JobFrontend, RequestStatus
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.ports import EndKind
@@ -54,6 +66,11 @@
 COMPLETION_LIMIT_S: Final = 40.0
 """How long all jobs may take to end once every fault is removed: several leases."""
 QUEUE: Final = queue(max_attempts=8)
+REJECTED_SHARE: Final = 0.5
+"""Share of forecasts that are too late."""
+RETURN_DELAYS_S: Final = (0.0, 0.1, 1.0)
+"""How long after a rejection callers return: at once, too early, or as told."""
+RETRIES: Final = 4
 MAX_STARTS: Final = 5
 """The platform forbids a sixth start of a task that crashes its workers."""
 CRASH_DELAYS_S: Final = (0.0, 0.01, 0.2)
@@ -84,7 +101,36 @@
     @property
     def refused(self) -> bool:
         """Whether every attempt to submit it was refused, so that it must never run."""
-        return bool(self.statuses) and set(self.statuses) == {RequestStatus.REFUSED}
+        never_run = {RequestStatus.REFUSED, RequestStatus.OVERLOADED}
+        return bool(self.statuses) and never_run.issuperset(self.statuses)
+
+    @property
+    def rejected_after_acceptance(self) -> bool:
+        """Whether an attempt was rejected for the load after one was accepted."""
+        if not self.accepted:
+            return False
+        first = self.statuses.index(RequestStatus.DONE)
+        return RequestStatus.OVERLOADED in self.statuses[first:]
+
+
+@attrs.define(kw_only=True, eq=False)
+class RandomForecast(LoadForecast):
+    """Forecasts that are too late at random.
+
+    Attributes:
+        rng: The random source.
+    """
+
+    rng: random.Random
+
+    def forecast(
+        self, demand: JobDemand, urgency: Urgency, now: float
+    ) -> Forecast | None:
+        """Return a forecast that is too late, or none."""
+        if self.rng.random() > REJECTED_SHARE:
+            return None
+        late = Interval(optimistic_s=99.0, expected_s=99.0, pessimistic_s=99.0)
+        return Forecast(start=late, end=late, age_s=0.0)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -104,6 +150,7 @@
         crashing_tasks: The tasks that crash their workers.
         restarts: Whether workers restart under the same identity.
         quotas: Sets and checks the workspaces' quotas; None: there are none.
+        rejections: Whether owners reject jobs because of the load.
         injectors: How many faults are injected at a time.
         record: What happened, to trace findings.
         healthy_failed: Number of healthy jobs that were failed, whether or not that was
@@ -122,6 +169,7 @@
     crashing_tasks: set[str] = attrs.field(factory=set)
     restarts: bool = False
     quotas: QuotaChecker | None = None
+    rejections: bool = False
     injectors: int = INJECTORS
     healthy_failed: int = 0
     _incarnations: int = 0
@@ -265,11 +313,8 @@
                 self.crashing_tasks.add(f"{job_id}.0.0.{index}")
             for _ in range(self.rng.choice((1, 1, 2))):
                 # A caller that was not refused may submit again, through any door.
-                answer = await self._door().submit(
-                    QUEUE, job_id, submitted.spec, limit_s=1.0, access=access
-                )
-                submitted.statuses.append(answer.status)
-                if answer.status is RequestStatus.REFUSED:
+                status = await self._submit_until_decided(job_id, submitted, access)
+                if status in (RequestStatus.REFUSED, RequestStatus.OVERLOADED):
                     break
             if self.rng.random() < 0.1 and submitted.accepted:
                 gone = await self._door().cancel(
@@ -277,6 +322,22 @@
                 )
                 submitted.cancelled = gone.status is not RequestStatus.NO_JOB
 
+    async def _submit_until_decided(
+        self, job_id: str, submitted: SubmittedJob, access: Granted
+    ) -> RequestStatus:
+        """Submit a job, and again through any door if it is rejected for the load."""
+        for retry in range(RETRIES + 1):
+            # The run may end before the answer.
+            submitted.statuses.append(RequestStatus.UNKNOWN)
+            answer = await self._door().submit(
+                QUEUE, job_id, submitted.spec, limit_s=1.0, access=access
+            )
+            submitted.statuses[-1] = answer.status
+            if answer.status is not RequestStatus.OVERLOADED or retry == RETRIES:
+                break
+            await asyncio.sleep(self.fault_rng.choice(RETURN_DELAYS_S))
+        return answer.status
+
     # --- faults -----------------------------------------------------------------
 
     def _start_host(self, host: str) -> None:
@@ -287,6 +348,12 @@
         while True:
             owner = self.harness.make_owner(f"{host}-{incarnation}")
             self.owners[host] = owner
+            if self.rejections:
+                load = owner.cluster_state.load
+                load.admission = JobAdmission()
+                load.forecast = RandomForecast(rng=self.fault_rng)
+                # The promises must hold without the settling time, too.
+                owner.load_admission.is_settled = lambda: True
             won = False
             while not won:
                 with contextlib.suppress(errors.TableUnavailable):
@@ -489,6 +556,13 @@
             and owner.cluster_state.reported.get(job_id) not in FINAL_STATES
         ]
 
+    def rejected(self) -> int:
+        """Return the number of attempts that were rejected because of the load."""
+        statuses = [
+            status for each in self.submitted.values() for status in each.statuses
+        ]
+        return statuses.count(RequestStatus.OVERLOADED)
+
     async def _wait_until_finished(self) -> None:
         loop = asyncio.get_running_loop()
         end = loop.time() + COMPLETION_LIMIT_S
@@ -504,6 +578,11 @@
             for job_id, submitted in self.submitted.items()
             if submitted.refused and job_id in started
         ]
+        rejected = [
+            f"{job_id} was rejected after it was accepted"
+            for job_id, submitted in self.submitted.items()
+            if submitted.rejected_after_acceptance
+        ]
         still_running = [
             f"{run.task} of a cancelled job still runs"
             for worker in fleet.workers.values()
@@ -516,6 +595,7 @@
             *fleet.late_copies,
             *self._unfinished_jobs(),
             *refused,
+            *rejected,
             *still_running,
         ]
         return [*problems, *self._misattributed_crashes()]
@@ -581,6 +661,7 @@
     quotas: bool = False,
     record_in: Path | None = None,
     injectors: int = INJECTORS,
+    rejections: bool = False,
 ) -> list[str]:
     """Run one seed; return its findings.
 
@@ -593,6 +674,7 @@
         record_in: Directory for the record of a run with findings; None: the events
             behind each finding are printed.
         injectors: How many faults are injected at a time.
+        rejections: Whether owners reject jobs because of the load.
     """
     async with cell(workers=0) as harness:
         for number in range(WORKERS):
@@ -609,6 +691,7 @@
             restarts=restarts,
             quotas=QuotaChecker(clock=harness.clock) if quotas else None,
             injectors=injectors,
+            rejections=rejections,
         )
         logs.set_observer(soak.record.add_event)
         try:
@@ -622,6 +705,7 @@
         print(
             f"seed {seed}: {len(soak.submitted)} jobs, {len(accepted)} accepted, "
             f"{len(harness.fleet.starts)} starts, {soak._incarnations} incarnations, "
+            f"{soak.rejected()} rejections, "
             f"{len(soak.crashing_tasks)} crashing tasks, "
             f"{soak.healthy_failed} healthy jobs failed, "
             f"{len(harness.fleet.late_copies)} late copies, "
@@ -640,6 +724,7 @@
     parser.add_argument("--crashing", type=float, default=0.0)
     parser.add_argument("--restarts", action="store_true")
     parser.add_argument("--quotas", action="store_true")
+    parser.add_argument("--rejections", action="store_true")
     parser.add_argument("--injectors", type=int, default=INJECTORS)
     parser.add_argument("--record", type=Path, default=Path("soak-record"))
     cfg = parser.parse_args()
@@ -654,6 +739,7 @@
                 cfg.quotas,
                 cfg.record,
                 cfg.injectors,
+                cfg.rejections,
             )
         )
         for each in found:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -48,6 +48,13 @@
     assert found == []
 
 
+@pytest.mark.parametrize("restarts", [False, True])
+def test_rejected_jobs_never_run_under_faults(restarts: bool) -> None:
+    """A rejection is a promise, also while owners change and callers return early."""
+    run = soak.run_seed(1, SECONDS, restarts=restarts, rejections=True)
+    assert asyncio.run(run) == []
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 5, 11, 18])
 def test_newest_configuration_is_in_force_after_faults(seed: int) -> None:
     assert asyncio.run(config_soak.Soak(seed=seed, seconds=SECONDS).run()) == []
