--- a/cranberrycleat/workflow/decisions/load_control.py
+++ b/cranberrycleat/workflow/decisions/load_control.py
@@ -41,6 +41,7 @@
         admission: Decides which jobs are accepted.
         batch_permits: Whether permit calls of a step are batched and urgent ones go
             first even under load.
+        disjoint_reservations: Whether waiting gangs reserve different resources.
         preemption: Selects running attempts that give way to a waiting step.
     """
 
@@ -52,6 +53,7 @@
     outcomes: ForecastOutcomes = attrs.field(factory=ForecastOutcomes)
     admission: JobAdmission | None = None
     batch_permits: bool = False
+    disjoint_reservations: bool = False
     preemption: Preemption = attrs.field(factory=Preemption)
 
     def speed_of(self, worker: FleetWorker) -> float:
@@ -116,5 +118,6 @@
         forecast=forecast,
         admission=JobAdmission() if forecast is not None else None,
         batch_permits=policies.batched_permits,
+        disjoint_reservations=policies.delay_cost_order,
         preemption=Preemption(for_urgent_work=policies.checkpoint_preemption),
     )
--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -14,7 +14,7 @@
 import attrs
 
 from cranberrycleat import events
-from cranberrycleat.amounts import NOTHING, Amounts
+from cranberrycleat.amounts import Amounts
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.decisions import isolation
@@ -22,6 +22,10 @@
     runs_until_cancelled,
     serves,
 )
+from cranberrycleat.workflow.decisions.gang_reservation import (
+    GangReservations,
+    is_nearly_ready,
+)
 from cranberrycleat.workflow.decisions.locality import (
     could_hold_gang,
     rack_wait_s,
@@ -57,8 +61,6 @@
 )
 from cranberrycleat.workflow.state import StepRun, Task, TaskState
 
-MAX_RESERVED_GANGS: Final = 3
-"""Gangs with a reservation at a time; more would leave too much of the pool idle."""
 NO_ELIGIBLE_WORKER: Final = (
     "every known worker is ruled out by a label, a permit or its state"
 )
@@ -122,7 +124,7 @@
 
     cluster_state: ClusterState
     spread_factor: float = 1.0
-    _reserved: dict[str, Amounts] = attrs.field(factory=dict)
+    _reservations: GangReservations = attrs.field(factory=GangReservations)
     _snapshots: dict[str, PoolSnapshot] = attrs.field(factory=dict)
     _speed_choice: SpeedChoice = attrs.field(factory=SpeedChoice)
     _preemption_round_at: float = float("-inf")
@@ -135,14 +137,13 @@
             now_s: Unix time in seconds, the clock on which objectives are measured.
         """
         plan = Plan()
-        self._reserved = {}
         self._snapshots = {}
         load = self.cluster_state.load
+        self._reservations = GangReservations(disjoint=load.disjoint_reservations)
         self._speed_choice = SpeedChoice(
             speeds=load.speeds, estimates=load.estimates, now_s=now_s
         )
-        self.cluster_state.load.preemption.begin_round(now)
-        reserved_gangs = 0
+        load.preemption.begin_round(now)
         for position, step in enumerate(self._steps_by_rank(now, now_s)):
             tasks = self._placeable_tasks(step, now, plan)
             if not tasks or not self._count_within_quota(step):
@@ -164,8 +165,8 @@
                 step, tasks, candidates, now, now_s, plan
             )
             unplaced_gang = step.spec.gang and not placed and not is_held
-            if unplaced_gang and reserved_gangs < MAX_RESERVED_GANGS:
-                reserved_gangs += self._reserve_for_gang(step, candidates)
+            if unplaced_gang:
+                self._reserve_for_gang(step, candidates, now, plan)
             if step.spec.service:
                 self._preempt_for_service(step, candidates, now, now_s)
             if step.pending():
@@ -302,7 +303,7 @@
         return [
             Room(
                 worker=worker,
-                reserved=self._reserved.get(worker.name, NOTHING),
+                reserved=self._reservations.on(worker),
                 max_tasks=self._remaining_worker_limit(step, worker),
             )
             for worker in self._exclude_failed_workers(step, tasks, near, now)
@@ -323,8 +324,7 @@
         """Reserve resources on workers against steps that rank behind a step."""
         needs = reserved_resources(step.spec)
         for name, tasks in slots.items():
-            reserved = self._reserved.get(name, NOTHING)
-            self._reserved[name] = reserved.plus(needs.times(tasks))
+            self._reservations.add(name, needs.times(tasks))
 
     def _wake_for_preemption(self, plan: Plan, now: float, due_in_s: float) -> None:
         """Have a round run when a step is due to preempt, unless one is planned."""
@@ -497,8 +497,7 @@
 
     def _unreserved(self, worker: FleetWorker) -> Amounts:
         """Return the free resources of a worker that no gang has reserved."""
-        reserved = self._reserved.get(worker.name)
-        return worker.free if reserved is None else worker.free.minus(reserved)
+        return self._reservations.unreserved(worker)
 
     def _tasks_on_worker(self, step: StepRun, worker: FleetWorker) -> int:
         """Return how many tasks of a step a worker may run, late starts included."""
@@ -723,38 +722,42 @@
             assigned += [worker] * min(count - len(assigned), fits[worker])
         return assigned
 
-    def _reserve_for_gang(self, step: StepRun, candidates: list[FleetWorker]) -> bool:
-        """Reserve resources for a gang on the workers that will fit it soonest.
+    def _reserve_for_gang(
+        self, step: StepRun, candidates: list[FleetWorker], now: float, plan: Plan
+    ) -> None:
+        """Reserve resources for a gang on the workers that will fit it soonest."""
+        snapshot = self._snapshot(step, now)
+        if not self._reservations.may_add(snapshot.cores()):
+            return
+        members = self._reservations.reserve(
+            reserved_resources(step.spec),
+            len(step.tasks),
+            candidates,
+            lambda worker: min(
+                self._fits_when_empty(step, worker),
+                _fits_beside_services(step, worker),
+            ),
+        )
+        if members and self.cluster_state.load.batch_permits:
+            self._renew_gang_permits(step, members, now, plan)
 
-        These are the workers with the most free processors. A gang that would not fit
-        even after all work but services has ended gets no reservation, since it would
-        block lower-ranked steps for nothing.
+    def _renew_gang_permits(
+        self, step: StepRun, members: dict[str, int], now: float, plan: Plan
+    ) -> None:
+        """Query expired permits of a gang that will soon fit.
 
-        Returns:
-            Whether resources were reserved.
+        Renewing them only once all members fit left their workers idle for a second.
         """
-        needs = reserved_resources(step.spec)
-        members_by_worker: dict[str, int] = {}
-        remaining = len(step.tasks)
-        for worker in sorted(candidates, key=lambda each: -each.free.processors):
-            members = min(
-                remaining,
-                self._fits_when_empty(step, worker),
-                _fits_beside_services(step, worker),
-            )
-            if members > 0:
-                members_by_worker[worker.name] = members
-                remaining -= members
-            if remaining <= 0:
-                break
-        if remaining > 0:
-            return False
-        for name, members in members_by_worker.items():
-            reserved = self._reserved.get(name, NOTHING)
-            for _ in range(members):
-                reserved = reserved.plus(needs)
-            self._reserved[name] = reserved
-        return True
+        permits = self.cluster_state.permits_of(step)
+        if permits is None or permits.calls_in_flight:
+            return
+        by_name = self._snapshot(step, now).by_name
+        workers = {by_name[name]: count for name, count in members.items()}
+        if not is_nearly_ready(reserved_resources(step.spec), workers):
+            return
+        stale = permits.workers_to_renew(members, now)
+        if stale:
+            plan.permit_queries.append(PermitQuery(step=step, workers=stale))
 
     def _place(
         self,
