Fair share: a new owner counts ended jobs of a workspace

The row of an ended job of a workspace now has the time at which it was accepted, as a last element that earlier versions ignore. Ended jobs that earlier versions stored take no token. The test of a successor's tiers now ends every third job; it fails without the stored time.

--- a/cranberrycleat/workflow/decisions/fair_share.py
+++ b/cranberrycleat/workflow/decisions/fair_share.py
@@ -104,10 +104,10 @@
     def record_restored(self, jobs: Iterable[Job]) -> None:
         """Classify the jobs that earlier owners stored, given in any order.
 
-        Of an ended job with a large specification, only the outcome is stored. Its time
-        of acceptance is unknown, so it takes no token.
+        Ended jobs count as well. Earlier versions did not store when those were
+        accepted; such jobs take no token.
         """
-        known = (job for job in jobs if job.spec.steps)
+        known = (job for job in jobs if job.accepted_s)
         for job in sorted(known, key=lambda each: (each.accepted_s, each.job_id)):
             self.record_accepted(job)
 
--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -79,6 +79,8 @@
     run although their tasks are no longer placed there: attempts of a cancelled job, or
     attempts stopped because another one completed the task. `unanswered` lists starts
     that a later incarnation of their worker may carry out (see `late_starts`).
+    `accepted_s` is given for ended jobs of a workspace, which count towards its share
+    (see `fair_share`).
     """
 
     verdict: int = 0
@@ -90,6 +92,7 @@
     workspace: str = ""
     left: tuple[tuple[str, int, str, int, int, int], ...] = ()
     unanswered: tuple[tuple[str, int, str, str, int, int, int], ...] = ()
+    accepted_s: float = 0.0
 
     def state(self) -> JobState:
         """Return the state reported to callers."""
@@ -145,6 +148,7 @@
         workspace=job.workspace,
         left=tuple(_pack_orphaned_attempt(each) for each in left),
         unanswered=tuple(_pack_unanswered_start(each) for each in unanswered),
+        accepted_s=job.accepted_s if job.verdict and job.workspace else 0.0,
     )
     return Put(key=job_key(job.job_id), value=msgspec.json.encode(row).decode())
 
@@ -279,7 +283,7 @@
         job_id=job_id,
         queue=Queue(name="", host="", prefix="", pool=""),
         spec=WorkflowSpec(program="", steps=()),
-        accepted_s=0.0,
+        accepted_s=row.accepted_s,
         verdict=_VERDICTS[row.verdict],
         ended_s=row.ended_s,
         started=row.started,
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -894,4 +894,12 @@
         replacement="",
         test="tests/test_fair_share.py::test_invalid_weight_leaves_the_configuration_in_force",
     ),
+    Mutant(
+        guarantee="fair share",
+        mechanism="storing when an ended job was accepted",
+        file="workflow/rows.py",
+        text="        accepted_s=job.accepted_s if job.verdict and job.workspace else 0.0,\n",
+        replacement="",
+        test="tests/test_fair_share.py::test_successor_derives_the_same_tiers",
+    ),
 )
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -92,11 +92,13 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_successor_derives_the_same_tiers(seed: int) -> None:
-    """Guards against tiers that depend on the order in which rows are read."""
+    """Guards against tiers that depend on the order of rows, or on which jobs ended."""
     rng = random.Random(seed)
     board = Board(weights={"one": 3.0, "two": 1.0})
     for at_s in sorted(rng.uniform(0.0, 8.0) for _ in range(60)):
         board.submit(f"{rng.getrandbits(64):016x}", rng.choice(("one", "two")), at_s)
+    for job_id in list(board.cluster.jobs)[::3]:
+        board.cluster.cancel(job_id)
     stored = {put.key: put.value for put in take_batch(board.cluster).puts}
     successor = Board(weights=board.weights, at_s=board.at_s)
     jobs = rows_of_table(dict(sorted(stored.items())), "jobs")
