--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -1134,4 +1134,12 @@
         replacement="        return (self.band, self.priority, self.slack_s, self.name)",
         test="tests/test_delay_cost_order.py::test_step_that_loses_more_by_waiting_goes_first",
     ),
+    Mutant(
+        guarantee="fair share",
+        mechanism="storing when an ended job was accepted",
+        file="workflow/rows.py",
+        text="        accepted_s=job.accepted_s if job.verdict and job.workspace else 0.0,\n",
+        replacement="",
+        test="tests/test_fair_share.py::test_successor_derives_the_same_tiers",
+    ),
 )
