An urgent step that stops nothing does not change what others start

Cause: while an urgent step counted on work that was about to end, that room was reserved against lower-ranked steps, also where nothing takes checkpoints.

Change: such room is only kept from being counted twice within a round.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -122,6 +122,7 @@
     cluster_state: ClusterState
     spread_factor: float = 1.0
     _reserved: dict[str, Amounts] = attrs.field(factory=dict)
+    _expected: dict[str, Amounts] = attrs.field(factory=dict)
     _snapshots: dict[str, PoolSnapshot] = attrs.field(factory=dict)
     _preemption_round_at: float = float("-inf")
 
@@ -134,6 +135,7 @@
         """
         plan = Plan()
         self._reserved = {}
+        self._expected = {}
         self._snapshots = {}
         self.cluster_state.load.preemption.begin_round(now)
         reserved_gangs = 0
@@ -252,10 +254,14 @@
         snapshot = self._snapshot(step, now)
         selection = preemption.choose(claim, rooms, finder, snapshot.cores(), now)
         self._preempt_selected(claim, selection, now)
-        self._reserve_slots(step, selection.slots)
+        if selection.victims:
+            self._reserve_slots(step, selection.slots)
+        else:
+            # Lower-ranked steps may use what is free meanwhile, as without preemption.
+            self._add_slots(self._expected, step, selection.slots)
         if selection.slots.total() < slots:
             self._wake_for_preemption(plan, now, EVALUATION_INTERVAL_S)
-        return bool(held or selection.slots)
+        return bool(held or selection.victims)
 
     def _preempt_selected(self, claim: Claim, selection: Selection, now: float) -> None:
         for group in selection.victims:
@@ -296,7 +302,9 @@
         return [
             Room(
                 worker=worker,
-                reserved=self._reserved.get(worker.name, NOTHING),
+                reserved=self._reserved.get(worker.name, NOTHING).plus(
+                    self._expected.get(worker.name, NOTHING)
+                ),
                 max_tasks=self._remaining_worker_limit(step, worker),
             )
             for worker in self._exclude_failed_workers(step, tasks, near, now)
@@ -315,10 +323,16 @@
 
     def _reserve_slots(self, step: StepRun, slots: Mapping[str, int]) -> None:
         """Reserve resources on workers against steps that rank behind a step."""
+        self._add_slots(self._reserved, step, slots)
+
+    @staticmethod
+    def _add_slots(
+        totals: dict[str, Amounts], step: StepRun, slots: Mapping[str, int]
+    ) -> None:
+        """Add the needs of tasks of a step to the totals of workers."""
         needs = reserved_resources(step.spec)
         for name, tasks in slots.items():
-            reserved = self._reserved.get(name, NOTHING)
-            self._reserved[name] = reserved.plus(needs.times(tasks))
+            totals[name] = totals.get(name, NOTHING).plus(needs.times(tasks))
 
     def _wake_for_preemption(self, plan: Plan, now: float, due_in_s: float) -> None:
         """Have a round run when a step is due to preempt, unless one is planned."""
--- a/tests/test_urgent_preemption.py
+++ b/tests/test_urgent_preemption.py
@@ -171,6 +171,18 @@
         assert len(pool.stopping()) == (now == 11.6)
 
 
+# Guards against other starts where nothing takes checkpoints: while an urgent step
+# waits for work that is about to end, lower-ranked steps use what is free.
+@pytest.mark.parametrize("enabled", [False, True])
+def test_starts_are_unchanged_if_nothing_gives_way(enabled: bool) -> None:
+    load = LoadControl(preemption=Preemption(for_urgent_work=enabled))
+    spec = attrs.evolve(PATIENT, count=3, checkpoints=False)
+    pool = full_pool(spec, percent=99, load=load)
+    pool.submit("small", step(1, processors=1000), queue(priority=1), ARRIVAL_S)
+    pool.plan(DUE_S)
+    assert "small.0.0.0" in placed(pool.board)["w0"] and not pool.stopping()
+
+
 # Guards against a workspace that keeps others waiting by work beyond its share.
 @pytest.mark.parametrize(("fair_share", "stopped"), [(None, 0), (SurplusPatients(), 2)])
 def test_surplus_gives_way_to_due_work(
