--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -125,6 +125,7 @@
     cluster_state: ClusterState
     spread_factor: float = 1.0
     _reservations: GangReservations = attrs.field(factory=GangReservations)
+    _expected: GangReservations = attrs.field(factory=GangReservations)
     _snapshots: dict[str, PoolSnapshot] = attrs.field(factory=dict)
     _speed_choice: SpeedChoice = attrs.field(factory=SpeedChoice)
     _preemption_round_at: float = float("-inf")
@@ -137,6 +138,7 @@
             now_s: Unix time in seconds, the clock on which objectives are measured.
         """
         plan = Plan()
+        self._expected = GangReservations()
         self._snapshots = {}
         load = self.cluster_state.load
         self._reservations = GangReservations(disjoint=load.disjoint_reservations)
@@ -259,10 +261,14 @@
         snapshot = self._snapshot(step, now)
         selection = preemption.choose(claim, rooms, finder, snapshot.cores(), now)
         self._preempt_selected(claim, selection, now)
-        self._reserve_slots(step, selection.slots)
+        if selection.victims:
+            self._reserve_slots(step, selection.slots)
+        else:
+            # Lower-ranked steps may use what is free meanwhile, as without preemption.
+            self._add_slots(self._expected, step, selection.slots)
         if selection.slots.total() < slots:
             self._wake_for_preemption(plan, now, EVALUATION_INTERVAL_S)
-        return bool(held or selection.slots)
+        return bool(held or selection.victims)
 
     def _preempt_selected(self, claim: Claim, selection: Selection, now: float) -> None:
         for group in selection.victims:
@@ -303,7 +309,7 @@
         return [
             Room(
                 worker=worker,
-                reserved=self._reservations.on(worker),
+                reserved=self._reservations.on(worker).plus(self._expected.on(worker)),
                 max_tasks=self._remaining_worker_limit(step, worker),
             )
             for worker in self._exclude_failed_workers(step, tasks, near, now)
@@ -322,9 +328,16 @@
 
     def _reserve_slots(self, step: StepRun, slots: Mapping[str, int]) -> None:
         """Reserve resources on workers against steps that rank behind a step."""
+        self._add_slots(self._reservations, step, slots)
+
+    @staticmethod
+    def _add_slots(
+        totals: GangReservations, step: StepRun, slots: Mapping[str, int]
+    ) -> None:
+        """Add the needs of tasks of a step to the totals of workers."""
         needs = reserved_resources(step.spec)
         for name, tasks in slots.items():
-            self._reservations.add(name, needs.times(tasks))
+            totals.add(name, needs.times(tasks))
 
     def _wake_for_preemption(self, plan: Plan, now: float, due_in_s: float) -> None:
         """Have a round run when a step is due to preempt, unless one is planned."""
