The starvation bound holds for long jobs too

A step 130 s past its latest start ranked behind fresh patient work if its objective was three minutes, since the cost of a delay fades with the time until all value is lost.

--- a/cranberrycleat/workflow/decisions/ordering.py
+++ b/cranberrycleat/workflow/decisions/ordering.py
@@ -42,6 +42,8 @@
 """Fraction by which a run time may exceed its estimate as long as nothing was learned.
 A job's objective grows with its true run time, so that a step may still be on time for
 this long after its estimated latest start."""
+FULL_COST: Final = 1.0
+"""Cost of delaying a step at the latest start for all of its value."""
 STARVATION_BOUND_S: Final = 120.0
 """Longest time that a step ranks behind others for having lost its value or for being
 beyond its workspace's share. Longer than any overload seen so far (40 s)."""
@@ -169,9 +171,10 @@
         band = self._band(step, by_deadline)
         late_slack_s = by_deadline.slack_s + step.urgency.tolerated_lateness_s
         margin_s = DEFAULT_ESTIMATE_ERROR * estimated_objective_s(step)
-        cost = delay_cost(by_deadline.slack_s, late_slack_s, margin_s) / (
-            PRIORITY_VALUE_FACTOR**by_deadline.priority
-        )
+        cost = FULL_COST
+        if by_deadline.slack_s >= -STARVATION_BOUND_S:
+            cost = delay_cost(by_deadline.slack_s, late_slack_s, margin_s)
+        cost /= PRIORITY_VALUE_FACTOR**by_deadline.priority
         return attrs.evolve(by_deadline, band=band, delay_cost=cost)
 
     def _band(self, step: StepRun, by_deadline: Rank) -> int:
