--- a/cranberrycleat/workflow/decisions/__init__.py
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -8,7 +8,9 @@
 
 - `planner`: one scheduling round; calls the modules below
 - `ordering`, `tiered_order`: in which order waiting steps are placed
+- `gang_reservation`: what is kept free for gangs that wait
 - `fair_share`: which jobs are within the entitlement of their workspace
+- `job_admission` (with `admission_record`, `retry_spread`): which jobs are rejected
 - `load_forecast` (with `load_snapshot`, `capacity_curve`, `job_shape`, `first_rank`):
   when a job would begin and end; `forecast_outcomes` compares that with the outcome
 - `pool_snapshot`, `locality`, `permit_choice`: on which workers a step may be placed
@@ -18,4 +20,10 @@
 - `preemption`, `preemption_victims`, `preemption_budget`, `filler_throttling`,
   `progress`, `evacuation`: which running attempts are stopped or slowed down
 - `feasibility`: which jobs can never run
+
+To add a policy, say an order of steps by size: write a class with the method `rank` of
+`ordering.StepOrder`, give `load_policies.LoadPolicies` a field for it, build it in
+`load_control.make_load_control`, and add a setting to `options.NodeOptions` whose
+default leaves it off. `planner`, permit calls, forecast and preemption then use it.
+Test it on an in-memory `ClusterState`, as `tests/test_delay_cost_order.py` does.
 """
