Admission accepts jobs that would start at once

Cause: the rule compared the expected start with 0.05 s, but every forecast adds a start overhead of 0.06 s and the permit call, so it never applied. A caller whose objective had passed was rejected in an empty pool, and a surplus job that was rejected once could never be accepted, since it returns after its objective.

Change: the forecast states the expected wait for resources, and the rule uses that. The test runs the model and the decision together and fails without the change; the older tests built forecasts without the overhead, and now state the wait.

--- a/cranberrycleat/workflow/decisions/job_admission.py
+++ b/cranberrycleat/workflow/decisions/job_admission.py
@@ -34,8 +34,9 @@
 """How long a rejection narrows the bound of its class. Tasks of the longest kind run
 for about this long, so the load behind an older rejection has been replaced."""
 STARTS_AT_ONCE_S: Final = 0.05
-"""A job that would start within a planning round or two displaces no waiting work, so
-that rejecting it would gain nothing."""
+"""A job that gets its resources within a planning round or two displaces no waiting
+work, so that rejecting it would gain nothing. Its permit call and its start, which take
+longer than this in an empty pool, do not count."""
 
 
 class RejectionCause(enum.Enum):
@@ -132,7 +133,7 @@
         bound_s = _bound_s(demand, now_s)
         end_s = forecast.end.optimistic_s
         job_class = _Class(queue=demand.queue.name, surplus=demand.surplus)
-        if forecast.start.expected_s <= STARTS_AT_ONCE_S:
+        if forecast.wait_s <= STARTS_AT_ONCE_S:
             return Admitted()
         if end_s > bound_s:
             self._closed_at[job_class] = now
--- a/cranberrycleat/workflow/decisions/load_forecast.py
+++ b/cranberrycleat/workflow/decisions/load_forecast.py
@@ -166,11 +166,14 @@
     Attributes:
         start: When its first task would begin.
         end: When its last task would end.
+        wait_s: How long its first task is expected to wait for resources. Its start is
+            later by a permit call and the start itself.
         age_s: The age of the snapshot that it is based on.
     """
 
     start: Interval
     end: Interval
+    wait_s: float
     age_s: float
 
 
@@ -502,7 +505,12 @@
             + (pessimistic[1] - pessimistic[0])
             + shape.path_s * ESTIMATE_ERROR * load.mean_speed / load.slowest,
         )
-        return Forecast(start=start, end=end, age_s=max(0.0, now - load.taken_at))
+        return Forecast(
+            start=start,
+            end=end,
+            wait_s=expected[0],
+            age_s=max(0.0, now - load.taken_at),
+        )
 
     def _shape_of(self, demand: JobDemand, model: _PoolModel) -> JobShape | None:
         return job_shape(
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -130,7 +130,7 @@
         if self.rng.random() > REJECTED_SHARE:
             return None
         late = Interval(optimistic_s=99.0, expected_s=99.0, pessimistic_s=99.0)
-        return Forecast(start=late, end=late, age_s=0.0)
+        return Forecast(start=late, end=late, wait_s=99.0, age_s=0.0)
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -39,7 +39,12 @@
     def certain(at_s: float) -> Interval:
         return Interval(optimistic_s=at_s, expected_s=at_s, pessimistic_s=at_s)
 
-    return Forecast(start=certain(start_s), end=certain(start_s + runs_s), age_s=age_s)
+    return Forecast(
+        start=certain(start_s),
+        end=certain(start_s + runs_s),
+        wait_s=start_s,
+        age_s=age_s,
+    )
 
 
 def rejects(
--- a/tests/test_load_admission.py
+++ b/tests/test_load_admission.py
@@ -55,7 +55,7 @@
             expected_s=self.wait_s,
             pessimistic_s=self.wait_s,
         )
-        return Forecast(start=at, end=at, age_s=self.age_s)
+        return Forecast(start=at, end=at, wait_s=self.wait_s, age_s=self.age_s)
 
 
 async def own_full_pool(env: Cell, name: str = "one") -> tuple[Owner, FixedForecast]:
--- a/tests/test_load_forecast_model.py
+++ b/tests/test_load_forecast_model.py
@@ -13,6 +13,7 @@
 from cranberrycleat.workflow.decisions import forecast_outcomes
 from cranberrycleat.workflow.decisions.fair_share import FairShare
 from cranberrycleat.workflow.decisions.first_rank import urgency_if_accepted
+from cranberrycleat.workflow.decisions.job_admission import JobAdmission, Rejected
 from cranberrycleat.workflow.decisions.load_control import (
     LoadControl,
     make_load_control,
@@ -149,6 +150,26 @@
     assert math.isclose(start_s(pool_load, spec, **demand), expected_s, abs_tol=0.01)
 
 
+# Guards against a caller that is rejected for ever once its job is late, although the
+# pool is empty: a permit call and a start take longer than a wait that counts as none.
+@pytest.mark.parametrize("surplus", [False, True])
+@pytest.mark.parametrize(
+    ("pool_load", "rejected"),
+    [(load(10), False), (load(0, running=(release(1, 1.0),)), True)],
+)
+def test_late_job_is_rejected_only_if_it_would_wait(
+    surplus: bool, pool_load: PoolLoad, rejected: bool
+) -> None:
+    forecast = LoadForecast()
+    forecast.update(pool_load)
+    demand = JobDemand(
+        job_id="job", queue=PERMITS, spec=ONE, surplus=surplus, sent_s=1.0
+    )
+    found = forecast.forecast(demand, KEY, 0.0)
+    decision = JobAdmission().decide(demand, found, now=0.0, now_s=1000.0)
+    assert isinstance(decision, Rejected) is rejected
+
+
 # Guards against callers between two snapshots who are all promised the same resources,
 # and against one of them being counted twice.
 def test_jobs_accepted_since_the_snapshot_are_counted_once() -> None:
