A job does not wait for a resource that it does not use

Cause: the forecast models the scarcest resource of a pool or quota only, and counted its backlog ahead of every job. With a backlog for accelerators, admission rejected jobs without accelerators although processors were idle (forecast 185 s, in a pool with nine of ten processors free).

Change: such a limit does not delay the job. If processors are short at the same time, the job is accepted as without a forecast, since the model has no curve for them.

--- a/cranberrycleat/workflow/decisions/load_forecast.py
+++ b/cranberrycleat/workflow/decisions/load_forecast.py
@@ -273,6 +273,9 @@
             share: The share of workers on which the job may run.
             last: Whether its last task is meant: its other first tasks go ahead.
         """
+        if self.resource(shape.total if last else shape.first) <= 0:
+            # The job does not compete for this resource.
+            return 0.0
         need = self.resource(shape.first) / share
         gangs = edge.behind_gangs or shape.gang
         if edge.whole_backlog:
--- a/tests/test_load_forecast_model.py
+++ b/tests/test_load_forecast_model.py
@@ -72,8 +72,8 @@
     return PoolLoad(
         pool=POOL,
         taken_at=0.0,
-        capacity=Amounts(processors=10_000, memory_mb=PLENTY),
-        free=Amounts(processors=round(free * 1000), memory_mb=PLENTY),
+        capacity=Amounts(processors=10_000, memory_mb=PLENTY, accelerators=1),
+        free=Amounts(processors=round(free * 1000), memory_mb=PLENTY, accelerators=1),
         **more,
     )
 
@@ -94,6 +94,7 @@
 
 ONE = job(step(1, processors=1000))
 GANG = job(step(4, processors=1000, gang=True))
+ACCELERATORS = Amounts(processors=1, accelerators=9)
 PERMITS = queue(permits=PermitTiming(decide_s=0.4, each_s=0.0, valid_s=1.5))
 
 
@@ -135,6 +136,13 @@
             id="backlog held back by another quota",
         ),
         pytest.param(load(1), ONE, {"queue": PERMITS}, 0.4, id="permit call"),
+        pytest.param(
+            load(1, waiting=(attrs.evolve(waiting(1, 9.0), needs=ACCELERATORS),)),
+            ONE,
+            {},
+            0.0,
+            id="backlog for accelerators, which it does not use",
+        ),
         pytest.param(
             load(4, free_by_worker=(cores(0.5),) * 8, running=(release(1, 2.0),)),
             ONE,
