--- a/cranberrycleat/workflow/decisions/first_rank.py
+++ b/cranberrycleat/workflow/decisions/first_rank.py
@@ -7,6 +7,7 @@
     StepOrder,
     Urgency,
 )
+from cranberrycleat.workflow.decisions.tiered_order import TieredOrder
 from cranberrycleat.workflow.state import Job, StepRun
 
 SURPLUS_BAND = int(ShareTier.SURPLUS)
@@ -29,6 +30,9 @@
         workspace=demand.workspace,
     )
     step = StepRun(job=job, occurrence=0, number=0, spec=demand.spec.steps[0])
+    if isinstance(order, TieredOrder):
+        tier = ShareTier.SURPLUS if demand.surplus else ShareTier.DUE
+        return order.rank_in_tier(step, tier, now_s).key()
     key = order.rank(step, now_s).key()
     has_tiers = isinstance(order, DelayCostOrder) and order.fair_share is not None
     if demand.surplus and has_tiers and key[0] == 0:
--- a/cranberrycleat/workflow/decisions/tiered_order.py
+++ b/cranberrycleat/workflow/decisions/tiered_order.py
@@ -62,12 +62,18 @@
     fair_share: FairShare
 
     def rank(self, step: StepRun, now_s: float) -> Rank:
-        """Return a step's rank at a Unix time in seconds.
+        """Return a step's rank at a Unix time in seconds."""
+        return self.rank_in_tier(step, self.fair_share.tier(step.job), now_s)
+
+    def rank_in_tier(self, step: StepRun, tier: ShareTier, now_s: float) -> TieredRank:
+        """Return the rank of a step if its job has a tier.
 
         A step that missed its latest start by `STARVATION_BOUND_S` ranks as due, so
         that due work cannot hold surplus back for longer than that.
         """
         found = self.order.rank(step, now_s)
         overdue = found.slack_s < -STARVATION_BOUND_S
-        tier = ShareTier.DUE if overdue else self.fair_share.tier(step.job)
-        return TieredRank(**attrs.asdict(found, recurse=False), tier=tier)
+        return TieredRank(
+            **attrs.asdict(found, recurse=False),
+            tier=ShareTier.DUE if overdue else tier,
+        )
--- a/tests/test_load_forecast_model.py
+++ b/tests/test_load_forecast_model.py
@@ -33,6 +33,7 @@
     StepOrder,
     Urgency,
 )
+from cranberrycleat.workflow.decisions.tiered_order import TieredOrder
 from cranberrycleat.workflow.ports import PermitTiming
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import JobState
@@ -212,6 +213,8 @@
         (DelayCostOrder(), True, 0),
         (DelayCostOrder(fair_share=FairShare()), False, 0),
         (DelayCostOrder(fair_share=FairShare()), True, 1),
+        (TieredOrder(order=DeadlineOrder(), fair_share=FairShare()), False, 0),
+        (TieredOrder(order=DeadlineOrder(), fair_share=FairShare()), True, 2),
     ],
 )
 def test_rank_of_a_job_that_is_not_accepted_yet(
