A caller that returns late does not close the class of its job

Cause: every rejection narrowed the bound of its class for 5 s, also one whose bound had only passed because the caller returned late. Its returns kept the class narrowed after the overload, whatever the load was.

Change: only a rejection that would also apply to a new job of this kind closes it.

--- a/cranberrycleat/workflow/decisions/job_admission.py
+++ b/cranberrycleat/workflow/decisions/job_admission.py
@@ -136,7 +136,9 @@
         if forecast.wait_s <= STARTS_AT_ONCE_S:
             return Admitted()
         if end_s > bound_s:
-            self._closed_at[job_class] = now
+            if end_s > _allowance_s(demand):
+                # A caller that returns late says nothing about the load of its class.
+                self._closed_at[job_class] = now
             cause = (
                 RejectionCause.SURPLUS_LATE
                 if demand.surplus
--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -98,6 +98,14 @@
     assert (found is not None) is rejected
 
 
+def test_late_return_does_not_close_its_class() -> None:
+    """Returns of one job that is too late would keep narrowing the bound of others."""
+    admission = JobAdmission()
+    late = demand(sent_s=NOW_S - 99.0)
+    assert rejects(admission, late, forecast(0.5), 0.0)
+    assert not rejects(admission, demand("b"), forecast(0.9 * 3 * OBJECTIVE_S - 1), 0.1)
+
+
 @attrs.define(kw_only=True)
 class Pool:
     """A pool that runs one job after the other, with callers that return.
