A copy of a rejected attempt is rejected without the table as well

Cause: a rejection whose check of the inbox got no answer was dropped and the job was accepted, also for a copy of an attempt whose caller had been told of the rejection a moment ago, after a check. With a table that answers slowly, such a job ran.

Change: within the time in which a rejection is repeated, a missing answer of the table does not accept the job. Jobs that are known or found in the inbox are still accepted.

--- a/cranberrycleat/workflow/load_admission.py
+++ b/cranberrycleat/workflow/load_admission.py
@@ -176,13 +176,18 @@
             del self._rejections[next(iter(self._rejections))]
 
     async def _may_be_stored(self, job_id: str) -> bool:
-        """Return whether a job may be stored; accept it if it is in the inbox."""
+        """Return whether a job may be stored; accept it if it is in the inbox.
+
+        Without an answer from the table, the job may be stored, unless it was rejected
+        a moment ago: its caller was told so, after the inbox had been read.
+        """
         try:
             async with asyncio.timeout(INBOX_CHECK_LIMIT_S):
                 found = await self._inbox_rows(job_id)
         except (errors.TableUnavailable, TimeoutError) as exc:
-            LOG.info("Job %s not rejected, the inbox is unread: %r", job_id, exc)
-            return True
+            LOG.info("The inbox is unread for job %s: %r", job_id, exc)
+            was_rejected = self._repeated(job_id, self.clock.now()) is not None
+            return job_id in self.cluster_state.jobs or not was_rejected
         if found and job_id not in self.cluster_state.jobs:
             self.inbox.accept_rows(found)
             self.changed()
--- a/tests/test_load_admission.py
+++ b/tests/test_load_admission.py
@@ -1,5 +1,6 @@
 """Admission control at the owner: what is never rejected, and failures around it."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -174,6 +175,28 @@
     run_async(run())
 
 
+@pytest.mark.parametrize("copies_at_once", [False, True])
+def test_copy_of_rejected_attempt_is_rejected_without_the_table(
+    copies_at_once: bool,
+) -> None:
+    """A copy whose check of the inbox got no answer must not run behind the caller."""
+
+    async def run() -> None:
+        async with cell() as env:
+            owner, _ = await own_full_pool(env)
+            env.table.faults.slow_s = 0.03
+            first = asyncio.create_task(reply_of(owner, "a"))
+            await asyncio.sleep(0.0 if copies_at_once else 0.06)
+            env.table.faults.slow_s = 0.12
+            copy = asyncio.create_task(reply_of(owner, "a"))
+            assert (await first).overloaded
+            assert (await copy).overloaded
+            assert (await reply_of(owner, "b")).accepted, "it was never rejected"
+            assert "a" not in owner.cluster_state.jobs
+
+    run_async(run())
+
+
 def test_next_owner_decides_anew_after_rejection() -> None:
     """An owner lost between a rejection and the return must not block the job."""
 
