--- a/cranberrycleat/workflow/dispatcher.py
+++ b/cranberrycleat/workflow/dispatcher.py
@@ -32,8 +32,12 @@
 FORECAST_INTERVAL_S: Final = 0.1
 """Minimum time between two snapshots for the load forecast."""
 FORECAST_TIME_SHARE: Final = 0.1
-"""Maximum share of its time that the owner spends on these snapshots; on a weak host
-with a long backlog they are taken less often."""
+"""Share of its time that the owner spends on these snapshots; on a weak host with a
+long backlog they are taken less often, up to `FORECAST_MAX_INTERVAL_S`."""
+FORECAST_MAX_INTERVAL_S: Final = 0.7
+"""Admission control accepts every job while the snapshot is older than 1 s. With 5,000
+waiting steps, a snapshot takes 0.08 s of a whole core and more of a weaker one, so that
+at a tenth of the time it would be too old for most of the time."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -96,6 +100,7 @@
         update_forecast(self.cluster_state, forecast, began)
         took_s = self.clock.now() - began
         pause_s = max(FORECAST_INTERVAL_S, took_s / FORECAST_TIME_SHARE)
+        pause_s = min(pause_s, FORECAST_MAX_INTERVAL_S)
         self._forecast_due_at = began + pause_s
 
     async def _ask_permits(self, query: PermitQuery) -> None:
--- a/tests/test_load_forecast_model.py
+++ b/tests/test_load_forecast_model.py
@@ -13,7 +13,11 @@
 from cranberrycleat.workflow.decisions import forecast_outcomes
 from cranberrycleat.workflow.decisions.fair_share import FairShare
 from cranberrycleat.workflow.decisions.first_rank import urgency_if_accepted
-from cranberrycleat.workflow.decisions.job_admission import JobAdmission, Rejected
+from cranberrycleat.workflow.decisions.job_admission import (
+    MAX_FORECAST_AGE_S,
+    JobAdmission,
+    Rejected,
+)
 from cranberrycleat.workflow.decisions.load_control import (
     LoadControl,
     make_load_control,
@@ -34,6 +38,7 @@
     Urgency,
 )
 from cranberrycleat.workflow.decisions.tiered_order import TieredOrder
+from cranberrycleat.workflow.dispatcher import FORECAST_INTERVAL_S
 from cranberrycleat.workflow.ports import PermitTiming
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import JobState
@@ -93,6 +98,17 @@
     return found.start.expected_s - START_OVERHEAD_S
 
 
+@attrs.define(kw_only=True)
+class ListedClock:
+    """A clock that returns the given times, one at each call."""
+
+    times: list[float]
+
+    def now(self) -> float:
+        """Return the next time."""
+        return self.times.pop(0)
+
+
 ONE = job(step(1, processors=1000))
 GANG = job(step(4, processors=1000, gang=True))
 ACCELERATORS = Amounts(processors=1, accelerators=9)
@@ -283,3 +299,20 @@
             )
 
     run_async(run())
+
+
+# Guards against admission control that lapses on a weak owner with a long backlog,
+# because its snapshots are further apart than the age up to which they are used.
+@pytest.mark.parametrize("took_s", [0.001, 0.2, 0.5])
+def test_snapshots_of_a_slow_owner_are_recent_enough(took_s: float) -> None:
+    async def run() -> None:
+        async with cell(workers=0) as running_cell:
+            owner = running_cell.make_owner("one")
+            policies = LoadPolicies(forecast_admission=True)
+            owner.cluster_state.load = make_load_control(policies, dict)
+            owner.dispatcher.clock = ListedClock(times=[0.0, took_s])
+            owner.dispatcher._update_forecast()
+            interval_s = owner.dispatcher._forecast_due_at
+            assert FORECAST_INTERVAL_S <= interval_s < MAX_FORECAST_AGE_S
+
+    run_async(run())
