--- a/tests/test_load_forecast_model.py
+++ b/tests/test_load_forecast_model.py
@@ -13,6 +13,11 @@
 from cranberrycleat.workflow.decisions import forecast_outcomes
 from cranberrycleat.workflow.decisions.fair_share import FairShare
 from cranberrycleat.workflow.decisions.first_rank import urgency_if_accepted
+from cranberrycleat.workflow.decisions.job_admission import (
+    MAX_FORECAST_AGE_S,
+    JobAdmission,
+    Rejected,
+)
 from cranberrycleat.workflow.decisions.load_control import (
     LoadControl,
     make_load_control,
@@ -32,6 +37,8 @@
     StepOrder,
     Urgency,
 )
+from cranberrycleat.workflow.decisions.tiered_order import TieredOrder
+from cranberrycleat.workflow.dispatcher import FORECAST_INTERVAL_S
 from cranberrycleat.workflow.ports import PermitTiming
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import JobState
@@ -71,8 +78,8 @@
     return PoolLoad(
         pool=POOL,
         taken_at=0.0,
-        capacity=Amounts(processors=10_000, memory_mb=PLENTY),
-        free=Amounts(processors=round(free * 1000), memory_mb=PLENTY),
+        capacity=Amounts(processors=10_000, memory_mb=PLENTY, accelerators=1),
+        free=Amounts(processors=round(free * 1000), memory_mb=PLENTY, accelerators=1),
         **more,
     )
 
@@ -91,8 +98,20 @@
     return found.start.expected_s - START_OVERHEAD_S
 
 
+@attrs.define(kw_only=True)
+class ListedClock:
+    """A clock that returns the given times, one at each call."""
+
+    times: list[float]
+
+    def now(self) -> float:
+        """Return the next time."""
+        return self.times.pop(0)
+
+
 ONE = job(step(1, processors=1000))
 GANG = job(step(4, processors=1000, gang=True))
+ACCELERATORS = Amounts(processors=1, accelerators=9)
 PERMITS = queue(permits=PermitTiming(decide_s=0.4, each_s=0.0, valid_s=1.5))
 
 
@@ -134,6 +153,13 @@
             id="backlog held back by another quota",
         ),
         pytest.param(load(1), ONE, {"queue": PERMITS}, 0.4, id="permit call"),
+        pytest.param(
+            load(1, waiting=(attrs.evolve(waiting(1, 9.0), needs=ACCELERATORS),)),
+            ONE,
+            {},
+            0.0,
+            id="backlog for accelerators, which it does not use",
+        ),
         pytest.param(
             load(4, free_by_worker=(cores(0.5),) * 8, running=(release(1, 2.0),)),
             ONE,
@@ -149,6 +175,26 @@
     assert math.isclose(start_s(pool_load, spec, **demand), expected_s, abs_tol=0.01)
 
 
+# Guards against a caller that is rejected for ever once its job is late, although the
+# pool is empty: a permit call and a start take longer than a wait that counts as none.
+@pytest.mark.parametrize("surplus", [False, True])
+@pytest.mark.parametrize(
+    ("pool_load", "rejected"),
+    [(load(10), False), (load(0, running=(release(1, 1.0),)), True)],
+)
+def test_late_job_is_rejected_only_if_it_would_wait(
+    surplus: bool, pool_load: PoolLoad, rejected: bool
+) -> None:
+    forecast = LoadForecast()
+    forecast.update(pool_load)
+    demand = JobDemand(
+        job_id="job", queue=PERMITS, spec=ONE, surplus=surplus, sent_s=1.0
+    )
+    found = forecast.forecast(demand, KEY, 0.0)
+    decision = JobAdmission().decide(demand, found, now=0.0, now_s=1000.0)
+    assert isinstance(decision, Rejected) is rejected
+
+
 # Guards against callers between two snapshots who are all promised the same resources,
 # and against one of them being counted twice.
 def test_jobs_accepted_since_the_snapshot_are_counted_once() -> None:
@@ -183,6 +229,8 @@
         (DelayCostOrder(), True, 0),
         (DelayCostOrder(fair_share=FairShare()), False, 0),
         (DelayCostOrder(fair_share=FairShare()), True, 1),
+        (TieredOrder(order=DeadlineOrder(), fair_share=FairShare()), False, 0),
+        (TieredOrder(order=DeadlineOrder(), fair_share=FairShare()), True, 2),
     ],
 )
 def test_rank_of_a_job_that_is_not_accepted_yet(
@@ -251,3 +299,20 @@
             )
 
     run_async(run())
+
+
+# Guards against admission control that lapses on a weak owner with a long backlog,
+# because its snapshots are further apart than the age up to which they are used.
+@pytest.mark.parametrize("took_s", [0.001, 0.2, 0.5])
+def test_snapshots_of_a_slow_owner_are_recent_enough(took_s: float) -> None:
+    async def run() -> None:
+        async with cell(workers=0) as running_cell:
+            owner = running_cell.make_owner("one")
+            policies = LoadPolicies(forecast_admission=True)
+            owner.cluster_state.load = make_load_control(policies, dict)
+            owner.dispatcher.clock = ListedClock(times=[0.0, took_s])
+            owner.dispatcher._update_forecast()
+            interval_s = owner.dispatcher._forecast_due_at
+            assert FORECAST_INTERVAL_S <= interval_s < MAX_FORECAST_AGE_S
+
+    run_async(run())
