A joint permit renewal names the workers it is made for

A renewal that waits for the one in flight had its workers taken into the next call. When that call failed, the renewal asked for no worker at all and used up one of the four attempts after which placements are given up.

--- a/cranberrycleat/workflow/dispatcher.py
+++ b/cranberrycleat/workflow/dispatcher.py
@@ -195,6 +195,7 @@
             if not permits.workers_to_renew(workers, self.clock.now()):
                 permits.to_renew -= workers
                 return
-            together, permits.to_renew = permits.to_renew, set()
+            # An earlier call that failed has already taken these workers.
+            together, permits.to_renew = permits.to_renew | workers, set()
             stale = permits.workers_to_renew(together, self.clock.now())
             await self.permit_queue.ask(step.name, stale, permits, self._urgency(step))
--- a/tests/test_permit_queue.py
+++ b/tests/test_permit_queue.py
@@ -7,12 +7,17 @@
 
 from cranberrycleat.clock import MonotonicClock
 from cranberrycleat.http_client import HttpClient
+from cranberrycleat.lifecycle import BackgroundTasks
 from cranberrycleat.workflow.decisions.ordering import Urgency
+from cranberrycleat.workflow.dispatcher import Dispatcher
 from cranberrycleat.workflow.peering import PeerClient, PermitRequest
 from cranberrycleat.workflow.permit_queue import MAX_CALLS_PER_HOST, PermitQueue
 from cranberrycleat.workflow.permits import StepPermits
 from cranberrycleat.workflow.ports import Permit, PermitTiming, PermitUnavailable
+from cranberrycleat.workflow.repeating_event import RepeatingEvent
+from tests.cell import job, queue, step
 from tests.fakes import run_async
+from tests.test_planner import cluster_state
 
 POLICY = PermitTiming(decide_s=0.02, each_s=0.0, valid_s=5.0)
 
@@ -202,3 +207,53 @@
 
     run_async(run())
     assert own.steps == ["s0", "s1", "now-urgent", "patient"]
+
+
+# Guards against a renewal that asks for no worker and uses up one of the few attempts
+# of its placements, after the call that included its workers has failed.
+def test_renewal_after_a_failed_one_names_its_workers() -> None:
+    asked: list[tuple[str, ...]] = []
+
+    class FailingQueue(PermitQueue):
+        async def ask(
+            self,
+            step: str,
+            workers: tuple[str, ...],
+            permits: StepPermits,
+            urgency: Urgency,
+        ) -> bool:
+            """Record a call that is not answered."""
+            asked.append(workers)
+            await asyncio.sleep(0)
+            return False
+
+    async def run() -> None:
+        state = cluster_state()
+        state.accept("j", attrs.evolve(queue(), permits=POLICY), job(step(3)))
+        (waiting,) = state.jobs["j"].open[0].steps
+        permits = state.permits_of(waiting)
+        assert permits is not None
+        dispatcher = Dispatcher(
+            cluster_state=state,
+            permit_queue=FailingQueue(
+                own=SerialPermitService(),
+                own_address="own",
+                peer_client=Peers(http=HttpClient()),
+                peers=tuple,
+                clock=MonotonicClock(),
+            ),
+            links={},
+            clock=MonotonicClock(),
+            changed=lambda: None,
+            stored=RepeatingEvent(),
+            work=BackgroundTasks(),
+            plan_due=asyncio.Event(),
+        )
+        renewals = [
+            dispatcher._renew_together(waiting, permits, {name})
+            for name in ("a", "b", "c")
+        ]
+        await asyncio.gather(*renewals)
+
+    run_async(run())
+    assert asked == [("a",), ("b", "c"), ("c",)]
