Preemption counts held tasks against the quota and the limit per worker

While stops were under way for some tasks of a step, a second evaluation checked the quota and the limit per worker for the remaining tasks only. It could stop more work for a task that could not start. Both now count the tasks for which resources are held.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -240,7 +240,7 @@
                 plan, now, preemption.due_in_s(step, rank.slack_s)
             )
             return bool(held)
-        slots = self._slots_within_quota(step, len(waiting) - held.total())
+        slots = self._slots_within_quota(step, len(waiting)) - held.total()
         evaluates_at = preemption.evaluates_at(now)
         if slots <= 0:
             return bool(held)
@@ -254,7 +254,7 @@
             surplus=finder.is_surplus(step.job),
             slots=slots,
         )
-        rooms = self._rooms(step, waiting, candidates, now, plan)
+        rooms = self._rooms(step, waiting, candidates, held, now, plan)
         snapshot = self._snapshot(step, now)
         selection = preemption.choose(claim, rooms, finder, snapshot.cores(), now)
         self._preempt_selected(claim, selection, now)
@@ -294,6 +294,7 @@
         step: StepRun,
         tasks: list[Task],
         candidates: list[FleetWorker],
+        held: Mapping[str, int],
         now: float,
         plan: Plan,
     ) -> list[Room]:
@@ -303,7 +304,8 @@
             Room(
                 worker=worker,
                 reserved=self._reserved.get(worker.name, NOTHING),
-                max_tasks=self._remaining_worker_limit(step, worker),
+                max_tasks=self._remaining_worker_limit(step, worker)
+                - held.get(worker.name, 0),
             )
             for worker in self._exclude_failed_workers(step, tasks, near, now)
             if worker.may_accept_work(now) and not worker.is_probed
--- a/tests/test_urgent_preemption.py
+++ b/tests/test_urgent_preemption.py
@@ -32,7 +32,7 @@
 from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.state import Job, TaskState
 from cranberrycleat.workflow.telemetry import Telemetry
-from tests.cell import cell, job, queue, step, submit, until
+from tests.cell import POOL, cell, job, queue, step, submit, until
 from tests.fakes import run_async
 from tests.test_planner import NOW_S, cluster_state, placed, worker
 
@@ -397,6 +397,32 @@
     assert ("v.0.0.0" in placed(pool.board)["w0"]) == bool(stopped)
 
 
+# Guards against stops for tasks that the quota or the limit per worker keeps from
+# starting: a second evaluation must count the tasks for which resources are held.
+@pytest.mark.parametrize(
+    ("limit", "quota", "stopped"),
+    [(0, 0, [2, 4]), (1, 0, [2, 2]), (0, 2000, [2, 2])],
+    ids=["no limit", "one per worker", "quota for one"],
+)
+def test_held_tasks_count_in_a_second_evaluation(
+    limit: int, quota: int, stopped: list[int]
+) -> None:
+    pool = full_pool_in_a_large_one()
+    quotas = {"v": Amounts(processors=quota)}
+    pool.board.quotas.quotas = lambda: quotas
+    spec = attrs.evolve(SHORT, count=2, label="r1", most_per_worker=limit)
+    pool.submit("v", spec, SHORT_QUEUE, ARRIVAL_S)
+    # The budget covers the stops for one task in the first evaluation only.
+    pool.board.load.preemption._budget(POOL, 61 * 4, DUE_S)
+    found = []
+    for now, tokens in ((DUE_S, 3.0), (DUE_S + 0.11, 9.0)):
+        for budget in pool.board.load.preemption._budgets.values():
+            budget.tokens = tokens
+        pool.plan(now)
+        found.append(len(pool.stopping()))
+    assert found == stopped
+
+
 # Load pattern: a burst of short jobs into a pool full of other work. Guards against a
 # burst that stops more than the budget, and against stops of work without checkpoints.
 @pytest.mark.parametrize(("checkpoints", "least"), [(True, 3), (False, 0)])
