The round at a step's last chance to preempt is not lost

The dispatcher only runs the earliest round that a plan asks for. If another reason asked for an earlier one, the planner took the round to preempt for planned although no timer was set, and in a quiet pool it never ran.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -171,6 +171,9 @@
             if step.pending():
                 reason = self._wait_reason(step, candidates)
                 self._log_waiting(step, reason, len(candidates), now, now_s)
+        if plan.retry_at is not None and plan.retry_at < self._preemption_round_at:
+            # Only the earliest round is run; it plans the one to preempt anew.
+            self._preemption_round_at = float("-inf")
         return plan
 
     def _preempt_for_service(
--- a/tests/test_urgent_preemption.py
+++ b/tests/test_urgent_preemption.py
@@ -423,6 +423,22 @@
     assert found == stopped
 
 
+# Guards against a preemption that is missed in a quiet pool: the round before it, due
+# for another reason, must plan the round at its last chance anew.
+def test_earlier_round_plans_the_round_to_preempt() -> None:
+    pool = full_pool()
+    pool.submit("later", PATIENT, PATIENT_QUEUE, ARRIVAL_S)
+    for each in pool.board.jobs["later"].open[0].steps[0].tasks:
+        each.not_before = ARRIVAL_S + 0.1
+    now = ARRIVAL_S
+    for _ in range(4):
+        plan = pool.planner.plan(now=now, now_s=NOW_S + now)
+        if plan.retry_at is None:
+            break
+        now = plan.retry_at
+    assert len(pool.stopping()) == 2
+
+
 # Load pattern: a burst of short jobs into a pool full of other work. Guards against a
 # burst that stops more than the budget, and against stops of work without checkpoints.
 @pytest.mark.parametrize(("checkpoints", "least"), [(True, 3), (False, 0)])
