The order by delay cost makes its ranks directly

Every round ranks all waiting steps. Copying the rank by deadline with attrs.evolve took a third of the time: sorting 5,000 waiting steps took 56 to 81 ms before and 26 to 41 ms after (five sorts each, one and two processes), against 16 to 26 ms in the order by deadline.

--- a/cranberrycleat/workflow/decisions/ordering.py
+++ b/cranberrycleat/workflow/decisions/ordering.py
@@ -172,7 +172,13 @@
         cost = delay_cost(by_deadline.slack_s, late_slack_s, margin_s) / (
             PRIORITY_VALUE_FACTOR**by_deadline.priority
         )
-        return attrs.evolve(by_deadline, band=band, delay_cost=cost)
+        return Rank(
+            band=band,
+            priority=by_deadline.priority,
+            slack_s=by_deadline.slack_s,
+            name=by_deadline.name,
+            delay_cost=cost,
+        )
 
     def _band(self, step: StepRun, by_deadline: Rank) -> int:
         """Return 0 for due work, 1 for surplus, `EXPIRED_BAND` for worthless work."""
