The oldest worthless step goes first in the order by delay cost

Steps of one priority that lost all value have equal delay costs, and steps of queues without an objective are among them. Their names, which contain the job IDs of the callers, decided, so that newer steps could go first until the bound of 120 s. They rank as in the order by deadline now: by priority, then by age.

--- a/cranberrycleat/workflow/decisions/ordering.py
+++ b/cranberrycleat/workflow/decisions/ordering.py
@@ -167,6 +167,9 @@
         if by_deadline.band == SERVICE_BAND or step.urgency is None:
             return by_deadline
         band = self._band(step, by_deadline)
+        if band == EXPIRED_BAND:
+            # The costs of all steps of a priority are equal here.
+            return by_deadline
         late_slack_s = by_deadline.slack_s + step.urgency.tolerated_lateness_s
         margin_s = DEFAULT_ESTIMATE_ERROR * estimated_objective_s(step)
         cost = delay_cost(by_deadline.slack_s, late_slack_s, margin_s) / (
--- a/tests/test_delay_cost_order.py
+++ b/tests/test_delay_cost_order.py
@@ -79,6 +79,17 @@
     assert _rank(state, "a").band == band
 
 
+# Guards against worthless steps, and steps without an objective, that wait behind newer
+# ones of their kind because of their names.
+@pytest.mark.parametrize("objective", [1.0, 0.0])
+def test_oldest_worthless_step_goes_first(objective: float) -> None:
+    at = attrs.evolve(SHORT, stretch=objective, objective_s=0.0)
+    state = cluster_state()
+    _submit(state, "newer", at, 20.0)
+    _submit(state, "older", at, 30.0)
+    assert _rank(state, "older").key() < _rank(state, "newer").key()
+
+
 def test_services_stay_first() -> None:
     state = cluster_state()
     state.accept("s", PATIENT, job(attrs.evolve(step(1), service=True)))
