Any configured priority has a rank in the order by delay cost

The platform's configuration has no bound for priorities. With the priority 512, the power of the value per level exceeded the range of numbers, and every planning round failed; with -600 the cost was divided by zero. Levels beyond 100 now weigh alike.

--- a/cranberrycleat/workflow/decisions/ordering.py
+++ b/cranberrycleat/workflow/decisions/ordering.py
@@ -35,6 +35,9 @@
 PRIORITY_VALUE_FACTOR: Final = 4.0
 """How many times the value per unit of work a step has compared with one of the next
 lower priority."""
+MAX_PRIORITY_LEVELS: Final = 100
+"""Priorities further apart weigh alike: configured ones have no bound, and 4 to the
+power of 512 exceeds the range of numbers."""
 DELAY_SCALE_S: Final = 2.0
 """Slack over which the cost of a delay fades by e: about the time until running tasks
 of a full pool end and free resources for a step that is not started now."""
@@ -172,15 +175,13 @@
             return by_deadline
         late_slack_s = by_deadline.slack_s + step.urgency.tolerated_lateness_s
         margin_s = DEFAULT_ESTIMATE_ERROR * estimated_objective_s(step)
-        cost = delay_cost(by_deadline.slack_s, late_slack_s, margin_s) / (
-            PRIORITY_VALUE_FACTOR**by_deadline.priority
-        )
+        cost = delay_cost(by_deadline.slack_s, late_slack_s, margin_s)
         return Rank(
             band=band,
             priority=by_deadline.priority,
             slack_s=by_deadline.slack_s,
             name=by_deadline.name,
-            delay_cost=cost,
+            delay_cost=cost / priority_value(by_deadline.priority),
         )
 
     def _band(self, step: StepRun, by_deadline: Rank) -> int:
@@ -201,6 +202,12 @@
     return max(0.0, objective_s - step.job.queue.objective_s)
 
 
+def priority_value(levels: int) -> float:
+    """Return how many times the value a step has of one some levels lower."""
+    bounded = max(-MAX_PRIORITY_LEVELS, min(MAX_PRIORITY_LEVELS, levels))
+    return float(PRIORITY_VALUE_FACTOR**bounded)
+
+
 def delay_cost(slack_s: float, late_slack_s: float, margin_s: float) -> float:
     """Return the expected loss of value of a step that waits, as a fraction.
 
--- a/cranberrycleat/workflow/decisions/preemption.py
+++ b/cranberrycleat/workflow/decisions/preemption.py
@@ -20,7 +20,7 @@
 import attrs
 
 from cranberrycleat.amounts import MILLI, NOTHING, Amounts
-from cranberrycleat.workflow.decisions.ordering import LATE_VALUE, PRIORITY_VALUE_FACTOR
+from cranberrycleat.workflow.decisions.ordering import LATE_VALUE, priority_value
 from cranberrycleat.workflow.decisions.preemption_budget import (
     POOL_FRACTION,
     Budget,
@@ -328,7 +328,7 @@
         ),
         default=0,
     )
-    return (1 - LATE_VALUE) * work * PRIORITY_VALUE_FACTOR**levels
+    return (1 - LATE_VALUE) * work * priority_value(levels)
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/tests/test_delay_cost_order.py
+++ b/tests/test_delay_cost_order.py
@@ -79,6 +79,16 @@
     assert _rank(state, "a").band == band
 
 
+# Guards against planning rounds that fail because of a priority in the configuration.
+@pytest.mark.parametrize("priority", [600, 100_000, -600])
+def test_any_configured_priority_has_a_rank(priority: int) -> None:
+    state = cluster_state()
+    _submit(state, "a", attrs.evolve(SHORT, priority=priority))
+    _submit(state, "b", SHORT)
+    before = _rank(state, "a").key() < _rank(state, "b").key()
+    assert before == (priority < 0)
+
+
 # Guards against worthless steps, and steps without an objective, that wait behind newer
 # ones of their kind because of their names.
 @pytest.mark.parametrize("objective", [1.0, 0.0])
