Preemption leaves out workers that are too slow for the step

In a pool with uneven speeds, a step stopped work on a worker of speed 0.6 just before its last chance, and was late on it all the same. Workers on which the step would miss its objective by their speed are no longer considered.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -47,7 +47,7 @@
     VictimFinder,
     preemption_cost_core_s,
 )
-from cranberrycleat.workflow.decisions.speed_choice import SpeedChoice
+from cranberrycleat.workflow.decisions.speed_choice import SpeedChoice, speed_of_class
 from cranberrycleat.workflow.fleet import (
     FleetWorker,
     Placement,
@@ -257,7 +257,11 @@
             surplus=finder.is_surplus(step.job),
             slots=slots,
         )
-        rooms = self._rooms(step, waiting, candidates, held, now, plan)
+        rooms = [
+            each
+            for each in self._rooms(step, waiting, candidates, held, now, plan)
+            if self._is_fast_enough(step, each.worker, rank.slack_s)
+        ]
         snapshot = self._snapshot(step, now)
         selection = preemption.choose(claim, rooms, finder, snapshot.cores(), now)
         self._preempt_selected(claim, selection, now)
@@ -314,6 +318,16 @@
             if worker.may_accept_work(now) and not worker.is_probed
         ]
 
+    def _is_fast_enough(
+        self, step: StepRun, worker: FleetWorker, slack_s: float
+    ) -> bool:
+        """Return whether a step that preempts on a worker may end in time there."""
+        speed_class = self._speed_choice.class_of(step, worker)
+        if speed_class is None or speed_class >= 0:
+            return True
+        longer_s = step.spec.estimate_s * (1 / speed_of_class(speed_class) - 1)
+        return self.cluster_state.load.preemption.is_due(step, slack_s - longer_s)
+
     def _slots_within_quota(self, step: StepRun, slots: int) -> int:
         """Return for how many more tasks, up to `slots`, the quota has room."""
         if step.spec.gang:
--- a/tests/test_urgent_preemption.py
+++ b/tests/test_urgent_preemption.py
@@ -1,6 +1,7 @@
 """Tests of preemption by checkpoint for steps that would be late."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import attrs
@@ -17,6 +18,7 @@
 from cranberrycleat.workflow.decisions.planner import Planner
 from cranberrycleat.workflow.decisions.preemption import Preemption
 from cranberrycleat.workflow.decisions.preemption_budget import DEPTH_S, Budget
+from cranberrycleat.workflow.decisions.speed_model import LearnedSpeed, SpeedModel
 from cranberrycleat.workflow.fleet import FleetWorker, LossCause, Placement
 from cranberrycleat.workflow.ports import (
     EndedTask,
@@ -396,6 +398,29 @@
     assert len(pool.stopping()) == stopped
 
 
+# Guards against stops on a worker that is so slow that the step is late even so.
+@pytest.mark.parametrize(("speed", "stopped"), [(0.6, 0), (1.0, 2), (1.6, 2)])
+def test_slow_workers_do_not_give_way(speed: float, stopped: int) -> None:
+    speeds = SpeedModel()
+    found = {"w0": speed} | {f"w{n}": 1.0 if n % 3 else 0.6 for n in range(1, 12)}
+    summary = tuple(
+        LearnedSpeed(
+            worker=name,
+            born_ms=0,
+            kind="a",
+            capacity=Amounts(processors=4000, memory_mb=4000),
+            log_speed=math.log(each),
+            samples=16,
+        )
+        for name, each in found.items()
+    )
+    speeds.restore(POOL, summary)
+    preemption = Preemption(for_urgent_work=True)
+    pool = full_pool(load=LoadControl(preemption=preemption, speeds=speeds))
+    pool.plan(DUE_S)
+    assert len(pool.stopping()) == stopped
+
+
 # Guards against stops for a gang that cannot have room for all of its members.
 @pytest.mark.parametrize(("members", "stopped"), [(2, 4), (3, 0)])
 def test_a_gang_gets_room_for_all_members_or_none(members: int, stopped: int) -> None:
