Permit queries of placed steps no longer go before all others

With batched permit calls, every waiting call of a step without waiting tasks counted as a renewal that placements wait for. That included queries for further workers, which nothing needs any more; they are dropped now.

--- a/cranberrycleat/workflow/dispatcher.py
+++ b/cranberrycleat/workflow/dispatcher.py
@@ -115,10 +115,14 @@
 
     def _urgency_of_step(self, name: str) -> Urgency | None:
         """Return a step's urgency; None if its permits are not needed any more."""
-        if name not in self.cluster_state.permits:
+        permits = self.cluster_state.permits.get(name)
+        if permits is None:
             return None
         step = self.cluster_state.waiting.get(name)
-        return NO_TASK_WAITS if step is None else self._urgency(step)
+        if step is not None:
+            return self._urgency(step)
+        # A query for further workers is of no use once all tasks are placed.
+        return NO_TASK_WAITS if permits.renewing.locked() else None
 
     async def _dispatch(self, group: PlannedGroup) -> None:
         """Send the starts of a group once they are stored and have permits."""
--- a/tests/test_permit_queue.py
+++ b/tests/test_permit_queue.py
@@ -9,12 +9,13 @@
 from cranberrycleat.http_client import HttpClient
 from cranberrycleat.lifecycle import BackgroundTasks
 from cranberrycleat.workflow.decisions.ordering import Urgency
-from cranberrycleat.workflow.dispatcher import Dispatcher
+from cranberrycleat.workflow.dispatcher import NO_TASK_WAITS, Dispatcher
 from cranberrycleat.workflow.peering import PeerClient, PermitRequest
 from cranberrycleat.workflow.permit_queue import MAX_CALLS_PER_HOST, PermitQueue
 from cranberrycleat.workflow.permits import StepPermits
 from cranberrycleat.workflow.ports import Permit, PermitTiming, PermitUnavailable
 from cranberrycleat.workflow.repeating_event import RepeatingEvent
+from cranberrycleat.workflow.state import StepRun
 from tests.cell import job, queue, step
 from tests.fakes import run_async
 from tests.test_planner import cluster_state
@@ -209,46 +210,63 @@
     assert own.steps == ["s0", "s1", "now-urgent", "patient"]
 
 
+@attrs.define(kw_only=True, eq=False)
+class FailingQueue(PermitQueue):
+    """Records the workers of calls, none of which is answered."""
+
+    asked: list[tuple[str, ...]] = attrs.field(factory=list)
+
+    async def ask(
+        self,
+        step: str,
+        workers: tuple[str, ...],
+        permits: StepPermits,
+        urgency: Urgency,
+    ) -> bool:
+        """Record a call that is not answered."""
+        self.asked.append(workers)
+        await asyncio.sleep(0)
+        return False
+
+
+def dispatcher_of_one_job(calls: PermitQueue) -> tuple[Dispatcher, StepRun]:
+    """Return a dispatcher, and a waiting step of three tasks that needs permits."""
+    state = cluster_state()
+    state.accept("j", attrs.evolve(queue(), permits=POLICY), job(step(3)))
+    dispatcher = Dispatcher(
+        cluster_state=state,
+        permit_queue=calls,
+        links={},
+        clock=MonotonicClock(),
+        changed=lambda: None,
+        stored=RepeatingEvent(),
+        work=BackgroundTasks(),
+        plan_due=asyncio.Event(),
+    )
+    (run,) = state.jobs["j"].open[0].steps
+    state.permits_of(run)
+    return dispatcher, run
+
+
+def failing_queue() -> FailingQueue:
+    """Return a permit queue whose calls fail."""
+    return FailingQueue(
+        own=SerialPermitService(),
+        own_address="own",
+        peer_client=Peers(http=HttpClient()),
+        peers=tuple,
+        clock=MonotonicClock(),
+    )
+
+
 # Guards against a renewal that asks for no worker and uses up one of the few attempts
 # of its placements, after the call that included its workers has failed.
 def test_renewal_after_a_failed_one_names_its_workers() -> None:
-    asked: list[tuple[str, ...]] = []
-
-    class FailingQueue(PermitQueue):
-        async def ask(
-            self,
-            step: str,
-            workers: tuple[str, ...],
-            permits: StepPermits,
-            urgency: Urgency,
-        ) -> bool:
-            """Record a call that is not answered."""
-            asked.append(workers)
-            await asyncio.sleep(0)
-            return False
+    calls = failing_queue()
 
     async def run() -> None:
-        state = cluster_state()
-        state.accept("j", attrs.evolve(queue(), permits=POLICY), job(step(3)))
-        (waiting,) = state.jobs["j"].open[0].steps
-        permits = state.permits_of(waiting)
-        assert permits is not None
-        dispatcher = Dispatcher(
-            cluster_state=state,
-            permit_queue=FailingQueue(
-                own=SerialPermitService(),
-                own_address="own",
-                peer_client=Peers(http=HttpClient()),
-                peers=tuple,
-                clock=MonotonicClock(),
-            ),
-            links={},
-            clock=MonotonicClock(),
-            changed=lambda: None,
-            stored=RepeatingEvent(),
-            work=BackgroundTasks(),
-            plan_due=asyncio.Event(),
-        )
+        dispatcher, waiting = dispatcher_of_one_job(calls)
+        permits = dispatcher.cluster_state.permits[waiting.name]
         renewals = [
             dispatcher._renew_together(waiting, permits, {name})
             for name in ("a", "b", "c")
@@ -256,4 +274,22 @@
         await asyncio.gather(*renewals)
 
     run_async(run())
-    assert asked == [("a",), ("b", "c"), ("c",)]
+    assert calls.asked == [("a",), ("b", "c"), ("c",)]
+
+
+# Guards against queries for further workers of a step that is placed already, which
+# went before all other calls as if its placements waited for them.
+def test_only_renewals_go_first_once_all_tasks_are_placed() -> None:
+    async def run() -> None:
+        dispatcher, waiting = dispatcher_of_one_job(failing_queue())
+        state = dispatcher.cluster_state
+        urgency = dispatcher._urgency(waiting)
+        assert dispatcher._urgency_of_step(waiting.name) == urgency
+        del state.waiting[waiting.name]
+        assert dispatcher._urgency_of_step(waiting.name) is None
+        async with state.permits[waiting.name].renewing:
+            assert dispatcher._urgency_of_step(waiting.name) == NO_TASK_WAITS
+        del state.permits[waiting.name]
+        assert dispatcher._urgency_of_step(waiting.name) is None
+
+    run_async(run())
