A summary with an impossible speed is ignored

A row that decodes but holds a speed beyond the range of numbers made every planning round of the new owner fail when it computed the exponential.

--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -39,6 +39,9 @@
 SPECS: Final = "specs"
 INBOX: Final = "inbox"
 SPEEDS: Final = "speeds"
+MAX_LOG_SPEED: Final = 100.0
+"""Largest logarithm of a learned speed that is believed, in either direction; the
+exponential of a much larger one exceeds the range of numbers in every round."""
 _VERDICTS: Final = (None, JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 
@@ -358,6 +361,9 @@
     """
     try:
         row = msgspec.json.decode(text, type=SpeedsRow)
+        for worker, *_, log_speed, _ in row.workers:
+            if not abs(log_speed) <= MAX_LOG_SPEED:
+                raise msgspec.ValidationError(f"speed of {worker}: e^{log_speed}")
     except msgspec.DecodeError as exc:
         found = errors.finding(place, errors.MALFORMED, reason=str(exc))
         raise errors.FindingsError(findings=(found,)) from None
--- a/tests/test_speed_model.py
+++ b/tests/test_speed_model.py
@@ -204,8 +204,9 @@
         (f'[{NOW_S - 61},[["w",0,"a",4000,4000,0,0.5,10.0]]]', False),
         (f'[{NOW_S},[["w",0,"a"]]]', False),
         ('{"written":"by another version"}', False),
+        (f'[{NOW_S},[["w",0,"a",4000,4000,0,1e4,10.0]]]', False),
     ],
-    ids=["young", "too old", "short", "another version"],
+    ids=["young", "too old", "short", "another version", "impossible speed"],
 )
 def test_unusable_summary_is_ignored(value: str, usable: bool) -> None:
     """Guards against a takeover that fails on a summary, or that trusts an old one."""
