Speeds of missing workers are forgotten in every pool

A pool became known to the model with the first comparison of two ends. In a pool whose steps have one task each, the record of every worker that ever ended a task was kept.

--- a/cranberrycleat/workflow/decisions/speed_model.py
+++ b/cranberrycleat/workflow/decisions/speed_model.py
@@ -181,6 +181,7 @@
                 return
             own = _Record(entry=worker.entry)
             self._records[worker.entry.worker] = own
+            self._pools.setdefault(worker.entry.pool, _Pool())
         own.seen_at = now
         end = _End(record=own, log_ran=math.log(ran_s))
         earlier = self._earlier_ends(task.step.name)
--- a/tests/test_speed_model.py
+++ b/tests/test_speed_model.py
@@ -217,6 +217,21 @@
     assert model.confidence_of(worker("w")) == (1.0 if usable else 0.0)
 
 
+# Guards against records that pile up in a pool whose steps have one task each: they
+# give no comparison, and so the pool was not known when workers were forgotten.
+def test_missing_workers_of_a_pool_without_comparisons_are_forgotten() -> None:
+    model, board = SpeedModel(), cluster_state()
+    for number in range(3):
+        board.accept(f"j{number}", queue(), job(step(1, estimate_s=1.0)))
+        (task,) = board.jobs[f"j{number}"].open[0].steps[0].tasks
+        placement = board.place(task, worker(f"w{number}"), 1, now=0.0)
+        placement.began(0.0)
+        model.record_end(worker(f"w{number}"), placement, 1.0)
+    assert len(model._records) == 3
+    assert not list(model.take_due_summaries(("w0",), 100.0))
+    assert list(model._records) == ["w0"]
+
+
 @pytest.mark.parametrize("hangs", [True, False], ids=["no answer", "error"])
 def test_takeover_does_not_wait_for_speeds(hangs: bool) -> None:
     """Guards against a takeover that needs a summary, which is only an advantage."""
