--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -51,7 +51,7 @@
     VictimFinder,
     preemption_cost_core_s,
 )
-from cranberrycleat.workflow.decisions.speed_choice import SpeedChoice
+from cranberrycleat.workflow.decisions.speed_choice import SpeedChoice, speed_of_class
 from cranberrycleat.workflow.fleet import (
     FleetWorker,
     Placement,
@@ -174,6 +174,9 @@
             if step.pending():
                 reason = self._wait_reason(step, candidates)
                 self._log_waiting(step, reason, len(candidates), now, now_s)
+        if plan.retry_at is not None and plan.retry_at < self._preemption_round_at:
+            # Only the earliest round is run; it plans the one to preempt anew.
+            self._preemption_round_at = float("-inf")
         return plan
 
     def _preempt_for_service(
@@ -243,7 +246,7 @@
                 plan, now, preemption.due_in_s(step, rank.slack_s)
             )
             return bool(held)
-        slots = self._slots_within_quota(step, len(waiting) - held.total())
+        slots = self._slots_within_quota(step, len(waiting)) - held.total()
         evaluates_at = preemption.evaluates_at(now)
         if slots <= 0:
             return bool(held)
@@ -257,7 +260,11 @@
             surplus=finder.is_surplus(step.job),
             slots=slots,
         )
-        rooms = self._rooms(step, waiting, candidates, now, plan)
+        rooms = [
+            each
+            for each in self._rooms(step, waiting, candidates, held, now, plan)
+            if self._is_fast_enough(step, each.worker, rank.slack_s)
+        ]
         snapshot = self._snapshot(step, now)
         selection = preemption.choose(claim, rooms, finder, snapshot.cores(), now)
         self._preempt_selected(claim, selection, now)
@@ -301,6 +308,7 @@
         step: StepRun,
         tasks: list[Task],
         candidates: list[FleetWorker],
+        held: Mapping[str, int],
         now: float,
         plan: Plan,
     ) -> list[Room]:
@@ -310,12 +318,23 @@
             Room(
                 worker=worker,
                 reserved=self._reservations.on(worker).plus(self._expected.on(worker)),
-                max_tasks=self._remaining_worker_limit(step, worker),
+                max_tasks=self._remaining_worker_limit(step, worker)
+                - held.get(worker.name, 0),
             )
             for worker in self._exclude_failed_workers(step, tasks, near, now)
             if worker.may_accept_work(now) and not worker.is_probed
         ]
 
+    def _is_fast_enough(
+        self, step: StepRun, worker: FleetWorker, slack_s: float
+    ) -> bool:
+        """Return whether a step that preempts on a worker may end in time there."""
+        speed_class = self._speed_choice.class_of(step, worker)
+        if speed_class is None or speed_class >= 0:
+            return True
+        longer_s = step.spec.estimate_s * (1 / speed_of_class(speed_class) - 1)
+        return self.cluster_state.load.preemption.is_due(step, slack_s - longer_s)
+
     def _slots_within_quota(self, step: StepRun, slots: int) -> int:
         """Return for how many more tasks, up to `slots`, the quota has room."""
         if step.spec.gang:
--- a/cranberrycleat/workflow/dispatcher.py
+++ b/cranberrycleat/workflow/dispatcher.py
@@ -120,10 +120,14 @@
 
     def _urgency_of_step(self, name: str) -> Urgency | None:
         """Return a step's urgency; None if its permits are not needed any more."""
-        if name not in self.cluster_state.permits:
+        permits = self.cluster_state.permits.get(name)
+        if permits is None:
             return None
         step = self.cluster_state.waiting.get(name)
-        return NO_TASK_WAITS if step is None else self._urgency(step)
+        if step is not None:
+            return self._urgency(step)
+        # A query for further workers is of no use once all tasks are placed.
+        return NO_TASK_WAITS if permits.renewing.locked() else None
 
     async def _dispatch(self, group: PlannedGroup) -> None:
         """Send the starts of a group once they are stored and have permits."""
@@ -200,6 +204,7 @@
             if not permits.workers_to_renew(workers, self.clock.now()):
                 permits.to_renew -= workers
                 return
-            together, permits.to_renew = permits.to_renew, set()
+            # An earlier call that failed has already taken these workers.
+            together, permits.to_renew = permits.to_renew | workers, set()
             stale = permits.workers_to_renew(together, self.clock.now())
             await self.permit_queue.ask(step.name, stale, permits, self._urgency(step))
--- a/tests/test_delay_cost_order.py
+++ b/tests/test_delay_cost_order.py
@@ -91,6 +91,27 @@
     assert _rank(state, "z").key() < _rank(state, "a").key()
 
 
+# Guards against planning rounds that fail because of a priority in the configuration.
+@pytest.mark.parametrize("priority", [600, 100_000, -600])
+def test_any_configured_priority_has_a_rank(priority: int) -> None:
+    state = cluster_state()
+    _submit(state, "a", attrs.evolve(SHORT, priority=priority))
+    _submit(state, "b", SHORT)
+    before = _rank(state, "a").key() < _rank(state, "b").key()
+    assert before == (priority < 0)
+
+
+# Guards against worthless steps, and steps without an objective, that wait behind newer
+# ones of their kind because of their names.
+@pytest.mark.parametrize("objective", [1.0, 0.0])
+def test_oldest_worthless_step_goes_first(objective: float) -> None:
+    at = attrs.evolve(SHORT, stretch=objective, objective_s=0.0)
+    state = cluster_state()
+    _submit(state, "newer", at, 20.0)
+    _submit(state, "older", at, 30.0)
+    assert _rank(state, "older").key() < _rank(state, "newer").key()
+
+
 def test_services_stay_first() -> None:
     state = cluster_state()
     state.accept("s", PATIENT, job(attrs.evolve(step(1), service=True)))
--- a/tests/test_urgent_preemption.py
+++ b/tests/test_urgent_preemption.py
@@ -1,6 +1,7 @@
 """Tests of preemption by checkpoint for steps that would be late."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import attrs
@@ -17,6 +18,7 @@
 from cranberrycleat.workflow.decisions.planner import Planner
 from cranberrycleat.workflow.decisions.preemption import Preemption
 from cranberrycleat.workflow.decisions.preemption_budget import DEPTH_S, Budget
+from cranberrycleat.workflow.decisions.speed_model import LearnedSpeed, SpeedModel
 from cranberrycleat.workflow.fleet import FleetWorker, LossCause, Placement
 from cranberrycleat.workflow.ports import (
     EndedTask,
@@ -32,7 +34,7 @@
 from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.state import Job, TaskState
 from cranberrycleat.workflow.telemetry import Telemetry
-from tests.cell import cell, job, queue, step, submit, until
+from tests.cell import POOL, cell, job, queue, step, submit, until
 from tests.fakes import run_async
 from tests.test_planner import NOW_S, cluster_state, placed, worker
 
@@ -394,6 +396,43 @@
     assert len(pool.stopping()) == 4
 
 
+# Guards against rounds that outlast the owner's lease in a pool of 2,500 workers.
+@pytest.mark.parametrize(("max_rooms", "stopped"), [(704, 4), (2, 4), (1, 2)])
+def test_claims_of_a_round_are_limited_by_the_workers_they_look_at(
+    monkeypatch: pytest.MonkeyPatch, max_rooms: int, stopped: int
+) -> None:
+    decisions = "cranberrycleat.workflow.decisions"
+    monkeypatch.setattr(f"{decisions}.preemption.MAX_ROOMS_PER_ROUND", max_rooms)
+    pool = full_pool_in_a_large_one()
+    for name in ("v0", "v1"):
+        pool.submit(name, attrs.evolve(SHORT, label="r1"), SHORT_QUEUE, ARRIVAL_S)
+    pool.plan(DUE_S)
+    assert len(pool.stopping()) == stopped
+
+
+# Guards against stops on a worker that is so slow that the step is late even so.
+@pytest.mark.parametrize(("speed", "stopped"), [(0.6, 0), (1.0, 2), (1.6, 2)])
+def test_slow_workers_do_not_give_way(speed: float, stopped: int) -> None:
+    speeds = SpeedModel()
+    found = {"w0": speed} | {f"w{n}": 1.0 if n % 3 else 0.6 for n in range(1, 12)}
+    summary = tuple(
+        LearnedSpeed(
+            worker=name,
+            born_ms=0,
+            kind="a",
+            capacity=Amounts(processors=4000, memory_mb=4000),
+            log_speed=math.log(each),
+            samples=16,
+        )
+        for name, each in found.items()
+    )
+    speeds.restore(POOL, summary)
+    preemption = Preemption(for_urgent_work=True)
+    pool = full_pool(load=LoadControl(preemption=preemption, speeds=speeds))
+    pool.plan(DUE_S)
+    assert len(pool.stopping()) == stopped
+
+
 # Guards against stops for a gang that cannot have room for all of its members.
 @pytest.mark.parametrize(("members", "stopped"), [(2, 4), (3, 0)])
 def test_a_gang_gets_room_for_all_members_or_none(members: int, stopped: int) -> None:
@@ -409,6 +448,48 @@
     assert ("v.0.0.0" in placed(pool.board)["w0"]) == bool(stopped)
 
 
+# Guards against stops for tasks that the quota or the limit per worker keeps from
+# starting: a second evaluation must count the tasks for which resources are held.
+@pytest.mark.parametrize(
+    ("limit", "quota", "stopped"),
+    [(0, 0, [2, 4]), (1, 0, [2, 2]), (0, 2000, [2, 2])],
+    ids=["no limit", "one per worker", "quota for one"],
+)
+def test_held_tasks_count_in_a_second_evaluation(
+    limit: int, quota: int, stopped: list[int]
+) -> None:
+    pool = full_pool_in_a_large_one()
+    quotas = {"v": Amounts(processors=quota)}
+    pool.board.quotas.quotas = lambda: quotas
+    spec = attrs.evolve(SHORT, count=2, label="r1", most_per_worker=limit)
+    pool.submit("v", spec, SHORT_QUEUE, ARRIVAL_S)
+    # The budget covers the stops for one task in the first evaluation only.
+    pool.board.load.preemption._budget(POOL, 61 * 4, DUE_S)
+    found = []
+    for now, tokens in ((DUE_S, 3.0), (DUE_S + 0.11, 9.0)):
+        for budget in pool.board.load.preemption._budgets.values():
+            budget.tokens = tokens
+        pool.plan(now)
+        found.append(len(pool.stopping()))
+    assert found == stopped
+
+
+# Guards against a preemption that is missed in a quiet pool: the round before it, due
+# for another reason, must plan the round at its last chance anew.
+def test_earlier_round_plans_the_round_to_preempt() -> None:
+    pool = full_pool()
+    pool.submit("later", PATIENT, PATIENT_QUEUE, ARRIVAL_S)
+    for each in pool.board.jobs["later"].open[0].steps[0].tasks:
+        each.not_before = ARRIVAL_S + 0.1
+    now = ARRIVAL_S
+    for _ in range(4):
+        plan = pool.planner.plan(now=now, now_s=NOW_S + now)
+        if plan.retry_at is None:
+            break
+        now = plan.retry_at
+    assert len(pool.stopping()) == 2
+
+
 # Load pattern: a burst of short jobs into a pool full of other work. Guards against a
 # burst that stops more than the budget, and against stops of work without checkpoints.
 @pytest.mark.parametrize(("checkpoints", "least"), [(True, 3), (False, 0)])
