Late work over its workspace's quota does not give way

A late attempt could be preempted although the lowered quota of its workspace kept it from starting again; it lost the value that late work still has. The check that work may resume applied to work on time only. The row of tests/prove_workflow.py follows the changed line; its test still fails with it.

--- a/cranberrycleat/workflow/decisions/preemption_victims.py
+++ b/cranberrycleat/workflow/decisions/preemption_victims.py
@@ -94,9 +94,9 @@
             return False
         if self.rank.priority <= claim.rank.priority and self.surplus == claim.surplus:
             return False
-        if self.is_late:
-            return True
-        return self.may_resume and self.slack_s >= claim.step.spec.estimate_s
+        if not self.may_resume:
+            return False
+        return self.is_late or self.slack_s >= claim.step.spec.estimate_s
 
     def freed_on(self, worker: FleetWorker) -> Amounts:
         """Return the resources that a stop frees on a worker."""
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -962,7 +962,7 @@
         guarantee="decisions",
         mechanism="preempting only what can resume on time",
         file="workflow/decisions/preemption_victims.py",
-        text="return self.may_resume and self.slack_s >= claim.step.spec.estimate_s",
+        text="return self.is_late or self.slack_s >= claim.step.spec.estimate_s",
         replacement="return True",
         test="tests/test_urgent_preemption.py::test_which_work_gives_way",
     ),
--- a/tests/test_urgent_preemption.py
+++ b/tests/test_urgent_preemption.py
@@ -228,6 +228,18 @@
     assert len(pool.stopping()) == stopped
 
 
+# Guards against late work that still has value and that a lowered quota keeps from
+# resuming, so that it loses the rest.
+@pytest.mark.parametrize(("change", "stopped"), [(_nothing, 2), (_lower_quota, 0)])
+def test_late_work_gives_way_only_if_it_may_resume(
+    change: Callable[[Pool], None], stopped: int
+) -> None:
+    pool = full_pool(at=attrs.evolve(PATIENT_QUEUE, stretch=1, objective_s=5))
+    change(pool)
+    pool.plan(DUE_S)
+    assert len(pool.stopping()) == stopped
+
+
 # Guards against a gang of 4 that is stopped for a step of a fraction of its value.
 @pytest.mark.parametrize(("processors", "stopped"), [(500, 0), (2000, 4)])
 def test_cost_does_not_exceed_value(processors: int, stopped: int) -> None:
