--- a/cranberrycleat/workflow/decisions/speed_model.py
+++ b/cranberrycleat/workflow/decisions/speed_model.py
@@ -69,6 +69,9 @@
 """Steps of which ended tasks are remembered; ten seconds of arrivals."""
 SUMMARY_INTERVAL_S: Final = 5.0
 """Shortest time between two summaries of a pool; each is a billed write."""
+SUMMARY_REFRESH_S: Final = 30.0
+"""Age at which an unchanged summary is written again: a successor ignores one that is
+older than twice that."""
 MISSING_RETENTION_S: Final = 60.0
 """How long the speed of a worker that is not listed is kept, in case it restarts."""
 
@@ -123,6 +126,7 @@
     ends: int = REFRESH_ENDS
     last_end_at: float = 0.0
     summarized_at: float = float("-inf")
+    written_at: float = float("-inf")
     summary: tuple[LearnedSpeed, ...] = ()
 
 
@@ -220,7 +224,7 @@
     def take_due_summaries(
         self, listed: Collection[str], now: float
     ) -> Iterator[tuple[str, tuple[LearnedSpeed, ...]]]:
-        """Yield the pools whose summary has changed and is due, with the summary.
+        """Yield the pools whose summary is due and changed or old, with the summary.
 
         Args:
             listed: The identities of the workers that the owner knows.
@@ -232,8 +236,10 @@
             pool.summarized_at = now
             self._forget_missing(name, listed, now)
             summary = tuple(map(_summarize, self._known(name)))
-            if summary and summary != pool.summary:
+            is_old = now >= pool.written_at + SUMMARY_REFRESH_S
+            if summary and (is_old or summary != pool.summary):
                 pool.summary = summary
+                pool.written_at = now
                 yield name, summary
 
     def restore(
--- a/tests/test_speed_model.py
+++ b/tests/test_speed_model.py
@@ -16,7 +16,11 @@
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.decisions.load_control import LoadControl
 from cranberrycleat.workflow.decisions.runtime_estimates import RuntimeEstimates
-from cranberrycleat.workflow.decisions.speed_model import SUMMARY_INTERVAL_S, SpeedModel
+from cranberrycleat.workflow.decisions.speed_model import (
+    SUMMARY_INTERVAL_S,
+    SUMMARY_REFRESH_S,
+    SpeedModel,
+)
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
 from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.state import Job, Task
@@ -172,7 +176,7 @@
 
 
 def test_summary_lets_successor_start_with_speeds() -> None:
-    """Written at most once in 5 s and only on a change: the table bills each write."""
+    """Written at most once in 5 s, if changed or old: the table bills each write."""
     model, _, workers = play([0.6, 1.0, 1.6] * 4)
     times = [100.0]
     owner_board = _board(model)
@@ -183,6 +187,8 @@
     assert put.key == f"speeds/{POOL}"
     times.append(times.pop() + SUMMARY_INTERVAL_S)
     assert not take_batch(owner_board).puts, "nothing changed"
+    times.append(times.pop() + SUMMARY_REFRESH_S)
+    assert take_batch(owner_board).puts, "a successor would ignore an old one"
 
     successor = _board(SpeedModel())
     row = Row(key=put.key, version=1, value=put.value)
