--- a/cranberrycleat/workflow/decisions/load_control.py
+++ b/cranberrycleat/workflow/decisions/load_control.py
@@ -104,7 +104,7 @@
     estimates = RuntimeEstimates() if policies.learned_speeds else None
     order: StepOrder = DeadlineOrder()
     if policies.delay_cost_order:
-        order = DelayCostOrder(fair_share=fair_share, estimates=estimates)
+        order = DelayCostOrder(fair_share=fair_share)
     elif fair_share is not None:
         order = TieredOrder(order=order, fair_share=fair_share)
     forecast = (
--- a/cranberrycleat/workflow/decisions/ordering.py
+++ b/cranberrycleat/workflow/decisions/ordering.py
@@ -17,7 +17,6 @@
 import attrs
 
 from cranberrycleat.workflow.decisions.fair_share import FairShare, ShareTier
-from cranberrycleat.workflow.decisions.runtime_estimates import RuntimeEstimates
 from cranberrycleat.workflow.state import Job, StepRun, StepUrgency
 
 LATE_FACTOR: Final = 3.0
@@ -160,11 +159,9 @@
 
     Attributes:
         fair_share: Tiers of jobs; surplus ranks behind all due work.
-        estimates: Corrects the callers' estimates of run times.
     """
 
     fair_share: FairShare | None = None
-    estimates: RuntimeEstimates | None = None
 
     def rank(self, step: StepRun, now_s: float) -> Rank:
         """Return a step's rank at a Unix time in seconds."""
