--- a/cranberrycleat/bench/forecast.py
+++ b/cranberrycleat/bench/forecast.py
@@ -64,9 +64,10 @@
     rng = random.Random(seed)
     cluster_state = _fill(workers, waiting, rng)
     forecast = LoadForecast()
-    loads = take_loads(cluster_state, cluster_state.now())
+    now, now_s = cluster_state.now(), cluster_state.time_of_day()
+    loads = take_loads(cluster_state, now=now, now_s=now_s)
     snapshot_ms = _median_ms(
-        lambda: take_loads(cluster_state, cluster_state.now()), REPEATS
+        lambda: take_loads(cluster_state, now=now, now_s=now_s), REPEATS
     )
     update_ms = _median_ms(lambda: forecast.update(loads[0]), REPEATS)
     return ForecastFigures(
--- a/cranberrycleat/platform/settings.py
+++ b/cranberrycleat/platform/settings.py
@@ -10,7 +10,12 @@
 
 from cranberrycleat import errors
 from cranberrycleat.platform.early import FILE_VARIABLE
-from cranberrycleat.workflow.ports import HostResources, LeaseBounds, NodeSettings
+from cranberrycleat.workflow.ports import (
+    CheckpointTiming,
+    HostResources,
+    LeaseBounds,
+    NodeSettings,
+)
 
 MAX_CLOCK_RATE_ERROR: Final = 0.02
 """A worker's clock may run slow by this fraction (platform documentation of leases)."""
@@ -31,6 +36,8 @@
 class _WireBounds:
     hold_max_ms: float
     stop_ms: float = 1000.0
+    save_s: float = 1.0
+    restore_ms: float = 600.0
     spread_factor: float = 1.0
     status_s: float = 120.0
     grace_s: float = 6.0
@@ -97,6 +104,9 @@
             clock_error=MAX_CLOCK_RATE_ERROR,
             stop_s=bounds.stop_ms / 1000,
         ),
+        checkpoints=CheckpointTiming(
+            interval_s=bounds.save_s, restore_s=bounds.restore_ms / 1000
+        ),
         room=HostResources(
             processors=wire.limits.cpu_share * wire.limits.cores,
             link_mbps=wire.limits.link_mbps,
--- a/cranberrycleat/workflow/decisions/load_control.py
+++ b/cranberrycleat/workflow/decisions/load_control.py
@@ -24,6 +24,7 @@
 from cranberrycleat.workflow.decisions.speed_model import DEFAULT_SPEED, SpeedModel
 from cranberrycleat.workflow.decisions.tiered_order import TieredOrder
 from cranberrycleat.workflow.fleet import FleetWorker
+from cranberrycleat.workflow.ports import CheckpointTiming
 from cranberrycleat.workflow.state import Job
 
 
@@ -43,6 +44,7 @@
             first even under load.
         disjoint_reservations: Whether waiting gangs reserve different resources.
         preemption: Selects running attempts that give way to a waiting step.
+        checkpoints: How workers take checkpoints.
     """
 
     order: StepOrder = attrs.field(factory=DeadlineOrder)
@@ -55,6 +57,7 @@
     batch_permits: bool = False
     disjoint_reservations: bool = False
     preemption: Preemption = attrs.field(factory=Preemption)
+    checkpoints: CheckpointTiming = CheckpointTiming()
 
     def speed_of(self, worker: FleetWorker) -> float:
         """Return a worker's speed; 1 where speeds are equal, unknown or not learned."""
@@ -92,13 +95,16 @@
 
 
 def make_load_control(
-    policies: LoadPolicies, weights: Callable[[], Mapping[str, float]]
+    policies: LoadPolicies,
+    weights: Callable[[], Mapping[str, float]],
+    checkpoints: CheckpointTiming = CheckpointTiming(),
 ) -> LoadControl:
     """Return the parts that are enabled.
 
     Args:
         policies: The enabled policies.
         weights: Returns the positive weight of each workspace that has one.
+        checkpoints: How workers take checkpoints.
     """
     fair_share = FairShare(weights=weights) if policies.weighted_fair_share else None
     estimates = RuntimeEstimates() if policies.learned_speeds else None
@@ -120,4 +126,5 @@
         batch_permits=policies.batched_permits,
         disjoint_reservations=policies.delay_cost_order,
         preemption=Preemption(for_urgent_work=policies.checkpoint_preemption),
+        checkpoints=checkpoints,
     )
--- a/cranberrycleat/workflow/decisions/load_snapshot.py
+++ b/cranberrycleat/workflow/decisions/load_snapshot.py
@@ -17,21 +17,31 @@
 
 
 def update_forecast(
-    cluster_state: ClusterState, forecast: LoadForecast, now: float
+    cluster_state: ClusterState, forecast: LoadForecast, *, now: float, now_s: float
 ) -> None:
-    """Give a forecast new snapshots of all pools that have available workers."""
-    loads = take_loads(cluster_state, now)
+    """Give a forecast new snapshots of all pools that have available workers.
+
+    Args:
+        cluster_state: The owner's in-memory state.
+        forecast: The forecast.
+        now: The owner's clock.
+        now_s: Unix time in seconds.
+    """
+    loads = take_loads(cluster_state, now=now, now_s=now_s)
     for load in loads:
         forecast.update(load)
     forecast.retain({load.pool for load in loads})
 
 
-def take_loads(cluster_state: ClusterState, now: float) -> tuple[PoolLoad, ...]:
+def take_loads(
+    cluster_state: ClusterState, *, now: float, now_s: float
+) -> tuple[PoolLoad, ...]:
     """Return a snapshot of every pool that has available workers.
 
     Args:
         cluster_state: The owner's in-memory state.
         now: The owner's clock.
+        now_s: Unix time in seconds.
     """
     workers: dict[str, list[FleetWorker]] = {}
     for worker in cluster_state.fleet.workers.values():
@@ -39,7 +49,7 @@
             workers.setdefault(worker.entry.pool, []).append(worker)
     waiting = _waiting_by_pool(cluster_state, workers)
     return tuple(
-        _take_load(cluster_state, pool, available, waiting[pool], now)
+        _take_load(cluster_state, pool, available, waiting[pool], now, now_s)
         for pool, available in workers.items()
     )
 
@@ -50,10 +60,10 @@
     workers: list[FleetWorker],
     waiting: list[StepRun],
     now: float,
+    now_s: float,
 ) -> PoolLoad:
     speeds = _speeds(cluster_state, workers)
     mean_speed = sum(speeds) / len(speeds)
-    now_s = cluster_state.time_of_day()
     rank = cluster_state.load.order.rank
     backlog = [
         _waiting_work(cluster_state, step, rank(step, now_s).key(), mean_speed)
--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -143,7 +143,10 @@
         load = self.cluster_state.load
         self._reservations = GangReservations(disjoint=load.disjoint_reservations)
         self._speed_choice = SpeedChoice(
-            speeds=load.speeds, estimates=load.estimates, now_s=now_s
+            speeds=load.speeds,
+            estimates=load.estimates,
+            restore_s=load.checkpoints.restore_s,
+            now_s=now_s,
         )
         load.preemption.begin_round(now)
         for position, step in enumerate(self._steps_by_rank(now, now_s)):
@@ -211,7 +214,12 @@
                 worker=worker.name,
                 beneficiary=step.name,
                 service=step.spec.service,
-                cost_core_s=round(preemption_cost_core_s(placement, now), 3),
+                cost_core_s=round(
+                    preemption_cost_core_s(
+                        placement, self.cluster_state.load.checkpoints, now
+                    ),
+                    3,
+                ),
                 slack_s=round(slack_s, 3),
                 victim_slack_s=round(victim_slack_s, 3),
                 report_age_s=round(now - worker.clock_read_at, 3),
@@ -299,6 +307,7 @@
             is_allowed=lambda task: preemption.may_be_victim(task, now),
             may_resume=lambda job: cluster_state.quotas.allows_more(job.workspace),
             stop_s=preemption.stop_s,
+            checkpoints=cluster_state.load.checkpoints,
             now=now,
             now_s=now_s,
         )
--- a/cranberrycleat/workflow/decisions/preemption_victims.py
+++ b/cranberrycleat/workflow/decisions/preemption_victims.py
@@ -19,14 +19,9 @@
     remaining_critical_path_s,
 )
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
+from cranberrycleat.workflow.ports import CheckpointTiming
 from cranberrycleat.workflow.state import Job, StepRun
 
-RESTORE_S: Final = 0.25
-"""How long a start that resumes from a checkpoint first needs (the platform's
-documentation)."""
-CHECKPOINT_INTERVAL_S: Final = 1.0
-"""Assumed work between two checkpoints, the longer of the known intervals. A stop saves
-as well, but a worker may be lost before that checkpoint is received."""
 START_DELAY_S: Final = 0.1
 """Time from the end of a stopped attempt to the start in its place: the reply with the
 end, a round, a transaction of about 10 ms and a start order of about 30 ms."""
@@ -107,14 +102,22 @@
         return freed
 
 
-def preemption_cost_core_s(placement: Placement, now: float) -> float:
+def preemption_cost_core_s(
+    placement: Placement, checkpoints: CheckpointTiming, now: float
+) -> float:
     """Return the processor time that a stop loses, in core-seconds."""
     cores = placement.needs.processors / MILLI
-    return cores * (RESTORE_S + _unsaved_s(placement, now))
+    return cores * (checkpoints.restore_s + _unsaved_s(placement, checkpoints, now))
 
 
-def _unsaved_s(placement: Placement, now: float) -> float:
-    return min(placement.ran_s(now), CHECKPOINT_INTERVAL_S)
+def _unsaved_s(
+    placement: Placement, checkpoints: CheckpointTiming, now: float
+) -> float:
+    """Return the work that may be lost by a stop, in seconds.
+
+    A stop saves as well, but a worker may be lost before that checkpoint is received.
+    """
+    return min(placement.ran_s(now), checkpoints.interval_s)
 
 
 def _remaining_s(placement: Placement, now: float) -> float:
@@ -160,6 +163,7 @@
         is_allowed: Returns whether a task may be preempted now.
         may_resume: Returns whether the quota of a job lets it start again.
         stop_s: The longest time a stop takes.
+        checkpoints: How workers take checkpoints.
         now: The owner's clock.
         now_s: Unix time in seconds.
     """
@@ -170,6 +174,7 @@
     is_allowed: Callable[[str], bool]
     may_resume: Callable[[Job], bool]
     stop_s: float
+    checkpoints: CheckpointTiming
     now: float
     now_s: float
     _on_worker: dict[str, list[VictimGroup]] = attrs.field(factory=dict)
@@ -230,15 +235,19 @@
     ) -> VictimGroup:
         standing = self._standing(step)
         remaining_s = max(_remaining_s(each, self.now) for _, each in attempts)
-        unsaved_s = max(_unsaved_s(each, self.now) for _, each in attempts)
-        resume_s = self.stop_s + start_delay_s(step) + RESTORE_S + unsaved_s
+        unsaved_s = max(
+            _unsaved_s(each, self.checkpoints, self.now) for _, each in attempts
+        )
+        resume_s = self.stop_s + start_delay_s(step) + self.checkpoints.restore_s
+        resume_s += unsaved_s
         slack_s = standing.rank.slack_s + step.spec.estimate_s
         return VictimGroup(
             attempts=attempts,
             rank=standing.rank,
             surplus=standing.surplus,
             cost_core_s=sum(
-                preemption_cost_core_s(each, self.now) for _, each in attempts
+                preemption_cost_core_s(each, self.checkpoints, self.now)
+                for _, each in attempts
             ),
             slack_s=slack_s - remaining_s - resume_s,
             is_late=standing.is_late,
--- a/cranberrycleat/workflow/decisions/speed_choice.py
+++ b/cranberrycleat/workflow/decisions/speed_choice.py
@@ -26,8 +26,6 @@
 START_DELAY_S: Final = 0.15
 """Time that a placed task needs beside its run time: storing and ordering the start
 take 0.03 s, and the report of its end some tenths of a second at most."""
-RESUME_S: Final = 0.25
-"""Additional time of a start that resumes from a checkpoint (the platform's bound)."""
 MIN_ERROR: Final = 1.2
 """Least factor by which a task may run longer than expected: tasks of one step differ
 by 0.15 to 0.3, and a worker's speed by up to 0.12 from the middle of its class."""
@@ -66,11 +64,17 @@
 
 
 def speed_need(
-    step: StepRun, estimates: RuntimeEstimates | None, now_s: float
+    step: StepRun, estimates: RuntimeEstimates | None, restore_s: float, now_s: float
 ) -> SpeedNeed:
-    """Return how fast a worker a step needs at a Unix time in seconds.
+    """Return how fast a worker a step needs.
 
     Services and steps whose result has no value any more need no speed.
+
+    Args:
+        step: The step.
+        estimates: Corrects the caller's estimate of its run time.
+        restore_s: How long a start that resumes from a checkpoint first needs.
+        now_s: Unix time in seconds.
     """
     expected_s, error = step.spec.estimate_s, MIN_ERROR
     if estimates is not None:
@@ -79,7 +83,7 @@
         error = max(MIN_ERROR, estimates.error_of(queue))
     urgency = deadline_rank(step, now_s)
     left_s = urgency.slack_s + step.spec.estimate_s
-    resume_s = RESUME_S if any(task.saved for task in step.tasks) else 0.0
+    resume_s = restore_s if any(task.saved for task in step.tasks) else 0.0
     usable_s = left_s - START_DELAY_S - resume_s
     if step.spec.service or urgency.band == EXPIRED_BAND or expected_s <= 0:
         least = ANY_CLASS
@@ -139,11 +143,13 @@
     Attributes:
         speeds: The speeds of workers; None if they are not learned.
         estimates: Corrects the callers' estimates of run times.
+        restore_s: How long a start that resumes from a checkpoint first needs.
         now_s: Unix time of the round, in seconds.
     """
 
     speeds: SpeedModel | None = None
     estimates: RuntimeEstimates | None = None
+    restore_s: float = 0.0
     now_s: float = 0.0
     _classes: dict[str, dict[FleetWorker, int] | None] = attrs.field(factory=dict)
     _needs: dict[StepRun, SpeedNeed] = attrs.field(factory=dict)
@@ -225,6 +231,6 @@
     def _need_of(self, step: StepRun) -> SpeedNeed:
         need = self._needs.get(step)
         if need is None:
-            need = speed_need(step, self.estimates, self.now_s)
+            need = speed_need(step, self.estimates, self.restore_s, self.now_s)
             self._needs[step] = need
         return need
--- a/cranberrycleat/workflow/decisions/speed_model.py
+++ b/cranberrycleat/workflow/decisions/speed_model.py
@@ -69,7 +69,8 @@
 MAX_STEPS: Final = 1000
 """Steps of which ended tasks are remembered; ten seconds of arrivals."""
 SUMMARY_INTERVAL_S: Final = 5.0
-"""Shortest time between two summaries of a pool; each is a billed write."""
+"""Shortest time between two summaries of a pool. Speeds hardly change in that time, and
+the table takes a limited number of bytes from each host's link."""
 SUMMARY_REFRESH_S: Final = 30.0
 """Age at which an unchanged summary is written again: a successor ignores one that is
 older than twice that."""
--- a/cranberrycleat/workflow/dispatcher.py
+++ b/cranberrycleat/workflow/dispatcher.py
@@ -97,7 +97,8 @@
         forecast, began = self.cluster_state.load.forecast, self.clock.now()
         if forecast is None or began < self._forecast_due_at:
             return
-        update_forecast(self.cluster_state, forecast, began)
+        now_s = self.cluster_state.time_of_day()
+        update_forecast(self.cluster_state, forecast, now=began, now_s=now_s)
         took_s = self.clock.now() - began
         pause_s = max(FORECAST_INTERVAL_S, took_s / FORECAST_TIME_SHARE)
         pause_s = min(pause_s, FORECAST_MAX_INTERVAL_S)
@@ -196,8 +197,9 @@
     ) -> None:
         """Renew permits of a step with at most one call at a time.
 
-        A call costs the service up to 0.7 s and each worker in it 10 ms at most, so
-        that calls for single workers used up most of its time under load.
+        A call has a fixed cost of up to 0.7 s at the service, and 10 ms at most for
+        each worker. Under load, half of the calls of patient steps renewed permits for
+        one or two placements.
         """
         permits.to_renew |= workers
         async with permits.renewing:
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -502,6 +502,7 @@
             pools=self._pools,
             access=self._access,
             policies=self.policies,
+            checkpoints=cfg.checkpoints,
             takeover_read_timeout_s=self._candidacy.takeover_read_timeout_s(
                 recorded_strength
             ),
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -56,7 +56,7 @@
     SubmitRequest,
 )
 from cranberrycleat.workflow.permit_queue import PermitQueue
-from cranberrycleat.workflow.ports import FeedTable, WorkerClient
+from cranberrycleat.workflow.ports import CheckpointTiming, FeedTable, WorkerClient
 from cranberrycleat.workflow.repeating_event import RepeatingEvent
 from cranberrycleat.workflow.roster import MISSING_ENTRY_GRACE_S, Roster
 from cranberrycleat.workflow.state import Job, JobState, TaskState
@@ -118,6 +118,7 @@
         pools: Returns the pools named in the configuration; None without one.
         access: Rechecks what other hosts granted; None if no request needs a key.
         policies: The enabled policies for hard load.
+        checkpoints: How workers take checkpoints.
         cluster_state: All jobs, workers and placements.
         links: The link to each worker, by the worker's name.
         ready: Set when the takeover is complete.
@@ -148,6 +149,7 @@
     pools: Callable[[], frozenset[str] | None] = lambda: None
     access: KeyAuthorizer | None = None
     policies: LoadPolicies = LoadPolicies()
+    checkpoints: CheckpointTiming = CheckpointTiming()
     cluster_state: ClusterState = attrs.field(factory=ClusterState)
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
     ready: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -176,7 +178,9 @@
         if self.access is not None:
             self.cluster_state.quotas.quotas = self.access.quotas
         self.cluster_state.load = make_load_control(
-            self.policies, dict if self.access is None else self.access.weights
+            self.policies,
+            dict if self.access is None else self.access.weights,
+            self.checkpoints,
         )
         self.cluster_state.load.preemption.stop_s = self.leases.bounds.stop_s
         self.inbox = Inbox(
--- a/cranberrycleat/workflow/permit_queue.py
+++ b/cranberrycleat/workflow/permit_queue.py
@@ -34,7 +34,8 @@
 that one takes at most this long. A short step whose call waited behind one for a wide
 gang (1.3 s) had used up its slack of 0.65 s."""
 RERANK_INTERVAL_S: Final = 0.1
-"""How often waiting calls are ranked anew; ranking 500 of them takes 2 ms."""
+"""How often waiting calls are ranked anew, since ranking thousands takes tens of
+milliseconds. A step's urgency changes over seconds."""
 MAX_ATTEMPTS: Final = 3
 ANSWER_SLACK_S: Final = 0.5
 """Added to the expected processing time when setting a call's timeout."""
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -454,6 +454,19 @@
         return self.longest_lease_s / (1 - self.clock_error) + self.stop_s
 
 
+@attrs.frozen(kw_only=True)
+class CheckpointTiming:
+    """How workers take checkpoints and resume from them.
+
+    Attributes:
+        interval_s: The work between two checkpoints, in seconds.
+        restore_s: How long a start that resumes from one first needs, in seconds.
+    """
+
+    interval_s: float = 1.0
+    restore_s: float = 0.25
+
+
 @attrs.frozen(kw_only=True)
 class HostResources:
     """Resources that a host provides for the node process.
@@ -490,6 +503,7 @@
         machines: The address of the machine API; empty if there is none.
         bounds: The workers' guarantees about leases.
         room: The host's resources.
+        checkpoints: How workers take checkpoints.
         spread_factor: Factor by which tasks take longer away from their data.
         status_s: How long an ended job's state is kept.
         grace_s: Time between SIGTERM and the forced end of the process.
@@ -513,6 +527,7 @@
     spread_factor: float
     status_s: float
     grace_s: float
+    checkpoints: CheckpointTiming = CheckpointTiming()
     config_bound_s: float = 3.0
     revoke_bound_s: float | None = None
 
--- a/tests/replay.py
+++ b/tests/replay.py
@@ -138,7 +138,12 @@
 
     def _update_forecast(self) -> None:
         if self.load.forecast is not None:
-            update_forecast(self.cluster_state, self.load.forecast, self.now)
+            update_forecast(
+                self.cluster_state,
+                self.load.forecast,
+                now=self.now,
+                now_s=EPOCH_S + self.now,
+            )
 
     def _arrive(self, arrival: Arrival) -> None:
         if self.admits(self, arrival):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,6 +25,7 @@
 from cranberrycleat.platform.workers import PlatformPermits, PlatformWorkers
 from cranberrycleat.table import Check, Put, Row, Transaction
 from cranberrycleat.workflow.ports import (
+    CheckpointTiming,
     EndKind,
     HistoryExpired,
     OrderReply,
@@ -471,6 +472,15 @@
     assert cfg.grace_s == 6.0 and cfg.machines == ""
 
 
+# Guards against resuming that is timed by the figures of another deployment.
+def test_checkpoint_timing_is_read(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    bounds = "[bounds]\nsave_s = 0.5\nrestore_ms = 100"
+    path.write_text(SETTINGS.replace("[bounds]", bounds))
+    timing = read_settings(str(path)).checkpoints
+    assert timing == CheckpointTiming(interval_s=0.5, restore_s=0.1)
+
+
 def test_reread_settings(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """A change is applied; a malformed file changes nothing."""
     path = tmp_path / "settings.toml"
--- a/tests/test_speed_choice.py
+++ b/tests/test_speed_choice.py
@@ -12,6 +12,7 @@
     NO_CLASS,
     SpeedNeed,
     slowest_class_for_gang,
+    speed_need,
 )
 from cranberrycleat.workflow.decisions.speed_model import SpeedModel
 from cranberrycleat.workflow.ports import (
@@ -170,3 +171,17 @@
     assert estimates is not None
     expected_s = estimates.expected_s("q", step(estimate_s=1.0))
     assert expected_s == pytest.approx(2.0 * 0.6, rel=0.2)
+
+
+# Guards against a step that resumes too late because its restore time is not counted.
+@pytest.mark.parametrize(("saved", "restore_s"), [("", 0.6), ("x", 0.1), ("x", 0.6)])
+def test_restore_time_counts_for_steps_that_resume(
+    saved: str, restore_s: float
+) -> None:
+    owner_board = board(learned=False)
+    owner_board.accept("a", URGENT, job(SHORT))
+    (resumed,) = owner_board.jobs["a"].open[0].steps
+    needs = [speed_need(resumed, None, 0.0, NOW_S).least_class]
+    resumed.tasks[0].saved = saved
+    needs.append(speed_need(resumed, None, restore_s, NOW_S).least_class)
+    assert (needs[1] > needs[0]) == (bool(saved) and restore_s > 0.3)
--- a/tests/test_speed_model.py
+++ b/tests/test_speed_model.py
@@ -206,7 +206,7 @@
 
 
 def test_summary_lets_successor_start_with_speeds() -> None:
-    """Written at most once in 5 s, if changed or old: the table bills each write."""
+    """Written at most once in 5 s, and only if it has changed or is old."""
     model, _, workers = play([0.6, 1.0, 1.6] * 4)
     times = [100.0]
     owner_board = _board(model)
