--- a/cranberrycleat/workflow/decisions/forecast_outcomes.py
+++ b/cranberrycleat/workflow/decisions/forecast_outcomes.py
@@ -16,7 +16,7 @@
 
 MAX_RECORDED: Final = 8192
 """Forecasts that are kept; the oldest are dropped first. It covers a minute of 130 jobs
-per second, twice what both deployments have together."""
+per second."""
 
 
 @attrs.define(kw_only=True, eq=False)
