Connections for orders are counted and reported by worker

Orders to all workers shared one HTTP client, so that no event or metric showed how many connections one worker had to hold. Orders to each worker now use a client of their own, kept until the process ends as before, which counts the connections that it opened and those that ended without an answer.

workers.connections reports both every 5 s, with the workers that needed the most; worker.orders_unanswered is logged once when a worker begins to leave orders unanswered, with its connections. Both have metrics.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -285,6 +285,23 @@
     steps_waiting: int
 
 
+@event("workers.connections")
+class WorkersConnections:
+    """How many connections orders have needed since the last such line, by worker.
+
+    Attributes:
+        opened: Number of connections opened, to all workers.
+        broken: Number of those that ended without an answer.
+        most_opened: The workers with the most open connections, and their numbers.
+        most_broken: The same for broken connections.
+    """
+
+    opened: int
+    broken: int
+    most_opened: dict[str, int]
+    most_broken: dict[str, int]
+
+
 @event("step.waiting")
 class StepWaiting:
     """A step keeps waiting; logged once for each reason, and again while it lasts."""
@@ -541,6 +558,23 @@
     reason: str
 
 
+@event("worker.orders_unanswered")
+class WorkerOrdersUnanswered:
+    """An order to a worker was not answered; it receives no work until one is.
+
+    Attributes:
+        worker: The worker.
+        reason: What was received instead of an answer.
+        opened: Number of connections opened for its orders so far.
+        broken: Number of those that ended without an answer.
+    """
+
+    worker: str
+    reason: str
+    opened: int
+    broken: int
+
+
 @event("worker.leaving")
 class WorkerLeaving:
     """A worker announced that it is leaving; it receives no more work."""
--- a/cranberrycleat/http_client.py
+++ b/cranberrycleat/http_client.py
@@ -95,10 +95,13 @@
     Attributes:
         max_connections: Maximum number of open connections; 0 for no limit.
         connections_opened: Number of connections opened so far.
+        connections_broken: Number of connections that were closed because a call got no
+            complete answer, or that could not be established.
     """
 
     max_connections: int = 0
     connections_opened: int = 0
+    connections_broken: int = 0
     _session: aiohttp.ClientSession | None = None
 
     async def call(
@@ -168,8 +171,10 @@
         except _NotConnected as exc:
             raise ConnectionClosed(f"{url}: {exc}", sent=False) from exc
         except aiohttp.ClientConnectorError as exc:
+            self.connections_broken += 1
             raise NoAnswer(f"{url}: {exc!r}", sent=False) from exc
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            self.connections_broken += 1
             raise NoAnswer(f"{url}: {exc!r} after {reading}", sent=True) from exc
 
     def _open(self) -> aiohttp.ClientSession:
--- a/cranberrycleat/platform/adapter.py
+++ b/cranberrycleat/platform/adapter.py
@@ -85,7 +85,7 @@
         store=PlatformStore(
             address=cfg.store, http=http, carries_bytes_s=cfg.room.carries_bytes_s()
         ),
-        workers=PlatformWorkers(http=http),
+        workers=PlatformWorkers(),
         permits=PlatformPermits(address=cfg.permits, http=http),
         machines=(
             PlatformMachines(address=cfg.machines, http=http) if cfg.machines else None
--- a/cranberrycleat/platform/workers.py
+++ b/cranberrycleat/platform/workers.py
@@ -8,6 +8,7 @@
 from cranberrycleat import codec
 from cranberrycleat.http_client import ConnectionClosed, HttpClient, HttpReply, NoAnswer
 from cranberrycleat.workflow.ports import (
+    ConnectionUse,
     EndedTask,
     EndKind,
     OrderReply,
@@ -125,11 +126,15 @@
 
 @attrs.define(kw_only=True, eq=False)
 class PlatformWorkers:
-    """Worker API over HTTP."""
+    """Worker API over HTTP.
+
+    Attributes:
+        timeout_s: The time limit for answers, unless a call is given another.
+    """
 
-    http: HttpClient
     timeout_s: float = TIMEOUT_S
     _channels: dict[str, _Channel] = attrs.field(factory=dict)
+    _orders: dict[str, HttpClient] = attrs.field(factory=dict)
 
     async def start(
         self, entry: WorkerEntry, order: StartOrder, *, limit_s: float
@@ -213,6 +218,25 @@
             required_connection=required_connection,
         )
 
+    def connections(self, entry: WorkerEntry) -> ConnectionUse:
+        """Return how many connections orders to a worker have needed."""
+        http = self._order_client(entry)
+        return ConnectionUse(
+            opened=http.connections_opened, broken=http.connections_broken
+        )
+
+    def _order_client(self, entry: WorkerEntry) -> HttpClient:
+        return self._orders.setdefault(entry.address, HttpClient())
+
+    async def close(self) -> None:
+        """Close every connection."""
+        channels, self._channels = self._channels, {}
+        orders, self._orders = self._orders, {}
+        for channel in channels.values():
+            await channel.http.close()
+        for http in orders.values():
+            await http.close()
+
     async def release(self, entry: WorkerEntry) -> None:
         """Close the connection for syncs with an incarnation of a worker."""
         channel = self._channels.pop(entry.incarnation, None)
@@ -236,7 +260,7 @@
         required_connection: int | None = None,
     ) -> HttpReply:
         try:
-            reply = await (http or self.http).call(
+            reply = await (http or self._order_client(entry)).call(
                 "POST",
                 f"http://{entry.address}{path}",
                 body=codec.encode(body),
--- a/cranberrycleat/standins/fleet.py
+++ b/cranberrycleat/standins/fleet.py
@@ -14,6 +14,7 @@
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.clock import Clock, MonotonicClock, WallClock
 from cranberrycleat.workflow.ports import (
+    ConnectionUse,
     EndedTask,
     EndKind,
     OrderReply,
@@ -398,9 +399,16 @@
             born_ms=worker.entry.born_ms,
         )
 
+    def connections(self, entry: WorkerEntry) -> ConnectionUse:
+        """Return zeros: calls need no connections."""
+        return ConnectionUse()
+
     async def release(self, entry: WorkerEntry) -> None:
         """Do nothing: no connection is kept open."""
 
+    async def close(self) -> None:
+        """Do nothing, as `release` does."""
+
     def replace_worker(self, name: str, entry: WorkerEntry) -> None:
         """End a worker's incarnation and all that runs there; add another worker."""
         lost = self._end_incarnation(name)
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -323,7 +323,7 @@
                     )
                 )
                 unanswered += 1
-                self.worker.unresponsive = True
+                self._mark_unresponsive(str(exc))
                 await asyncio.sleep(ORDER_RETRY_S)
                 continue
             self.cluster_state.start_settled(self.worker, placement, earlier_until)
@@ -357,6 +357,21 @@
             self._outdate_orders(order.fence)
             self.owner.changed()
 
+    def _mark_unresponsive(self, reason: str) -> None:
+        """Give the worker no work after an order without an answer."""
+        if self.worker.unresponsive:
+            return
+        self.worker.unresponsive = True
+        use = self.client.connections(self.worker.entry)
+        emit(
+            events.WorkerOrdersUnanswered(
+                worker=self.worker.name,
+                reason=reason,
+                opened=use.opened,
+                broken=use.broken,
+            )
+        )
+
     def _outdate_orders(self, fence: int) -> None:
         """Have later orders carry a higher fence than an unanswered one."""
         fleet = self.cluster_state.fleet
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -372,6 +372,7 @@
         """Finish requests in flight and close every connection."""
         await asyncio.gather(*(server.stop() for server in self._servers))
         await self._background.cancel()
+        await self.adapter.workers.close()
         await self.http.close()
 
     def reload_settings(self) -> None:
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -31,6 +31,7 @@
     take_batch,
 )
 from cranberrycleat.workflow.cluster_state import ClusterState
+from cranberrycleat.workflow.connection_report import ConnectionReport
 from cranberrycleat.workflow.decisions.fair_share import ShareTier
 from cranberrycleat.workflow.decisions.feasibility import (
     RETRY_AFTER_S,
@@ -165,6 +166,7 @@
     _ended: asyncio.Event = attrs.field(factory=asyncio.Event)
     _background_tasks: BackgroundTasks = attrs.field(factory=BackgroundTasks)
     _answer_timeout: AnswerTimeout = attrs.field(factory=AnswerTimeout)
+    _connections: ConnectionReport = attrs.field(factory=ConnectionReport)
     _old_leases_over_at: float = 0.0
     inbox: Inbox = attrs.field(init=False)
     load_admission: LoadAdmission = attrs.field(init=False)
@@ -535,6 +537,16 @@
                 steps_waiting=len(self.cluster_state.waiting),
             )
         )
+        self._report_connections()
+
+    def _report_connections(self) -> None:
+        """Report the connections that orders needed since the last report."""
+        newest = self.cluster_state.fleet.newest.values()
+        report = self._connections.update(
+            {worker.name: self.client.connections(worker.entry) for worker in newest}
+        )
+        if report is not None:
+            emit(report)
 
     # --- requests from front ends -------------------------------------------------
 
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -358,6 +358,19 @@
         self.sent = sent
 
 
+@attrs.frozen(kw_only=True)
+class ConnectionUse:
+    """The connections for orders to one worker.
+
+    Attributes:
+        opened: Number of connections opened so far.
+        broken: Number of those that ended without an answer to an order.
+    """
+
+    opened: int = 0
+    broken: int = 0
+
+
 class WorkerReplaced(Exception):
     """A different incarnation of the worker answers at that address."""
 
@@ -406,9 +419,15 @@
             WorkerReplaced: The incarnation named by the entry no longer runs.
         """
 
+    def connections(self, entry: WorkerEntry) -> ConnectionUse:
+        """Return how many connections orders to a worker have needed."""
+
     async def release(self, entry: WorkerEntry) -> None:
         """Close the connections kept open for an incarnation that has ended."""
 
+    async def close(self) -> None:
+        """Close every connection."""
+
 
 @attrs.frozen(kw_only=True)
 class Permit:
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -162,6 +162,11 @@
                 metrics.count("table.silent", down=str(down).lower())
             case events.WorkerSilent():
                 metrics.count("workers.silent")
+            case events.WorkerOrdersUnanswered():
+                metrics.count("workers.orders_unanswered")
+            case events.WorkersConnections(opened=opened, broken=broken):
+                metrics.count("workers.connections.opened", opened)
+                metrics.count("workers.connections.broken", broken)
             case events.WorkerLeasesOver(tasks=tasks):
                 metrics.count("workers.leases_over.tasks", tasks)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -117,6 +117,16 @@
         }
 
 
+@contextlib.asynccontextmanager
+async def workers() -> AsyncIterator[PlatformWorkers]:
+    """Provide a client for workers."""
+    client = PlatformWorkers()
+    try:
+        yield client
+    finally:
+        await client.close()
+
+
 @contextlib.asynccontextmanager
 async def run_fake_platform() -> AsyncIterator[tuple[FakePlatform, str, HttpClient]]:
     """Run a fake platform on loopback."""
@@ -233,8 +243,7 @@
     """Covers every answer of the worker protocol and some that it does not define."""
 
     async def run() -> None:
-        async with run_fake_platform() as (fake, address, http):
-            client = PlatformWorkers(http=http)
+        async with run_fake_platform() as (fake, address, _), workers() as client:
             fake.canned["/api/run-start"] = (status, body)
             entry = attrs.evolve(ENTRY, address=address)
             if isinstance(expected, type):
@@ -261,8 +270,7 @@
     """Covers running and ended tasks, with and without the optional fifth field."""
 
     async def run() -> None:
-        async with run_fake_platform() as (fake, address, http):
-            client = PlatformWorkers(http=http)
+        async with run_fake_platform() as (fake, address, _), workers() as client:
             fake.canned["/api/hold"] = (
                 200,
                 {
@@ -297,8 +305,7 @@
     """A malformed list counts as no answer; the error names the worker."""
 
     async def run() -> None:
-        async with run_fake_platform() as (fake, address, http):
-            client = PlatformWorkers(http=http)
+        async with run_fake_platform() as (fake, address, _), workers() as client:
             fake.canned["/api/hold"] = (200, {"clock_ms": 10, **lists})
             entry = attrs.evolve(ENTRY, address=address)
             with pytest.raises(WorkerUnreachable, match="i-1"):
--- a/tests/test_restarts_over_http.py
+++ b/tests/test_restarts_over_http.py
@@ -59,7 +59,7 @@
         workers = await start_workers(env)
         env.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.3)
         owner = env.make_owner("one")
-        owner.client = PlatformWorkers(http=env.http)
+        owner.client = PlatformWorkers()
         while not await owner.lease.acquire():
             await asyncio.sleep(0.02)
         env.tasks.append(asyncio.create_task(owner.run()))
--- a/tests/test_worker_channel.py
+++ b/tests/test_worker_channel.py
@@ -14,6 +14,7 @@
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.http_client import ConnectionClosed, HttpClient
 from cranberrycleat.platform.workers import PlatformPermits, PlatformWorkers
+from cranberrycleat.workflow.connection_report import ConnectionReport
 from cranberrycleat.workflow.ports import (
     Permit,
     SyncReply,
@@ -59,8 +60,7 @@
     """Run a worker's process and a client of it."""
     process = Process()
     await process.start()
-    http = HttpClient()
-    client = PlatformWorkers(http=http)
+    client = PlatformWorkers()
     entry = WorkerEntry(
         worker="i-1",
         pool="p",
@@ -74,8 +74,7 @@
     try:
         yield process, client, entry
     finally:
-        await client.release(entry)
-        await http.close()
+        await client.close()
         await process.kill()
 
 
@@ -187,3 +186,22 @@
                 await http.close()
 
     run_async(run())
+
+
+def test_connections_for_orders_are_counted_by_worker() -> None:
+    async def run() -> None:
+        async with worker() as (process, client, entry):
+            await client.stop(entry, "a.0.0.0", 1, 1)
+            await client.stop(entry, "a.0.0.0", 1, 1)
+            report = ConnectionReport()
+            found = report.update({"i-1": client.connections(entry)})
+            assert found is not None and (found.opened, found.broken) == (1, 0)
+            assert found.most_opened == {"i-1": 1} and not found.most_broken
+            assert report.update({"i-1": client.connections(entry)}) is None
+            await process.kill()
+            with pytest.raises(WorkerUnreachable):
+                await client.stop(entry, "a.0.0.0", 1, 1)
+            found = report.update({"i-1": client.connections(entry)})
+            assert found is not None and found.most_broken == {"i-1": 1}
+
+    run_async(run())
