Failing tests: starts to a worker at its connection limit, listed

The stand-in worker over HTTP had no limit of connections. It now holds a given number, resets further ones, and keeps those of hosts that lost power; it can also reset requests of one kind.

--- a/tests/http_workers.py
+++ b/tests/http_workers.py
@@ -45,10 +45,20 @@
     Attributes:
         port: The port that it listens on, once started; 0: any port.
         connections: Number of connections opened to it.
+        max_open: How many connections it holds at a time; it resets further ones at
+            once. Those of a host that lost power stay open. None: no limit.
+        resets: Number of connections that it reset for this reason.
+        reset_paths: Requests with these paths are not carried out; their connections
+            are reset.
+        answer_delay_s: How long it takes to answer.
     """
 
     port: int = 0
     connections: int = 0
+    max_open: int | None = None
+    resets: int = 0
+    reset_paths: set[str] = attrs.field(factory=set)
+    answer_delay_s: float = 0.0
     _server: asyncio.Server | None = None
     _open: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
@@ -76,13 +86,22 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        if self.max_open is not None and len(self._open) >= self.max_open:
+            self.resets += 1
+            writer.transport.abort()
+            return
         self._open.add(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 length = head.lower().partition("content-length: ")[2].split("\r\n")[0]
                 req = json.loads(await reader.readexactly(int(length)))
-                status, answer = await self.answer(head.split(" ")[1], req)
+                path = head.split(" ")[1]
+                if path in self.reset_paths:
+                    writer.transport.abort()
+                    break
+                await asyncio.sleep(self.answer_delay_s)
+                status, answer = await self.answer(path, req)
                 body = json.dumps(answer).encode()
                 line = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
                 writer.write(line.encode() + body)
--- /dev/null
+++ b/tests/test_connection_limit.py
@@ -0,0 +1,158 @@
+"""Tests workers that take no starts although they answer syncs.
+
+The failure: a worker holds 64 connections and resets those beyond them. Orders opened
+as many as were sent at once and kept them, also those of hosts that had lost power, so
+that after a few changes of owner a worker reset every start. It went on to answer
+syncs. Its starts were sent again every 0.05 s until the end of the day, and accepted
+tasks never ran (LOST).
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import attrs
+import pytest
+
+from cranberrycleat.platform.workers import PlatformWorkers
+from cranberrycleat.standins.fleet import SimulatedWork
+from cranberrycleat.workflow.owner import Owner
+from cranberrycleat.workflow.ports import WorkerEntry
+from cranberrycleat.workflow.state import JobState
+from tests.cell import Cell, cell, entry, job, step, submit, until
+from tests.fakes import run_async
+from tests.http_workers import HttpWorker, at
+
+MAX_OPEN = 64
+"""Connections that a worker holds, by the platform's documentation."""
+TASKS_PER_WORKER = 20
+DEAD_OWNERS = 3
+"""Their connections, with those for syncs, leave hardly one free on each worker."""
+RUN_LIMIT_S = 6.0
+"""How long accepted tasks may take to run elsewhere: the time after which an
+unanswered start is settled, two syncs, and a quarantine of 2 s."""
+MAX_STARTS_RESET = 40
+"""Starts sent to a worker that takes none, within `RUN_LIMIT_S`: a few copies of each
+of four tasks. Every 0.05 s would be 480."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class HostWorkers(PlatformWorkers):
+    """The client of a host that may lose power; from then on it closes nothing."""
+
+    has_power: bool = True
+
+    async def release(self, entry: WorkerEntry) -> None:
+        """Close connections, while there is power."""
+        if self.has_power:
+            await PlatformWorkers.release(self, entry)
+
+
+@attrs.define(kw_only=True, eq=False)
+class HttpCell:
+    """A cell whose workers are called over HTTP.
+
+    Attributes:
+        cell: The table, the workers and the owners.
+        workers: The workers' processes.
+        clients: The client of each host that has owned.
+    """
+
+    cell: Cell
+    workers: dict[str, HttpWorker] = attrs.field(factory=dict)
+    clients: list[HostWorkers] = attrs.field(factory=list)
+
+    async def add_worker(self, name: str, processors: int) -> HttpWorker:
+        """Start a worker's process and list it."""
+        process = self.workers[name] = HttpWorker(
+            fleet=self.cell.fleet, name=name, max_open=MAX_OPEN
+        )
+        await process.start()
+        found = at(entry(name, processors=processors), process.port)
+        self.cell.entries[name] = found
+        self.cell.fleet.add(found)
+        self.cell.list_worker(name)
+        return process
+
+    async def own(self, name: str) -> Owner:
+        """Take over on a host, with connections of its own."""
+        owner = self.cell.make_owner(name)
+        owner.client = HostWorkers()
+        self.clients.append(owner.client)
+        while not await owner.lease.acquire():
+            await asyncio.sleep(0.02)
+        self.cell.tasks.append(asyncio.create_task(owner.run()))
+        await owner.ready.wait()
+        return owner
+
+    async def power_off(self) -> None:
+        """Cut the owning host's power: its connections stay open at the workers."""
+        self.clients[-1].has_power = False
+        task = self.cell.tasks.pop()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def http_cell(workers: int, processors: int) -> AsyncIterator[HttpCell]:
+    """Run a cell with workers that are called over HTTP."""
+    async with cell(workers=0, worker_lease_s=3.0) as env:
+        found = HttpCell(cell=env)
+        for number in range(workers):
+            await found.add_worker(f"w{number}", processors)
+        try:
+            yield found
+        finally:
+            for client in found.clients:
+                await client.close()
+            for process in found.workers.values():
+                await process.kill()
+
+
+def is_completed(owner: Owner, job_id: str) -> bool:
+    """Return whether callers are told that a job is completed."""
+    return owner.cluster_state.reported.get(job_id) is JobState.COMPLETED
+
+
+# Guards against accepted jobs that never run (LOST): connections of hosts that lost
+# power must leave room for those of the next owner.
+def test_next_owner_starts_tasks_after_owners_lost_power() -> None:
+    async def run() -> None:
+        async with http_cell(workers=2, processors=TASKS_PER_WORKER * 100) as env:
+            env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.2)
+            for process in env.workers.values():
+                process.answer_delay_s = 0.05
+            wide = job(step(2 * TASKS_PER_WORKER, processors=100))
+            for number in range(DEAD_OWNERS):
+                owner = await env.own(f"host-{number}")
+                await submit(owner, f"j{number}", wide)
+                await until(lambda: is_completed(owner, f"j{number}"))
+                await env.power_off()
+            owner = await env.own("last")
+            await submit(owner, "last", wide)
+            await until(lambda: is_completed(owner, "last"), RUN_LIMIT_S)
+            assert not env.cell.fleet.faults
+            assert sum(each.resets for each in env.workers.values()) == 0
+
+    run_async(run())
+
+
+# Guards against the same (LOST) whatever the reason for which a worker takes no starts:
+# its tasks must run elsewhere, and it must not be sent starts without end.
+@pytest.mark.parametrize("gang", [False, True], ids=["tasks", "gang"])
+def test_tasks_of_worker_that_takes_no_starts_run_elsewhere(gang: bool) -> None:
+    async def run() -> None:
+        async with http_cell(workers=2, processors=4000) as env:
+            env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.1)
+            env.cell.fleet.gang = lambda name: gang
+            owner = await env.own("one")
+            refusing = env.workers["w0"]
+            refusing.reset_paths = {"/api/run-start"}
+            await submit(owner, "a", job(step(8, gang=gang)))
+            await until(lambda: refusing.connections > 1)
+            await env.add_worker("w2", processors=4000)
+            await until(lambda: is_completed(owner, "a"), RUN_LIMIT_S)
+            assert refusing.connections <= MAX_STARTS_RESET
+            assert not env.cell.fleet.faults
+
+    run_async(run())
