Orders to one worker are limited to four under way

Callers saw accepted tasks that never ran (LOST): a worker holds 64 connections and resets those beyond them, and each order opened one where none was idle.

Orders now wait for one of four slots of their worker, stops first, and are checked for the owner's authority after the wait. Connections for orders belong to the link and are closed with it, also those to a worker that stays silent. A throttle waits for the one before it instead of being sent beside it.

--- a/cranberrycleat/http_client.py
+++ b/cranberrycleat/http_client.py
@@ -207,9 +207,10 @@
         return trace
 
     async def close(self) -> None:
-        """Close every connection."""
-        if self._session is not None:
-            await self._session.close()
+        """Close every connection; a later call opens new ones."""
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
 
 
 async def _read(
--- a/cranberrycleat/platform/workers.py
+++ b/cranberrycleat/platform/workers.py
@@ -112,17 +112,24 @@
 
 @attrs.define(kw_only=True, eq=False)
 class _Channel:
-    """The single connection for syncs with one incarnation of a worker.
+    """The connections to one incarnation of a worker.
 
     Attributes:
-        http: Client limited to one connection.
+        http: Client for syncs, limited to one connection.
+        orders: Client for orders; callers limit how many are sent at a time.
         answered_on: The number of the connection on which this incarnation has last
             answered; None before its first answer.
     """
 
     http: HttpClient = attrs.field(factory=lambda: HttpClient(max_connections=1))
+    orders: HttpClient = attrs.field(factory=HttpClient)
     answered_on: int | None = None
 
+    async def close(self) -> None:
+        """Close all of them."""
+        await self.http.close()
+        await self.orders.close()
+
 
 @attrs.define(kw_only=True, eq=False)
 class PlatformWorkers:
@@ -134,7 +141,6 @@
 
     timeout_s: float = TIMEOUT_S
     _channels: dict[str, _Channel] = attrs.field(factory=dict)
-    _orders: dict[str, HttpClient] = attrs.field(factory=dict)
 
     async def start(
         self, entry: WorkerEntry, order: StartOrder, *, limit_s: float
@@ -179,7 +185,7 @@
     ) -> SyncReply | OrderReply:
         """Renew the leases of all tasks on a worker; return running and ended tasks."""
         limit_s = self.timeout_s + wait_ms / 1000
-        channel = self._channels.setdefault(entry.incarnation, _Channel())
+        channel = self._channel(entry)
         if channel.answered_on is None:
             ended_upto = NOTHING_SEEN
         required_connection = channel.answered_on if ended_upto else None
@@ -220,28 +226,37 @@
 
     def connections(self, entry: WorkerEntry) -> ConnectionUse:
         """Return how many connections orders to a worker have needed."""
-        http = self._order_client(entry)
+        channel = self._channels.get(entry.incarnation)
+        if channel is None:
+            return ConnectionUse()
         return ConnectionUse(
-            opened=http.connections_opened, broken=http.connections_broken
+            opened=channel.orders.connections_opened,
+            broken=channel.orders.connections_broken,
         )
 
-    def _order_client(self, entry: WorkerEntry) -> HttpClient:
-        return self._orders.setdefault(entry.address, HttpClient())
+    def _channel(self, entry: WorkerEntry) -> _Channel:
+        channel = self._channels.get(entry.incarnation)
+        if channel is None:
+            channel = self._channels[entry.incarnation] = _Channel()
+        return channel
 
     async def close(self) -> None:
         """Close every connection."""
         channels, self._channels = self._channels, {}
-        orders, self._orders = self._orders, {}
         for channel in channels.values():
-            await channel.http.close()
-        for http in orders.values():
-            await http.close()
+            await channel.close()
+
+    async def release_orders(self, entry: WorkerEntry) -> None:
+        """Close the connections for orders to an incarnation of a worker."""
+        channel = self._channels.get(entry.incarnation)
+        if channel is not None:
+            await channel.orders.close()
 
     async def release(self, entry: WorkerEntry) -> None:
-        """Close the connection for syncs with an incarnation of a worker."""
+        """Close the connections to an incarnation of a worker."""
         channel = self._channels.pop(entry.incarnation, None)
         if channel is not None:
-            await channel.http.close()
+            await channel.close()
 
     async def _order(
         self, entry: WorkerEntry, path: str, body: object, limit_s: float | None = None
@@ -260,7 +275,7 @@
         required_connection: int | None = None,
     ) -> HttpReply:
         try:
-            reply = await (http or self._order_client(entry)).call(
+            reply = await (http or self._channel(entry).orders).call(
                 "POST",
                 f"http://{entry.address}{path}",
                 body=codec.encode(body),
--- a/cranberrycleat/standins/fleet.py
+++ b/cranberrycleat/standins/fleet.py
@@ -403,11 +403,14 @@
         """Return zeros: calls need no connections."""
         return ConnectionUse()
 
-    async def release(self, entry: WorkerEntry) -> None:
+    async def release_orders(self, entry: WorkerEntry) -> None:
         """Do nothing: no connection is kept open."""
 
+    async def release(self, entry: WorkerEntry) -> None:
+        """Do nothing, as `release_orders` does."""
+
     async def close(self) -> None:
-        """Do nothing, as `release` does."""
+        """Do nothing, as `release_orders` does."""
 
     def replace_worker(self, name: str, entry: WorkerEntry) -> None:
         """End a worker's incarnation and all that runs there; add another worker."""
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -35,6 +35,7 @@
     throttle_orders,
 )
 from cranberrycleat.workflow.fleet import FleetWorker, Liveness, LossCause, Placement
+from cranberrycleat.workflow.order_slots import OrderSlots
 from cranberrycleat.workflow.ports import (
     LeaseBounds,
     OrderReply,
@@ -72,6 +73,19 @@
 """Unanswered calls raise the fence no further, so that restarts still can."""
 
 
+@attrs.define(kw_only=True)
+class _Sending:
+    """The copies of one start that were sent.
+
+    Attributes:
+        order: The newest copy; None before the first.
+        unanswered: How many copies were not answered.
+    """
+
+    order: StartOrder | None = None
+    unanswered: int = 0
+
+
 class OrderAuthority(Protocol):
     """What a link needs from its owner."""
 
@@ -113,6 +127,8 @@
         answer_timeout: The time limit for answers to starts; shared by the owner's
             links.
         closed: Set when the worker's incarnation is proved to be over.
+        orders: The stops and throttles under way.
+        slots: Limits the orders under way, including starts.
     """
 
     worker: FleetWorker
@@ -125,7 +141,9 @@
     answer_timeout: AnswerTimeout = attrs.field(factory=AnswerTimeout)
     closed: bool = False
     orders: BackgroundTasks = attrs.field(factory=BackgroundTasks)
+    slots: OrderSlots = attrs.field(factory=OrderSlots)
     _stops: set[tuple[str, int]] = attrs.field(factory=set)
+    _throttles: set[tuple[str, int]] = attrs.field(factory=set)
 
     async def run(self) -> None:
         """Sync until the incarnation is over or the link is cancelled."""
@@ -135,6 +153,7 @@
         finally:
             await self.orders.cancel()
             self._stops.clear()
+            self._throttles.clear()
             await self.client.release(self.worker.entry)
 
     @property
@@ -152,6 +171,9 @@
         except WorkerReplaced:
             self._mark_replaced()
         except WorkerUnreachable as exc:
+            if self.worker.liveness is Liveness.SILENT:
+                # A worker at its limit of connections resets the one for syncs, too.
+                await self.client.release_orders(self.worker.entry)
             self._mark_silent(str(exc))
             await asyncio.sleep(SILENT_RETRY_S)
         else:
@@ -278,69 +300,78 @@
 
     async def start(self, placement: Placement) -> None:
         """Send a start order until its outcome is settled."""
-        unanswered = 0
-        order: StartOrder | None = None
-        while (
-            self._is_counted(placement) and not placement.stopping and not self.closed
-        ):
-            if order is None and not self._may_start(placement):
-                break
-            reason = self._void_reason(placement)
-            if reason:
-                # An unanswered order must no longer start anything there.
-                placement.stop(reason)
-                break
-            if (
-                not self.owner.may_order()
-                or not self._is_live()
-                or not placement.stored
-            ):
-                await asyncio.sleep(ORDER_RETRY_S)
-                continue
-            if order is None or not unanswered:
-                order = self._start_order(placement)
-            order = attrs.evolve(order, fence=self.fence)
-            limit_s = self.answer_timeout.limit_s()
-            earlier_until = self.cluster_state.start_sent(
-                self.worker, placement, limit_s
-            )
-            try:
-                placement.ordered = True
-                reply = await self._send_start(order, limit_s)
-            except WorkerReplaced:
-                self._mark_replaced()
-                return
-            except WorkerUnreachable as exc:
-                self._note_unanswered(placement, order, exc, earlier_until)
-                if self.closed:
-                    return
-                emit(
-                    events.TaskUnanswered(
-                        task=placement.task,
-                        attempt=placement.attempt,
-                        worker=self.worker.name,
-                        reason=str(exc),
-                    )
-                )
-                unanswered += 1
-                self._mark_unresponsive(str(exc))
-                await asyncio.sleep(ORDER_RETRY_S)
-                continue
-            self.cluster_state.start_settled(self.worker, placement, earlier_until)
-            if self.closed:
-                return
-            if reply.verdict is Verdict.STALE_EPOCH:
-                if not self._is_fenced(order.fence):
-                    continue
-            elif self._apply_start_reply(placement, reply, unanswered + 1):
-                return
-            await asyncio.sleep(ORDER_RETRY_S)
+        sending = _Sending()
+        pause_s: float | None = 0.0
+        while pause_s is not None and self._wants_start(placement):
+            await asyncio.sleep(pause_s)
+            async with self.slots.slot():
+                pause_s = await self._send_next_start(placement, sending)
         if self._is_counted(placement) and not placement.ordered:
             self.cluster_state.give_up(self.worker, placement, "never ordered")
             self.owner.changed()
         elif self._is_counted(placement) and not self.closed:
             self._order_stops()
 
+    def _wants_start(self, placement: Placement) -> bool:
+        return (
+            self._is_counted(placement) and not placement.stopping and not self.closed
+        )
+
+    async def _send_next_start(
+        self, placement: Placement, sending: _Sending
+    ) -> float | None:
+        """Send a start if it is due; return the pause before the next, None if none."""
+        if not self._wants_start(placement):
+            return None
+        if sending.order is None and not self._may_start(placement):
+            return None
+        reason = self._void_reason(placement)
+        if reason:
+            # An unanswered order must no longer start anything there.
+            placement.stop(reason)
+            return None
+        if not self.owner.may_order() or not self._is_live() or not placement.stored:
+            return ORDER_RETRY_S
+        if sending.order is None or not sending.unanswered:
+            sending.order = self._start_order(placement)
+        sending.order = attrs.evolve(sending.order, fence=self.fence)
+        return await self._send_start_copy(placement, sending, sending.order)
+
+    async def _send_start_copy(
+        self, placement: Placement, sending: _Sending, order: StartOrder
+    ) -> float | None:
+        limit_s = self.answer_timeout.limit_s()
+        earlier_until = self.cluster_state.start_sent(self.worker, placement, limit_s)
+        try:
+            placement.ordered = True
+            reply = await self._send_start(order, limit_s)
+        except WorkerReplaced:
+            self._mark_replaced()
+            return None
+        except WorkerUnreachable as exc:
+            self._note_unanswered(placement, order, exc, earlier_until)
+            if self.closed:
+                return None
+            emit(
+                events.TaskUnanswered(
+                    task=placement.task,
+                    attempt=placement.attempt,
+                    worker=self.worker.name,
+                    reason=str(exc),
+                )
+            )
+            sending.unanswered += 1
+            self._mark_unresponsive(str(exc))
+            return ORDER_RETRY_S
+        self.cluster_state.start_settled(self.worker, placement, earlier_until)
+        if self.closed:
+            return None
+        if reply.verdict is Verdict.STALE_EPOCH:
+            return ORDER_RETRY_S if self._is_fenced(order.fence) else 0.0
+        if self._apply_start_reply(placement, reply, sending.unanswered + 1):
+            return None
+        return ORDER_RETRY_S
+
     def _note_unanswered(
         self,
         placement: Placement,
@@ -486,12 +517,21 @@
 
     def _order_throttles(self) -> None:
         for order in throttle_orders(self.worker, self.clock.now()):
-            self.orders.spawn(self._throttle(order))
+            key = (order.placement.task, order.placement.attempt)
+            if key not in self._throttles:
+                self._throttles.add(key)
+                self.orders.spawn(self._throttle(order, key))
 
-    async def _throttle(self, order: ThrottleOrder) -> None:
+    async def _throttle(self, order: ThrottleOrder, key: tuple[str, int]) -> None:
+        try:
+            async with self.slots.slot():
+                if self.owner.may_order():
+                    await self._send_throttle(order)
+        finally:
+            self._throttles.discard(key)
+
+    async def _send_throttle(self, order: ThrottleOrder) -> None:
         placement = order.placement
-        if not self.owner.may_order():
-            return
         try:
             reply = await self.client.throttle(
                 self.worker.entry,
@@ -568,8 +608,9 @@
         key = (placement.task, placement.attempt)
         try:
             while self._is_counted(placement) and not self.closed:
-                if self.owner.may_order():
-                    await self._send_stop(placement)
+                async with self.slots.slot(urgent=True):
+                    if self.owner.may_order():
+                        await self._send_stop(placement)
                 await asyncio.sleep(STOP_RESEND_S)
         finally:
             self._stops.discard(key)
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -422,6 +422,9 @@
     def connections(self, entry: WorkerEntry) -> ConnectionUse:
         """Return how many connections orders to a worker have needed."""
 
+    async def release_orders(self, entry: WorkerEntry) -> None:
+        """Close the connections for orders to a worker; later orders open new ones."""
+
     async def release(self, entry: WorkerEntry) -> None:
         """Close the connections kept open for an incarnation that has ended."""
 
