A start without answer is settled by a higher fence and the next list

Callers saw accepted tasks that never ran (LOST). Cause: a start without an answer was sent again each 0.05 s for as long as its worker answered syncs, and its task was tied to that worker meanwhile. A worker at its connection limit, or one that takes no starts for another reason, held its tasks for ever; each copy needed a new connection, so that the limit stayed reached (560 to 590 copies of one start in 30 s).

Copies are now sent for 1 s, with growing pauses that differ at random. Then the worker's fence is raised: no copy can begin any more, and the answer to the next sync, which carries that fence, shows whether one did. The sync has a connection of its own. A start that is listed was carried out; one that is not is given up, and its task is placed again. This needs no order that the worker would have to answer.

An answer to a sync no longer counts as evidence that a worker takes orders: it gets no new work until it answers an order, or for 2 s, and is quarantined where a start was settled by fence. Starts that were planned before are given up after two orders in a row without answer. task.unanswered is logged once for an attempt, not for each copy; task.start_fenced says how a start was settled.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -347,7 +347,7 @@
 
 @event("task.unanswered")
 class TaskUnanswered:
-    """A start was not answered; it is sent again."""
+    """A start was not answered; it is sent again, without a further line."""
 
     task: str
     attempt: int
@@ -355,6 +355,22 @@
     reason: str
 
 
+@event("task.start_fenced")
+class TaskStartFenced:
+    """No copy of a start was answered; a higher fence makes it void.
+
+    Attributes:
+        sent: How often it was sent.
+        after_s: How long after it was sent first.
+    """
+
+    task: str
+    attempt: int
+    worker: str
+    sent: int
+    after_s: float
+
+
 @event("task.refused")
 class TaskRefused:
     """A worker refused a start."""
--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -766,9 +766,23 @@
             self.load.outcomes.began(job.job_id, self.now())
 
     def sync(
-        self, worker: FleetWorker, reply: SyncReply, *, sent_at: float, now: float
+        self,
+        worker: FleetWorker,
+        reply: SyncReply,
+        *,
+        sent_at: float,
+        now: float,
+        fence: int = 0,
     ) -> list[EndedTask]:
-        """Apply a worker's reply; return the ends that were not known before."""
+        """Apply a worker's reply; return the ends that were not known before.
+
+        Args:
+            worker: The worker.
+            reply: Its reply.
+            sent_at: When the sync was sent, on the owner's clock.
+            now: The owner's clock.
+            fence: The fence that the sync carried.
+        """
         worker.update_clock(reply.worker_time_ms, now)
         fresh = [end for end in reply.ended if end.number > worker.heard_upto]
         for end in fresh:
@@ -778,7 +792,7 @@
         for key, run in listed.items():
             self._handle_running(worker, key, run, now)
         if len(reply.ended) < MAX_ENDS_PER_SYNC:
-            self._give_up_missing(worker, listed, sent_at)
+            self._give_up_missing(worker, listed, sent_at, fence)
         return fresh
 
     def _handle_running(
@@ -817,13 +831,20 @@
         return placement
 
     def _give_up_missing(
-        self, worker: FleetWorker, listed: dict[AttemptKey, RunningTask], sent_at: float
+        self,
+        worker: FleetWorker,
+        listed: dict[AttemptKey, RunningTask],
+        sent_at: float,
+        fence: int,
     ) -> None:
-        """Give up attempts that ran before the request was sent but are not listed."""
+        """Give up attempts that are not listed and did run, or will never begin."""
         for key, placement in list(worker.placements.items()):
-            if key in listed or not placement.running:
+            if key in listed:
                 continue
-            if placement.running_since < sent_at:
+            if not placement.running:
+                if placement.is_void_at(fence):
+                    self.give_up(worker, placement, "its start was not carried out")
+            elif placement.running_since < sent_at:
                 self.give_up(worker, placement, "in neither list")
 
     def _handle_end(self, worker: FleetWorker, end: EndedTask, now: float) -> None:
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -35,6 +35,15 @@
 10 s on the platform."""
 
 
+MISSED_ORDERS_LIMIT: Final = 2
+"""Number of unanswered orders in a row after which a worker is sent no further starts,
+not even those that were planned before."""
+MISSED_ORDER_PAUSE_S: Final = 2.0
+"""How long a worker gets no new work after an unanswered order if none is answered. Its
+copies are sent for a shorter time, so that a worker that answers none is quarantined
+before this ends."""
+
+
 def reserved_resources(step: StepSpec) -> Amounts:
     """Return the resources that a task of a step reserves on its worker.
 
@@ -116,6 +125,8 @@
             at which it works.
         advanced_at: When that share was last seen to rise, on the owner's clock.
         reading: The worker's load reading for it (see `RunningTask`).
+        fenced_by: The lowest fence that makes its unanswered start void, once no more
+            copies of it are sent; None before.
         throttle: The share at which it was ordered to work.
         on_unstable_machine: Whether its machine had failed or its worker had joined
             shortly before it was planned, as far as known; set for isolated attempts.
@@ -141,6 +152,7 @@
     percent: float = 0.0
     advanced_at: float = 0.0
     reading: float | None = None
+    fenced_by: int | None = None
     throttle: int = 100
     on_unstable_machine: bool = False
 
@@ -168,6 +180,13 @@
         self.percent = run.percent
         self.reading = run.reading
 
+    def is_void_at(self, fence: int) -> bool:
+        """Return whether an order with a fence proves that it will not begin any more.
+
+        It has not begun either if the answer to that order does not list it.
+        """
+        return self.fenced_by is not None and fence >= self.fenced_by
+
     def ran_s(self, now: float) -> float:
         """Return how long it has run, as far as this owner knows."""
         if not self.running:
@@ -233,8 +252,12 @@
             numbers and tasks.
         listed: Whether the platform lists it.
         missing_since: Since when the list has lacked it although it answers.
-        unresponsive: Whether an order to it had no answer or its data centre is silent;
-            it is given no work until it answers again.
+        unresponsive: Whether its data centre is silent; it is given no work until it
+            answers again.
+        missed_orders: Number of consecutive orders that it left unanswered.
+        orders_unanswered_until: It is given no work before this time unless it answers
+            an order; an answer to a sync, which has a connection of its own, is no
+            evidence that it takes orders.
         unsized: How many placements of unknown resource needs it has.
         held: Whether it is being drained for maintenance of its machine.
         filler_percent: The share at which its fillers are to work.
@@ -273,6 +296,8 @@
     listed: bool = True
     missing_since: float | None = None
     unresponsive: bool = False
+    missed_orders: int = 0
+    orders_unanswered_until: float = float("-inf")
     held: bool = False
     unsized: int = 0
     filler_percent: int = 100
@@ -316,6 +341,8 @@
         if self.entry.leaving:
             return "leaving"
         if self.unresponsive:
+            return "in a silent data centre"
+        if self.leaves_orders_unanswered(now):
             return "left an order unanswered"
         if self.held:
             return "held for upkeep"
@@ -359,14 +386,18 @@
         """Return whether no attempt there has only just begun."""
         return all(map(self.outlived_crash_window, self.placements.values()))
 
-    def may_start(self) -> bool:
+    def may_start(self, now: float) -> bool:
         """Return whether start orders for existing placements may still be sent.
 
         Between planning and ordering lie a transaction and sometimes a permit request,
         time enough for a worker to become silent, to shrink or to announce that it
         leaves.
         """
-        responsive = self.liveness is Liveness.LIVE and not self.unresponsive
+        responsive = (
+            self.liveness is Liveness.LIVE
+            and not self.unresponsive
+            and not self.takes_no_orders(now)
+        )
         away = self.entry.leaving or self.held or not self.entry.readable
         return (
             responsive
@@ -375,6 +406,30 @@
             and not self.is_overcommitted()
         )
 
+    def takes_no_orders(self, now: float) -> bool:
+        """Return whether it has recently left several orders in a row unanswered.
+
+        A single answer may be lost by chance.
+        """
+        in_a_row = self.missed_orders >= MISSED_ORDERS_LIMIT
+        return in_a_row and self.leaves_orders_unanswered(now)
+
+    def leaves_orders_unanswered(self, now: float) -> bool:
+        """Return whether it has recently left an order unanswered."""
+        return now < self.orders_unanswered_until
+
+    def record_missed_order(self, now: float) -> None:
+        """Record that an order was not answered."""
+        if not self.leaves_orders_unanswered(now):
+            self.missed_orders = 0
+        self.missed_orders += 1
+        self.orders_unanswered_until = now + MISSED_ORDER_PAUSE_S
+
+    def record_answered_order(self) -> None:
+        """Record that an order was answered."""
+        self.missed_orders = 0
+        self.orders_unanswered_until = float("-inf")
+
     def is_overcommitted(self) -> bool:
         """Return whether more is placed there than its (possibly shrunk) capacity."""
         return not self.used.fits_in(self.entry.capacity)
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -6,6 +6,11 @@
 is sent again, and counts as possibly carried out until the worker's report or the end
 of the lease settles it.
 
+A worker may answer syncs and no orders, for example because it holds as many
+connections as it can. Copies of a start are therefore sent for a limited time, with
+growing pauses. Then a higher fence makes them void, and the answer to the next sync,
+which carries that fence, shows whether one was carried out.
+
 Where a later incarnation could carry out a call that had no answer (see
 `late_starts`), all later orders have a higher fence. An incarnation that has received
 any of them refuses the late one. An order that was overtaken by a higher fence of the
@@ -19,6 +24,7 @@
 import attrs
 
 from cranberrycleat import events
+from cranberrycleat.backoff import Backoff
 from cranberrycleat.clock import Clock
 from cranberrycleat.lifecycle import BackgroundTasks
 from cranberrycleat.logs import emit, part_logger
@@ -59,6 +65,13 @@
 """The pause between two syncs, so that task ends that come close together share one."""
 SILENT_RETRY_S: Final = 0.25
 ORDER_RETRY_S: Final = 0.05
+ORDER_RETRY_MAX_S: Final = 0.4
+START_COPIES_S: Final = 1.0
+"""How long copies of an unanswered start are sent. A worker that leaves half of its
+orders unanswered has answered one of them by then."""
+MISSED_ORDERS_SYNC_WAIT_MS: Final = 250
+"""The time limit for syncs while the worker leaves orders unanswered: the next sync
+settles their starts."""
 STOP_RESEND_S: Final = 0.7
 UNHEALTHY_QUARANTINE_S: Final = 1.0
 """How long a worker that refuses a start as unhealthy is given no work."""
@@ -79,11 +92,17 @@
 
     Attributes:
         order: The newest copy; None before the first.
+        first_sent_at: When the first was sent, on the owner's clock.
         unanswered: How many copies were not answered.
+        backoff: The pauses between copies.
     """
 
     order: StartOrder | None = None
+    first_sent_at: float = 0.0
     unanswered: int = 0
+    backoff: Backoff = attrs.field(
+        factory=lambda: Backoff(first_s=ORDER_RETRY_S, max_s=ORDER_RETRY_MAX_S)
+    )
 
 
 class OrderAuthority(Protocol):
@@ -218,7 +237,7 @@
             case SyncReply() if not self._is_same_incarnation(reply):
                 self.owner.worker_restarted(worker, reply.born_ms)
             case SyncReply():
-                self._apply_sync_reply(reply, sent_at)
+                self._apply_sync_reply(reply, sent_at, fence)
             case OrderReply(verdict=Verdict.STALE_EPOCH):
                 if self._is_fenced(fence):
                     await asyncio.sleep(SILENT_RETRY_S)
@@ -241,20 +260,25 @@
 
     def _wait_ms(self) -> int:
         """Return how long a sync may stay open; load readings are wanted more often."""
+        if self.worker.leaves_orders_unanswered(self.clock.now()):
+            return MISSED_ORDERS_SYNC_WAIT_MS
         placements = self.worker.placements.values()
         if any(map(serves, placements)) and any(map(fills, placements)):
             return SERVING_SYNC_WAIT_MS
         return round(self.lease_s * SYNC_WAIT_LEASE_SHARE * 1000)
 
-    def _apply_sync_reply(self, reply: SyncReply, sent_at: float) -> None:
+    def _apply_sync_reply(self, reply: SyncReply, sent_at: float, fence: int) -> None:
         worker = self.worker
         now = self.clock.now()
         incarnations.reconcile(
             self.cluster_state, worker, reply, now + self.bounds.max_run_on_s()
         )
-        fresh = self.cluster_state.sync(worker, reply, sent_at=sent_at, now=now)
+        fresh = self.cluster_state.sync(
+            worker, reply, sent_at=sent_at, now=now, fence=fence
+        )
         if worker.liveness is not Liveness.LIVE:
             emit(events.WorkerAnswers(worker=worker.name))
+            worker.record_answered_order()
             self.cluster_state.losses.clear(worker)
             worker.liveness = Liveness.LIVE
             self.owner.changed()
@@ -299,7 +323,7 @@
     # --- starts ---------------------------------------------------------------
 
     async def start(self, placement: Placement) -> None:
-        """Send a start order until its outcome is settled."""
+        """Send a start order until its outcome is settled, or left to the next sync."""
         sending = _Sending()
         pause_s: float | None = 0.0
         while pause_s is not None and self._wants_start(placement):
@@ -325,6 +349,9 @@
             return None
         if sending.order is None and not self._may_start(placement):
             return None
+        if sending.unanswered and placement.running:
+            self._emit_started(placement, sending.unanswered)
+            return None
         reason = self._void_reason(placement)
         if reason:
             # An unanswered order must no longer start anything there.
@@ -332,8 +359,12 @@
             return None
         if not self.owner.may_order() or not self._is_live() or not placement.stored:
             return ORDER_RETRY_S
+        now = self.clock.now()
         if sending.order is None or not sending.unanswered:
-            sending.order = self._start_order(placement)
+            sending.order, sending.first_sent_at = self._start_order(placement), now
+        elif now - sending.first_sent_at > START_COPIES_S:
+            self._fence_off(placement, sending)
+            return None
         sending.order = attrs.evolve(sending.order, fence=self.fence)
         return await self._send_start_copy(placement, sending, sending.order)
 
@@ -352,26 +383,56 @@
             self._note_unanswered(placement, order, exc, earlier_until)
             if self.closed:
                 return None
-            emit(
-                events.TaskUnanswered(
-                    task=placement.task,
-                    attempt=placement.attempt,
-                    worker=self.worker.name,
-                    reason=str(exc),
+            if not sending.unanswered:
+                emit(
+                    events.TaskUnanswered(
+                        task=placement.task,
+                        attempt=placement.attempt,
+                        worker=self.worker.name,
+                        reason=str(exc),
+                    )
                 )
-            )
             sending.unanswered += 1
-            self._mark_unresponsive(str(exc))
-            return ORDER_RETRY_S
+            self._record_missed_order(str(exc))
+            return sending.backoff.next_s()
         self.cluster_state.start_settled(self.worker, placement, earlier_until)
         if self.closed:
             return None
+        self.worker.record_answered_order()
         if reply.verdict is Verdict.STALE_EPOCH:
             return ORDER_RETRY_S if self._is_fenced(order.fence) else 0.0
         if self._apply_start_reply(placement, reply, sending.unanswered + 1):
             return None
         return ORDER_RETRY_S
 
+    def _fence_off(self, placement: Placement, sending: _Sending) -> None:
+        """Make an unanswered start void; the next sync shows whether it had begun."""
+        worker, now = self.worker, self.clock.now()
+        if not self._void_start(placement):
+            placement.stop("its start was not answered")
+            return
+        emit(
+            events.TaskStartFenced(
+                task=placement.task,
+                attempt=placement.attempt,
+                worker=worker.name,
+                sent=sending.unanswered,
+                after_s=round(now - sending.first_sent_at, 3),
+            )
+        )
+        if now >= worker.quarantined_until:
+            worker.quarantine(now)
+            emit(events.WorkerQuarantined(worker=worker.name, rest_s=worker.rest_s))
+
+    def _void_start(self, placement: Placement) -> bool:
+        """Raise the fence above that of each start sent for an attempt, if possible."""
+        sent_with = self.fence
+        self._outdate_orders(sent_with)
+        if self.fence == sent_with:
+            return False
+        placement.fenced_by = self.fence
+        return True
+
     def _note_unanswered(
         self,
         placement: Placement,
@@ -388,11 +449,11 @@
             self._outdate_orders(order.fence)
             self.owner.changed()
 
-    def _mark_unresponsive(self, reason: str) -> None:
-        """Give the worker no work after an order without an answer."""
-        if self.worker.unresponsive:
+    def _record_missed_order(self, reason: str) -> None:
+        """Give the worker no new work after an order without an answer."""
+        self.worker.record_missed_order(self.clock.now())
+        if self.worker.missed_orders != 1:
             return
-        self.worker.unresponsive = True
         use = self.client.connections(self.worker.entry)
         emit(
             events.WorkerOrdersUnanswered(
@@ -410,9 +471,8 @@
             fleet.outdate_orders(self.worker)
 
     def _may_start(self, placement: Placement) -> bool:
-        return self.worker.may_start() and not self.cluster_state.is_over_quota(
-            placement
-        )
+        may_start = self.worker.may_start(self.clock.now())
+        return may_start and not self.cluster_state.is_over_quota(placement)
 
     def _void_reason(self, placement: Placement) -> str:
         """Return why an unanswered order must not start its task; empty if it may."""
@@ -475,15 +535,7 @@
                 placement.began(now)
                 if reply.verdict is Verdict.ACCEPTED:
                     self.cluster_state.note_begun(placement)
-                emit(
-                    events.TaskStarted(
-                        task=placement.task,
-                        attempt=placement.attempt,
-                        worker=self.worker.name,
-                        after_s=round(now - placement.planned_at, 4),
-                        sent=sent,
-                    )
-                )
+                self._emit_started(placement, sent)
                 return True
             case Verdict.TOO_LATE if not unanswered:
                 return False
@@ -510,6 +562,17 @@
             self.owner.changed()
         return True
 
+    def _emit_started(self, placement: Placement, sent: int) -> None:
+        emit(
+            events.TaskStarted(
+                task=placement.task,
+                attempt=placement.attempt,
+                worker=self.worker.name,
+                after_s=round(self.clock.now() - placement.planned_at, 4),
+                sent=sent,
+            )
+        )
+
     def _is_counted(self, placement: Placement) -> bool:
         return self.worker.counts(placement)
 
@@ -543,6 +606,7 @@
         except (WorkerReplaced, WorkerUnreachable) as exc:
             LOG.info("Throttle order for %s got no answer: %r", placement.task, exc)
             return
+        self.worker.record_answered_order()
         if reply.verdict is Verdict.ACCEPTED:
             placement.throttle = order.percent
             emit(
@@ -626,9 +690,11 @@
             return
         except WorkerUnreachable as exc:
             LOG.debug("Stop order for %s got no answer: %s", placement.task, exc)
+            self._record_missed_order(str(exc))
             return
         if self.closed:
             return
+        self.worker.record_answered_order()
         if reply.verdict is Verdict.STALE_EPOCH:
             if not self._is_fenced(fence) and self.owner.may_order():
                 await self._send_stop(placement)
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -124,6 +124,8 @@
                 metrics.record("tasks.started.duration", after_s)
             case events.TaskUnanswered():
                 metrics.count("tasks.unanswered")
+            case events.TaskStartFenced():
+                metrics.count("tasks.start_fenced")
             case events.TaskPreempted(service=service, cost_core_s=cost_core_s):
                 cause = "service" if service else "urgent"
                 metrics.count("tasks.preempted", cause=cause)
--- a/tests/http_workers.py
+++ b/tests/http_workers.py
@@ -50,6 +50,8 @@
         resets: Number of connections that it reset for this reason.
         reset_paths: Requests with these paths are not carried out; their connections
             are reset.
+        lost_answers: Requests with these paths are carried out; then their connections
+            are reset.
         answer_delay_s: How long it takes to answer.
     """
 
@@ -58,6 +60,7 @@
     max_open: int | None = None
     resets: int = 0
     reset_paths: set[str] = attrs.field(factory=set)
+    lost_answers: set[str] = attrs.field(factory=set)
     answer_delay_s: float = 0.0
     _server: asyncio.Server | None = None
     _open: set[asyncio.StreamWriter] = attrs.field(factory=set)
@@ -102,6 +105,9 @@
                     break
                 await asyncio.sleep(self.answer_delay_s)
                 status, answer = await self.answer(path, req)
+                if path in self.lost_answers:
+                    writer.transport.abort()
+                    break
                 body = json.dumps(answer).encode()
                 line = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
                 writer.write(line.encode() + body)
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -114,7 +114,7 @@
         guarantee="faults",
         mechanism="no placements on an unresponsive worker",
         file="workflow/fleet.py",
-        text='        if self.unresponsive:\n            return "left an order unanswered"\n',
+        text='        if self.unresponsive:\n            return "in a silent data centre"\n',
         replacement="",
         test="tests/test_planner.py::test_unavailable_worker_gets_no_tasks",
     ),
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -16,8 +16,9 @@
 
 from cranberrycleat.platform.workers import PlatformWorkers
 from cranberrycleat.standins.fleet import SimulatedWork
+from cranberrycleat.workflow.links import START_COPIES_S
 from cranberrycleat.workflow.owner import Owner
-from cranberrycleat.workflow.ports import WorkerEntry
+from cranberrycleat.workflow.ports import Verdict, WorkerEntry
 from cranberrycleat.workflow.state import JobState
 from tests.cell import Cell, cell, entry, job, step, submit, until
 from tests.fakes import run_async
@@ -156,3 +157,60 @@
             assert not env.cell.fleet.faults
 
     run_async(run())
+
+
+# Guards against two runs of a task (TWICE): a start that was settled as not carried out
+# must begin nothing when it arrives after all.
+def test_late_copies_of_settled_start_begin_nothing() -> None:
+    async def run() -> None:
+        async with cell(workers=1) as env:
+            env.fleet.work = lambda task, attempt: SimulatedWork(seconds=1.0)
+            owner = await env.own()
+            worker = env.fleet.workers["w0"]
+            worker.unanswered_starts = 100
+            await submit(owner, "a", job(step(2)))
+            await until(lambda: len(worker.late) > 1)
+            env.add_worker("w1")
+            await until(lambda: len(env.fleet.starts) == 2, RUN_LIMIT_S)
+            assert {each.worker for each in env.fleet.starts} == {"w1"}
+            for order in worker.late:
+                assert env.fleet.carry_out(worker, order).verdict is (
+                    Verdict.STALE_EPOCH
+                )
+            await until(lambda: is_completed(owner, "a"))
+            assert not env.fleet.faults
+
+    run_async(run())
+
+
+# Guards against a second attempt of a task that runs (TWICE), and against one that is
+# never seen to begin: only the answers to its starts are lost.
+def test_start_that_was_carried_out_is_settled_by_list() -> None:
+    async def run() -> None:
+        async with http_cell(workers=2, processors=4000) as env:
+            env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=2.0)
+            owner = await env.own("one")
+            env.workers["w0"].lost_answers = {"/api/run-start"}
+            await submit(owner, "a", job(step(8)))
+            await until(lambda: is_completed(owner, "a"), RUN_LIMIT_S)
+            assert len(env.cell.fleet.starts) == 8 and not env.cell.fleet.faults
+
+    run_async(run())
+
+
+# Guards against a worker that is never used again: once it takes orders, it gets work.
+def test_worker_that_takes_starts_again_is_used() -> None:
+    async def run() -> None:
+        async with http_cell(workers=1, processors=4000) as env:
+            env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.1)
+            owner = await env.own("one")
+            refusing = env.workers["w0"]
+            refusing.reset_paths = {"/api/run-start"}
+            await submit(owner, "a", job(step(2)))
+            await until(lambda: refusing.connections > 3)
+            await asyncio.sleep(START_COPIES_S)
+            refusing.reset_paths = set()
+            await until(lambda: is_completed(owner, "a"), RUN_LIMIT_S)
+            assert not env.cell.fleet.faults
+
+    run_async(run())
--- a/tests/test_order_slots.py
+++ b/tests/test_order_slots.py
@@ -1,7 +1,11 @@
-"""Tests the limit of orders under way."""
+"""Tests the limit of orders under way and the pauses between retries."""
 
 import asyncio
+import random
 
+import pytest
+
+from cranberrycleat.backoff import JITTER, Backoff
 from cranberrycleat.workflow.order_slots import OrderSlots
 from tests.fakes import run_async
 
@@ -44,3 +48,17 @@
             assert seen[-1] == "5"
 
     run_async(run())
+
+
+@pytest.mark.parametrize(
+    ("first_s", "max_s", "expected"),
+    [(0.05, 0.4, [0.05, 0.1, 0.2, 0.4, 0.4]), (2.0, 1.0, [1.0, 1.0])],
+)
+def test_pauses_grow_up_to_their_maximum(
+    first_s: float, max_s: float, expected: list[float]
+) -> None:
+    backoff = Backoff(first_s=first_s, max_s=max_s, rng=random.Random(1))
+    for _ in range(2):
+        for pause_s in expected:
+            assert abs(backoff.next_s() - pause_s) <= JITTER * pause_s
+        backoff.reset()
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -341,7 +341,11 @@
             # 5 to 15 ms later; polling missed that on a busy machine.
             await until(lambda: worker.unanswered_starts == 0)
             worker.silent = True
-            await until(lambda: owner.cluster_state.fleet.workers["w0"].unresponsive)
+            await until(
+                lambda: not owner.cluster_state.fleet.workers["w0"].may_accept_work(
+                    env.clock.now()
+                )
+            )
             env.add_worker("w1")
             await submit(owner, "b", job(step(1)))
             await until(lambda: state(owner, "b") == "completed")
