Stops are sent again with growing pauses; unanswered ones settle starts

A stop was sent each 0.7 s without end to a worker that answers no orders. It is now sent with pauses from 0.7 to 2.8 s that differ at random. Where the attempt is not known to run, an unanswered stop raises the worker's fence, so that the next list settles its start as for an unanswered start. A silent worker is asked each 0.25 to 0.5 s.

test_connection_limit, test_workflow and test_services pass.

--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -64,6 +64,7 @@
 SYNC_PAUSE_S: Final = 0.03
 """The pause between two syncs, so that task ends that come close together share one."""
 SILENT_RETRY_S: Final = 0.25
+SILENT_RETRY_MAX_S: Final = 0.5
 ORDER_RETRY_S: Final = 0.05
 ORDER_RETRY_MAX_S: Final = 0.4
 START_COPIES_S: Final = 1.0
@@ -73,6 +74,7 @@
 """The time limit for syncs while the worker leaves orders unanswered: the next sync
 settles their starts."""
 STOP_RESEND_S: Final = 0.7
+STOP_RESEND_MAX_S: Final = 2.8
 UNHEALTHY_QUARANTINE_S: Final = 1.0
 """How long a worker that refuses a start as unhealthy is given no work."""
 STORE_WAIT_S: Final = 1.0
@@ -163,6 +165,9 @@
     slots: OrderSlots = attrs.field(factory=OrderSlots)
     _stops: set[tuple[str, int]] = attrs.field(factory=set)
     _throttles: set[tuple[str, int]] = attrs.field(factory=set)
+    _silent_retry: Backoff = attrs.field(
+        factory=lambda: Backoff(first_s=SILENT_RETRY_S, max_s=SILENT_RETRY_MAX_S)
+    )
 
     async def run(self) -> None:
         """Sync until the incarnation is over or the link is cancelled."""
@@ -194,10 +199,11 @@
                 # A worker at its limit of connections resets the one for syncs, too.
                 await self.client.release_orders(self.worker.entry)
             self._mark_silent(str(exc))
-            await asyncio.sleep(SILENT_RETRY_S)
+            await asyncio.sleep(self._silent_retry.next_s())
         else:
             if self.closed:
                 return
+            self._silent_retry.reset()
             self._evacuate()
             self._drain_stalled_worker()
             self._order_throttles()
@@ -670,12 +676,13 @@
 
     async def _stop(self, placement: Placement) -> None:
         key = (placement.task, placement.attempt)
+        backoff = Backoff(first_s=STOP_RESEND_S, max_s=STOP_RESEND_MAX_S)
         try:
             while self._is_counted(placement) and not self.closed:
                 async with self.slots.slot(urgent=True):
                     if self.owner.may_order():
                         await self._send_stop(placement)
-                await asyncio.sleep(STOP_RESEND_S)
+                await asyncio.sleep(backoff.next_s())
         finally:
             self._stops.discard(key)
 
@@ -691,6 +698,8 @@
         except WorkerUnreachable as exc:
             LOG.debug("Stop order for %s got no answer: %s", placement.task, exc)
             self._record_missed_order(str(exc))
+            if not placement.running and placement.fenced_by is None:
+                self._void_start(placement)
             return
         if self.closed:
             return
