A start to a worker that was silent is sent again before it is settled

At least three copies are sent now, however long that takes.

test_start_is_sent_again_to_worker_that_was_silent failed before (the worker is quarantined) and passes.

--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -70,6 +70,8 @@
 START_COPIES_S: Final = 1.0
 """How long copies of an unanswered start are sent. A worker that leaves half of its
 orders unanswered has answered one of them by then."""
+MIN_START_COPIES: Final = 3
+"""How many are sent at least, also after a time in which the worker was silent."""
 MISSED_ORDERS_SYNC_WAIT_MS: Final = 250
 """The time limit for syncs while the worker leaves orders unanswered: the next sync
 settles their starts."""
@@ -106,6 +108,11 @@
         factory=lambda: Backoff(first_s=ORDER_RETRY_S, max_s=ORDER_RETRY_MAX_S)
     )
 
+    def is_exhausted(self, now: float) -> bool:
+        """Return whether no further copy is sent."""
+        enough = self.unanswered >= MIN_START_COPIES
+        return enough and now - self.first_sent_at > START_COPIES_S
+
 
 class OrderAuthority(Protocol):
     """What a link needs from its owner."""
@@ -368,7 +375,7 @@
         now = self.clock.now()
         if sending.order is None or not sending.unanswered:
             sending.order, sending.first_sent_at = self._start_order(placement), now
-        elif now - sending.first_sent_at > START_COPIES_S:
+        elif sending.is_exhausted(now):
             self._fence_off(placement, sending)
             return None
         sending.order = attrs.evolve(sending.order, fence=self.fence)
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -214,3 +214,25 @@
             assert not env.cell.fleet.faults
 
     run_async(run())
+
+
+# Guards against work that is kept from a worker that has just come back: the time in
+# which it was silent says nothing about whether it takes orders.
+def test_start_is_sent_again_to_worker_that_was_silent() -> None:
+    async def run() -> None:
+        async with cell(workers=1, worker_lease_s=6.0) as env:
+            owner = await env.own()
+            worker = env.fleet.workers["w0"]
+            worker.unanswered_starts = 1
+            await submit(owner, "a", job(step(1)))
+            await until(lambda: worker.unanswered_starts == 0)
+            worker.silent = True
+            await asyncio.sleep(2 * START_COPIES_S)
+            worker.silent = False
+            await until(lambda: is_completed(owner, "a"))
+            known = owner.cluster_state.fleet.workers["w0"]
+            assert known.quarantined_until == 0 and known.may_accept_work(
+                env.clock.now()
+            )
+
+    run_async(run())
