Stops are sent only to workers that have listed what they run

A new owner sent a stop for each attempt that the row of a cancelled or failed job names as running, before any worker had answered it. That was the larger part of what filled the workers' connection limit in the incident.

A link now sends stops once its worker has answered a sync: what the list does not show is over, and needs no stop. Stops to a silent worker pause until it answers.

--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -635,6 +635,13 @@
     # --- stops ----------------------------------------------------------------
 
     def _order_stops(self) -> None:
+        """Send the stops that are due, once the worker has listed what it runs.
+
+        Most attempts that a new owner is to stop have ended long ago, and the first
+        list shows that. A silent worker's stops are sent when it answers.
+        """
+        if not self._is_live():
+            return
         for key, placement in list(self.worker.placements.items()):
             if not placement.stopping or key in self._stops:
                 continue
@@ -681,13 +688,16 @@
         """Send the stop orders that are due in the cluster state, now."""
         self._order_stops()
 
+    def _takes_stops(self) -> bool:
+        return self._is_live() and not self.closed
+
     async def _stop(self, placement: Placement) -> None:
         key = (placement.task, placement.attempt)
         backoff = Backoff(first_s=STOP_RESEND_S, max_s=STOP_RESEND_MAX_S)
         try:
-            while self._is_counted(placement) and not self.closed:
+            while self._is_counted(placement) and self._takes_stops():
                 async with self.slots.slot(urgent=True):
-                    if self.owner.may_order():
+                    if self.owner.may_order() and self._takes_stops():
                         await self._send_stop(placement)
                 await asyncio.sleep(backoff.next_s())
         finally:
