Time in which a worker was silent does not count against its starts

Copies are now counted from when the worker answers again, up to twelve in all.

test_start_is_sent_again_to_worker_that_was_silent[4] failed before (the worker is quarantined) and passes.

--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -71,7 +71,10 @@
 """How long copies of an unanswered start are sent. A worker that leaves half of its
 orders unanswered has answered one of them by then."""
 MIN_START_COPIES: Final = 3
-"""How many are sent at least, also after a time in which the worker was silent."""
+"""How many are sent at least in that time."""
+MAX_START_COPIES: Final = 12
+"""How many are sent in all to a worker that is silent again and again: the time begins
+anew whenever it answers."""
 MISSED_ORDERS_SYNC_WAIT_MS: Final = 250
 """The time limit for syncs while the worker leaves orders unanswered: the next sync
 settles their starts."""
@@ -98,20 +101,36 @@
         order: The newest copy; None before the first.
         first_sent_at: When the first was sent, on the owner's clock.
         unanswered: How many copies were not answered.
+        counted_from: From when `START_COPIES_S` is counted.
+        counted_copies: How many copies were not answered since.
         backoff: The pauses between copies.
     """
 
     order: StartOrder | None = None
     first_sent_at: float = 0.0
     unanswered: int = 0
+    counted_from: float = 0.0
+    counted_copies: int = 0
     backoff: Backoff = attrs.field(
         factory=lambda: Backoff(first_s=ORDER_RETRY_S, max_s=ORDER_RETRY_MAX_S)
     )
 
+    def record_unanswered(self) -> None:
+        """Record that a copy was not answered."""
+        self.unanswered += 1
+        self.counted_copies += 1
+
+    def count_again_from(self, now: float) -> None:
+        """Begin to count anew: no answer could be expected until now."""
+        self.counted_from, self.counted_copies = now, 0
+        self.backoff.reset()
+
     def is_exhausted(self, now: float) -> bool:
         """Return whether no further copy is sent."""
-        enough = self.unanswered >= MIN_START_COPIES
-        return enough and now - self.first_sent_at > START_COPIES_S
+        if self.unanswered >= MAX_START_COPIES:
+            return True
+        enough = self.counted_copies >= MIN_START_COPIES
+        return enough and now - self.counted_from > START_COPIES_S
 
 
 class OrderAuthority(Protocol):
@@ -370,11 +389,15 @@
             # An unanswered order must no longer start anything there.
             placement.stop(reason)
             return None
-        if not self.owner.may_order() or not self._is_live() or not placement.stored:
-            return ORDER_RETRY_S
         now = self.clock.now()
+        if not self._is_live():
+            sending.count_again_from(now)
+            return ORDER_RETRY_S
+        if not self.owner.may_order() or not placement.stored:
+            return ORDER_RETRY_S
         if sending.order is None or not sending.unanswered:
             sending.order, sending.first_sent_at = self._start_order(placement), now
+            sending.count_again_from(now)
         elif sending.is_exhausted(now):
             self._fence_off(placement, sending)
             return None
@@ -405,7 +428,7 @@
                         reason=str(exc),
                     )
                 )
-            sending.unanswered += 1
+            sending.record_unanswered()
             self._record_missed_order(str(exc))
             return sending.backoff.next_s()
         self.cluster_state.start_settled(self.worker, placement, earlier_until)
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -15,10 +15,16 @@
 import pytest
 
 from cranberrycleat.platform.workers import PlatformWorkers
-from cranberrycleat.standins.fleet import SimulatedWork
-from cranberrycleat.workflow.links import START_COPIES_S
+from cranberrycleat.standins.fleet import SimulatedWork, StandinFleet
+from cranberrycleat.workflow.links import MIN_START_COPIES, START_COPIES_S
 from cranberrycleat.workflow.owner import Owner
-from cranberrycleat.workflow.ports import Verdict, WorkerEntry
+from cranberrycleat.workflow.ports import (
+    OrderReply,
+    StartOrder,
+    Verdict,
+    WorkerEntry,
+    WorkerUnreachable,
+)
 from cranberrycleat.workflow.state import JobState
 from tests.cell import Cell, cell, entry, job, step, submit, until
 from tests.fakes import run_async
@@ -216,23 +222,43 @@
     run_async(run())
 
 
+@attrs.define(kw_only=True, eq=False)
+class RefusingFleet(StandinFleet):
+    """Workers that leave some starts unanswered, without any delay.
+
+    Attributes:
+        refused: How many.
+    """
+
+    refused: int = 0
+
+    async def start(
+        self, entry: WorkerEntry, order: StartOrder, *, limit_s: float
+    ) -> OrderReply:
+        """Refuse a start, or carry it out."""
+        if self.refused:
+            self.refused -= 1
+            raise WorkerUnreachable("the connection was reset")
+        return await StandinFleet.start(self, entry, order, limit_s=limit_s)
+
+
 # Guards against work that is kept from a worker that has just come back: the time in
 # which it was silent says nothing about whether it takes orders.
-def test_start_is_sent_again_to_worker_that_was_silent() -> None:
+@pytest.mark.parametrize("refused", [1, MIN_START_COPIES + 1])
+def test_start_is_sent_again_to_worker_that_was_silent(refused: int) -> None:
     async def run() -> None:
-        async with cell(workers=1, worker_lease_s=6.0) as env:
+        fleet = RefusingFleet(refused=refused)
+        async with cell(workers=1, worker_lease_s=6.0, fleet=fleet) as env:
             owner = await env.own()
             worker = env.fleet.workers["w0"]
-            worker.unanswered_starts = 1
             await submit(owner, "a", job(step(1)))
-            await until(lambda: worker.unanswered_starts == 0)
+            await until(lambda: fleet.refused == 0)
             worker.silent = True
             await asyncio.sleep(2 * START_COPIES_S)
             worker.silent = False
             await until(lambda: is_completed(owner, "a"))
             known = owner.cluster_state.fleet.workers["w0"]
-            assert known.quarantined_until == 0 and known.may_accept_work(
-                env.clock.now()
-            )
+            assert known.quarantined_until == 0
+            assert known.may_accept_work(env.clock.now())
 
     run_async(run())
