A suspected owner is reported once, not for each heartbeat

Readers of the log saw owner.suspected, an essential line, from every host for each heartbeat (0.3 s) and each submission that found the same evidence, for as long as nobody could take over, as in an outage of the table.

The line is now written when an owner becomes suspected. A suspicion that lapsed (2 s without evidence) or was cleared by the owner's answer is reported again. What the suspicion does is unchanged: it is renewed and the owner's row is checked each time.

--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -244,7 +244,10 @@
         self._suspect(row.holder, evidence)
 
     def _suspect(self, holder: str, evidence: str) -> None:
-        emit(events.OwnerSuspected(holder=holder, evidence=evidence))
+        # Heartbeats and submissions find the same evidence again until the owner is
+        # replaced, which takes as long as an outage of the table.
+        if not self._reachability.is_suspected(holder):
+            emit(events.OwnerSuspected(holder=holder, evidence=evidence))
         self._reachability.suspect_owner(holder)
         self._lease_check_due.set()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,8 +11,9 @@
 import attrs
 import pytest
 
-from cranberrycleat import errors
+from cranberrycleat import errors, events
 from cranberrycleat.http_client import HttpClient, HttpReply
+from cranberrycleat.logs import set_observer
 from cranberrycleat.platform.front import Front, Readiness
 from cranberrycleat.standins.feed_table import MemoryFeedTable
 from cranberrycleat.table import Put
@@ -309,6 +310,31 @@
     run_async(run())
 
 
+# Guards against a log line for each unanswered heartbeat, by every host for the whole
+# outage, when the owner's process ends while the table is down.
+def test_dead_owner_is_reported_once_while_the_table_is_down() -> None:
+    reports: list[events.OwnerSuspected] = []
+
+    def observe(found: object) -> None:
+        if isinstance(found, events.OwnerSuspected):
+            reports.append(found)
+
+    async def run() -> None:
+        async with cell() as made, nodes(made) as running:
+            await until(lambda: running[1]._lease.latest_row() is not None)
+            made.table.faults.down = True
+            set_observer(observe)
+            await _kill(running[0])
+            await until(lambda: bool(reports))
+            await asyncio.sleep(5 * options.HEARTBEAT_INTERVAL_S)
+
+    try:
+        run_async(run())
+    finally:
+        set_observer(None)
+    assert len(reports) == 1
+
+
 def test_owner_that_alone_lost_the_table_is_replaced_before_lease_expiry(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
