Calls to a permit service that answers nobody get growing pauses

Callers would see nothing but later answers; the platform saw calls without pause. When calls through all hosts had failed, the owner called the service directly, three times in a row for each waiting step, and asked again in the next planning round: the pause of 0.2 s after a failure did not stop other rounds from requesting the same permits. Each call wrote a permits.failed line.

After two failures in a row, direct calls now pause for 0.1 to 0.5 s, each pause twice the one before and different at random. Requests in the meantime fail without a call, so placements are given up as before and hold no room for longer. A failed request counts as a call in flight until its step may ask again. Hosts are still skipped for 2 s after a failure; while any of them answers, nothing changes.

Not played on a site.

--- a/cranberrycleat/workflow/dispatcher.py
+++ b/cranberrycleat/workflow/dispatcher.py
@@ -112,7 +112,13 @@
         if not await self.permit_queue.ask(
             query.step.name, query.workers, permits, urgency
         ):
-            await asyncio.sleep(options.TASK_LOOP_INTERVAL_S)
+            # It counts as a call in flight: otherwise any planning round in the
+            # meantime would request the same permits again.
+            permits.calls_in_flight += 1
+            try:
+                await asyncio.sleep(options.TASK_LOOP_INTERVAL_S)
+            finally:
+                permits.calls_in_flight -= 1
         self.plan_due.set()
 
     def _urgency(self, step: StepRun) -> Urgency:
--- a/cranberrycleat/workflow/permit_queue.py
+++ b/cranberrycleat/workflow/permit_queue.py
@@ -16,6 +16,7 @@
 import attrs
 
 from cranberrycleat import events
+from cranberrycleat.backoff import Backoff
 from cranberrycleat.clock import Clock
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.decisions.ordering import Urgency
@@ -41,6 +42,12 @@
 """Added to the expected processing time when setting a call's timeout."""
 HOST_BACKOFF_S: Final = 2.0
 """How long a host is skipped after a call through it failed."""
+FAILURES_BEFORE_PAUSE: Final = 2
+"""Consecutive failures of direct calls after which they pause: one may be by chance."""
+FIRST_PAUSE_S: Final = 0.1
+MAX_PAUSE_S: Final = 0.5
+"""Longest pause between direct calls while no host gets an answer. Short steps have
+0.5 s to spare when the service is back."""
 
 
 class _Waiter(NamedTuple):
@@ -83,6 +90,11 @@
     _waiters: "list[_Waiter]" = attrs.field(factory=list)
     _sequence: "itertools.count[int]" = attrs.field(factory=itertools.count)
     _reranked_at: float = float("-inf")
+    _own_failures: int = 0
+    _own_pauses: Backoff = attrs.field(
+        factory=lambda: Backoff(first_s=FIRST_PAUSE_S, max_s=MAX_PAUSE_S)
+    )
+    _own_retry_at: float = float("-inf")
 
     async def ask(
         self,
@@ -93,6 +105,9 @@
     ) -> bool:
         """Request permits for some workers and record the answers.
 
+        While no host gets an answer, most requests fail without a call: this host
+        calls the service directly, with growing pauses, until it answers.
+
         Returns:
             Whether all calls were answered.
         """
@@ -131,11 +146,14 @@
                 found = await self._send(host, step, workers, limit_s)
             except PermitUnavailable as exc:
                 emit(events.PermitsFailed(step=step, via=host, reason=str(exc)))
-                self._backoff_until[host] = self.clock.now() + HOST_BACKOFF_S
+                self._record_failure(host)
                 continue
             finally:
                 self._work_in_flight_s[host] -= work_s
                 self._release_host(host)
+            if host == self.own_address:
+                self._own_failures = 0
+                self._own_pauses.reset()
             permits.record_answer(workers, found, self.clock.now())
             emit(
                 events.PermitsHad(
@@ -151,14 +169,33 @@
         permits.failed(workers)
         return False
 
+    def _record_failure(self, host: str) -> None:
+        """Skip a host for a while; pause direct calls if they keep failing."""
+        now = self.clock.now()
+        self._backoff_until[host] = now + HOST_BACKOFF_S
+        if host != self.own_address:
+            return
+        self._own_failures += 1
+        # A call that was in flight beside a failed one does not lengthen the pause.
+        if self._own_failures >= FAILURES_BEFORE_PAUSE and now >= self._own_retry_at:
+            self._own_retry_at = now + self._own_pauses.next_s()
+
+    def _is_paused(self) -> bool:
+        """Return whether no host may be called: all failed, and no retry is due."""
+        now = self.clock.now()
+        return now < self._own_retry_at and not self._good_hosts(now)
+
     # --- per-host call limit -----------------------------------------------------
 
     async def _acquire_host(self, step: str, urgency: Urgency) -> str:
         """Wait, in order of urgency, for a host below its call limit and reserve it.
 
         Returns:
-            The host; empty if the step needs no permits any more.
+            The host; empty if the step needs no permits any more, or if no host may
+            be called at present.
         """
+        if self._is_paused():
+            return ""
         host = self._least_loaded_host()
         if host is not None and not self._waiters:
             self._calls_in_flight[host] = self._calls_in_flight.get(host, 0) + 1
@@ -179,6 +216,12 @@
 
     def _grant_waiters(self) -> None:
         """Assign available hosts to waiting calls, the most urgent first."""
+        if self._is_paused():
+            waiters, self._waiters = self._waiters, []
+            for waiter in waiters:
+                if not waiter.fut.done():
+                    waiter.fut.set_result("")
+            return
         self._rerank_waiters()
         while self._waiters:
             host = self._least_loaded_host()
@@ -210,9 +253,7 @@
         self._waiters = remaining
 
     def _least_loaded_host(self) -> str | None:
-        now = self.clock.now()
-        hosts = dict.fromkeys((self.own_address, *self.peers()))
-        good = [host for host in hosts if self._backoff_until.get(host, 0.0) <= now]
+        good = self._good_hosts(self.clock.now())
         free = [host for host in good or [self.own_address] if self._may_call(host)]
         # Ties go to the first host: it is the nearest, and calls between data centres
         # are expensive.
@@ -222,6 +263,11 @@
             default=None,
         )
 
+    def _good_hosts(self, now: float) -> list[str]:
+        """Return the hosts through which no call failed recently."""
+        hosts = dict.fromkeys((self.own_address, *self.peers()))
+        return [host for host in hosts if self._backoff_until.get(host, 0.0) <= now]
+
     def _may_call(self, host: str) -> bool:
         calls = self._calls_in_flight.get(host, 0)
         if calls and self.yield_to_urgent:
--- a/cranberrycleat/workflow/permits.py
+++ b/cranberrycleat/workflow/permits.py
@@ -30,7 +30,7 @@
             may run the step.
         issued_at: Earliest time at which each ticket may have been issued.
         asked: Workers that were queried.
-        calls_in_flight: Number of calls in flight.
+        calls_in_flight: Number of calls in flight, or waited for after a failure.
         share: Estimated share of workers allowed to the steps of its queue.
         renewing: Held while a renewal is in flight, so that placements made meanwhile
             share the next one.
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -1110,6 +1110,22 @@
         replacement="            pass",
         test="tests/test_gang_reservation.py::test_permits_are_renewed_before_all_members_fit",
     ),
+    Mutant(
+        guarantee="faults",
+        mechanism="pauses between calls to a permit service that answers nobody",
+        file="workflow/permit_queue.py",
+        text="        return now < self._own_retry_at and not self._good_hosts(now)",
+        replacement="        return False",
+        test="tests/test_permit_outage.py",
+    ),
+    Mutant(
+        guarantee="faults",
+        mechanism="reporting a suspected owner once",
+        file="workflow/node.py",
+        text="        if not self._reachability.is_suspected(holder):",
+        replacement="        if True:",
+        test="tests/test_node.py::test_dead_owner_is_reported_once_while_the_table_is_down",
+    ),
     Mutant(
         guarantee="decisions",
         mechanism="keeping a host free for urgent permit calls",
