Logs tell for how long a worker takes no orders, and explain names such starts

A worker that is left alone for 2 s logged worker.orders_unanswered anew with each further order.

Change: worker.orders_unanswered is logged once until an order is answered or the worker answers after a silence; worker.orders_answered ends it, with the number of unanswered orders and the time. explain treats the wait of an unanswered start as a stage, from the placement until it is settled, or until the logs end; it notes a worker that became silent meanwhile, and prints the two events for workers that the job was placed on. Which orders are sent, and when, does not change.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -576,7 +576,9 @@
 
 @event("worker.orders_unanswered")
 class WorkerOrdersUnanswered:
-    """An order to a worker was not answered; it receives no work until one is.
+    """A worker leaves orders unanswered; after each it receives no work for a while.
+
+    Logged once, until an order is answered or the worker answers after a silence.
 
     Attributes:
         worker: The worker.
@@ -591,6 +593,21 @@
     broken: int
 
 
+@event("worker.orders_answered")
+class WorkerOrdersAnswered:
+    """A worker that left orders unanswered answered one.
+
+    Attributes:
+        worker: The worker.
+        missed: Number of orders that it left unanswered in the meantime.
+        after_s: How long after the first of them.
+    """
+
+    worker: str
+    missed: int
+    after_s: float
+
+
 @event("worker.leaving")
 class WorkerLeaving:
     """A worker announced that it is leaving; it receives no more work."""
--- a/cranberrycleat/explain.py
+++ b/cranberrycleat/explain.py
@@ -19,6 +19,8 @@
 """A stage longer than this counts as slow: short jobs have 0.5 s to spare."""
 PREEMPTED_ENDS: Final = ("stopped", "member-ended")
 """How a preempted attempt ends, unless it ends by itself first."""
+UNANSWERED_START: Final = "its worker did not answer the start"
+FENCED_START: Final = "its worker answered no copy of the start, a fence settled it"
 RANK_REASONS: Final = ("no room", "permits are being asked for")
 """Reasons for which a step waits because others go first; steps at the end of a long
 queue do not ask for permits yet."""
@@ -35,6 +37,8 @@
     events.WorkerLeasesOver,
 )
 """Events that belong to no job but may explain why a job waited."""
+ORDER_EVENTS: Final = (events.WorkerOrdersUnanswered, events.WorkerOrdersAnswered)
+"""The same, for jobs that were placed on the worker."""
 CONTEXT_WINDOW_S: Final = 2.0
 """How long before the first entry of a job such events are considered."""
 
@@ -64,11 +68,19 @@
 
 @attrs.define(kw_only=True)
 class JobTimeline:
-    """The entries of a job in order, and context events of the same period."""
+    """The entries of a job in order, and context events of the same period.
+
+    Attributes:
+        job: The ID of the job.
+        job_entries: Its entries.
+        context: Entries that belong to no job, or to a worker that it was placed on.
+        logs_end_at: The time of the last entry of all logs.
+    """
 
     job: str
     job_entries: list[Entry] = attrs.field(factory=list)
     context: list[Entry] = attrs.field(factory=list)
+    logs_end_at: float = 0.0
 
     def first(self, kind: type[Any]) -> Entry | None:
         """Return the first entry of the job with a kind of event."""
@@ -133,23 +145,37 @@
         name = job_of(entry.event)
         if name:
             job_entries.setdefault(name, []).append(entry)
-        elif isinstance(entry.event, CONTEXT_EVENTS):
+        elif isinstance(entry.event, (*CONTEXT_EVENTS, *ORDER_EVENTS)):
             context.append(entry)
     times = [entry.at for entry in context]
     return [
         JobTimeline(
             job=job,
             job_entries=found,
-            context=context[
-                bisect.bisect_left(
-                    times, found[0].at - CONTEXT_WINDOW_S
-                ) : bisect.bisect_right(times, found[-1].at)
-            ],
+            context=_relevant(
+                context[
+                    bisect.bisect_left(
+                        times, found[0].at - CONTEXT_WINDOW_S
+                    ) : bisect.bisect_right(times, found[-1].at)
+                ],
+                found,
+            ),
+            logs_end_at=entries[-1].at,
         )
         for job, found in job_entries.items()
     ]
 
 
+def _relevant(context: list[Entry], job_entries: list[Entry]) -> list[Entry]:
+    """Return the context without orders to workers that a job was not placed on."""
+    workers = {getattr(entry.event, "worker", "") for entry in job_entries}
+    return [
+        entry
+        for entry in context
+        if not isinstance(entry.event, ORDER_EVENTS) or entry.event.worker in workers
+    ]
+
+
 def lost(timeline: JobTimeline) -> bool:
     """Return whether a job was refused, failed, late or unfinished."""
     ended = [e for e in timeline.job_entries if isinstance(e.event, events.JobEnded)]
@@ -287,7 +313,11 @@
 
 
 def _stage_cause(timeline: JobTimeline) -> Cause:
-    stages = [*_attempt_stages(timeline), *_gap_stages(timeline)]
+    stages = [
+        *_attempt_stages(timeline),
+        *_unanswered_stages(timeline),
+        *_gap_stages(timeline),
+    ]
     worst = max(stages, key=lambda stage: stage.seconds, default=None)
     if worst is None or worst.seconds < SLOW_STAGE_S:
         ended = [
@@ -326,8 +356,9 @@
                 reason = _wait_reason(timeline, entry)
                 text = f"waited for a place: {reason}{_surplus_note(timeline, reason)}"
                 stages.append(_Stage(seconds=waited_s, text=text, entry=entry))
-            case events.TaskStarted(after_s=after_s):
-                text = "placed, but its start came late"
+            case events.TaskStarted(after_s=after_s, sent=sent):
+                late_start = "placed, but its start came late"
+                text = UNANSWERED_START if sent > 1 else late_start
                 stages.append(_Stage(seconds=after_s, text=text, entry=entry))
             case events.JobShown(after_end_s=after_s):
                 text = "ended, but its end was stored late"
@@ -341,6 +372,66 @@
     return stages
 
 
+def _unanswered_stages(timeline: JobTimeline) -> list[_Stage]:
+    """Return the waits of starts without an answer that were settled otherwise."""
+    placed_at: dict[tuple[str, int], float] = {}
+    waits: dict[tuple[str, int], _Stage] = {}
+    stages: list[_Stage] = []
+    for entry in timeline.job_entries:
+        key = (getattr(entry.event, "task", ""), getattr(entry.event, "attempt", 0))
+        settled_at = entry.at
+        match entry.event:
+            case events.TaskPlaced():
+                placed_at[key] = entry.at
+                continue
+            case events.TaskUnanswered():
+                wait = _Stage(seconds=0.0, text=UNANSWERED_START, entry=entry)
+                waits.setdefault(key, wait)
+                continue
+            case events.TaskStartFenced() if key in waits:
+                waits[key].text = FENCED_START
+                continue
+            case events.JobEnded() | events.JobCancelled():
+                settled = list(waits)
+            case events.TaskStarted():
+                # Its delay is a stage of its own.
+                waits.pop(key, None)
+                continue
+            case events.TaskEnded(ran_s=ran_s):
+                settled_at -= ran_s
+                settled = [key]
+            case events.TaskGivenUp() | events.TaskRefused():
+                settled = [key]
+            case _:
+                continue
+        stages += _settle(timeline, waits, placed_at, settled, settled_at)
+    open_waits = list(waits)
+    stages += _settle(timeline, waits, placed_at, open_waits, timeline.logs_end_at)
+    return stages
+
+
+def _settle(
+    timeline: JobTimeline,
+    waits: dict[tuple[str, int], _Stage],
+    placed_at: dict[tuple[str, int], float],
+    keys: list[tuple[str, int]],
+    at: float,
+) -> list[_Stage]:
+    """Remove waits of attempts that are settled; return them with their durations."""
+    settled = [(key, waits.pop(key)) for key in keys if key in waits]
+    for key, stage in settled:
+        began_at = placed_at.get(key, stage.entry.at)
+        stage.seconds = at - began_at
+        if any(
+            isinstance(entry.event, events.WorkerSilent)
+            and entry.event.worker == stage.entry.event.worker
+            and began_at <= entry.at <= at
+            for entry in timeline.context
+        ):
+            stage.text += "; the worker became silent"
+    return [stage for _, stage in settled]
+
+
 def _preemption_text(timeline: JobTimeline, ended: Entry) -> str:
     """Return for what the attempt that ended was preempted; empty if it was not."""
     for entry in timeline.job_entries:
@@ -383,7 +474,10 @@
         timeline.job_entries, timeline.job_entries[1:], strict=False
     ):
         between = [
-            entry for entry in timeline.context if before.at <= entry.at <= after.at
+            entry
+            for entry in timeline.context
+            if before.at <= entry.at <= after.at
+            and not isinstance(entry.event, ORDER_EVENTS)
         ]
         gap_s = after.at - before.at
         if between and gap_s > SLOW_STAGE_S:
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -172,6 +172,8 @@
     slots: OrderSlots = attrs.field(factory=OrderSlots)
     _stops: set[tuple[str, int]] = attrs.field(factory=set)
     _throttles: set[tuple[str, int]] = attrs.field(factory=set)
+    _unanswered_since: float | None = None
+    _unanswered: int = 0
     _silent_retry: Backoff = attrs.field(
         factory=lambda: Backoff(first_s=SILENT_RETRY_S, max_s=SILENT_RETRY_MAX_S)
     )
@@ -292,6 +294,7 @@
         if worker.liveness is not Liveness.LIVE:
             emit(events.WorkerAnswers(worker=worker.name))
             worker.record_answered_order()
+            self._unanswered_since = None
             self.cluster_state.losses.clear(worker)
             worker.liveness = Liveness.LIVE
             self.owner.changed()
@@ -411,7 +414,7 @@
         self.cluster_state.start_settled(self.worker, placement, earlier_until)
         if self.closed:
             return None
-        self.worker.record_answered_order()
+        self._record_answered_order()
         if reply.verdict is Verdict.STALE_EPOCH:
             return ORDER_RETRY_S if self._is_fenced(order.fence) else 0.0
         if self._apply_start_reply(placement, reply, sending.unanswered + 1):
@@ -464,9 +467,12 @@
 
     def _record_missed_order(self, reason: str) -> None:
         """Give the worker no new work after an order without an answer."""
-        self.worker.record_missed_order(self.clock.now())
-        if self.worker.missed_orders != 1:
+        now = self.clock.now()
+        self.worker.record_missed_order(now)
+        if self._unanswered_since is not None:
+            self._unanswered += 1
             return
+        self._unanswered_since, self._unanswered = now, 1
         use = self.client.connections(self.worker.entry)
         emit(
             events.WorkerOrdersUnanswered(
@@ -477,6 +483,20 @@
             )
         )
 
+    def _record_answered_order(self) -> None:
+        """Let the worker receive work again after an order with an answer."""
+        self.worker.record_answered_order()
+        if self._unanswered_since is None:
+            return
+        emit(
+            events.WorkerOrdersAnswered(
+                worker=self.worker.name,
+                missed=self._unanswered,
+                after_s=round(self.clock.now() - self._unanswered_since, 3),
+            )
+        )
+        self._unanswered_since = None
+
     def _outdate_orders(self, fence: int) -> None:
         """Have later orders carry a higher fence than an unanswered one."""
         fleet = self.cluster_state.fleet
@@ -619,7 +639,7 @@
         except (WorkerReplaced, WorkerUnreachable) as exc:
             LOG.info("Throttle order for %s got no answer: %r", placement.task, exc)
             return
-        self.worker.record_answered_order()
+        self._record_answered_order()
         if reply.verdict is Verdict.ACCEPTED:
             placement.throttle = order.percent
             emit(
@@ -710,7 +730,7 @@
             return
         if self.closed:
             return
-        self.worker.record_answered_order()
+        self._record_answered_order()
         if reply.verdict is Verdict.STALE_EPOCH:
             if not self._is_fenced(fence) and self.owner.may_order():
                 await self._send_stop(placement)
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -166,6 +166,8 @@
                 metrics.count("workers.silent")
             case events.WorkerOrdersUnanswered():
                 metrics.count("workers.orders_unanswered")
+            case events.WorkerOrdersAnswered(after_s=after_s):
+                metrics.record("workers.orders_unanswered.duration", after_s)
             case events.WorkersConnections(opened=opened, broken=broken):
                 metrics.count("workers.connections.opened", opened)
                 metrics.count("workers.connections.broken", broken)
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -9,11 +9,13 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from typing import Any, TypeVar
 
 import attrs
 import pytest
 
+from cranberrycleat import events, logs
 from cranberrycleat.platform.workers import PlatformWorkers
 from cranberrycleat.standins.fleet import SimulatedWork
 from cranberrycleat.workflow.links import START_COPIES_S
@@ -24,6 +26,7 @@
 from tests.fakes import run_async
 from tests.http_workers import HttpWorker, at
 
+T = TypeVar("T")
 MAX_OPEN = 64
 """Connections that a worker holds, by the platform's documentation."""
 TASKS_PER_WORKER = 20
@@ -115,6 +118,20 @@
     return owner.cluster_state.reported.get(job_id) is JobState.COMPLETED
 
 
+@pytest.fixture(name="emitted")
+def emitted_events() -> Iterator[list[Any]]:
+    """Return the list of emitted events."""
+    emitted: list[Any] = []
+    logs.set_observer(emitted.append)
+    yield emitted
+    logs.set_observer(None)
+
+
+def of_kind(emitted: list[Any], kind: type[T]) -> list[T]:
+    """Return the events of a kind."""
+    return [each for each in emitted if isinstance(each, kind)]
+
+
 # Guards against accepted jobs that never run (LOST): connections of hosts that lost
 # power must leave room for those of the next owner.
 def test_next_owner_starts_tasks_after_owners_lost_power() -> None:
@@ -236,3 +253,23 @@
             )
 
     run_async(run())
+
+
+# Guards against an operator who can't tell for how long a worker took no orders.
+def test_log_tells_when_worker_takes_orders_again(emitted: list[Any]) -> None:
+    async def run() -> None:
+        async with http_cell(workers=1, processors=4000) as env:
+            env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.1)
+            owner = await env.own("one")
+            refusing = env.workers["w0"]
+            refusing.reset_paths = {"/api/run-start"}
+            await submit(owner, "a", job(step(2)))
+            await until(lambda: refusing.connections > 3)
+            refusing.reset_paths = set()
+            await until(lambda: is_completed(owner, "a"), RUN_LIMIT_S)
+
+    run_async(run())
+    (left,) = of_kind(emitted, events.WorkerOrdersUnanswered)
+    (answered,) = of_kind(emitted, events.WorkerOrdersAnswered)
+    assert left.worker == answered.worker == "w0"
+    assert answered.missed >= 2 and answered.after_s > 0
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -151,6 +151,24 @@
 )
 
 
+UNANSWERED = events.TaskUnanswered(
+    task="a.0.0.0", attempt=1, worker="w", reason="connection reset"
+)
+FENCED = events.TaskStartFenced(
+    task="a.0.0.0", attempt=1, worker="w", sent=4, after_s=1.0
+)
+NOT_STARTED = events.TaskGivenUp(
+    task="a.0.0.0", attempt=1, worker="w", reason="its start was not carried out"
+)
+
+
+def started(after_s: float, sent: int) -> events.TaskStarted:
+    """Return the event of a start that was accepted."""
+    return events.TaskStarted(
+        task="a.0.0.0", attempt=1, worker="w", after_s=after_s, sent=sent
+    )
+
+
 def waiting(reason: str) -> events.StepWaiting:
     """Return an event of a step that keeps waiting."""
     return events.StepWaiting(
@@ -238,6 +256,38 @@
             ],
             "it crashes its workers",
         ),
+        (
+            [ACCEPTED, STORED, placed(0.01), UNANSWERED, started(2.0, sent=4), ENDED],
+            "its worker did not answer the start (2.00 s)",
+        ),
+        (
+            [ACCEPTED, STORED, placed(0.01), UNANSWERED, FENCED, NOT_STARTED, ENDED],
+            "a fence settled it (3.00 s)",
+        ),
+        (
+            [
+                ACCEPTED,
+                STORED,
+                placed(0.01),
+                UNANSWERED,
+                events.OwnerSuspected(holder="h2", evidence="nobody listens"),
+                events.WorkerSilent(worker="w", tasks=1, reason="closed"),
+                FENCED,
+                NOT_STARTED,
+                ENDED,
+            ],
+            "a fence settled it; the worker became silent (5.00 s)",
+        ),
+        (
+            [
+                ACCEPTED,
+                STORED,
+                placed(0.01),
+                UNANSWERED,
+                events.WorkersDrawing(drawing=0, obstacles={}, steps_waiting=0),
+            ],
+            "its worker did not answer the start (2.00 s)",
+        ),
     ],
 )
 def test_explain_finds_the_deciding_line(told: list[object], expected: str) -> None:
@@ -275,6 +325,33 @@
     assert "1 jobs lost or late of 1; 0 unexplained" in summed.output
 
 
+def test_explain_prints_orders_only_of_workers_that_a_job_was_placed_on(
+    tmp_path: Path,
+) -> None:
+    """Otherwise the lines of a job drown in those of other workers."""
+    told = [
+        ACCEPTED,
+        placed(0.01),
+        *(
+            event
+            for name in ("w", "v")
+            for event in (
+                events.WorkerOrdersUnanswered(
+                    worker=name, reason="reset", opened=1, broken=1
+                ),
+                events.WorkerOrdersAnswered(worker=name, missed=3, after_s=2.0),
+            )
+        ),
+        ENDED,
+    ]
+    path = tmp_path / "log"
+    path.write_text("".join(line(each, at=float(at)) for at, each in enumerate(told)))
+    output = CliRunner().invoke(main, ["explain", "a", str(path)]).output
+    for name in ("worker.orders_unanswered", "worker.orders_answered"):
+        assert output.count(name) == 1
+    assert '"worker":"v"' not in output
+
+
 def shown(at: float) -> str:
     """Return the log line of a completed job's state being reported."""
     event = events.JobShown(job="a", state="completed", after_end_s=0.01)
