Proofs that the mechanisms for unanswered orders are needed

The stand-in worker's process records the paths of its requests and tells how many connections it holds.

--- a/tests/http_workers.py
+++ b/tests/http_workers.py
@@ -47,6 +47,7 @@
         connections: Number of connections opened to it.
         max_open: How many connections it holds at a time; it resets further ones at
             once. Those of a host that lost power stay open. None: no limit.
+        paths: The paths of the requests that it has read, in order.
         resets: Number of connections that it reset for this reason.
         reset_paths: Requests with these paths are not carried out; their connections
             are reset.
@@ -58,6 +59,7 @@
     port: int = 0
     connections: int = 0
     max_open: int | None = None
+    paths: list[str] = attrs.field(factory=list)
     resets: int = 0
     reset_paths: set[str] = attrs.field(factory=set)
     lost_answers: set[str] = attrs.field(factory=set)
@@ -69,6 +71,11 @@
         """Return the status and the body of an answer."""
         raise NotImplementedError
 
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections it holds."""
+        return len(self._open)
+
     async def start(self) -> None:
         """Listen, at the same address as before."""
         self._server = await asyncio.start_server(
@@ -100,6 +107,7 @@
                 length = head.lower().partition("content-length: ")[2].split("\r\n")[0]
                 req = json.loads(await reader.readexactly(int(length)))
                 path = head.split(" ")[1]
+                self.paths.append(path)
                 if path in self.reset_paths:
                     writer.transport.abort()
                     break
--- a/tests/test_cluster_state.py
+++ b/tests/test_cluster_state.py
@@ -215,3 +215,21 @@
         cluster_state.sync(worker, _done("a.0.0.0", 1), sent_at=0.0, now=0.0)
     assert len(cluster_state.ended) == 1
     assert sum(isinstance(each, events.JobEnded) for each in emitted) == 1
+
+
+# Guards against two runs of a task (TWICE): the answer to a sync that was sent before
+# the fence rose proves nothing, since the worker may still accept a late copy.
+def test_unanswered_start_is_settled_only_by_list_for_higher_fence() -> None:
+    cluster_state = _board()
+    cluster_state.accept("a", queue(), job(step()))
+    _place(cluster_state)
+    worker = cluster_state.fleet.workers["w"]
+    (placement,) = worker.placements.values()
+    nothing = SyncReply(worker_time_ms=1, running=(), ended=())
+    cluster_state.sync(worker, nothing, sent_at=1.0, now=1.0, fence=9)
+    assert worker.counts(placement)
+    placement.fenced_by = 8
+    cluster_state.sync(worker, nothing, sent_at=1.0, now=1.0, fence=7)
+    assert worker.counts(placement)
+    cluster_state.sync(worker, nothing, sent_at=1.0, now=1.0, fence=8)
+    assert not worker.counts(placement)
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -19,6 +19,7 @@
 from cranberrycleat.platform.workers import PlatformWorkers
 from cranberrycleat.standins.fleet import SimulatedWork
 from cranberrycleat.workflow.links import START_COPIES_S
+from cranberrycleat.workflow.order_slots import MAX_ORDERS
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.ports import Verdict, WorkerEntry
 from cranberrycleat.workflow.state import JobState
@@ -29,6 +30,8 @@
 T = TypeVar("T")
 MAX_OPEN = 64
 """Connections that a worker holds, by the platform's documentation."""
+START_PATH = "/api/run-start"
+STOP_PATH = "/api/run-stop"
 TASKS_PER_WORKER = 20
 DEAD_OWNERS = 3
 """Their connections, with those for syncs, leave hardly one free on each worker."""
@@ -165,7 +168,7 @@
             env.cell.fleet.gang = lambda name: gang
             owner = await env.own("one")
             refusing = env.workers["w0"]
-            refusing.reset_paths = {"/api/run-start"}
+            refusing.reset_paths = {START_PATH}
             await submit(owner, "a", job(step(8, gang=gang)))
             await until(lambda: refusing.connections > 1)
             await env.add_worker("w2", processors=4000)
@@ -207,7 +210,7 @@
         async with http_cell(workers=2, processors=4000) as env:
             env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=2.0)
             owner = await env.own("one")
-            env.workers["w0"].lost_answers = {"/api/run-start"}
+            env.workers["w0"].lost_answers = {START_PATH}
             await submit(owner, "a", job(step(8)))
             await until(lambda: is_completed(owner, "a"), RUN_LIMIT_S)
             assert len(env.cell.fleet.starts) == 8 and not env.cell.fleet.faults
@@ -222,7 +225,7 @@
             env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.1)
             owner = await env.own("one")
             refusing = env.workers["w0"]
-            refusing.reset_paths = {"/api/run-start"}
+            refusing.reset_paths = {START_PATH}
             await submit(owner, "a", job(step(2)))
             await until(lambda: refusing.connections > 3)
             await asyncio.sleep(START_COPIES_S)
@@ -262,7 +265,7 @@
             env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.1)
             owner = await env.own("one")
             refusing = env.workers["w0"]
-            refusing.reset_paths = {"/api/run-start"}
+            refusing.reset_paths = {START_PATH}
             await submit(owner, "a", job(step(2)))
             await until(lambda: refusing.connections > 3)
             refusing.reset_paths = set()
@@ -273,3 +276,43 @@
     (answered,) = of_kind(emitted, events.WorkerOrdersAnswered)
     assert left.worker == answered.worker == "w0"
     assert answered.missed >= 2 and answered.after_s > 0
+
+
+# Guards against workers that former owners fill with idle connections (LOST).
+def test_owner_closes_its_connections_when_its_ownership_ends() -> None:
+    async def run() -> None:
+        async with http_cell(workers=1, processors=4000) as env:
+            env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.1)
+            worker = env.workers["w0"]
+            owner = await env.own("one")
+            await submit(owner, "a", job(step(4)))
+            await until(lambda: is_completed(owner, "a"))
+            assert worker.open_connections > 1
+            task = env.cell.tasks.pop()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await until(lambda: worker.open_connections == 0, 1.0)
+
+    run_async(run())
+
+
+# Guards against stops that wait behind a queue of starts to the same worker (UNASKED).
+def test_stop_is_sent_before_starts_that_wait() -> None:
+    async def run() -> None:
+        async with http_cell(workers=1, processors=4000) as env:
+            env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=5.0)
+            owner = await env.own("one")
+            worker = env.workers["w0"]
+            worker.answer_delay_s = 0.05
+            await submit(owner, "a", job(step(1, processors=100)))
+            await until(lambda: len(env.cell.fleet.starts) == 1)
+            await submit(owner, "b", job(step(20, processors=100)))
+            await until(lambda: worker.paths.count(START_PATH) > 1)
+            await owner.cancel("a")
+            await until(lambda: worker.paths.count(START_PATH) == 21)
+            starts_before = worker.paths[: worker.paths.index(STOP_PATH)].count(
+                START_PATH
+            )
+            assert starts_before < 21 - MAX_ORDERS
+
+    run_async(run())
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -10,7 +10,7 @@
 from cranberrycleat.workflow.crash_attribution import LostWorker
 from cranberrycleat.workflow.decisions.feasibility import infeasibility_reason
 from cranberrycleat.workflow.decisions.planner import Plan, Planner
-from cranberrycleat.workflow.fleet import FleetWorker, Liveness
+from cranberrycleat.workflow.fleet import MISSED_ORDER_PAUSE_S, FleetWorker, Liveness
 from cranberrycleat.workflow.ports import Permit, PermitTiming, Queue
 from cranberrycleat.workflow.spec import Schedule, StepSpec, WorkflowSpec
 from tests.cell import entry, job, queue, step
@@ -174,6 +174,10 @@
     each.unresponsive = True
 
 
+def _missing_orders(each: FleetWorker) -> None:
+    each.record_missed_order(0.0)
+
+
 def _unlisted(each: FleetWorker) -> None:
     each.listed = False
 
@@ -187,11 +191,13 @@
         each.record_attempt_failure(f"job{number}", 0.0)
 
 
-@pytest.mark.parametrize("mar", [_silent, _doubted, _unlisted, _leaving, _failing])
+@pytest.mark.parametrize(
+    "mar", [_silent, _doubted, _missing_orders, _unlisted, _leaving, _failing]
+)
 def test_unavailable_worker_gets_no_tasks(
     mar: Callable[[FleetWorker], None],
 ) -> None:
-    """Silent, suspected, unlisted, leaving and failing workers are not used."""
+    """Silent, suspected, unresponsive, unlisted, leaving, failing ones are not used."""
     owner_board = cluster_state(worker("w"))
     mar(owner_board.fleet.workers["w"])
     submit(owner_board, "a", job(step(1)), queue())
@@ -199,6 +205,22 @@
     assert placed(owner_board) == {"w": []}
 
 
+# Guards against starts without end to a worker that answers syncs only (LOST), and
+# against a worker that is not used any more because a single answer was lost.
+def test_starts_are_withheld_after_two_unanswered_orders_until_one_is_answered() -> (
+    None
+):
+    each = worker("w")
+    each.liveness = Liveness.LIVE
+    each.record_missed_order(0.0)
+    assert each.may_start(0.1) and not each.may_accept_work(0.1)
+    each.record_missed_order(0.2)
+    assert not each.may_start(0.3)
+    assert each.may_start(0.2 + MISSED_ORDER_PAUSE_S)
+    each.record_answered_order()
+    assert each.may_start(0.3) and each.may_accept_work(0.3)
+
+
 def test_failing_worker_is_probed_with_one_task() -> None:
     """After its quarantine it gets one task; a success ends the probation."""
     owner_board = cluster_state(worker("w"))
