A test that the log stays bounded while a worker takes no starts

Cause: before the limit on copies, 7,920 task.unanswered lines were written in 31 s; no test counted lines.

Two rows in tests.prove.

--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -1238,4 +1238,20 @@
         replacement="        await self._acquire(self._other)",
         test="tests/test_order_slots.py::test_urgent_orders_are_served_first_and_others_in_turn",
     ),
+    Mutant(
+        guarantee="logs",
+        mechanism="one line for all copies of an unanswered start",
+        file="workflow/links.py",
+        text="            if not sending.unanswered:\n                emit(",
+        replacement="            if True:\n                emit(",
+        test="tests/test_connection_limit.py::test_log_volume_is_bounded_while_worker_takes_no_starts",
+    ),
+    Mutant(
+        guarantee="logs",
+        mechanism="one line for a worker that leaves orders unanswered",
+        file="workflow/links.py",
+        text="        if self._unanswered_since is not None:\n            self._unanswered += 1\n            return\n",
+        replacement="",
+        test="tests/test_connection_limit.py::test_log_volume_is_bounded_while_worker_takes_no_starts",
+    ),
 )
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -41,6 +41,10 @@
 MAX_STARTS_RESET = 40
 """Starts sent to a worker that takes none, within `RUN_LIMIT_S`: a few copies of each
 of four tasks. Every 0.05 s would be 480."""
+REFUSED_S = 5.0
+MAX_REFUSED_EVENTS = 80
+"""Events in `REFUSED_S` while the only worker takes no starts: four for each attempt,
+four at a time, and the lines of four jobs that wait."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -316,3 +320,31 @@
             assert starts_before < 21 - MAX_ORDERS
 
     run_async(run())
+
+
+# Guards against logs that grow with each copy: 7,920 lines in 31 s were seen. Lines
+# tell what changes; how many there are depends on attempts, not on copies.
+def test_log_volume_is_bounded_while_worker_takes_no_starts(
+    emitted: list[Any],
+) -> None:
+    resets: list[int] = []
+
+    async def run() -> None:
+        async with http_cell(workers=1, processors=4000) as env:
+            owner = await env.own("one")
+            refusing = env.workers["w0"]
+            refusing.reset_paths = {START_PATH}
+            for number in range(4):
+                await submit(owner, f"j{number}", job(step(2)))
+            await asyncio.sleep(REFUSED_S)
+            resets.append(refusing.paths.count(START_PATH))
+
+    run_async(run())
+    unanswered = of_kind(emitted, events.TaskUnanswered)
+    attempts = {(each.task, each.attempt) for each in unanswered}
+    assert resets[0] >= 3 * len(attempts) > 3
+    assert len(unanswered) == len(attempts)
+    assert len(of_kind(emitted, events.TaskStartFenced)) <= len(attempts)
+    assert len(of_kind(emitted, events.WorkerOrdersUnanswered)) == 1
+    assert not of_kind(emitted, events.WorkerOrdersAnswered)
+    assert len(emitted) <= MAX_REFUSED_EVENTS
