--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -9,14 +9,17 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from typing import Any, TypeVar
 
 import attrs
 import pytest
 
+from cranberrycleat import events, logs
 from cranberrycleat.platform.workers import PlatformWorkers
 from cranberrycleat.standins.fleet import SimulatedWork, StandinFleet
 from cranberrycleat.workflow.links import MIN_START_COPIES, START_COPIES_S
+from cranberrycleat.workflow.order_slots import MAX_ORDERS
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.ports import (
     OrderReply,
@@ -30,8 +33,11 @@
 from tests.fakes import run_async
 from tests.http_workers import HttpWorker, at
 
+T = TypeVar("T")
 MAX_OPEN = 64
 """Connections that a worker holds, by the platform's documentation."""
+START_PATH = "/api/run-start"
+STOP_PATH = "/api/run-stop"
 TASKS_PER_WORKER = 20
 DEAD_OWNERS = 3
 """Their connections, with those for syncs, leave hardly one free on each worker."""
@@ -41,6 +47,10 @@
 MAX_STARTS_RESET = 40
 """Starts sent to a worker that takes none, within `RUN_LIMIT_S`: a few copies of each
 of four tasks. Every 0.05 s would be 480."""
+REFUSED_S = 5.0
+MAX_REFUSED_EVENTS = 80
+"""Events in `REFUSED_S` while the only worker takes no starts: four for each attempt,
+four at a time, and the lines of four jobs that wait."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -121,6 +131,20 @@
     return owner.cluster_state.reported.get(job_id) is JobState.COMPLETED
 
 
+@pytest.fixture(name="emitted")
+def emitted_events() -> Iterator[list[Any]]:
+    """Return the list of emitted events."""
+    emitted: list[Any] = []
+    logs.set_observer(emitted.append)
+    yield emitted
+    logs.set_observer(None)
+
+
+def of_kind(emitted: list[Any], kind: type[T]) -> list[T]:
+    """Return the events of a kind."""
+    return [each for each in emitted if isinstance(each, kind)]
+
+
 # Guards against accepted jobs that never run (LOST): connections of hosts that lost
 # power must leave room for those of the next owner.
 def test_next_owner_starts_tasks_after_owners_lost_power() -> None:
@@ -154,7 +178,7 @@
             env.cell.fleet.gang = lambda name: gang
             owner = await env.own("one")
             refusing = env.workers["w0"]
-            refusing.reset_paths = {"/api/run-start"}
+            refusing.reset_paths = {START_PATH}
             await submit(owner, "a", job(step(8, gang=gang)))
             await until(lambda: refusing.connections > 1)
             await env.add_worker("w2", processors=4000)
@@ -196,7 +220,7 @@
         async with http_cell(workers=2, processors=4000) as env:
             env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=2.0)
             owner = await env.own("one")
-            env.workers["w0"].lost_answers = {"/api/run-start"}
+            env.workers["w0"].lost_answers = {START_PATH}
             await submit(owner, "a", job(step(8)))
             await until(lambda: is_completed(owner, "a"), RUN_LIMIT_S)
             assert len(env.cell.fleet.starts) == 8 and not env.cell.fleet.faults
@@ -211,7 +235,7 @@
             env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.1)
             owner = await env.own("one")
             refusing = env.workers["w0"]
-            refusing.reset_paths = {"/api/run-start"}
+            refusing.reset_paths = {START_PATH}
             await submit(owner, "a", job(step(2)))
             await until(lambda: refusing.connections > 3)
             await asyncio.sleep(START_COPIES_S)
@@ -262,3 +286,91 @@
             assert known.may_accept_work(env.clock.now())
 
     run_async(run())
+
+
+# Guards against an operator who can't tell for how long a worker took no orders.
+def test_log_tells_when_worker_takes_orders_again(emitted: list[Any]) -> None:
+    async def run() -> None:
+        async with http_cell(workers=1, processors=4000) as env:
+            env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.1)
+            owner = await env.own("one")
+            refusing = env.workers["w0"]
+            refusing.reset_paths = {START_PATH}
+            await submit(owner, "a", job(step(2)))
+            await until(lambda: refusing.connections > 3)
+            refusing.reset_paths = set()
+            await until(lambda: is_completed(owner, "a"), RUN_LIMIT_S)
+
+    run_async(run())
+    (left,) = of_kind(emitted, events.WorkerOrdersUnanswered)
+    (answered,) = of_kind(emitted, events.WorkerOrdersAnswered)
+    assert left.worker == answered.worker == "w0"
+    assert answered.missed >= 2 and answered.after_s > 0
+
+
+# Guards against workers that former owners fill with idle connections (LOST).
+def test_owner_closes_its_connections_when_its_ownership_ends() -> None:
+    async def run() -> None:
+        async with http_cell(workers=1, processors=4000) as env:
+            env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.1)
+            worker = env.workers["w0"]
+            owner = await env.own("one")
+            await submit(owner, "a", job(step(4)))
+            await until(lambda: is_completed(owner, "a"))
+            assert worker.open_connections > 1
+            task = env.cell.tasks.pop()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await until(lambda: worker.open_connections == 0, 1.0)
+
+    run_async(run())
+
+
+# Guards against stops that wait behind a queue of starts to the same worker (UNASKED).
+def test_stop_is_sent_before_starts_that_wait() -> None:
+    async def run() -> None:
+        async with http_cell(workers=1, processors=4000) as env:
+            env.cell.fleet.work = lambda task, attempt: SimulatedWork(seconds=5.0)
+            owner = await env.own("one")
+            worker = env.workers["w0"]
+            worker.answer_delay_s = 0.05
+            await submit(owner, "a", job(step(1, processors=100)))
+            await until(lambda: len(env.cell.fleet.starts) == 1)
+            await submit(owner, "b", job(step(20, processors=100)))
+            await until(lambda: worker.paths.count(START_PATH) > 1)
+            await owner.cancel("a")
+            await until(lambda: worker.paths.count(START_PATH) == 21)
+            starts_before = worker.paths[: worker.paths.index(STOP_PATH)].count(
+                START_PATH
+            )
+            assert starts_before < 21 - MAX_ORDERS
+
+    run_async(run())
+
+
+# Guards against logs that grow with each copy: 7,920 lines in 31 s were seen. Lines
+# tell what changes; how many there are depends on attempts, not on copies.
+def test_log_volume_is_bounded_while_worker_takes_no_starts(
+    emitted: list[Any],
+) -> None:
+    resets: list[int] = []
+
+    async def run() -> None:
+        async with http_cell(workers=1, processors=4000) as env:
+            owner = await env.own("one")
+            refusing = env.workers["w0"]
+            refusing.reset_paths = {START_PATH}
+            for number in range(4):
+                await submit(owner, f"j{number}", job(step(2)))
+            await asyncio.sleep(REFUSED_S)
+            resets.append(refusing.paths.count(START_PATH))
+
+    run_async(run())
+    unanswered = of_kind(emitted, events.TaskUnanswered)
+    attempts = {(each.task, each.attempt) for each in unanswered}
+    assert resets[0] >= 3 * len(attempts) > 3
+    assert len(unanswered) == len(attempts)
+    assert len(of_kind(emitted, events.TaskStartFenced)) <= len(attempts)
+    assert len(of_kind(emitted, events.WorkerOrdersUnanswered)) == 1
+    assert not of_kind(emitted, events.WorkerOrdersAnswered)
+    assert len(emitted) <= MAX_REFUSED_EVENTS
