Unanswered throttles are sent again after a pause; stops within 1.4 s

A throttle without answer was sent again after each sync, over a new connection each time. It waits 0.7 s now and counts as a missed order. Stops wait 1.4 s at most, so that a worker that leaves them unanswered gets no new work in between. The copies of a start are limited by time and by number; the least number of copies went, since the time in which a worker is silent does not count.

--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -70,8 +70,6 @@
 START_COPIES_S: Final = 1.0
 """How long copies of an unanswered start are sent. A worker that leaves half of its
 orders unanswered has answered one of them by then."""
-MIN_START_COPIES: Final = 3
-"""How many are sent at least in that time."""
 MAX_START_COPIES: Final = 12
 """How many are sent in all to a worker that is silent again and again: the time begins
 anew whenever it answers."""
@@ -79,7 +77,11 @@
 """The time limit for syncs while the worker leaves orders unanswered: the next sync
 settles their starts."""
 STOP_RESEND_S: Final = 0.7
-STOP_RESEND_MAX_S: Final = 2.8
+STOP_RESEND_MAX_S: Final = 1.4
+"""With jitter below `fleet.MISSED_ORDER_PAUSE_S`: a worker that leaves stops unanswered
+gets no new work between them."""
+THROTTLE_RESEND_S: Final = 0.7
+"""The pause after an unanswered throttle; what it would say changes with each sync."""
 UNHEALTHY_QUARANTINE_S: Final = 1.0
 """How long a worker that refuses a start as unhealthy is given no work."""
 STORE_WAIT_S: Final = 1.0
@@ -102,7 +104,6 @@
         first_sent_at: When the first was sent, on the owner's clock.
         unanswered: How many copies were not answered.
         counted_from: From when `START_COPIES_S` is counted.
-        counted_copies: How many copies were not answered since.
         backoff: The pauses between copies.
     """
 
@@ -110,27 +111,19 @@
     first_sent_at: float = 0.0
     unanswered: int = 0
     counted_from: float = 0.0
-    counted_copies: int = 0
     backoff: Backoff = attrs.field(
         factory=lambda: Backoff(first_s=ORDER_RETRY_S, max_s=ORDER_RETRY_MAX_S)
     )
 
-    def record_unanswered(self) -> None:
-        """Record that a copy was not answered."""
-        self.unanswered += 1
-        self.counted_copies += 1
-
     def count_again_from(self, now: float) -> None:
         """Begin to count anew: no answer could be expected until now."""
-        self.counted_from, self.counted_copies = now, 0
+        self.counted_from = now
         self.backoff.reset()
 
     def is_exhausted(self, now: float) -> bool:
         """Return whether no further copy is sent."""
-        if self.unanswered >= MAX_START_COPIES:
-            return True
-        enough = self.counted_copies >= MIN_START_COPIES
-        return enough and now - self.counted_from > START_COPIES_S
+        in_time = now - self.counted_from <= START_COPIES_S
+        return not in_time or self.unanswered >= MAX_START_COPIES
 
 
 class OrderAuthority(Protocol):
@@ -431,7 +424,7 @@
                         reason=str(exc),
                     )
                 )
-            sending.record_unanswered()
+            sending.unanswered += 1
             self._record_missed_order(str(exc))
             return sending.backoff.next_s()
         self.cluster_state.start_settled(self.worker, placement, earlier_until)
@@ -644,12 +637,16 @@
     async def _throttle(self, order: ThrottleOrder, key: tuple[str, int]) -> None:
         try:
             async with self.slots.slot():
-                if self.owner.may_order():
-                    await self._send_throttle(order)
+                answered = not self.owner.may_order() or await self._send_throttle(
+                    order
+                )
+            if not answered:
+                await asyncio.sleep(THROTTLE_RESEND_S)
         finally:
             self._throttles.discard(key)
 
-    async def _send_throttle(self, order: ThrottleOrder) -> None:
+    async def _send_throttle(self, order: ThrottleOrder) -> bool:
+        """Send a throttle order; return whether it was answered."""
         placement = order.placement
         try:
             reply = await self.client.throttle(
@@ -660,8 +657,9 @@
                 self.fence,
             )
         except (WorkerReplaced, WorkerUnreachable) as exc:
-            LOG.info("Throttle order for %s got no answer: %r", placement.task, exc)
-            return
+            LOG.debug("Throttle order for %s got no answer: %r", placement.task, exc)
+            self._record_missed_order(repr(exc))
+            return False
         self._record_answered_order()
         if reply.verdict is Verdict.ACCEPTED:
             placement.throttle = order.percent
@@ -674,6 +672,7 @@
                     pressure=round(pressure(self.worker), 3),
                 )
             )
+        return True
 
     # --- stops ----------------------------------------------------------------
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -1,19 +1,29 @@
 """Tests of services, fillers, leaving workers and upkeep waves."""
 
 import asyncio
+from types import SimpleNamespace
+from typing import Any
 
 import attrs
 import pytest
 
-from cranberrycleat.standins.fleet import SimulatedWork
+from cranberrycleat.clock import MonotonicClock
+from cranberrycleat.standins.fleet import SimulatedWork, StandinFleet
 from cranberrycleat.table import Put
+from cranberrycleat.workflow import links
 from cranberrycleat.workflow.decisions.evacuation import placements_to_stop
 from cranberrycleat.workflow.decisions.filler_throttling import throttle_orders
 from cranberrycleat.workflow.decisions.planner import Planner
 from cranberrycleat.workflow.decisions.preemption import select_victims
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
+from cranberrycleat.workflow.links import WorkerLink
 from cranberrycleat.workflow.owner import Owner
-from cranberrycleat.workflow.ports import EndKind
+from cranberrycleat.workflow.ports import (
+    EndKind,
+    OrderReply,
+    WorkerEntry,
+    WorkerUnreachable,
+)
 from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.upkeep import (
     Machine,
@@ -25,7 +35,7 @@
     placements_to_move,
 )
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
-from tests.cell import Cell, cell, job, queue, step, submit, until
+from tests.cell import BOUNDS, Cell, cell, job, queue, step, submit, until
 from tests.fakes import run_async
 from tests.test_planner import NOW_S, cluster_state, placed, worker
 
@@ -58,6 +68,53 @@
     return only
 
 
+@attrs.define(kw_only=True, eq=False)
+class UnansweringFleet(StandinFleet):
+    """Workers that leave throttle orders unanswered.
+
+    Attributes:
+        throttles: Number of throttle orders sent.
+    """
+
+    throttles: int = 0
+
+    async def throttle(
+        self, entry: WorkerEntry, task: str, attempt: int, percent: int, fence: int
+    ) -> OrderReply:
+        """Count the order and give no answer."""
+        self.throttles += 1
+        raise WorkerUnreachable("the connection was reset")
+
+
+# Guards against throttle orders that are sent again after every sync, each over a new
+# connection, to a worker at its limit of connections.
+def test_unanswered_throttle_is_sent_again_after_pause(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        fleet = UnansweringFleet()
+        owner: Any = SimpleNamespace(epoch=1, may_order=lambda: True)
+        link = WorkerLink(
+            worker=worker_with_fillers(100.0),
+            cluster_state=cluster_state(),
+            client=fleet,
+            owner=owner,
+            clock=MonotonicClock(),
+            bounds=BOUNDS,
+            lease_s=1.0,
+        )
+        monkeypatch.setattr(links, "THROTTLE_RESEND_S", 0.2)
+        began = link.clock.now()
+        while fleet.throttles < 6:
+            link._order_throttles()
+            await asyncio.sleep(0.01)
+        await link.orders.cancel()
+        # Two fillers, three orders for each.
+        assert link.clock.now() - began >= 2 * links.THROTTLE_RESEND_S
+
+    run_async(run())
+
+
 @pytest.mark.parametrize(
     ("reading", "expected"), [(40, None), (70, None), (90, 50), (100, 0), (400, 0)]
 )
