Planned starts outlast lost answers, and a worker is used in full afterwards

A worker of which no copy of a start was answered was quarantined, and then given one task until one had succeeded there: after a fault of all workers of 2.5 s, a gang of 6 and 4 of 6 lasting tasks did not run 12 s later (LOST). And after two unanswered orders in a row all starts that were planned for the worker were given up: 4 answers lost together among 28 starts cost 3.4 s and a restart for a gang, 0.1 s before.

The pause for new work grows to 4 s instead, and one answered order ends it. Planned starts wait for an answer, for 1 s at most. While a start is to be settled, syncs are short also where the worker answers other orders: they took up to 1.5 s each.

test_workers_that_take_orders_again_are_used_in_full[services] and test_lost_answers_give_up_no_planned_starts[tasks] failed before and pass. may_start takes no time again; the test that planned starts are withheld asks takes_no_orders, which decides it now, and a new one counts the starts sent.

--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -36,12 +36,14 @@
 
 
 MISSED_ORDERS_LIMIT: Final = 2
-"""Number of unanswered orders in a row after which a worker is sent no further starts,
-not even those that were planned before."""
+"""Number of unanswered orders in a row after which planned starts wait until one is
+answered."""
 MISSED_ORDER_PAUSE_S: Final = 2.0
-"""How long a worker gets no new work after an unanswered order if none is answered. Its
-copies are sent for a shorter time, so that a worker that answers none is quarantined
-before this ends."""
+"""How long a worker gets no new work after an unanswered order if none is answered.
+Copies of a start are sent for a shorter time."""
+MAX_MISSED_ORDER_PAUSE_S: Final = 4.0
+"""The same after several starts in a row of which no copy was answered. It is no
+quarantine: a task that succeeds is no better evidence than one answered order."""
 
 
 def reserved_resources(step: StepSpec) -> Amounts:
@@ -255,6 +257,7 @@
         unresponsive: Whether its data centre is silent; it is given no work until it
             answers again.
         missed_orders: Number of consecutive orders that it left unanswered.
+        missed_order_pause_s: How long the next unanswered order keeps new work away.
         orders_unanswered_until: It is given no work before this time unless it answers
             an order; an answer to a sync, which has a connection of its own, is no
             evidence that it takes orders.
@@ -297,6 +300,7 @@
     missing_since: float | None = None
     unresponsive: bool = False
     missed_orders: int = 0
+    missed_order_pause_s: float = MISSED_ORDER_PAUSE_S
     orders_unanswered_until: float = float("-inf")
     held: bool = False
     unsized: int = 0
@@ -386,18 +390,14 @@
         """Return whether no attempt there has only just begun."""
         return all(map(self.outlived_crash_window, self.placements.values()))
 
-    def may_start(self, now: float) -> bool:
+    def may_start(self) -> bool:
         """Return whether start orders for existing placements may still be sent.
 
         Between planning and ordering lie a transaction and sometimes a permit request,
         time enough for a worker to become silent, to shrink or to announce that it
         leaves.
         """
-        responsive = (
-            self.liveness is Liveness.LIVE
-            and not self.unresponsive
-            and not self.takes_no_orders(now)
-        )
+        responsive = self.liveness is Liveness.LIVE and not self.unresponsive
         away = self.entry.leaving or self.held or not self.entry.readable
         return (
             responsive
@@ -423,11 +423,21 @@
         if not self.leaves_orders_unanswered(now):
             self.missed_orders = 0
         self.missed_orders += 1
-        self.orders_unanswered_until = now + MISSED_ORDER_PAUSE_S
+        self._pause_orders(now, self.missed_order_pause_s)
+
+    def record_unanswered_start(self, now: float) -> None:
+        """Record that no copy of a start was answered; lengthens the pause."""
+        pause_s = min(MAX_MISSED_ORDER_PAUSE_S, 2 * self.missed_order_pause_s)
+        self._pause_orders(now, pause_s)
+        self.missed_order_pause_s = pause_s
+
+    def _pause_orders(self, now: float, pause_s: float) -> None:
+        self.orders_unanswered_until = max(self.orders_unanswered_until, now + pause_s)
 
     def record_answered_order(self) -> None:
         """Record that an order was answered."""
         self.missed_orders = 0
+        self.missed_order_pause_s = MISSED_ORDER_PAUSE_S
         self.orders_unanswered_until = float("-inf")
 
     def is_overcommitted(self) -> bool:
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -104,6 +104,7 @@
         first_sent_at: When the first was sent, on the owner's clock.
         unanswered: How many copies were not answered.
         counted_from: From when `START_COPIES_S` is counted.
+        waits_since: Since when the first copy waits for an answer to another order.
         backoff: The pauses between copies.
     """
 
@@ -111,10 +112,17 @@
     first_sent_at: float = 0.0
     unanswered: int = 0
     counted_from: float = 0.0
+    waits_since: float | None = None
     backoff: Backoff = attrs.field(
         factory=lambda: Backoff(first_s=ORDER_RETRY_S, max_s=ORDER_RETRY_MAX_S)
     )
 
+    def may_wait(self, now: float) -> bool:
+        """Return whether the first copy may wait for an answer to another order."""
+        if self.waits_since is None:
+            self.waits_since = now
+        return now - self.waits_since <= START_COPIES_S
+
     def count_again_from(self, now: float) -> None:
         """Begin to count anew: no answer could be expected until now."""
         self.counted_from = now
@@ -184,6 +192,7 @@
     slots: OrderSlots = attrs.field(factory=OrderSlots)
     _stops: set[tuple[str, int]] = attrs.field(factory=set)
     _throttles: set[tuple[str, int]] = attrs.field(factory=set)
+    _copied: set[Placement] = attrs.field(factory=set)
     _unanswered_since: float | None = None
     _unanswered: int = 0
     _silent_retry: Backoff = attrs.field(
@@ -287,13 +296,20 @@
 
     def _wait_ms(self) -> int:
         """Return how long a sync may stay open; load readings are wanted more often."""
-        if self.worker.leaves_orders_unanswered(self.clock.now()):
+        if self._awaits_settlement():
             return MISSED_ORDERS_SYNC_WAIT_MS
         placements = self.worker.placements.values()
         if any(map(serves, placements)) and any(map(fills, placements)):
             return SERVING_SYNC_WAIT_MS
         return round(self.lease_s * SYNC_WAIT_LEASE_SHARE * 1000)
 
+    def _awaits_settlement(self) -> bool:
+        """Return whether a list may soon have to settle an unanswered start."""
+        if self._copied or self.worker.leaves_orders_unanswered(self.clock.now()):
+            return True
+        placements = self.worker.placements.values()
+        return any(p.fenced_by is not None and not p.running for p in placements)
+
     def _apply_sync_reply(self, reply: SyncReply, sent_at: float, fence: int) -> None:
         worker = self.worker
         now = self.clock.now()
@@ -354,10 +370,13 @@
         """Send a start order until its outcome is settled, or left to the next sync."""
         sending = _Sending()
         pause_s: float | None = 0.0
-        while pause_s is not None and self._wants_start(placement):
-            await asyncio.sleep(pause_s)
-            async with self.slots.slot():
-                pause_s = await self._send_next_start(placement, sending)
+        try:
+            while pause_s is not None and self._wants_start(placement):
+                await asyncio.sleep(pause_s)
+                async with self.slots.slot():
+                    pause_s = await self._send_next_start(placement, sending)
+        finally:
+            self._copied.discard(placement)
         if self._is_counted(placement) and not placement.ordered:
             self.cluster_state.give_up(self.worker, placement, "never ordered")
             self.owner.changed()
@@ -386,6 +405,9 @@
             placement.stop(reason)
             return None
         now = self.clock.now()
+        if sending.order is None and self.worker.takes_no_orders(now):
+            # Giving up a member stops its whole gang, which one answer may yet spare.
+            return ORDER_RETRY_S if sending.may_wait(now) else None
         if not self._is_live():
             sending.count_again_from(now)
             return ORDER_RETRY_S
@@ -425,6 +447,7 @@
                     )
                 )
             sending.unanswered += 1
+            self._copied.add(placement)
             self._record_missed_order(str(exc))
             return sending.backoff.next_s()
         self.cluster_state.start_settled(self.worker, placement, earlier_until)
@@ -452,9 +475,7 @@
                 after_s=round(now - sending.first_sent_at, 3),
             )
         )
-        if now >= worker.quarantined_until:
-            worker.quarantine(now)
-            emit(events.WorkerQuarantined(worker=worker.name, rest_s=worker.rest_s))
+        worker.record_unanswered_start(now)
 
     def _void_start(self, placement: Placement) -> bool:
         """Raise the fence above that of each start sent for an attempt, if possible."""
@@ -520,8 +541,9 @@
             fleet.outdate_orders(self.worker)
 
     def _may_start(self, placement: Placement) -> bool:
-        may_start = self.worker.may_start(self.clock.now())
-        return may_start and not self.cluster_state.is_over_quota(placement)
+        return self.worker.may_start() and not self.cluster_state.is_over_quota(
+            placement
+        )
 
     def _void_reason(self, placement: Placement) -> str:
         """Return why an unanswered order must not start its task; empty if it may."""
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -1217,10 +1217,10 @@
     Mutant(
         guarantee="faults",
         mechanism="withholding planned starts from a worker that left two orders unanswered",
-        file="workflow/fleet.py",
-        text="            and not self.takes_no_orders(now)\n",
-        replacement="",
-        test="tests/test_planner.py::test_starts_are_withheld_after_two_unanswered_orders_until_one_is_answered",
+        file="workflow/links.py",
+        text="        if sending.order is None and self.worker.takes_no_orders(now):",
+        replacement="        if False:",
+        test="tests/test_connection_limit.py::test_planned_starts_wait_while_orders_are_unanswered",
     ),
     Mutant(
         guarantee="faults",
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -18,7 +18,8 @@
 from cranberrycleat import events, logs
 from cranberrycleat.platform.workers import PlatformWorkers
 from cranberrycleat.standins.fleet import SimulatedWork, StandinFleet
-from cranberrycleat.workflow.links import START_COPIES_S
+from cranberrycleat.workflow.fleet import MISSED_ORDER_PAUSE_S
+from cranberrycleat.workflow.links import MISSED_ORDERS_SYNC_WAIT_MS, START_COPIES_S
 from cranberrycleat.workflow.order_slots import MAX_ORDERS
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.ports import (
@@ -43,7 +44,9 @@
 """Their connections, with those for syncs, leave hardly one free on each worker."""
 RUN_LIMIT_S = 6.0
 """How long accepted tasks may take to run elsewhere: the time after which an
-unanswered start is settled, two syncs, and a quarantine of 2 s."""
+unanswered start is settled, two syncs, and a pause of 2 s."""
+FAULT_S = 2.5
+"""Longer than it takes to settle an unanswered start."""
 MAX_STARTS_RESET = 40
 """Starts sent to a worker that takes none, within `RUN_LIMIT_S`: a few copies of each
 of four tasks. Every 0.05 s would be 480."""
@@ -248,18 +251,25 @@
 
 @attrs.define(kw_only=True, eq=False)
 class RefusingFleet(StandinFleet):
-    """Workers that leave some starts unanswered, without any delay.
+    """Workers that leave some starts unanswered.
 
     Attributes:
         refused: How many.
+        delay_s: How long each start takes.
+        sent: The tasks of all starts.
     """
 
     refused: int = 0
+    delay_s: float = 0.0
+    sent: set[str] = attrs.field(factory=set)
 
     async def start(
         self, entry: WorkerEntry, order: StartOrder, *, limit_s: float
     ) -> OrderReply:
         """Refuse a start, or carry it out."""
+        self.sent.add(order.task)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         if self.refused:
             self.refused -= 1
             raise WorkerUnreachable("the connection was reset")
@@ -282,12 +292,91 @@
             worker.silent = False
             await until(lambda: is_completed(owner, "a"))
             known = owner.cluster_state.fleet.workers["w0"]
-            assert known.quarantined_until == 0
+            assert known.missed_order_pause_s == MISSED_ORDER_PAUSE_S
             assert known.may_accept_work(env.clock.now())
 
     run_async(run())
 
 
+# Guards against a gang that is stopped and started again (work thrown away) because a
+# few answers of one worker were lost together.
+@pytest.mark.parametrize("gang", [False, True], ids=["tasks", "gang"])
+def test_lost_answers_give_up_no_planned_starts(gang: bool) -> None:
+    async def run() -> None:
+        fleet = RefusingFleet(refused=MAX_ORDERS, delay_s=0.02)
+        fleet.work = lambda task, attempt: SimulatedWork(seconds=30.0)
+        fleet.gang = lambda name: gang
+        async with cell(workers=1, worker_lease_s=6.0, fleet=fleet) as env:
+            owner = await env.own()
+            await submit(owner, "a", job(step(28, processors=100, gang=gang)))
+            await until(lambda: len(fleet.workers["w0"].runs) == 28)
+            assert len(fleet.starts) == 28
+            assert max(each.attempt for each in fleet.starts) <= 28
+
+    run_async(run())
+
+
+# Guards against a worker that takes no orders and is sent all starts planned for it.
+def test_planned_starts_wait_while_orders_are_unanswered() -> None:
+    async def run() -> None:
+        fleet = RefusingFleet(refused=1_000_000, delay_s=0.02)
+        async with cell(workers=1, worker_lease_s=6.0, fleet=fleet) as env:
+            owner = await env.own()
+            await submit(owner, "a", job(step(28, processors=100)))
+            await asyncio.sleep(START_COPIES_S / 2)
+            assert len(fleet.sent) <= 2 * MAX_ORDERS
+
+    run_async(run())
+
+
+# Guards against accepted tasks that never run (LOST) since all workers left starts
+# unanswered for a while: afterwards, they are used in full.
+@pytest.mark.parametrize("gang", [False, True], ids=["services", "gang"])
+def test_workers_that_take_orders_again_are_used_in_full(gang: bool) -> None:
+    async def run() -> None:
+        fleet = RefusingFleet(refused=1_000_000)
+        fleet.work = lambda task, attempt: SimulatedWork(
+            seconds=0.5 if gang else 1000.0
+        )
+        fleet.gang = lambda name: gang
+        async with cell(workers=2, worker_lease_s=6.0, fleet=fleet) as env:
+            owner = await env.own()
+            if gang:
+                await submit(owner, "a", job(step(6, gang=True)))
+            else:
+                for name in "abcdef":
+                    await submit(
+                        owner, name, job(step(1, processors=100, service=True))
+                    )
+            await asyncio.sleep(FAULT_S)
+            fleet.refused = 0
+            if gang:
+                await until(lambda: is_completed(owner, "a"))
+            else:
+                await until(lambda: len({each.task for each in fleet.starts}) == 6)
+            assert not fleet.faults
+
+    run_async(run())
+
+
+# Guards against members of a gang that wait until they give up (GANG): while a start is
+# to be settled, syncs are short even if the worker answers all other orders.
+def test_syncs_are_short_while_a_start_is_to_be_settled() -> None:
+    async def run() -> None:
+        async with cell(workers=1, worker_lease_s=6.0) as env:
+            owner = await env.own()
+            env.fleet.work = lambda task, attempt: SimulatedWork(seconds=30.0)
+            await submit(owner, "a", job(step(1)))
+            worker = owner.cluster_state.fleet.workers["w0"]
+            await until(lambda: any(p.running for p in worker.placements.values()))
+            link, (placement,) = owner.links["w0"], worker.placements.values()
+            assert link._wait_ms() > MISSED_ORDERS_SYNC_WAIT_MS
+            placement.running, placement.fenced_by = False, 10**9
+            assert link._wait_ms() == MISSED_ORDERS_SYNC_WAIT_MS
+
+    run_async(run())
+
+
 # Guards against an operator who can't tell for how long a worker took no orders.
 def test_log_tells_when_worker_takes_orders_again(emitted: list[Any]) -> None:
     async def run() -> None:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -10,7 +10,12 @@
 from cranberrycleat.workflow.crash_attribution import LostWorker
 from cranberrycleat.workflow.decisions.feasibility import infeasibility_reason
 from cranberrycleat.workflow.decisions.planner import Plan, Planner
-from cranberrycleat.workflow.fleet import MISSED_ORDER_PAUSE_S, FleetWorker, Liveness
+from cranberrycleat.workflow.fleet import (
+    MAX_MISSED_ORDER_PAUSE_S,
+    MISSED_ORDER_PAUSE_S,
+    FleetWorker,
+    Liveness,
+)
 from cranberrycleat.workflow.ports import Permit, PermitTiming, Queue
 from cranberrycleat.workflow.spec import Schedule, StepSpec, WorkflowSpec
 from tests.cell import entry, job, queue, step
@@ -207,18 +212,31 @@
 
 # Guards against starts without end to a worker that answers syncs only (LOST), and
 # against a worker that is not used any more because a single answer was lost.
-def test_starts_are_withheld_after_two_unanswered_orders_until_one_is_answered() -> (
-    None
-):
+def test_worker_takes_no_orders_after_two_missed_until_one_is_answered() -> None:
     each = worker("w")
     each.liveness = Liveness.LIVE
     each.record_missed_order(0.0)
-    assert each.may_start(0.1) and not each.may_accept_work(0.1)
+    assert not each.takes_no_orders(0.1) and not each.may_accept_work(0.1)
     each.record_missed_order(0.2)
-    assert not each.may_start(0.3)
-    assert each.may_start(0.2 + MISSED_ORDER_PAUSE_S)
+    assert each.takes_no_orders(0.3)
+    assert not each.takes_no_orders(0.2 + MISSED_ORDER_PAUSE_S)
+    each.record_answered_order()
+    assert not each.takes_no_orders(0.3) and each.may_accept_work(0.3)
+
+
+# Guards against a worker that takes no starts and is given new ones all the time, and
+# against one that gets none for long after it has answered an order.
+def test_pause_grows_with_unanswered_starts_and_ends_with_an_answer() -> None:
+    each = worker("w")
+    each.liveness = Liveness.LIVE
+    for _ in range(3):
+        each.record_missed_order(0.0)
+        each.record_unanswered_start(0.0)
+    assert not each.may_accept_work(MAX_MISSED_ORDER_PAUSE_S - 0.1)
+    assert each.may_accept_work(MAX_MISSED_ORDER_PAUSE_S)
     each.record_answered_order()
-    assert each.may_start(0.3) and each.may_accept_work(0.3)
+    each.record_missed_order(10.0)
+    assert each.may_accept_work(10.0 + MISSED_ORDER_PAUSE_S)
 
 
 def test_failing_worker_is_probed_with_one_task() -> None:
--- a/tests/test_workflow.py
+++ b/tests/test_workflow.py
@@ -337,14 +337,12 @@
             worker.unanswered_starts = 1
             env.fleet.work = lambda task, attempt: SimulatedWork(seconds=1.0)
             await submit(owner, "a", job(step(1)))
-            # An answering worker counts as unresponsive only until its next sync reply,
-            # 5 to 15 ms later; polling missed that on a busy machine.
             await until(lambda: worker.unanswered_starts == 0)
             worker.silent = True
             await until(
-                lambda: not owner.cluster_state.fleet.workers["w0"].may_accept_work(
-                    env.clock.now()
-                )
+                lambda: owner.cluster_state.fleet.workers[
+                    "w0"
+                ].leaves_orders_unanswered(env.clock.now())
             )
             env.add_worker("w1")
             await submit(owner, "b", job(step(1)))
