Pauses between stops grow only after a stop that was sent

Found in review: an owner without authority for 3 s sent the stop of a cancelled task up to 1.75 s after it had it back.

test_stop_is_sent_soon_after_authority_is_back guards against it.

--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -761,9 +761,10 @@
         try:
             while self._is_counted(placement) and self._takes_stops():
                 async with self.slots.slot(urgent=True):
-                    if self.owner.may_order() and self._takes_stops():
+                    sent = self.owner.may_order() and self._takes_stops()
+                    if sent:
                         await self._send_stop(placement)
-                await asyncio.sleep(backoff.next_s())
+                await asyncio.sleep(backoff.next_s() if sent else STOP_RESEND_S)
         finally:
             self._stops.discard(key)
 
--- a/tests/test_takeover_stops.py
+++ b/tests/test_takeover_stops.py
@@ -13,6 +13,8 @@
 import pytest
 
 from cranberrycleat.standins.fleet import SimulatedWork, StandinFleet, WorkerEvent
+from cranberrycleat.workflow.links import STOP_RESEND_S
+from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.ports import OrderReply, SyncReply, WorkerEntry
 from tests.cell import Cell, cell, job, step, submit, until
 from tests.fakes import run_async
@@ -96,3 +98,26 @@
             await until(lambda: running(env) == 0, limit_s=2.0)
 
     run_async(run())
+
+
+# Guards against a cancelled task that runs on (UNASKED): pauses between stops must not
+# grow while the owner may send none.
+def test_stop_is_sent_soon_after_authority_is_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        async with cell(workers=1, worker_lease_s=9.0) as env:
+            owner = await env.own("one")
+            env.fleet.work = lambda task, attempt: SimulatedWork(seconds=30.0)
+            await submit(owner, "a", job(step(1)))
+            await until(lambda: running(env) == 1)
+            with monkeypatch.context() as patch:
+                patch.setattr(Owner, "may_order", lambda _: False)
+                for worker, placement in owner.cluster_state.placements_of("a"):
+                    owner.cluster_state.stop(worker, placement, "cancelled")
+                owner.stop_soon()
+                await asyncio.sleep(4 * STOP_RESEND_S)
+            # The next stop is due within one pause of the first length.
+            await until(lambda: running(env) == 0, limit_s=1.8 * STOP_RESEND_S)
+
+    run_async(run())
