--- a/tests/cell.py
+++ b/tests/cell.py
@@ -24,10 +24,12 @@
 from cranberrycleat.workflow.permit_queue import PermitQueue
 from cranberrycleat.workflow.ports import (
     ClusterConfig,
+    FeedTable,
     LeaseBounds,
     Permit,
     PoolConfig,
     Queue,
+    WorkerClient,
     WorkerEntry,
 )
 from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
@@ -148,10 +150,23 @@
         """Return the entry of the worker named in a row."""
         return self.entries[row.value]
 
-    def make_owner(self, name: str) -> Owner:
-        """Return an owner that has not acquired the lease yet."""
+    def make_owner(
+        self,
+        name: str,
+        *,
+        table: FeedTable | None = None,
+        client: WorkerClient | None = None,
+    ) -> Owner:
+        """Return an owner that has not acquired the lease yet.
+
+        Args:
+            name: Its host's name.
+            table: Its access to the table; None: the table itself.
+            client: Its access to workers; None: the fleet itself.
+        """
+        table = table or self.table
         lease = OwnershipLease(
-            table=self.table,
+            table=table,
             clock=self.clock,
             key="owner/cell",
             holder=f"{name}@{name}:1#1",
@@ -161,11 +176,11 @@
         peers = PeerClient(http=self.http)
         owner = Owner(
             lease=lease,
-            store=self.table,
+            store=table,
             directory=WorkerDirectory(
-                store=self.table, table="servers", read=self.read_worker
+                store=table, table="servers", read=self.read_worker
             ),
-            client=self.fleet,
+            client=client or self.fleet,
             permit_queue=PermitQueue(
                 own=self.permits,
                 own_address=name,
--- a/tests/http_workers.py
+++ b/tests/http_workers.py
@@ -63,7 +63,19 @@
     lost_answers: set[str] = attrs.field(factory=set)
     answer_delay_s: float = 0.0
     _server: asyncio.Server | None = None
-    _open: set[asyncio.StreamWriter] = attrs.field(factory=set)
+    _open: dict[asyncio.StreamWriter, asyncio.StreamReader] = attrs.field(factory=dict)
+    _serving: "set[asyncio.Task[None]]" = attrs.field(factory=set)
+
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that neither side has closed.
+
+        A request may still be answered on one that its caller has closed.
+        """
+        return sum(
+            not reader.at_eof() and reader.exception() is None
+            for reader in self._open.values()
+        )
 
     async def answer(self, path: str, req: dict[str, Any]) -> tuple[int, Any]:
         """Return the status and the body of an answer."""
@@ -77,9 +89,11 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def kill(self) -> None:
-        """Stop: every connection is reset and new ones are refused."""
+        """Stop: connections are reset, new ones refused, and requests not finished."""
         assert self._server is not None
         self._server.close()
+        for task in self._serving:
+            task.cancel()
         for writer in self._open:
             writer.transport.abort()
         self._open.clear()
@@ -89,11 +103,24 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
-        if self.max_open is not None and len(self._open) >= self.max_open:
+        if self.max_open is not None and self.open_connections >= self.max_open:
             self.resets += 1
             writer.transport.abort()
             return
-        self._open.add(writer)
+        self._open[writer] = reader
+        # A task of its own: streams report the cancelled task of a handler as an error.
+        serving = asyncio.create_task(self._serve_requests(reader, writer))
+        self._serving.add(serving)
+        await asyncio.wait({serving})
+        self._serving.discard(serving)
+        self._open.pop(writer, None)
+        writer.close()
+        if not serving.cancelled():
+            serving.result()
+
+    async def _serve_requests(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -111,8 +138,6 @@
                 body = json.dumps(answer).encode()
                 line = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
                 writer.write(line.encode() + body)
-        self._open.discard(writer)
-        writer.close()
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -8,24 +8,18 @@
 """
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator
 
-import attrs
 import pytest
 
-from cranberrycleat.platform.workers import PlatformWorkers
 from cranberrycleat.standins.fleet import SimulatedWork
 from cranberrycleat.workflow.links import START_COPIES_S
 from cranberrycleat.workflow.owner import Owner
-from cranberrycleat.workflow.ports import Verdict, WorkerEntry
+from cranberrycleat.workflow.ports import Verdict
 from cranberrycleat.workflow.state import JobState
-from tests.cell import Cell, cell, entry, job, step, submit, until
+from tests.cell import cell, job, step, submit, until
 from tests.fakes import run_async
-from tests.http_workers import HttpWorker, at
+from tests.http_cell import http_cell
 
-MAX_OPEN = 64
-"""Connections that a worker holds, by the platform's documentation."""
 TASKS_PER_WORKER = 20
 DEAD_OWNERS = 3
 """Their connections, with those for syncs, leave hardly one free on each worker."""
@@ -37,79 +31,6 @@
 of four tasks. Every 0.05 s would be 480."""
 
 
-@attrs.define(kw_only=True, eq=False)
-class HostWorkers(PlatformWorkers):
-    """The client of a host that may lose power; from then on it closes nothing."""
-
-    has_power: bool = True
-
-    async def release(self, entry: WorkerEntry) -> None:
-        """Close connections, while there is power."""
-        if self.has_power:
-            await PlatformWorkers.release(self, entry)
-
-
-@attrs.define(kw_only=True, eq=False)
-class HttpCell:
-    """A cell whose workers are called over HTTP.
-
-    Attributes:
-        cell: The table, the workers and the owners.
-        workers: The workers' processes.
-        clients: The client of each host that has owned.
-    """
-
-    cell: Cell
-    workers: dict[str, HttpWorker] = attrs.field(factory=dict)
-    clients: list[HostWorkers] = attrs.field(factory=list)
-
-    async def add_worker(self, name: str, processors: int) -> HttpWorker:
-        """Start a worker's process and list it."""
-        process = self.workers[name] = HttpWorker(
-            fleet=self.cell.fleet, name=name, max_open=MAX_OPEN
-        )
-        await process.start()
-        found = at(entry(name, processors=processors), process.port)
-        self.cell.entries[name] = found
-        self.cell.fleet.add(found)
-        self.cell.list_worker(name)
-        return process
-
-    async def own(self, name: str) -> Owner:
-        """Take over on a host, with connections of its own."""
-        owner = self.cell.make_owner(name)
-        owner.client = HostWorkers()
-        self.clients.append(owner.client)
-        while not await owner.lease.acquire():
-            await asyncio.sleep(0.02)
-        self.cell.tasks.append(asyncio.create_task(owner.run()))
-        await owner.ready.wait()
-        return owner
-
-    async def power_off(self) -> None:
-        """Cut the owning host's power: its connections stay open at the workers."""
-        self.clients[-1].has_power = False
-        task = self.cell.tasks.pop()
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-
-
-@contextlib.asynccontextmanager
-async def http_cell(workers: int, processors: int) -> AsyncIterator[HttpCell]:
-    """Run a cell with workers that are called over HTTP."""
-    async with cell(workers=0, worker_lease_s=3.0) as env:
-        found = HttpCell(cell=env)
-        for number in range(workers):
-            await found.add_worker(f"w{number}", processors)
-        try:
-            yield found
-        finally:
-            for client in found.clients:
-                await client.close()
-            for process in found.workers.values():
-                await process.kill()
-
-
 def is_completed(owner: Owner, job_id: str) -> bool:
     """Return whether callers are told that a job is completed."""
     return owner.cluster_state.reported.get(job_id) is JobState.COMPLETED
