--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -8,15 +8,13 @@
 """
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import Iterator
 from typing import Any, TypeVar
 
 import attrs
 import pytest
 
 from cranberrycleat import events, logs
-from cranberrycleat.platform.workers import PlatformWorkers
 from cranberrycleat.standins.fleet import SimulatedWork, StandinFleet
 from cranberrycleat.workflow.fleet import MISSED_ORDER_PAUSE_S
 from cranberrycleat.workflow.links import MISSED_ORDERS_SYNC_WAIT_MS, START_COPIES_S
@@ -30,13 +28,11 @@
     WorkerUnreachable,
 )
 from cranberrycleat.workflow.state import JobState
-from tests.cell import Cell, cell, entry, job, step, submit, until
+from tests.cell import cell, job, step, submit, until
 from tests.fakes import run_async
-from tests.http_workers import HttpWorker, at
+from tests.http_cell import http_cell
 
 T = TypeVar("T")
-MAX_OPEN = 64
-"""Connections that a worker holds, by the platform's documentation."""
 START_PATH = "/api/run-start"
 STOP_PATH = "/api/run-stop"
 TASKS_PER_WORKER = 20
@@ -56,79 +52,6 @@
 four at a time, and the lines of four jobs that wait."""
 
 
-@attrs.define(kw_only=True, eq=False)
-class HostWorkers(PlatformWorkers):
-    """The client of a host that may lose power; from then on it closes nothing."""
-
-    has_power: bool = True
-
-    async def release(self, entry: WorkerEntry) -> None:
-        """Close connections, while there is power."""
-        if self.has_power:
-            await PlatformWorkers.release(self, entry)
-
-
-@attrs.define(kw_only=True, eq=False)
-class HttpCell:
-    """A cell whose workers are called over HTTP.
-
-    Attributes:
-        cell: The table, the workers and the owners.
-        workers: The workers' processes.
-        clients: The client of each host that has owned.
-    """
-
-    cell: Cell
-    workers: dict[str, HttpWorker] = attrs.field(factory=dict)
-    clients: list[HostWorkers] = attrs.field(factory=list)
-
-    async def add_worker(self, name: str, processors: int) -> HttpWorker:
-        """Start a worker's process and list it."""
-        process = self.workers[name] = HttpWorker(
-            fleet=self.cell.fleet, name=name, max_open=MAX_OPEN
-        )
-        await process.start()
-        found = at(entry(name, processors=processors), process.port)
-        self.cell.entries[name] = found
-        self.cell.fleet.add(found)
-        self.cell.list_worker(name)
-        return process
-
-    async def own(self, name: str) -> Owner:
-        """Take over on a host, with connections of its own."""
-        owner = self.cell.make_owner(name)
-        owner.client = HostWorkers()
-        self.clients.append(owner.client)
-        while not await owner.lease.acquire():
-            await asyncio.sleep(0.02)
-        self.cell.tasks.append(asyncio.create_task(owner.run()))
-        await owner.ready.wait()
-        return owner
-
-    async def power_off(self) -> None:
-        """Cut the owning host's power: its connections stay open at the workers."""
-        self.clients[-1].has_power = False
-        task = self.cell.tasks.pop()
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-
-
-@contextlib.asynccontextmanager
-async def http_cell(workers: int, processors: int) -> AsyncIterator[HttpCell]:
-    """Run a cell with workers that are called over HTTP."""
-    async with cell(workers=0, worker_lease_s=3.0) as env:
-        found = HttpCell(cell=env)
-        for number in range(workers):
-            await found.add_worker(f"w{number}", processors)
-        try:
-            yield found
-        finally:
-            for client in found.clients:
-                await client.close()
-            for process in found.workers.values():
-                await process.kill()
-
-
 def is_completed(owner: Owner, job_id: str) -> bool:
     """Return whether callers are told that a job is completed."""
     return owner.cluster_state.reported.get(job_id) is JobState.COMPLETED
