--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -33,8 +33,6 @@
 MAX_QUARANTINE_S: Final = 8.0
 """A quarantined worker is probed after 2 s, then 4 s, then 8 s: disturbances last 3 to
 10 s on the platform."""
-
-
 MISSED_ORDERS_LIMIT: Final = 2
 """Number of unanswered orders in a row after which planned starts wait until one is
 answered."""
