--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -16,7 +16,6 @@
 
 from cranberrycleat import events, logs
 from cranberrycleat.standins.fleet import SimulatedWork, StandinFleet
-from cranberrycleat.workflow.fleet import MISSED_ORDER_PAUSE_S
 from cranberrycleat.workflow.links import MISSED_ORDERS_SYNC_WAIT_MS, START_COPIES_S
 from cranberrycleat.workflow.order_slots import MAX_ORDERS
 from cranberrycleat.workflow.owner import Owner
@@ -214,8 +213,8 @@
             await asyncio.sleep(2 * START_COPIES_S)
             worker.silent = False
             await until(lambda: is_completed(owner, "a"))
+            assert [each.attempt for each in fleet.starts] == [1]
             known = owner.cluster_state.fleet.workers["w0"]
-            assert known.missed_order_pause_s == MISSED_ORDER_PAUSE_S
             assert known.may_accept_work(env.clock.now())
 
     run_async(run())
