--- a/review/common/nodes.py
+++ b/review/common/nodes.py
@@ -4,8 +4,6 @@
 import signal
 import socket
 import subprocess
-import sys
-import time
 import tomllib
 from pathlib import Path
 
@@ -172,7 +170,7 @@
 
 def build_is_there():
     """Return whether the deploy file's build has run."""
-    if not (ROOT / "target/deps").is_dir():
-        print("target/deps is missing: run the build line of deploy/system.toml")
-        return False
-    return sys.version_info[:2] >= (3, 11) and time.monotonic() > 0
+    if (ROOT / "target/deps").is_dir():
+        return True
+    print("target/deps is missing: run the build line of deploy/system.toml")
+    return False
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -11,6 +11,7 @@
 import json
 import random
 import time
+from urllib.parse import parse_qsl
 
 MAX_ENTRIES = 100
 MAX_TX_BYTES = 1_000_000
@@ -104,18 +105,7 @@
 
 
 def _query(text):
-    found = {}
-    for pair in text.split("&"):
-        key, _, value = pair.partition("=")
-        if key:
-            found[_unquote(key)] = _unquote(value)
-    return found
-
-
-def _unquote(text):
-    from urllib.parse import unquote_plus
-
-    return unquote_plus(text)
+    return dict(parse_qsl(text, keep_blank_values=True))
 
 
 class Store(HttpServer):
