Logs tell why each worker takes no task of a waiting step, and which steps stall

A step that waits for a worker left out after a failure, for room reserved for a gang or for its limit of tasks a worker all showed as "no room"; a step whose tasks were held back showed no line at all, and a placed task that does not begin none either.

- step.waiting and step.hopeless count the workers of the pool by the reason why each takes none of the step's tasks, and the tasks that may not be placed yet, by reason.
The obstacles of tasks are decided in one function, which the planner uses as well.
- step.stalled, once a stall: nothing of a step has run for 3 s, the time after which the platform counts a job as lost, and the workers that it may use have room for twice what it needs.
It tells the stage of placed tasks that have not begun.
Metric steps.stalled.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -304,7 +304,18 @@
 
 @event("step.waiting")
 class StepWaiting:
-    """A step keeps waiting; logged once for each reason, and again while it lasts."""
+    """A step keeps waiting; logged once for each reason, and again while it lasts.
+
+    Attributes:
+        step: The step.
+        reason: Why it waits, in human-readable form.
+        pending: The number of its tasks that wait.
+        candidates: The number of workers that it may use at present.
+        waited_s: How long ago it became ready.
+        slack_s: The time left until it must start to meet its objective.
+        obstacles: The number of workers that take none of its tasks, by reason.
+        held_back: The number of its tasks that may not be placed yet, by reason.
+    """
 
     step: str
     reason: str
@@ -312,6 +323,8 @@
     candidates: int
     waited_s: float
     slack_s: float
+    obstacles: dict[str, int]
+    held_back: dict[str, int]
 
 
 @event("step.hopeless", essential=True)
@@ -321,6 +334,31 @@
     step: str
     reason: str
     pending: int
+    obstacles: dict[str, int]
+
+
+@event("step.stalled", essential=True)
+class StepStalled:
+    """Nothing of a step has run for 3 s although workers that it may use have room.
+
+    Attributes:
+        step: The step.
+        for_s: For how long nothing of it has run.
+        room: How many of its tasks would fit on these workers.
+        pending: The number of its tasks that wait.
+        held_back: How many of them may not be placed yet, by reason.
+        unbegun: The number of its placed tasks that have not begun, by what their
+            starts wait for.
+        obstacles: The number of workers that take none of its tasks, by reason.
+    """
+
+    step: str
+    for_s: float
+    room: int
+    pending: int
+    held_back: dict[str, int]
+    unbegun: dict[str, int]
+    obstacles: dict[str, int]
 
 
 @event("task.placed")
--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -52,6 +52,12 @@
     preemption_cost_core_s,
 )
 from cranberrycleat.workflow.decisions.speed_choice import SpeedChoice, speed_of_class
+from cranberrycleat.workflow.decisions.wait_report import (
+    TaskObstacle,
+    count_obstacles,
+    count_task_obstacles,
+    task_obstacle,
+)
 from cranberrycleat.workflow.fleet import (
     FleetWorker,
     Placement,
@@ -66,6 +72,7 @@
 )
 WAIT_LOG_INTERVAL_S: Final = 10.0
 AT_QUOTA: Final = "its workspace is at its quota, or a newer one may be in force"
+HELD_BACK: Final = "its tasks are held back"
 LOST_ADDRESS_EXCLUSION_S: Final = 10.0
 """How long a task waits for room elsewhere rather than use an address where it lost a
 worker: as long as such a machine is not used for isolated attempts. Without a
@@ -153,6 +160,8 @@
             tasks = self._placeable_tasks(step, now, plan)
             if not tasks or not self._count_within_quota(step):
                 step.waits_since = None
+                if not tasks and step.pending():
+                    self._log_waiting(step, HELD_BACK, 0, now, now_s)
                 continue
             might_fit = self._snapshot(step, now).might_fit(
                 reserved_resources(step.spec)
@@ -395,8 +404,13 @@
         step.wait_reason = reason
         step.wait_logged_at = now
         pending = len(step.pending())
+        obstacles = self.obstacles(step, now)
         if reason == NO_ELIGIBLE_WORKER:
-            emit(events.StepHopeless(step=step.name, reason=reason, pending=pending))
+            emit(
+                events.StepHopeless(
+                    step=step.name, reason=reason, pending=pending, obstacles=obstacles
+                )
+            )
             return
         emit(
             events.StepWaiting(
@@ -406,9 +420,26 @@
                 candidates=candidates,
                 waited_s=round(now - step.ready_at, 3),
                 slack_s=round(self._order.rank(step, now_s).slack_s, 3),
+                obstacles=obstacles,
+                held_back=count_task_obstacles(self.cluster_state, step, now),
             )
         )
 
+    def obstacles(self, step: StepRun, now: float) -> dict[str, int]:
+        """Return how many workers take none of a step's pending tasks, by reason."""
+        needs = reserved_resources(step.spec)
+        usable = self._exclude_failed_workers(
+            step, step.pending(), self._candidates(step, now), now
+        )
+        return count_obstacles(
+            self.cluster_state,
+            step,
+            now=now,
+            usable=set(usable),
+            fits_unreserved=lambda worker: needs.fits_in(self._unreserved(worker)),
+            tasks_allowed_on=lambda worker: self._remaining_worker_limit(step, worker),
+        )
+
     @property
     def _order(self) -> StepOrder:
         return self.cluster_state.load.order
@@ -440,14 +471,12 @@
 
     def _placeable_tasks(self, step: StepRun, now: float, plan: Plan) -> list[Task]:
         tasks = []
-        restricted = self.cluster_state.restricts_placing()
         for task in step.pending():
-            if step.losses and step.awaits_verdict(task):
-                continue
-            if task.not_before > now:
-                self._schedule_retry(plan, task.not_before)
-            elif not (restricted and self.cluster_state.has_earlier_attempt(task)):
+            obstacle = task_obstacle(self.cluster_state, task, now)
+            if obstacle is None:
                 tasks.append(task)
+            elif obstacle is TaskObstacle.RETRY_DELAY:
+                self._schedule_retry(plan, task.not_before)
         if step.spec.gang and len(tasks) < len(step.tasks):
             return []
         if step.losses and now < (until := _exclusion_ends_at(step, tasks)):
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -41,6 +41,10 @@
 )
 from cranberrycleat.workflow.decisions.load_control import make_load_control
 from cranberrycleat.workflow.decisions.load_policies import LoadPolicies
+from cranberrycleat.workflow.decisions.wait_report import (
+    StallMonitor,
+    count_task_obstacles,
+)
 from cranberrycleat.workflow.directory import WorkerDirectory
 from cranberrycleat.workflow.dispatcher import Dispatcher
 from cranberrycleat.workflow.fleet import FleetWorker
@@ -85,6 +89,7 @@
 CHANGE_LIMIT_S: Final = 0.7
 """How long a caller's submission or cancellation waits to be stored."""
 WORKER_REPORT_INTERVAL_S: Final = 5.0
+STALL_CHECK_INTERVAL_S: Final = 0.5
 END_STORED_TIMEOUT_S: Final = 0.12
 """How long a state query waits for the end of a job that is being stored.
 
@@ -160,6 +165,7 @@
     took_over_at: float = 0.0
     worker_list_settled_at: float = 0.0
     _workers_reported_at: float = float("-inf")
+    _stalls_checked_at: float = float("-inf")
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _plan_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     _stored: RepeatingEvent = attrs.field(factory=RepeatingEvent)
@@ -168,6 +174,7 @@
     _answer_timeout: AnswerTimeout = attrs.field(factory=AnswerTimeout)
     _connections: ConnectionReport = attrs.field(factory=ConnectionReport)
     _old_leases_over_at: float = 0.0
+    _stalls: StallMonitor = attrs.field(init=False)
     inbox: Inbox = attrs.field(init=False)
     load_admission: LoadAdmission = attrs.field(init=False)
     roster: Roster = attrs.field(init=False)
@@ -185,6 +192,7 @@
             self.checkpoints,
         )
         self.cluster_state.load.preemption.stop_s = self.leases.bounds.stop_s
+        self._stalls = StallMonitor(cluster_state=self.cluster_state)
         self.inbox = Inbox(
             cluster_state=self.cluster_state, store=self.store, changed=self.changed
         )
@@ -523,6 +531,25 @@
             if now >= self._workers_reported_at + WORKER_REPORT_INTERVAL_S:
                 self._workers_reported_at = now
                 self._report_workers(now)
+            if now >= self._stalls_checked_at + STALL_CHECK_INTERVAL_S:
+                self._stalls_checked_at = now
+                self._report_stalls(now)
+
+    def _report_stalls(self, now: float) -> None:
+        """Report the steps of which nothing runs although workers have room."""
+        for stall in self._stalls.check(now):
+            step = stall.step
+            emit(
+                events.StepStalled(
+                    step=step.name,
+                    for_s=round(stall.for_s, 3),
+                    room=stall.room,
+                    pending=len(step.pending()),
+                    held_back=count_task_obstacles(self.cluster_state, step, now),
+                    unbegun=dict(stall.unbegun),
+                    obstacles=self.dispatcher.planner.obstacles(step, now),
+                )
+            )
 
     def _report_workers(self, now: float) -> None:
         workers = self.cluster_state.fleet.workers.values()
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -126,6 +126,8 @@
                 metrics.count("tasks.unanswered")
             case events.TaskStartFenced():
                 metrics.count("tasks.start_fenced")
+            case events.StepStalled():
+                metrics.count("steps.stalled")
             case events.TaskPreempted(service=service, cost_core_s=cost_core_s):
                 cause = "service" if service else "urgent"
                 metrics.count("tasks.preempted", cause=cause)
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -849,9 +849,9 @@
     Mutant(
         guarantee="decisions",
         mechanism="placing a task only after the verdict that may fail it",
-        file="workflow/decisions/planner.py",
-        text="            if step.losses and step.awaits_verdict(task):",
-        replacement="            if False:",
+        file="workflow/decisions/wait_report.py",
+        text="    if step.losses and step.awaits_verdict(task):",
+        replacement="    if False:",
         test="tests/test_provisional_losses.py::test_deciding_loss_is_held_until_others_are_heard",
     ),
     Mutant(
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -172,7 +172,14 @@
 def waiting(reason: str) -> events.StepWaiting:
     """Return an event of a step that keeps waiting."""
     return events.StepWaiting(
-        step="a.0.0", reason=reason, pending=1, candidates=0, waited_s=0, slack_s=1
+        step="a.0.0",
+        reason=reason,
+        pending=1,
+        candidates=0,
+        waited_s=0,
+        slack_s=1,
+        obstacles={},
+        held_back={},
     )
 
 
