--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -881,7 +881,7 @@
             self._stop_later_attempts(task)
         job.end(task, end.how, end.saved)
         if end.how is EndKind.FAILED:
-            task.failed_on.add(worker.name)
+            task.failed_on[worker.name] = now
             self._delay_retry(task, now)
         self._mark_dirty(job)
         self._after_end(job, task.step)
--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -17,7 +17,8 @@
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.decisions import isolation
+from cranberrycleat.workflow.decisions import exclusion, isolation
+from cranberrycleat.workflow.decisions.exclusion import lost_exclusion_ends_at
 from cranberrycleat.workflow.decisions.filler_throttling import (
     runs_until_cancelled,
     serves,
@@ -73,10 +74,6 @@
 WAIT_LOG_INTERVAL_S: Final = 10.0
 AT_QUOTA: Final = "its workspace is at its quota, or a newer one may be in force"
 HELD_BACK: Final = "its tasks are held back"
-LOST_ADDRESS_EXCLUSION_S: Final = 10.0
-"""How long a task waits for room elsewhere rather than use an address where it lost a
-worker: as long as such a machine is not used for isolated attempts. Without a
-bound, a task waits beside idle workers while the only other one stays in use."""
 MAX_STEPS_SCANNED: Final = 400
 """Steps considered in one scheduling round."""
 MAX_STEPS_PER_WORKSPACE: Final = 100
@@ -479,7 +476,7 @@
                 self._schedule_retry(plan, task.not_before)
         if step.spec.gang and len(tasks) < len(step.tasks):
             return []
-        if step.losses and now < (until := _exclusion_ends_at(step, tasks)):
+        if step.losses and now < (until := lost_exclusion_ends_at(step, tasks)):
             self._schedule_retry(plan, until)
         return tasks
 
@@ -632,29 +629,22 @@
     ) -> list[FleetWorker]:
         """Exclude workers that failed these tasks and have not succeeded since.
 
-        A worker that fails every task it starts has free resources again at once and
-        would receive the same task until its attempts are used up. The same holds for
-        the next incarnation of a lost worker, for `LOST_ADDRESS_EXCLUSION_S`. If the
-        other workers could not hold the tasks even when empty, nothing is excluded; one
-        that is being probed holds one.
+        See `exclusion`. Workers whose exclusion has ended are used if the others have
+        no room at present. If those not excluded could not hold the tasks even when
+        empty, nothing is excluded; one that is being probed holds one.
         """
-        failed_on = {name for task in tasks for name in task.failed_on}
-        lost_worker_addresses = isolation.lost_worker_addresses(step, tasks)
-        if not failed_on and not lost_worker_addresses:
+        exclusions = exclusion.exclusions_of(step, tasks)
+        if not exclusions:
             return candidates
-        not_failed = [
-            each
-            for each in candidates
-            if each.name not in failed_on or not each.failures
-        ]
+        ends_at = {each: exclusions.ends_at(each) for each in candidates}
+        preferred = [each for each in candidates if ends_at[each] is None]
+        if self._fit_now(step, tasks, preferred):
+            return preferred
         eligible = [
             each
-            for each in not_failed
-            if each.entry.address not in lost_worker_addresses
+            for each, excluded_until in ends_at.items()
+            if excluded_until is None or excluded_until <= now
         ]
-        expired = now >= _exclusion_ends_at(step, tasks)
-        if expired and not self._fit_now(step, tasks, eligible):
-            eligible = not_failed
         fitting = sum(
             min(self._fits_when_empty(step, each), 1 if each.is_probed else len(tasks))
             for each in eligible
@@ -866,13 +856,6 @@
     return found[:MAX_STEPS_SCANNED]
 
 
-def _exclusion_ends_at(step: StepRun, tasks: list[Task]) -> float:
-    """Return when addresses where workers were lost under some tasks may be used."""
-    records = [step.losses_of(task) for task in tasks]
-    lost_at = [record.changed_at for record in records if record is not None]
-    return max(lost_at, default=float("-inf")) + LOST_ADDRESS_EXCLUSION_S
-
-
 def _may_preempt(step: StepRun) -> bool:
     """Return whether a step may preempt as urgent work.
 
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -50,8 +50,8 @@
         saved: The latest checkpoint; empty for none.
         not_before: When it may be placed again, on the owner's clock.
         at_full_speed: Whether it has started up and runs at full speed.
-        failed_on: The workers on which an attempt of it failed, as far as this
-            owner knows.
+        failed_on: When an attempt of it last failed on each worker, on the owner's
+            clock, as far as this owner knows.
     """
 
     step: "StepRun"
@@ -63,7 +63,7 @@
     saved: str = ""
     not_before: float = 0.0
     at_full_speed: bool = False
-    failed_on: set[str] = attrs.field(factory=set)
+    failed_on: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def name(self) -> str:
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -266,7 +266,7 @@
         guarantee="decisions",
         mechanism="a task avoids the worker on which it failed",
         file="workflow/decisions/planner.py",
-        text="        if not failed_on and not lost_worker_addresses:",
+        text="        if not exclusions:",
         replacement="        if True:",
         test="tests/test_planner.py::test_task_avoids_worker_that_failed_it",
     ),
--- a/tests/test_permit_choice.py
+++ b/tests/test_permit_choice.py
@@ -211,7 +211,7 @@
     _answer(owner_board, query, 2)
     task = owner_board.jobs["a"].open[0].steps[0].tasks[0]
     failed, full = (owner_board.fleet.workers[name] for name in query.workers[:2])
-    task.failed_on.add(failed.name)
+    task.failed_on[failed.name] = 0.0
     failed.failures = 1
     other = owner_board.jobs["b"].open[0].steps[0].tasks[0]
     owner_board.place(other, full, 1, now=0.0)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -86,7 +86,7 @@
     owner_board = cluster_state(probed, failed)
     submit(owner_board, "g", job(step(2, gang=True)), queue())
     for task in owner_board.jobs["g"].open[0].steps[0].tasks:
-        task.failed_on.add("failed")
+        task.failed_on["failed"] = 0.0
     plan(owner_board)
     assert sum(len(tasks) for tasks in placed(owner_board).values()) == 2
 
@@ -340,7 +340,7 @@
     workers[0].failures = failures
     owner_board = cluster_state(*workers)
     submit(owner_board, "a", job(step(1, gang=gang)), queue())
-    owner_board.jobs["a"].open[0].steps[0].tasks[0].failed_on.add("bad")
+    owner_board.jobs["a"].open[0].steps[0].tasks[0].failed_on["bad"] = 0.0
     plan(owner_board)
     assert placed(owner_board)[expected] == ["a.0.0.0"]
 
@@ -357,7 +357,7 @@
     owner_board = cluster_state(*workers)
     submit(owner_board, "a", job(spec), queue())
     for task in owner_board.jobs["a"].open[0].steps[0].tasks:
-        task.failed_on.add("bad")
+        task.failed_on["bad"] = 0.0
     plan(owner_board)
     assert sum(len(tasks) for tasks in placed(owner_board).values()) == spec.count
 
--- a/tests/test_retries_left_waiting.py
+++ b/tests/test_retries_left_waiting.py
@@ -164,7 +164,7 @@
     assert placed(owner_board)["bad"] == ["small.0.0.0"]
 
 
-# Guards against a step that asks for no further permits (LOST) because a worker counts as
+# Guards against a step that asks for no further permits (LOST) as a worker counts for
 # room that its tasks, placed one by one, are not given.
 def test_failed_tasks_query_permits_of_idle_workers() -> None:
     bad = worker("bad", processors=16000)
--- a/tests/test_wait_report.py
+++ b/tests/test_wait_report.py
@@ -49,7 +49,7 @@
     permit(owner_board, waiting, "left asked failed used ok", "left failed used ok")
     workers["left"].quarantine(0.0)
     workers["failed"].failures = 1
-    waiting.tasks[0].failed_on.add("failed")
+    waiting.tasks[0].failed_on["failed"] = 0.0
     planner = Planner(cluster_state=owner_board)
     assert planner.obstacles(waiting, 0.0) == {
         "rests after failures": 1,
