A gang reserves no room on workers that its retries avoid

Cause: a gang that could not be placed reserved room on its candidates, those among them that were left out for its own failures. Lower-ranked steps were kept from room that the gang did not use, and as nothing else succeeded on that worker, it stayed left out.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -177,7 +177,8 @@
             )
             unplaced_gang = step.spec.gang and not placed and not is_held
             if unplaced_gang:
-                self._reserve_for_gang(step, candidates, now, plan)
+                usable = self._exclude_failed_workers(step, tasks, candidates, now)
+                self._reserve_for_gang(step, usable, now, plan)
             if step.spec.service:
                 self._preempt_for_service(step, candidates, now, now_s)
             if step.pending():
