A worker probed by a lasting task takes one more task every 2 s

Cause: after a quarantine a worker is given one task, and no other while that one runs. A service never ends and a long task ends late, so that nothing ended the probe.

Change: a probe ends by its own time at work. The worker is then given one more task at a time, until one has succeeded.

--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -27,6 +27,10 @@
 """Consecutive failures, of several jobs, after which a worker is quarantined. At a
 failure rate of 2% through jobs' own faults, three in a row happen by chance once in
 100,000."""
+PROBE_S: Final = 2.0
+"""How long the task with which a quarantined worker is probed runs until the next one
+may begin beside it: a service or a long task would otherwise keep the worker from all
+other work."""
 MAX_ZERO_NEED_TASKS: Final = 1000
 """How many tasks without resource needs a worker is given."""
 INITIAL_QUARANTINE_S: Final = 2.0
@@ -267,7 +271,8 @@
         failed_jobs: The jobs to which these attempts belonged.
         quarantined_until: It is given no work before this time.
         rest_s: The length of its last quarantine.
-        is_probed: Whether it is probed after a quarantine, with one task at a time.
+        is_probed: Whether it is probed after a quarantine, with one new task at a time,
+            until one has succeeded.
         isolated_attempt: The attempt there of a task that may crash its workers.
         generation: The fleet's generation when it was added, or when its orders were
             last outdated; its fence includes it.
@@ -357,15 +362,15 @@
         return "tries a suspected task" if self.has_isolated_attempt() else None
 
     def has_running_probe(self) -> bool:
-        """Return whether a task placed after its quarantine is still running there.
+        """Return whether a task placed after its quarantine may yet fail as a probe.
 
-        Tasks from before the quarantine provide no new evidence, and a service never
-        ends.
+        Tasks from before the quarantine provide no new evidence.
         """
         if not self.is_probed:
             return False
         return any(
             each.planned_at >= self.quarantined_until
+            and self.survived_s(each) < PROBE_S
             for each in self.placements.values()
         )
 
