--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -313,7 +313,8 @@
         candidates: The number of workers that it may use at present.
         waited_s: How long ago it became ready.
         slack_s: The time left until it must start to meet its objective.
-        obstacles: The number of workers that take none of its tasks, by reason.
+        obstacles: The number of workers that take none of its tasks, by reason; empty
+            if it has just become ready, or if many steps are logged at a time.
         held_back: The number of its tasks that may not be placed yet, by reason.
     """
 
--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -72,6 +72,10 @@
     "every known worker is ruled out by a label, a permit or its state"
 )
 WAIT_LOG_INTERVAL_S: Final = 10.0
+COUNT_OBSTACLES_AFTER_S: Final = 1.0
+MAX_OBSTACLE_COUNTS: Final = 5
+"""Steps of a round whose obstacles are counted for the log. Each count looks at every
+worker, and in a burst hundreds of steps begin to wait in one round."""
 AT_QUOTA: Final = "its workspace is at its quota, or a newer one may be in force"
 HELD_BACK: Final = "its tasks are held back"
 MAX_STEPS_SCANNED: Final = 400
@@ -133,6 +137,7 @@
     _snapshots: dict[str, PoolSnapshot] = attrs.field(factory=dict)
     _speed_choice: SpeedChoice = attrs.field(factory=SpeedChoice)
     _preemption_round_at: float = float("-inf")
+    _counts_left: int = MAX_OBSTACLE_COUNTS
 
     def plan(self, *, now: float, now_s: float) -> Plan:
         """Run one round and place all waiting tasks that fit.
@@ -143,6 +148,7 @@
         """
         plan = Plan()
         self._expected = GangReservations()
+        self._counts_left = MAX_OBSTACLE_COUNTS
         self._snapshots = {}
         load = self.cluster_state.load
         self._reservations = GangReservations(disjoint=load.disjoint_reservations)
@@ -402,7 +408,10 @@
         step.wait_reason = reason
         step.wait_logged_at = now
         pending = len(step.pending())
-        obstacles = self.obstacles(step, now)
+        obstacles: dict[str, int] = {}
+        if now >= step.ready_at + COUNT_OBSTACLES_AFTER_S and self._counts_left > 0:
+            self._counts_left -= 1
+            obstacles = self.obstacles(step, now)
         if reason == NO_ELIGIBLE_WORKER:
             emit(
                 events.StepHopeless(
