Precautions yield to a job of which nothing has run for 1.5 s beside room

Cause: a worker that rests after failures is given nothing for up to 8 s, and room that a gang has reserved is kept until the gang begins. The platform counts a job as lost after 3 s if workers have room for twice what it needs and less than half of the pool is in use.

Change: decisions/stalls. After 1.5 s in which nothing of a job is placed, with less than half of the pool in use, one task or gang of it is placed wherever a permitted worker has room; reservations, exclusions and quarantines only order the workers. A resting worker is probed by it: a success ends its quarantine, a failure lengthens it. Services count each member that waits, as the platform does. Permits of resting workers are asked for as well. step.stalled has the same condition on the use of the pool.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -17,7 +17,7 @@
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.decisions import exclusion, isolation
+from cranberrycleat.workflow.decisions import exclusion, isolation, stalls
 from cranberrycleat.workflow.decisions.exclusion import lost_exclusion_ends_at
 from cranberrycleat.workflow.decisions.filler_throttling import (
     runs_until_cancelled,
@@ -170,14 +170,18 @@
                 reserved_resources(step.spec)
             )
             candidates = self._candidates(step, now)
-            if might_fit or position < MAX_PERMIT_PREFETCH_STEPS:
-                self._query_permits(step, candidates, now, plan)
+            used_share = self._snapshot(step, now).used_share
+            stalled = stalls.yields_to(self.cluster_state, step, used_share, now)
+            if might_fit or stalled or position < MAX_PERMIT_PREFETCH_STEPS:
+                self._query_permits(step, candidates, now, plan, stalled=stalled)
             if not might_fit:
                 placed = False
             elif not step.spec.gang:
                 placed = self._place_single(step, tasks, candidates, now, plan)
             else:
                 placed = self._place_gang(step, tasks, candidates, now, plan)
+            if stalled and not placed:
+                placed = self._place_stalled(step, tasks, now, plan)
             is_held = self._preempt_for_urgent_work(
                 step, tasks, candidates, now, now_s, plan
             )
@@ -512,7 +516,13 @@
         ]
 
     def _query_permits(
-        self, step: StepRun, candidates: list[FleetWorker], now: float, plan: Plan
+        self,
+        step: StepRun,
+        candidates: list[FleetWorker],
+        now: float,
+        plan: Plan,
+        *,
+        stalled: bool,
     ) -> None:
         """Add a query for the permits that a step needs and has not requested yet."""
         permits = self.cluster_state.permits_of(step)
@@ -535,6 +545,12 @@
                 fits_when_empty=lambda worker: self._fits_when_empty(step, worker),
                 share=permits.share.value(),
             )
+        if stalled and not unknown:
+            unknown = [
+                each
+                for each in self._workers_with_room(step, now)
+                if each.name not in permits.asked
+            ]
         if unknown:
             names = tuple(each.name for each in unknown)
             plan.permit_queries.append(PermitQuery(step=step, workers=names))
@@ -572,6 +588,19 @@
         allowed = (by_name.get(name) for name in permits.tickets)
         return [each for each in allowed if each and could_run_on(step.spec, each)]
 
+    def _workers_with_room(self, step: StepRun, now: float) -> list[FleetWorker]:
+        """Return the workers on which a task would fit but for precautions."""
+        snapshot = self._snapshot(step, now)
+        needs = reserved_resources(step.spec)
+        return [
+            each
+            for each in (*snapshot.drawing, *snapshot.suspected)
+            if could_run_on(step.spec, each)
+            and needs.fits_in(each.free)
+            and not each.has_isolated_attempt()
+            and self._remaining_worker_limit(step, each) > 0
+        ]
+
     def _unreserved(self, worker: FleetWorker) -> Amounts:
         """Return the free resources of a worker that no gang has reserved."""
         return self._reservations.unreserved(worker)
@@ -630,6 +659,52 @@
             self._speed_choice.log_placement(step, used, now)
         return bool(group.placements)
 
+    def _place_stalled(
+        self, step: StepRun, tasks: list[Task], now: float, plan: Plan
+    ) -> bool:
+        """Place one task or the gang of a stalled step wherever there is room.
+
+        See `stalls`. Reservations, exclusions after failures, and the rest and probing
+        of workers only determine the order of workers. An attempt that must be isolated
+        and a step that waits for a rack have bounded waits of their own.
+        """
+        isolated = any(isolation.record_for(task) is not None for task in tasks)
+        spec = step.spec
+        if isolated or (
+            (spec.same_rack or spec.data_rack) and self._waits_for_rack(step, now, plan)
+        ):
+            return False
+        workers = self._workers_with_room(step, now)
+        if step.job.queue.permits is not None:
+            permits = self.cluster_state.permits.get(step.name)
+            allowed = {} if permits is None else permits.tickets
+            workers = [each for each in workers if each.name in allowed]
+        exclusions = exclusion.exclusions_of(step, tasks)
+        workers.sort(
+            key=lambda each: (
+                exclusions.ends_at(each) is not None,
+                not each.may_accept_work(now),
+                self._preference(step, each),
+            )
+        )
+        needs = reserved_resources(spec)
+        wanted = len(tasks) if spec.gang else 1
+        assigned: list[FleetWorker] = []
+        for worker in workers:
+            fits = min(
+                how_many_fit(needs, worker.free),
+                self._remaining_worker_limit(step, worker),
+            )
+            assigned += [worker] * min(fits, wanted - len(assigned))
+        if len(assigned) < wanted:
+            return False
+        group = PlannedGroup(step=step)
+        attempt = step.last_attempt + 1
+        for task, worker in zip(tasks, assigned, strict=False):
+            self._place(step, task, worker, attempt, now, group)
+        plan.groups.append(group)
+        return True
+
     def _exclude_failed_workers(
         self,
         step: StepRun,
@@ -839,6 +914,7 @@
         group: PlannedGroup,
     ) -> None:
         placement = self.cluster_state.place(task, worker, attempt, now=now)
+        step.idle_since = None
         if isolation.record_for(task) is not None:
             placement.on_unstable_machine = isolation.is_known_unstable(
                 worker, self.cluster_state.fleet.worker_failures, now
--- a/cranberrycleat/workflow/decisions/pool_snapshot.py
+++ b/cranberrycleat/workflow/decisions/pool_snapshot.py
@@ -12,7 +12,13 @@
 import attrs
 
 from cranberrycleat.amounts import MILLI, NOTHING, Amounts
-from cranberrycleat.workflow.fleet import Fleet, FleetWorker, reserved_resources
+from cranberrycleat.workflow.fleet import (
+    SUSPECTED_REASONS,
+    Fleet,
+    FleetWorker,
+    Liveness,
+    reserved_resources,
+)
 from cranberrycleat.workflow.spec import StepSpec
 
 
@@ -26,12 +32,16 @@
             upper bound during the round, since placements only reduce it.
         min_capacity: Minimum capacity of any of them, for each resource.
         by_name: The schedulable workers by incarnation name.
+        suspected: Workers that would be schedulable but for their failures.
+        used_share: The share of the processors of all live workers that is in use.
     """
 
     drawing: tuple[FleetWorker, ...] = ()
     max_free: Amounts = NOTHING
     min_capacity: Amounts = NOTHING
     by_name: Mapping[str, FleetWorker] = attrs.field(factory=dict)
+    suspected: tuple[FleetWorker, ...] = ()
+    used_share: float = 0.0
 
     def might_fit(self, needs: Amounts) -> bool:
         """Return whether a task might fit on some worker; False is definite."""
@@ -44,11 +54,12 @@
 
 def take_snapshot(fleet: Fleet, pool: str, now: float) -> PoolSnapshot:
     """Return a snapshot of a pool at a time on the owner's clock."""
-    drawing = tuple(
-        each for each in fleet.workers_in_pool(pool) if each.may_accept_work(now)
-    )
+    workers = fleet.workers_in_pool(pool)
+    reasons = [(each, each.unavailable_reason(now)) for each in workers]
+    drawing = tuple(each for each, reason in reasons if reason is None)
+    suspected = tuple(each for each, reason in reasons if reason in SUSPECTED_REASONS)
     if not drawing:
-        return PoolSnapshot()
+        return PoolSnapshot(suspected=suspected, used_share=used_share(workers))
     free = [each.free for each in drawing]
     capacities = [each.entry.capacity for each in drawing]
     return PoolSnapshot(
@@ -56,9 +67,18 @@
         max_free=_bound(max, free),
         min_capacity=_bound(min, capacities),
         by_name={each.name: each for each in drawing},
+        suspected=suspected,
+        used_share=used_share(workers),
     )
 
 
+def used_share(workers: Iterable[FleetWorker]) -> float:
+    """Return the share of the processors of the live ones among workers in use."""
+    live = [each for each in workers if each.liveness is Liveness.LIVE]
+    capacity = sum(each.entry.capacity.processors for each in live)
+    return sum(each.used.processors for each in live) / max(1, capacity)
+
+
 def could_run_on(spec: StepSpec, worker: FleetWorker) -> bool:
     """Return whether a worker has the label and capacity that a step requires."""
     if spec.label and spec.label not in worker.entry.labels:
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -31,6 +31,10 @@
 """How long the task with which a quarantined worker is probed runs until the next one
 may begin beside it: a service or a long task would otherwise keep the worker from all
 other work."""
+RESTS: Final = "rests after failures"
+PROBED: Final = "probed after failures"
+SUSPECTED_REASONS: Final = frozenset({RESTS, PROBED})
+"""Reasons to give a worker no work that are a precaution: it could start tasks."""
 MAX_ZERO_NEED_TASKS: Final = 1000
 """How many tasks without resource needs a worker is given."""
 INITIAL_QUARANTINE_S: Final = 2.0
@@ -356,9 +360,9 @@
         if self.has_unsized():
             return "runs what nobody knows"
         if now < self.quarantined_until:
-            return "rests after failures"
+            return RESTS
         if self.has_running_probe():
-            return "probed after failures"
+            return PROBED
         return "tries a suspected task" if self.has_isolated_attempt() else None
 
     def has_running_probe(self) -> bool:
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -41,10 +41,8 @@
 )
 from cranberrycleat.workflow.decisions.load_control import make_load_control
 from cranberrycleat.workflow.decisions.load_policies import LoadPolicies
-from cranberrycleat.workflow.decisions.wait_report import (
-    StallMonitor,
-    count_task_obstacles,
-)
+from cranberrycleat.workflow.decisions.stalls import StallMonitor
+from cranberrycleat.workflow.decisions.wait_report import count_task_obstacles
 from cranberrycleat.workflow.directory import WorkerDirectory
 from cranberrycleat.workflow.dispatcher import Dispatcher
 from cranberrycleat.workflow.fleet import FleetWorker
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -99,6 +99,8 @@
         failed_attempt: The last attempt of the gang that was counted as failed.
         done: The number of completed tasks.
         ready_at: When the step became ready to run, on the owner's clock.
+        idle_since: Since when nothing of its job has been placed, for a service since
+            when a member has waited, as far as planning rounds have seen.
         waits_since: Since when members of a service have waited for capacity.
         wait_reason: Why it was last left waiting, for logs.
         wait_logged_at: When that reason was last logged.
@@ -119,6 +121,7 @@
     ready_at: float = 0.0
     wait_reason: str = ""
     wait_logged_at: float = 0.0
+    idle_since: float | None = None
     waits_since: float | None = None
     urgency: StepUrgency | None = None
     losses: dict[int, LossRecord] = attrs.field(factory=dict)
--- a/tests/test_retries_left_waiting.py
+++ b/tests/test_retries_left_waiting.py
@@ -11,7 +11,7 @@
 
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.decisions.planner import Plan, Planner
-from cranberrycleat.workflow.decisions.wait_report import STALL_S
+from cranberrycleat.workflow.decisions.stalls import STALL_S
 from cranberrycleat.workflow.fleet import MAX_QUARANTINE_S, FleetWorker
 from cranberrycleat.workflow.ports import (
     EndedTask,
--- a/tests/test_wait_report.py
+++ b/tests/test_wait_report.py
@@ -4,10 +4,9 @@
 
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.decisions.planner import Planner
+from cranberrycleat.workflow.decisions.stalls import STALL_S, StallMonitor
 from cranberrycleat.workflow.decisions.wait_report import (
-    STALL_S,
     Obstacle,
-    StallMonitor,
     TaskObstacle,
     count_task_obstacles,
 )
