--- a/cranberrycleat/workflow/decisions/__init__.py
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -16,7 +16,10 @@
 - `pool_snapshot`, `locality`, `permit_choice`: on which workers a step may be placed
 - `speed_model`, `runtime_estimates`, `speed_choice`: how fast workers are, how long
   tasks run, and which speed a step needs
-- `isolation`, `retrying`: how a failed or suspect task is retried
+- `isolation`, `retrying`, `exclusion`: how a failed or suspect task is retried, and
+  which workers its retries avoid until when
+- `stalls`, `wait_report`: when precautions yield to a step that waits beside room, and
+  what is reported about steps that wait
 - `preemption`, `preemption_victims`, `preemption_budget`, `filler_throttling`,
   `progress`, `evacuation`: which running attempts are stopped or slowed down
 - `feasibility`: which jobs can never run
