--- a/cranberrycleat/workflow/decisions/stalls.py
+++ b/cranberrycleat/workflow/decisions/stalls.py
@@ -104,6 +104,11 @@
     _idle_since: dict[StepRun, float] = attrs.field(factory=dict)
     _reported: set[StepRun] = attrs.field(factory=set)
 
+    def reset(self) -> None:
+        """Count anew from the next check; what was reported may be reported again."""
+        self._idle_since.clear()
+        self._reported.clear()
+
     def check(self, now: float) -> list[Stall]:
         """Return the steps that have stalled since the last check."""
         unbegun = self._unbegun_by_step()
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -534,7 +534,14 @@
                 self._report_stalls(now)
 
     def _report_stalls(self, now: float) -> None:
-        """Report the steps of which nothing runs although workers have room."""
+        """Report the steps of which nothing runs although workers have room.
+
+        While the owner may not order, or the table is down, nothing can begin; that is
+        logged by itself and counts as no stall.
+        """
+        if not self.may_order() or not self.store_answers:
+            self._stalls.reset()
+            return
         for stall in self._stalls.check(now):
             step = stall.step
             emit(
--- a/tests/test_wait_report.py
+++ b/tests/test_wait_report.py
@@ -102,6 +102,32 @@
     assert not monitor.check(STALL_S + 1)
 
 
+def test_time_without_authority_is_no_stall() -> None:
+    """While its owner may not order, a step cannot begin; the time counts anew."""
+    owner_board = cluster_state(worker("w"))
+    submit(owner_board, "a", job(step(2)), queue())
+    monitor = StallMonitor(cluster_state=owner_board)
+    monitor.check(0.0)
+    monitor.reset()
+    assert not monitor.check(STALL_S)
+    assert len(monitor.check(2 * STALL_S)) == 1
+
+
+def test_step_on_pool_in_use_is_not_stalled() -> None:
+    """The platform counts no stall while half of the pool is in use."""
+    used, idle = worker("used"), worker("idle")
+    owner_board = cluster_state(used, idle)
+    submit(owner_board, "long", job(step(1, processors=4000)), queue())
+    (long,) = step_of(owner_board, "long").tasks
+    owner_board.place(long, used, 1, now=0.0).began(0.0)
+    submit(owner_board, "a", job(step(1)), queue())
+    monitor = StallMonitor(cluster_state=owner_board)
+    monitor.check(0.0)
+    assert not monitor.check(STALL_S)
+    owner_board.fleet.workers["third"] = worker("third")
+    assert len(monitor.check(2 * STALL_S)) == 1
+
+
 def test_step_with_a_running_task_is_not_stalled() -> None:
     """The time without any running task counts from when the last one ended."""
     owner_board = cluster_state(worker("w"))
