Yielding to stalled steps is bounded, and protects the last attempt

- all stalled jobs of a round were given to one worker that fails whatever it starts; a job could use up its attempts there and be shown as failed.
Suspected workers are given stalled steps 0.2 s apart, and never the last attempt of a task; of a step's tasks one that has not failed there goes first.
- a sound task came back after 2 s to a worker that failed it although most of the pool was in use, where the platform counts no stall: the exclusion lasts 10 s, and yields to a job of which nothing runs.
- room that a gang reserved yielded for ever: it is firm after the gang has stood for 10 s, and so is room that was freed by preemption.
- a success during the rest did not end the rest.
- members of a service yielded one after the other; an isolated task kept the others of its step from room, and an isolated attempt waited for 8 to 60 s; attempts on silent workers counted as running, planned ones as use; time at the quota counted as idle.
- the search for room took 0.8 s and more for thousands of steps: a round looks for room for 30 stalled steps, the report for 50 idle ones, and both only where a worker may have it.
- step.stalled was blind to services, quotas and steps that asked for no permits; a gang's own reservation counted as one of another, and step.waiting had no counts within 10 s.

Yielding begins after 2 s instead of 1.5 s, and needs the room that the platform asks for.

--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -864,7 +864,8 @@
                 current=placement is not None and placement.is_current,
             )
         )
-        self._update_worker_health(worker, end, now)
+        planned_at = float("-inf") if placement is None else placement.planned_at
+        self._update_worker_health(worker, end, planned_at, now)
         if placement is not None and end.how is EndKind.DONE:
             self._record_run_time(worker, placement, now)
         if job is None or task is None or job.verdict is not None:
@@ -935,10 +936,10 @@
                 self.stop(worker, placement, "an earlier attempt was done")
 
     def _update_worker_health(
-        self, worker: FleetWorker, end: EndedTask, now: float
+        self, worker: FleetWorker, end: EndedTask, planned_at: float, now: float
     ) -> None:
         if end.how is EndKind.DONE:
-            worker.record_attempt_success()
+            worker.record_attempt_success(planned_at)
         elif end.how is EndKind.FAILED:
             if worker.record_attempt_failure(job_of(end.task), now):
                 emit(events.WorkerQuarantined(worker=worker.name, rest_s=worker.rest_s))
--- a/cranberrycleat/workflow/decisions/exclusion.py
+++ b/cranberrycleat/workflow/decisions/exclusion.py
@@ -15,9 +15,10 @@
 from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.state import StepRun, Task
 
-FAILED_WORKER_EXCLUSION_S: Final = 2.0
-"""How long a task waits for room elsewhere rather than use a worker that failed it. The
-platform counts a job as lost of which nothing runs for 3 s beside room for it."""
+FAILED_WORKER_EXCLUSION_S: Final = 10.0
+"""How long a task waits for room elsewhere rather than use a worker that failed it.
+Disturbances of workers last 3 to 10 s on the platform. It yields earlier to a job of
+which nothing runs (see `stalls`)."""
 LOST_ADDRESS_EXCLUSION_S: Final = 10.0
 """The same for an address where a worker was lost under the task: as long as such a
 machine is not used for isolated attempts."""
--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -134,7 +134,11 @@
     spread_factor: float = 1.0
     _reservations: GangReservations = attrs.field(factory=GangReservations)
     _expected: GangReservations = attrs.field(factory=GangReservations)
+    _firm_reservations: GangReservations = attrs.field(factory=GangReservations)
+    _members: dict[StepRun, dict[str, int]] = attrs.field(factory=dict)
     _snapshots: dict[str, PoolSnapshot] = attrs.field(factory=dict)
+    _used_shares: dict[str, float] = attrs.field(factory=dict)
+    _yields_left: int = stalls.MAX_YIELDING_STEPS
     _speed_choice: SpeedChoice = attrs.field(factory=SpeedChoice)
     _preemption_round_at: float = float("-inf")
     _counts_left: int = MAX_OBSTACLE_COUNTS
@@ -149,7 +153,11 @@
         plan = Plan()
         self._expected = GangReservations()
         self._counts_left = MAX_OBSTACLE_COUNTS
+        self._firm_reservations = GangReservations()
+        self._members = {}
         self._snapshots = {}
+        self._used_shares = {}
+        self._yields_left = stalls.MAX_YIELDING_STEPS
         load = self.cluster_state.load
         self._reservations = GangReservations(disjoint=load.disjoint_reservations)
         self._speed_choice = SpeedChoice(
@@ -162,7 +170,7 @@
         for position, step in enumerate(self._steps_by_rank(now, now_s)):
             tasks = self._placeable_tasks(step, now, plan)
             if not tasks or not self._count_within_quota(step):
-                step.waits_since = None
+                step.waits_since = step.idle_since = None
                 if not tasks and step.pending():
                     self._log_waiting(step, HELD_BACK, 0, now, now_s)
                 continue
@@ -170,8 +178,7 @@
                 reserved_resources(step.spec)
             )
             candidates = self._candidates(step, now)
-            used_share = self._snapshot(step, now).used_share
-            stalled = stalls.yields_to(self.cluster_state, step, used_share, now)
+            stalled = self._is_stalled(step, now)
             if might_fit or stalled or position < MAX_PERMIT_PREFETCH_STEPS:
                 self._query_permits(step, candidates, now, plan, stalled=stalled)
             if not might_fit:
@@ -199,6 +206,33 @@
             self._preemption_round_at = float("-inf")
         return plan
 
+    def _is_stalled(self, step: StepRun, now: float) -> bool:
+        """Return whether precautions no longer keep a waiting step from room.
+
+        A round looks for room for a limited number of such steps; the others follow.
+        """
+        if not stalls.is_idle_too_long(self.cluster_state, step, now):
+            return False
+        if now < step.yields_at or self._yields_left <= 0:
+            return False
+        pool = step.job.queue.pool
+        if not step.spec.service and self._used_share(pool) >= stalls.STALL_MAX_USE:
+            return False
+        needs = reserved_resources(step.spec)
+        snapshot = self._snapshot(step, now)
+        if not snapshot.might_fit(needs) and not snapshot.might_fit_suspected(needs):
+            return False
+        self._yields_left -= 1
+        step.yields_at = now + stalls.YIELD_RETRY_S
+        return True
+
+    def _used_share(self, pool: str) -> float:
+        """Return the share of a pool's processors in use when this was first asked."""
+        if pool not in self._used_shares:
+            workers = self.cluster_state.fleet.workers_in_pool(pool)
+            self._used_shares[pool] = stalls.used_share(workers)
+        return self._used_shares[pool]
+
     def _preempt_for_service(
         self, step: StepRun, candidates: list[FleetWorker], now: float, now_s: float
     ) -> None:
@@ -372,8 +406,12 @@
         return slots
 
     def _reserve_slots(self, step: StepRun, slots: Mapping[str, int]) -> None:
-        """Reserve resources on workers against steps that rank behind a step."""
+        """Reserve resources on workers against steps that rank behind a step.
+
+        They were freed at a cost, so that they do not yield to stalled steps.
+        """
         self._add_slots(self._reservations, step, slots)
+        self._add_slots(self._firm_reservations, step, slots)
 
     @staticmethod
     def _add_slots(
@@ -404,10 +442,13 @@
         self, step: StepRun, reason: str, candidates: int, now: float, now_s: float
     ) -> None:
         """Log why a step was not placed, on each new reason and then periodically."""
-        if (
-            reason == step.wait_reason
-            and now < step.wait_logged_at + WAIT_LOG_INTERVAL_S
-        ):
+        counted_from = step.ready_at + COUNT_OBSTACLES_AFTER_S
+        interval_s = (
+            WAIT_LOG_INTERVAL_S
+            if step.wait_logged_at >= counted_from
+            else COUNT_OBSTACLES_AFTER_S
+        )
+        if reason == step.wait_reason and now < step.wait_logged_at + interval_s:
             return
         step.wait_reason = reason
         step.wait_logged_at = now
@@ -439,15 +480,22 @@
     def obstacles(self, step: StepRun, now: float) -> dict[str, int]:
         """Return how many workers take none of a step's pending tasks, by reason."""
         needs = reserved_resources(step.spec)
+        own = self._members.get(step, {})
+
+        def fits_unreserved(worker: FleetWorker) -> bool:
+            own_needs = needs.times(own.get(worker.name, 0))
+            return needs.fits_in(self._unreserved(worker).plus(own_needs))
+
+        tasks = step.pending() if step.spec.gang else step.pending()[:1]
         usable = self._exclude_failed_workers(
-            step, step.pending(), self._candidates(step, now), now
+            step, tasks, self._candidates(step, now), now
         )
         return count_obstacles(
             self.cluster_state,
             step,
             now=now,
             usable=set(usable),
-            fits_unreserved=lambda worker: needs.fits_in(self._unreserved(worker)),
+            fits_unreserved=fits_unreserved,
             tasks_allowed_on=lambda worker: self._remaining_worker_limit(step, worker),
         )
 
@@ -464,6 +512,7 @@
             if self._count_within_quota(step):
                 steps.append(step)
             else:
+                step.idle_since = None
                 self._log_waiting(step, AT_QUOTA, 0, now, now_s)
         steps.sort(key=lambda step: self._order.rank(step, now_s).key())
         return _limit_scan(steps)
@@ -545,12 +594,13 @@
                 fits_when_empty=lambda worker: self._fits_when_empty(step, worker),
                 share=permits.share.value(),
             )
-        if stalled and not unknown:
-            unknown = [
+        if stalled:
+            with_room = [
                 each
                 for each in self._workers_with_room(step, now)
                 if each.name not in permits.asked
             ]
+            unknown = with_room or unknown
         if unknown:
             names = tuple(each.name for each in unknown)
             plan.permit_queries.append(PermitQuery(step=step, workers=names))
@@ -589,27 +639,37 @@
         return [each for each in allowed if each and could_run_on(step.spec, each)]
 
     def _workers_with_room(self, step: StepRun, now: float) -> list[FleetWorker]:
-        """Return the workers on which a task would fit but for precautions.
+        """Return the workers on which a task of a stalled step would fit.
 
-        A resting worker is given one task or gang at a time: if it fails whatever it
-        starts, the others keep their attempts.
+        Suspected workers are given stalled steps one after the other: if such a worker
+        fails whatever it starts, the others keep their attempts. Services have no limit
+        of attempts.
         """
         snapshot = self._snapshot(step, now)
         needs = reserved_resources(step.spec)
         workers = snapshot.drawing if snapshot.might_fit(needs) else ()
-        if snapshot.might_fit_resting(needs):
+        if snapshot.might_fit_suspected(needs):
             workers += tuple(
-                each for each in snapshot.resting if not each.has_running_probe()
+                each
+                for each in snapshot.suspected
+                if step.spec.service or now >= each.yielded_at + stalls.YIELD_SPACING_S
             )
         return [
             each
             for each in workers
             if could_run_on(step.spec, each)
-            and needs.fits_in(each.free)
+            and self._room_for_stalled(step, each) > 0
             and not each.has_isolated_attempt()
-            and self._remaining_worker_limit(step, each) > 0
         ]
 
+    def _room_for_stalled(self, step: StepRun, worker: FleetWorker) -> int:
+        """Return how many tasks of a stalled step a worker has room for."""
+        room = self._firm_reservations.unreserved(worker)
+        fits = how_many_fit(reserved_resources(step.spec), room)
+        if step.spec.most_per_worker:
+            return min(fits, self._remaining_worker_limit(step, worker))
+        return fits
+
     def _unreserved(self, worker: FleetWorker) -> Amounts:
         """Return the free resources of a worker that no gang has reserved."""
         return self._reservations.unreserved(worker)
@@ -671,17 +731,21 @@
     def _place_stalled(
         self, step: StepRun, tasks: list[Task], now: float, plan: Plan
     ) -> bool:
-        """Place one task or the gang of a stalled step wherever there is room.
+        """Place a task, a gang or all members of a stalled step where there is room.
 
         See `stalls`. Reservations, exclusions after failures, and the rest and probing
-        of workers only determine the order of workers. An attempt that must be isolated
-        and a step that waits for a rack have bounded waits of their own.
+        of workers only determine the order of workers. A task that must be isolated and
+        a step that waits for a rack have bounded waits of their own.
         """
-        isolated = any(isolation.record_for(task) is not None for task in tasks)
         spec = step.spec
-        if isolated or (
-            (spec.same_rack or spec.data_rack) and self._waits_for_rack(step, now, plan)
-        ):
+        records = {task: isolation.record_for(task) for task in tasks}
+        tasks = [
+            task
+            for task, record in records.items()
+            if record is None or record.isolation_wait_expired(now)
+        ]
+        wants_rack = spec.same_rack or bool(spec.data_rack)
+        if not tasks or (wants_rack and self._waits_for_rack(step, now, plan)):
             return False
         workers = self._workers_with_room(step, now)
         if step.job.queue.permits is not None:
@@ -689,6 +753,17 @@
             allowed = {} if permits is None else permits.tickets
             workers = [each for each in workers if each.name in allowed]
         exclusions = exclusion.exclusions_of(step, tasks)
+        rooms = {each: self._room_for_stalled(step, each) for each in workers}
+        least_room = len(step.tasks) if spec.gang else 1
+        if sum(rooms.values()) < stalls.STALL_ROOM_FACTOR * least_room:
+            return False
+        if all(map(_is_last_attempt, tasks)):
+            # A worker that fails it would fail its job.
+            workers = [
+                each
+                for each in workers
+                if each.may_accept_work(now) and exclusions.ends_at(each) is None
+            ]
         workers.sort(
             key=lambda each: (
                 exclusions.ends_at(each) is not None,
@@ -696,21 +771,31 @@
                 self._preference(step, each),
             )
         )
-        needs = reserved_resources(spec)
-        wanted = len(tasks) if spec.gang else 1
+        wanted = len(tasks) if spec.gang or spec.service else 1
         assigned: list[FleetWorker] = []
         for worker in workers:
-            fits = min(
-                how_many_fit(needs, worker.free),
-                self._remaining_worker_limit(step, worker),
-            )
-            assigned += [worker] * min(fits, wanted - len(assigned))
-        if len(assigned) < wanted:
+            assigned += [worker] * min(rooms[worker], wanted - len(assigned))
+        if not assigned or (spec.gang and len(assigned) < len(step.tasks)):
             return False
+        if wanted == 1:
+            first = assigned[0].name
+            tasks = [
+                min(
+                    tasks,
+                    key=lambda task: (
+                        _is_last_attempt(task),
+                        first in task.failed_on,
+                        task.index,
+                    ),
+                )
+            ]
         group = PlannedGroup(step=step)
         attempt = step.last_attempt + 1
-        for task, worker in zip(tasks, assigned, strict=False):
-            self._place(step, task, worker, attempt, now, group)
+        for number, (task, worker) in enumerate(zip(tasks, assigned, strict=False)):
+            if not worker.may_accept_work(now):
+                worker.yielded_at = now
+            number = 0 if spec.gang else number
+            self._place(step, task, worker, attempt + number, now, group)
         plan.groups.append(group)
         return True
 
@@ -892,6 +977,9 @@
                 _fits_beside_services(step, worker),
             ),
         )
+        self._members[step] = members
+        if stalls.is_firm(step, now):
+            self._add_slots(self._firm_reservations, step, members)
         if members and self.cluster_state.load.batch_permits:
             self._renew_gang_permits(step, members, now, plan)
 
@@ -951,6 +1039,13 @@
     return found[:MAX_STEPS_SCANNED]
 
 
+def _is_last_attempt(task: Task) -> bool:
+    """Return whether a task's job fails if its next attempt does."""
+    step = task.step
+    failures = step.gang_failures if step.spec.gang else task.failures
+    return not step.spec.service and step.job.queue.max_attempts - failures <= 1
+
+
 def _may_preempt(step: StepRun) -> bool:
     """Return whether a step may preempt as urgent work.
 
--- a/cranberrycleat/workflow/decisions/pool_snapshot.py
+++ b/cranberrycleat/workflow/decisions/pool_snapshot.py
@@ -13,10 +13,9 @@
 
 from cranberrycleat.amounts import MILLI, NOTHING, Amounts
 from cranberrycleat.workflow.fleet import (
-    RESTS,
+    SUSPECTED_REASONS,
     Fleet,
     FleetWorker,
-    Liveness,
     reserved_resources,
 )
 from cranberrycleat.workflow.spec import StepSpec
@@ -32,26 +31,24 @@
             upper bound during the round, since placements only reduce it.
         min_capacity: Minimum capacity of any of them, for each resource.
         by_name: The schedulable workers by incarnation name.
-        resting: Workers that would be schedulable but for a rest after failures.
-        max_free_resting: Maximum of each resource that any of these had free.
-        used_share: The share of the processors of all live workers that is in use.
+        suspected: Workers that would be schedulable but for their failures.
+        max_free_suspected: Maximum of each resource that any of these had free.
     """
 
     drawing: tuple[FleetWorker, ...] = ()
     max_free: Amounts = NOTHING
     min_capacity: Amounts = NOTHING
     by_name: Mapping[str, FleetWorker] = attrs.field(factory=dict)
-    resting: tuple[FleetWorker, ...] = ()
-    max_free_resting: Amounts = NOTHING
-    used_share: float = 0.0
+    suspected: tuple[FleetWorker, ...] = ()
+    max_free_suspected: Amounts = NOTHING
 
     def might_fit(self, needs: Amounts) -> bool:
         """Return whether a task might fit on some worker; False is definite."""
         return needs.fits_in(self.max_free)
 
-    def might_fit_resting(self, needs: Amounts) -> bool:
-        """Return whether a task might fit on a resting worker; False is definite."""
-        return bool(self.resting) and needs.fits_in(self.max_free_resting)
+    def might_fit_suspected(self, needs: Amounts) -> bool:
+        """Return whether a task might fit on a suspected worker; False is definite."""
+        return bool(self.suspected) and needs.fits_in(self.max_free_suspected)
 
     def cores(self) -> float:
         """Return the number of processors of the schedulable workers."""
@@ -63,32 +60,22 @@
     workers = fleet.workers_in_pool(pool)
     reasons = [(each, each.unavailable_reason(now)) for each in workers]
     drawing = tuple(each for each, reason in reasons if reason is None)
-    resting = tuple(each for each, reason in reasons if reason == RESTS)
+    suspected = tuple(each for each, reason in reasons if reason in SUSPECTED_REASONS)
     snapshot = PoolSnapshot(
-        resting=resting,
-        max_free_resting=_bound(max, [each.free for each in resting]),
-        used_share=used_share(workers),
+        suspected=suspected, max_free_suspected=max_of(each.free for each in suspected)
     )
     if not drawing:
         return snapshot
-    free = [each.free for each in drawing]
     capacities = [each.entry.capacity for each in drawing]
     return attrs.evolve(
         snapshot,
         drawing=drawing,
-        max_free=_bound(max, free),
+        max_free=max_of(each.free for each in drawing),
         min_capacity=_bound(min, capacities),
         by_name={each.name: each for each in drawing},
     )
 
 
-def used_share(workers: Iterable[FleetWorker]) -> float:
-    """Return the share of the processors of the live ones among workers in use."""
-    live = [each for each in workers if each.liveness is Liveness.LIVE]
-    capacity = sum(each.entry.capacity.processors for each in live)
-    return sum(each.used.processors for each in live) / max(1, capacity)
-
-
 def could_run_on(spec: StepSpec, worker: FleetWorker) -> bool:
     """Return whether a worker has the label and capacity that a step requires."""
     if spec.label and spec.label not in worker.entry.labels:
@@ -96,6 +83,11 @@
     return reserved_resources(spec).fits_in(worker.entry.capacity)
 
 
+def max_of(amounts: Iterable[Amounts]) -> Amounts:
+    """Return the maximum of each resource; nothing for no amounts."""
+    return _bound(max, list(amounts))
+
+
 def _bound(pick: Callable[[Iterable[int]], int], amounts: list[Amounts]) -> Amounts:
     """Return the bound of each resource; takes 0.02 ms for 300 workers (fast core)."""
     if not amounts:
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -32,7 +32,9 @@
 may begin beside it: a service or a long task would otherwise keep the worker from all
 other work."""
 RESTS: Final = "rests after failures"
-"""A reason to give a worker no work that is a precaution: it could start tasks."""
+PROBED: Final = "probed after failures"
+SUSPECTED_REASONS: Final = frozenset({RESTS, PROBED})
+"""Reasons to give a worker no work that are a precaution: it could start tasks."""
 MAX_ZERO_NEED_TASKS: Final = 1000
 """How many tasks without resource needs a worker is given."""
 INITIAL_QUARANTINE_S: Final = 2.0
@@ -275,6 +277,7 @@
         rest_s: The length of its last quarantine.
         is_probed: Whether it is probed after a quarantine, with one new task at a time,
             until one has succeeded.
+        yielded_at: When it was last given a stalled step although it is suspected.
         isolated_attempt: The attempt there of a task that may crash its workers.
         generation: The fleet's generation when it was added, or when its orders were
             last outdated; its fence includes it.
@@ -316,6 +319,7 @@
     quarantined_until: float = 0.0
     rest_s: float = 0.0
     is_probed: bool = False
+    yielded_at: float = float("-inf")
     isolated_attempt: Placement | None = None
     generation: int = 0
     added_at: float = 0.0
@@ -360,7 +364,7 @@
         if now < self.quarantined_until:
             return RESTS
         if self.has_running_probe():
-            return "probed after failures"
+            return PROBED
         return "tries a suspected task" if self.has_isolated_attempt() else None
 
     def has_running_probe(self) -> bool:
@@ -567,8 +571,15 @@
         self.quarantined_until = now + self.rest_s
         self.is_probed = True
 
-    def record_attempt_success(self) -> None:
-        """Record an attempt that completed; ends quarantine and probing."""
+    def record_attempt_success(self, planned_at: float = float("-inf")) -> None:
+        """Record an attempt that completed; ends probing.
+
+        Args:
+            planned_at: When it was planned, on the owner's clock; one from since the
+                quarantine began ends that as well.
+        """
+        if planned_at >= self.quarantined_until - self.rest_s:
+            self.quarantined_until = float("-inf")
         self.failures = 0
         self.failed_jobs.clear()
         self.rest_s = 0.0
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -101,6 +101,7 @@
         ready_at: When the step became ready to run, on the owner's clock.
         idle_since: Since when nothing of its job has been placed, for a service since
             when a member has waited, as far as planning rounds have seen.
+        yields_at: From when room may be looked for without precautions again.
         waits_since: Since when members of a service have waited for capacity.
         wait_reason: Why it was last left waiting, for logs.
         wait_logged_at: When that reason was last logged.
@@ -122,6 +123,7 @@
     wait_reason: str = ""
     wait_logged_at: float = 0.0
     idle_since: float | None = None
+    yields_at: float = float("-inf")
     waits_since: float | None = None
     urgency: StepUrgency | None = None
     losses: dict[int, LossRecord] = attrs.field(factory=dict)
