Prove rows for the selection of the steps of a round

Both mutants are killed by tests/test_steps_without_worker.py: with the first a round does work for each step without a worker, with the second steps that cannot be placed use up the bound. The list of modules names the new ones.

--- a/cranberrycleat/workflow/decisions/__init__.py
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -7,6 +7,7 @@
 `workflow/links`).
 
 - `planner`: one scheduling round; calls the modules below
+- `round_scan`: which of the waiting steps a round considers
 - `ordering`, `tiered_order`: in which order waiting steps are placed
 - `gang_reservation`: what is kept free for gangs that wait
 - `fair_share`: which jobs are within the entitlement of their workspace
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -734,6 +734,22 @@
         replacement="    left = ()",
         test="tests/test_quota.py::test_successor_charges_and_stops_attempts_of_ended_jobs",
     ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="leaving out steps that no worker could run",
+        file="workflow/decisions/round_scan.py",
+        text="        return self._workers_with(wanted.pool, wanted.label).could_run(wanted.needs)",
+        replacement="        return True",
+        test="tests/test_steps_without_worker.py::test_round_does_no_work_for_steps_without_worker",
+    ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="a bound of their own for steps that cannot be placed at present",
+        file="workflow/decisions/round_scan.py",
+        text="            bound = placeable if self._might_be_placed(step) else blocked",
+        replacement="            bound = placeable",
+        test="tests/test_steps_without_worker.py::test_steps_that_cannot_start_do_not_exhaust_a_round",
+    ),
     Mutant(
         guarantee="quota",
         mechanism="scanning other workspaces' steps beside the backlog of one",
