--- a/cranberrycleat/workflow/decisions/pool_snapshot.py
+++ b/cranberrycleat/workflow/decisions/pool_snapshot.py
@@ -71,7 +71,7 @@
         snapshot,
         drawing=drawing,
         max_free=max_of(each.free for each in drawing),
-        min_capacity=_bound(min, capacities),
+        min_capacity=per_resource(min, capacities),
         by_name={each.name: each for each in drawing},
     )
 
@@ -85,13 +85,14 @@
 
 def max_of(amounts: Iterable[Amounts]) -> Amounts:
     """Return the maximum of each resource; nothing for no amounts."""
-    return _bound(max, list(amounts))
+    found = list(amounts)
+    return per_resource(max, found) if found else NOTHING
 
 
-def _bound(pick: Callable[[Iterable[int]], int], amounts: list[Amounts]) -> Amounts:
-    """Return the bound of each resource; takes 0.02 ms for 300 workers (fast core)."""
-    if not amounts:
-        return NOTHING
+def per_resource(
+    pick: Callable[[Iterable[int]], int], amounts: list[Amounts]
+) -> Amounts:
+    """Return a sum or bound of each resource; 0.02 ms for 300 workers (fast core)."""
     return Amounts(
         processors=pick(each.processors for each in amounts),
         memory_mb=pick(each.memory_mb for each in amounts),
