A task that avoids a worker does not keep the others of its step from it

Found in review (older code): placing the tasks of a step one by one ended with the first that found no worker. If that one avoids the only worker with room, as it failed there or lost a worker there, the others waited behind it for up to 10 s. test_task_does_not_wait_behind_one_that_avoids_the_worker_with_room failed in both cases.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -758,9 +758,12 @@
                     self.cluster_state.fleet.worker_failures,
                     now,
                 )
-            if not fitting and isolated_attempt is None:
-                break
             if not fitting:
+                if isolated_attempt is None and not exclusion.exclusions_of(
+                    step, [task]
+                ):
+                    # Nothing keeps this task from a worker that the others could use.
+                    break
                 continue
             best = min(fitting, key=lambda each: self._preference(step, each))
             self._place(step, task, best, step.last_attempt + 1, now, group)
