The hold on a machine that is drained for upkeep ends by itself

Cause: `held` was a flag that only a refused order and the worker's next incarnation cleared. An order that is answered 200 because the upkeep was done already, or 400 because there is no such machine, is followed by neither. A machine that left the list or a machine API that stopped answering left the flag set as well.

A hold now lasts 3 s and the director renews it while it drains the machine, so its end depends on no event. A loss is no crash of the task if the worker was held when it last answered, which is what the flag told before.

--- a/cranberrycleat/workflow/decisions/stalls.py
+++ b/cranberrycleat/workflow/decisions/stalls.py
@@ -197,7 +197,7 @@
         and worker.entry.readable
         and not worker.entry.leaving
         and not worker.unresponsive
-        and not worker.held
+        and not worker.is_held(now)
         and not worker.has_unsized()
         and not worker.leaves_orders_unanswered(now)
     )
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -268,7 +268,8 @@
             an order; an answer to a sync, which has a connection of its own, is no
             evidence that it takes orders.
         unsized: How many placements of unknown resource needs it has.
-        held: Whether it is being drained for maintenance of its machine.
+        held_until: It is given no work before this time, while it is drained for
+            maintenance of its machine (see `hold`).
         filler_percent: The share at which its fillers are to work.
         filler_changed_at: When that share was last changed.
         failures: Number of consecutive failed attempts.
@@ -309,7 +310,7 @@
     missed_orders: int = 0
     missed_order_pause_s: float = MISSED_ORDER_PAUSE_S
     orders_unanswered_until: float = float("-inf")
-    held: bool = False
+    held_until: float = float("-inf")
     unsized: int = 0
     filler_percent: int = 100
     filler_changed_at: float = float("-inf")
@@ -355,7 +356,7 @@
             return "in a silent data centre"
         if self.leaves_orders_unanswered(now):
             return "left an order unanswered"
-        if self.held:
+        if self.is_held(now):
             return "held for upkeep"
         if self.has_unsized():
             return "runs what nobody knows"
@@ -397,7 +398,27 @@
         """Return whether no attempt there has only just begun."""
         return all(map(self.outlived_crash_window, self.placements.values()))
 
-    def may_start(self) -> bool:
+    def hold(self, until: float) -> None:
+        """Give it no work until the given time, for its machine's upkeep.
+
+        A hold ends by itself unless it is renewed: whatever drains a machine may fail,
+        and the event for which it waits may never come.
+        """
+        self.held_until = max(self.held_until, until)
+
+    def release(self, now: float) -> None:
+        """End its hold."""
+        self.held_until = min(self.held_until, now)
+
+    def is_held(self, now: float) -> bool:
+        """Return whether it is being drained for its machine's upkeep."""
+        return now < self.held_until
+
+    def was_held_when_last_heard(self) -> bool:
+        """Return whether it was being drained when it last answered."""
+        return self.clock_read_at < self.held_until
+
+    def may_start(self, now: float) -> bool:
         """Return whether start orders for existing placements may still be sent.
 
         Between planning and ordering lie a transaction and sometimes a permit request,
@@ -405,7 +426,7 @@
         leaves.
         """
         responsive = self.liveness is Liveness.LIVE and not self.unresponsive
-        away = self.entry.leaving or self.held or not self.entry.readable
+        away = self.entry.leaving or self.is_held(now) or not self.entry.readable
         return (
             responsive
             and not away
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -541,9 +541,8 @@
             fleet.outdate_orders(self.worker)
 
     def _may_start(self, placement: Placement) -> bool:
-        return self.worker.may_start() and not self.cluster_state.is_over_quota(
-            placement
-        )
+        may_start = self.worker.may_start(self.clock.now())
+        return may_start and not self.cluster_state.is_over_quota(placement)
 
     def _void_reason(self, placement: Placement) -> str:
         """Return why an unanswered order must not start its task; empty if it may."""
--- a/cranberrycleat/workflow/loss_tracker.py
+++ b/cranberrycleat/workflow/loss_tracker.py
@@ -101,7 +101,7 @@
         job = task.step.job
         just_begun = not worker.outlived_crash_window(placement)
         left = worker.entry.leaving and bool(worker.entry.address) and not just_begun
-        if left or worker.held or job.verdict is not None:
+        if left or worker.was_held_when_last_heard() or job.verdict is not None:
             return False
         record = task.step.ensure_losses_of(task)
         failure = self.fleet.failure_of(worker)
--- a/cranberrycleat/workflow/upkeep_director.py
+++ b/cranberrycleat/workflow/upkeep_director.py
@@ -28,6 +28,10 @@
 POLL_INTERVAL_S: Final = 0.3
 LIST_INTERVAL_S: Final = 1.0
 """How often the machines are listed while a wave is in progress."""
+HOLD_S: Final = 3.0
+"""How long a machine is held without renewal. A machine whose upkeep was accepted must
+be held until its worker is found silent (0.5 s); a list that is not answered and the
+next round take 1.3 s, and two such in a row should not end a hold."""
 SETTLE_S: Final = 3.2
 """A new owner sends no machine orders until its predecessor's are this old: the
 platform treats alternating holders within 3 s as two concurrent ones."""
@@ -106,20 +110,32 @@
         now = self.clock.now()
         run.select_machines(self._machines, self.cluster_state.fleet)
         for name in sorted(run.draining):
+            self._renew_holds(run)
             await self._drain_machine(run, self._machines[name], now)
         if run.is_complete(self._machines):
             await self._write_status(run, COMPLETED)
 
     async def _drain_machine(self, run: WaveRun, machine: Machine, now: float) -> None:
-        worker = self.cluster_state.fleet.newest.get(machine.worker)
+        worker = self._worker_on(machine.name)
         if worker is not None:
             self._evacuate(worker)
         wait_s = run.wait_s(now, self._machines)
         if may_begin_upkeep(worker, wait_s) and self.may_order():
             await self._start_upkeep(run, machine, worker)
 
+    def _renew_holds(self, run: WaveRun) -> None:
+        """Hold all machines that are being drained; each order may take a second."""
+        until = self.clock.now() + HOLD_S
+        for name in run.draining:
+            worker = self._worker_on(name)
+            if worker is not None:
+                worker.hold(until)
+
+    def _worker_on(self, machine: str) -> FleetWorker | None:
+        listed = self._machines[machine].worker
+        return self.cluster_state.fleet.newest.get(listed)
+
     def _evacuate(self, worker: FleetWorker) -> None:
-        worker.held = True
         for placement in placements_to_move(worker):
             self.cluster_state.stop(worker, placement, "upkeep")
         self.stop_soon()
@@ -144,6 +160,8 @@
         )
         match verdict:
             case MachineVerdict.ACCEPTED | MachineVerdict.NO_MACHINE:
+                # The answer does not tell an upkeep that begins from one that was done
+                # already. The hold is not renewed any more, so it ends in either case.
                 run.begun.add(machine.name)
                 run.draining.discard(machine.name)
                 run.unanswered.discard(machine.name)
@@ -151,8 +169,9 @@
             case _ if machine.name in run.unanswered:
                 # It still counts as unavailable, until the order is accepted.
                 self._listed_at = float("-inf")
-            case _ if worker is not None:
-                worker.held = False
+            case _:
+                if worker is not None:
+                    worker.release(self.clock.now())
                 run.draining.discard(machine.name)
 
     async def _write_status(self, run: WaveRun, state: str) -> None:
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -178,7 +178,7 @@
 
 
 def _hold_for_upkeep(only: FleetWorker, placement: Placement) -> None:
-    only.held = True
+    only.hold(only.clock_read_at + 1.0)
 
 
 def _clear_ordered(only: FleetWorker, placement: Placement) -> None:
--- a/tests/test_shrinking_workers.py
+++ b/tests/test_shrinking_workers.py
@@ -58,7 +58,7 @@
     owner_board.accept("a", queue(), job(step(1, processors=3000)))
     assert plan(owner_board).groups
     only.update(_with_processors(only.entry, processors))
-    assert only.may_start() is expected
+    assert only.may_start(0.0) is expected
 
 
 @pytest.mark.parametrize(
--- a/tests/test_worker_rows.py
+++ b/tests/test_worker_rows.py
@@ -159,11 +159,11 @@
     found = make_directory(table)
     asyncio.run(found.read_all())
     worker = FleetWorker(entry=found.entries["i-1"], liveness=Liveness.LIVE)
-    assert worker.may_accept_work(0.0) and worker.may_start()
+    assert worker.may_accept_work(0.0) and worker.may_start(0.0)
     put(table, row({"state": "sleeping"}))
     assert asyncio.run(found.refresh())
     worker.update(found.entries["i-1"])
-    assert not worker.may_accept_work(0.0) and not worker.may_start()
+    assert not worker.may_accept_work(0.0) and not worker.may_start(0.0)
     assert worker.entry.address == VALID_ROW["addr"] and not worker.entry.leaving
     put(table, row({}))
     asyncio.run(found.refresh())
