A new owner goes on with a wave of upkeep where the last one stopped

Operators saw each new owner carry a finished wave out anew: it drained all machines again, moved services and saved work off them, and ordered 24 upkeeps that were done.

Cause: the director kept the progress of a wave in memory only, and an order for an upkeep that was done already is answered like one that begins it.

A new owner now reads the state that was written for the operator before it orders anything, and `upkeep/N`, a record of the machines whose upkeep has begun and of when the wave was first seen, so that `complete_by_s` does not begin anew either. The record is written after each accepted order and deleted with the wave's end. A machine in upkeep of which the record does not tell is ordered without being drained. The director writes nothing while the owner may not order, so that a late write does not replace a successor's, and a machine whose upkeep was refused is not ordered again for 1 s.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -726,6 +726,16 @@
     machines: int
 
 
+@event("wave.resumed", essential=True)
+class WaveResumed:
+    """A new owner read how far a wave of upkeep had come."""
+
+    wave: int
+    state: str
+    begun: int
+    after_s: float
+
+
 @event("wave.told", essential=True)
 class WaveStatusWritten:
     """The state of a wave was written for the operator."""
--- a/cranberrycleat/platform/adapter.py
+++ b/cranberrycleat/platform/adapter.py
@@ -8,11 +8,16 @@
 from cranberrycleat.http_client import HttpClient
 from cranberrycleat.platform import records
 from cranberrycleat.platform.front import Front, Readiness
-from cranberrycleat.platform.machines import PlatformMachines, read_wave, wave_status
+from cranberrycleat.platform.machines import (
+    PlatformMachines,
+    read_wave,
+    wave_state,
+    wave_status,
+)
 from cranberrycleat.platform.settings import read_settings
 from cranberrycleat.platform.store import PlatformStore
 from cranberrycleat.platform.workers import PlatformPermits, PlatformWorkers
-from cranberrycleat.table import Put
+from cranberrycleat.table import Put, Row
 from cranberrycleat.workflow.directory import ConfigFollower, WorkerDirectory
 from cranberrycleat.workflow.job_frontend import JobFrontend
 from cranberrycleat.workflow.ports import NodeSettings
@@ -48,6 +53,10 @@
         """Return the write that reports a wave's state to the operator."""
         return wave_status(number, state)
 
+    def wave_state(self, row: Row) -> str:
+        """Return the state of a wave that was written for the operator."""
+        return wave_state(row)
+
     def directory(self) -> WorkerDirectory:
         """Return a reader of the list of workers."""
         return WorkerDirectory(
--- a/cranberrycleat/platform/machines.py
+++ b/cranberrycleat/platform/machines.py
@@ -178,3 +178,12 @@
     """Return the write that reports a wave's state to the operator."""
     status = _WireStatus(wave=number, state=state)
     return Put(key=f"status/wave/{number}", value=codec.encode_text(status))
+
+
+def wave_state(row: Row) -> str:
+    """Return the state in a row written by `wave_status`.
+
+    Raises:
+        FindingsError: The row does not have that format.
+    """
+    return codec.decode(row.value, _WireStatus, place=row.key).state
--- a/cranberrycleat/workflow/adapter.py
+++ b/cranberrycleat/workflow/adapter.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from cranberrycleat.table import Put
+from cranberrycleat.table import Put, Row
 from cranberrycleat.workflow.directory import ConfigFollower, WorkerDirectory
 from cranberrycleat.workflow.job_frontend import JobFrontend
 from cranberrycleat.workflow.ports import (
@@ -48,6 +48,13 @@
     def wave_status(self, number: int, state: str) -> Put:
         """Return the write that reports a maintenance wave's state to the operator."""
 
+    def wave_state(self, row: Row) -> str:
+        """Return a maintenance wave's state that was written for the operator.
+
+        Raises:
+            FindingsError: The row cannot be decoded.
+        """
+
     def directory(self) -> WorkerDirectory:
         """Return a new reader of the worker directory."""
 
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -527,6 +527,7 @@
             client=machines,
             writer=self.adapter.store,
             status=self.adapter.wave_status,
+            written_state=self.adapter.wave_state,
             waves=lambda: self._config.follower.waves,
             cluster_state=owner.cluster_state,
             holder=self.adapter.settings.name,
--- a/cranberrycleat/workflow/upkeep.py
+++ b/cranberrycleat/workflow/upkeep.py
@@ -7,8 +7,11 @@
 wave's due time allows. A wave is reported as completed only after upkeep has begun on
 every machine of it that still exists.
 
-The platform accepts a repeated request for upkeep that was already done, so a new
-owner can start over from the list of machines without any stored state.
+The platform accepts a repeated request for upkeep that was already done, but its
+answer does not tell so, and a machine must be drained before the request. A new owner
+therefore reads the state written for the operator and `upkeep/N`, the record of the
+machines whose upkeep has begun. Where the record is behind, a machine is drained once
+more than needed.
 """
 
 import enum
@@ -94,6 +97,19 @@
         """Move a machine to another pool; raises `MachinesUnavailable`."""
 
 
+@attrs.frozen(kw_only=True)
+class WaveRecord:
+    """What is stored of a wave in progress for the next owner.
+
+    Attributes:
+        begun: The machines whose upkeep has begun or ended, sorted.
+        seen_s: When the wave was first seen, in seconds since 1970.
+    """
+
+    begun: tuple[str, ...]
+    seen_s: float
+
+
 @attrs.define(kw_only=True, eq=False)
 class WaveRun:
     """A wave in progress.
@@ -106,6 +122,9 @@
         unanswered: Machines whose upkeep was ordered without an answer, so that it may
             have begun or may yet begin.
         written_state: The state that was last written for the operator.
+        restored: Whether the state and the record written by earlier owners were read.
+        recorded: The machines that the stored record contains; None without a record.
+        refused_until: Until when a machine is not ordered again after a refusal.
     """
 
     wave: Wave
@@ -114,6 +133,23 @@
     draining: set[str] = attrs.field(factory=set)
     unanswered: set[str] = attrs.field(factory=set)
     written_state: str = ""
+    restored: bool = False
+    recorded: frozenset[str] | None = None
+    refused_until: dict[str, float] = attrs.field(factory=dict)
+
+    def restore(self, record: WaveRecord, now: float, now_s: float) -> None:
+        """Adopt the record of an earlier owner.
+
+        Args:
+            record: The record.
+            now: The time on the owner's clock.
+            now_s: The time in seconds since 1970.
+        """
+        self.begun.update(record.begun)
+        self.recorded = frozenset(record.begun)
+        # The clocks of two hosts may differ.
+        ran_s = min(max(0.0, now_s - record.seen_s), self.wave.due_in_s)
+        self.seen_at = now - ran_s
 
     def left(self, machines: dict[str, Machine]) -> list[str]:
         """Return the existing machines whose upkeep has not begun."""
@@ -127,7 +163,22 @@
         """Return whether upkeep has begun on every machine that still exists."""
         return not self.left(machines)
 
-    def select_machines(self, machines: dict[str, Machine], fleet: Fleet) -> list[str]:
+    def already_down(self, machines: dict[str, Machine], now: float) -> list[str]:
+        """Return the machines in upkeep of which it is not known for which wave.
+
+        Ordering the upkeep of such a machine ends nothing that runs.
+        """
+        return [
+            name
+            for name in self.left(machines)
+            if machines[name].state is MachineState.UPKEEP
+            and name not in self.draining
+            and not self._is_refused(name, now)
+        ]
+
+    def select_machines(
+        self, machines: dict[str, Machine], fleet: Fleet, now: float
+    ) -> list[str]:
         """Select machines to drain, so that at most `cap` are unavailable at once."""
         down = sum(
             machines[name].state is not MachineState.UP
@@ -139,13 +190,18 @@
         waiting = [
             name
             for name in self.left(machines)
-            if name not in self.draining and machines[name].state is MachineState.UP
+            if name not in self.draining
+            and machines[name].state is MachineState.UP
+            and not self._is_refused(name, now)
         ]
         waiting.sort(key=lambda name: (_load(machines[name], fleet), name))
         newly_draining = waiting[: max(0, available)]
         self.draining.update(newly_draining)
         return newly_draining
 
+    def _is_refused(self, machine: str, now: float) -> bool:
+        return now < self.refused_until.get(machine, now)
+
     def wait_s(self, now: float, machines: dict[str, Machine]) -> float:
         """Return how long to wait for a machine's work to finish by itself."""
         left_s = self.seen_at + self.wave.due_in_s - now
--- a/cranberrycleat/workflow/upkeep_director.py
+++ b/cranberrycleat/workflow/upkeep_director.py
@@ -7,10 +7,10 @@
 
 import attrs
 
-from cranberrycleat import errors, events
+from cranberrycleat import codec, errors, events
 from cranberrycleat.clock import Clock
 from cranberrycleat.logs import emit, part_logger
-from cranberrycleat.table import Put, Table, Transaction
+from cranberrycleat.table import Put, Row, Table, Transaction
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.upkeep import (
@@ -19,6 +19,7 @@
     MachinesUnavailable,
     MachineVerdict,
     Wave,
+    WaveRecord,
     WaveRun,
     may_begin_upkeep,
     placements_to_move,
@@ -32,6 +33,9 @@
 """How long a machine is held without renewal. A machine whose upkeep was accepted must
 be held until its worker is found silent (0.5 s); a list that is not answered and the
 next round take 1.3 s, and two such in a row should not end a hold."""
+REFUSED_PAUSE_S: Final = 1.0
+"""How long a machine whose upkeep was refused is not ordered again; the list of
+machines is at most that old."""
 SETTLE_S: Final = 3.2
 """A new owner sends no machine orders until its predecessor's are this old: the
 platform treats alternating holders within 3 s as two concurrent ones."""
@@ -47,6 +51,7 @@
         client: Client of the platform's machine API.
         writer: The table to which a wave's state is written for the operator.
         status: Builds the write of a wave's state.
+        written_state: Decodes a row with a wave's state.
         waves: Returns the requested waves by number.
         cluster_state: The owner's in-memory state.
         holder: The holder name that the owner sends with its orders.
@@ -60,6 +65,7 @@
     client: MachineClient
     writer: Table
     status: Callable[[int, str], Put]
+    written_state: Callable[[Row], str]
     waves: Callable[[], dict[int, Wave]]
     cluster_state: ClusterState
     holder: str
@@ -83,9 +89,13 @@
             if not open_runs or self.clock.now() - began < SETTLE_S:
                 continue
             try:
+                for run in open_runs:
+                    if not run.restored:
+                        await self._restore(run)
                 await self._refresh_machines()
                 for run in open_runs:
-                    await self._advance_wave(run)
+                    if run.written_state != COMPLETED:
+                        await self._advance_wave(run)
             except MachinesUnavailable as exc:
                 LOG.info("The platform's machine API is unavailable: %s", exc)
             except errors.TableUnavailable as exc:
@@ -97,6 +107,36 @@
                 emit(events.WaveSeen(wave=number, machines=len(wave.machines)))
                 self.runs[number] = WaveRun(wave=wave, seen_at=self.clock.now())
 
+    async def _restore(self, run: WaveRun) -> None:
+        """Read how far earlier owners came with a wave."""
+        number = run.wave.number
+        status_key = self.status(number, RUNNING).key
+        found = await self.writer.read(keys=(status_key, _record_key(number)))
+        for row in found:
+            try:
+                if row.key == status_key:
+                    run.written_state = self.written_state(row)
+                else:
+                    record = codec.decode(row.value, WaveRecord, place=row.key)
+                    run.restore(
+                        record, self.clock.now(), self.cluster_state.time_of_day()
+                    )
+            except errors.FindingsError as exc:
+                # It is written again, as if there were none.
+                emit(events.RowUnreadable(findings=str(exc)))
+        run.restored = True
+        if run.written_state == COMPLETED and run.recorded is not None:
+            await self._delete_record(run)
+        if found:
+            emit(
+                events.WaveResumed(
+                    wave=number,
+                    state=run.written_state,
+                    begun=len(run.begun),
+                    after_s=round(self.clock.now() - run.seen_at, 3),
+                )
+            )
+
     async def _refresh_machines(self) -> None:
         if self.clock.now() - self._listed_at < LIST_INTERVAL_S:
             return
@@ -105,15 +145,24 @@
         self._machines = {each.name: each for each in found}
 
     async def _advance_wave(self, run: WaveRun) -> None:
+        if not self.may_order():
+            # A late write must not replace what a successor has written.
+            return
         if not run.written_state:
             await self._write_status(run, RUNNING)
+        await self._write_record(run)
         now = self.clock.now()
-        run.select_machines(self._machines, self.cluster_state.fleet)
+        for name in run.already_down(self._machines, now):
+            await self._start_upkeep(run, self._machines[name], None)
+        run.select_machines(self._machines, self.cluster_state.fleet, now)
         for name in sorted(run.draining):
             self._renew_holds(run)
             await self._drain_machine(run, self._machines[name], now)
         if run.is_complete(self._machines):
             await self._write_status(run, COMPLETED)
+            await self._delete_record(run)
+        else:
+            await self._write_record(run)
 
     async def _drain_machine(self, run: WaveRun, machine: Machine, now: float) -> None:
         worker = self._worker_on(machine.name)
@@ -173,9 +222,32 @@
                 if worker is not None:
                     worker.release(self.clock.now())
                 run.draining.discard(machine.name)
+                run.refused_until[machine.name] = self.clock.now() + REFUSED_PAUSE_S
+
+    async def _write_record(self, run: WaveRun) -> None:
+        """Store which machines have begun, for the next owner, where that is new."""
+        if run.recorded == frozenset(run.begun):
+            return
+        ran_s = self.clock.now() - run.seen_at
+        record = WaveRecord(
+            begun=tuple(sorted(run.begun)),
+            seen_s=self.cluster_state.time_of_day() - ran_s,
+        )
+        key = _record_key(run.wave.number)
+        put = Put(key=key, value=codec.encode_text(record))
+        await self.writer.commit(Transaction(puts=(put,)))
+        run.recorded = frozenset(record.begun)
+
+    async def _delete_record(self, run: WaveRun) -> None:
+        key = _record_key(run.wave.number)
+        await self.writer.commit(Transaction(deletes=(key,)))
 
     async def _write_status(self, run: WaveRun, state: str) -> None:
         put = self.status(run.wave.number, state)
         await self.writer.commit(Transaction(puts=(put,)))
         run.written_state = state
         emit(events.WaveStatusWritten(wave=run.wave.number, state=state))
+
+
+def _record_key(wave: int) -> str:
+    return f"upkeep/{wave}"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,7 +16,7 @@
 from cranberrycleat.logs import set_observer
 from cranberrycleat.platform.front import Front, Readiness
 from cranberrycleat.standins.feed_table import MemoryFeedTable
-from cranberrycleat.table import Put
+from cranberrycleat.table import Put, Row
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.directory import ConfigFollower, WorkerDirectory
 from cranberrycleat.workflow.job_frontend import JobFrontend
@@ -99,6 +99,10 @@
         """Return a write that no test checks."""
         return Put(key=f"status/wave/{number}", value=state)
 
+    def wave_state(self, row: Row) -> str:
+        """Return what `wave_status` wrote."""
+        return row.value
+
     def directory(self) -> WorkerDirectory:
         """Return a reader of the shared worker list."""
         return WorkerDirectory(
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -270,13 +270,13 @@
     run = make_wave_run("a", "b", "c", "d", cap=2)
     machines = {name: make_machine(name) for name in "abcd"}
     fleet = cluster_state().fleet
-    assert run.select_machines(machines, fleet) == ["a", "b"]
-    assert run.select_machines(machines, fleet) == []
+    assert run.select_machines(machines, fleet, now=0.0) == ["a", "b"]
+    assert run.select_machines(machines, fleet, now=0.0) == []
     run.begun.add("a")
     machines["a"] = make_machine("a", MachineState.UPKEEP)
-    assert run.select_machines(machines, fleet) == []
+    assert run.select_machines(machines, fleet, now=0.0) == []
     machines["a"] = make_machine("a")
-    assert run.select_machines(machines, fleet) == ["c"]
+    assert run.select_machines(machines, fleet, now=0.0) == ["c"]
 
 
 def test_wave_completes_when_remaining_machines_have_begun() -> None:
@@ -344,6 +344,7 @@
         client=client,
         writer=running_cell.table,
         status=lambda number, state: Put(key=f"status/wave/{number}", value=state),
+        written_state=lambda row: row.value,
         waves=lambda: {run.number: run},
         cluster_state=owner.cluster_state,
         holder="one",
--- a/tests/test_unanswered_upkeep.py
+++ b/tests/test_unanswered_upkeep.py
@@ -77,6 +77,7 @@
                 client=client,
                 writer=env.table,
                 status=lambda number, state: Put(key="status/wave/1", value=state),
+                written_state=lambda row: row.value,
                 waves=lambda: {1: wave},
                 cluster_state=state,
                 holder="one",
--- a/tests/test_upkeep_owner_change.py
+++ b/tests/test_upkeep_owner_change.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from cranberrycleat.standins.fleet import SimulatedWork
+from cranberrycleat.table import Put, Transaction
 from cranberrycleat.workflow.owner import Owner
-from cranberrycleat.workflow.upkeep import MachineVerdict, Wave
+from cranberrycleat.workflow.upkeep import MachineVerdict, Wave, WaveRecord, WaveRun
 from tests.cell import Cell, cell, job, step, submit, until
 from tests.fakes import run_async
 from tests.upkeep_cell import WAVE, SimulatedMachines, hand_over, kill, own_with_upkeep
@@ -50,6 +52,7 @@
             second = await own_with_upkeep(machines, "two")
             await asyncio.sleep(ROUNDS_S)
             await begins_work(env, second, tasks=3)
+            assert len(machines.orders) == 3, machines.orders
 
     run_async(run())
 
@@ -76,3 +79,89 @@
             await begins_work(env, owner, tasks=1)
 
     run_async(run())
+
+
+def _is_asked_for(machines: SimulatedMachines, owner: Owner) -> bool:
+    return True
+
+
+def _is_draining(machines: SimulatedMachines, owner: Owner) -> bool:
+    state = owner.cluster_state
+    return any(each.is_held(state.now()) for each in state.fleet.newest.values())
+
+
+def _has_begun(machines: SimulatedMachines, owner: Owner) -> bool:
+    return bool(machines.states)
+
+
+def _is_done_on_one(machines: SimulatedMachines, owner: Owner) -> bool:
+    return bool(machines.begun) and machines.begun[0] not in machines.states
+
+
+def _is_written(machines: SimulatedMachines, owner: Owner) -> bool:
+    return machines.status == "completed"
+
+
+# Guards against a wave that is lost, carried out twice or beyond its cap, and against
+# machines that stay held, whenever the owner changes. A machine is ordered once more
+# only if the owner ended before it had recorded the answer.
+@pytest.mark.parametrize("change", [kill, hand_over])
+@pytest.mark.parametrize(
+    ("reached", "repeated"),
+    [
+        (_is_asked_for, 0),
+        (_is_draining, 0),
+        (_has_begun, 1),
+        (_is_done_on_one, 0),
+        (_is_written, 0),
+    ],
+)
+def test_wave_goes_on_after_owner_change(
+    reached: Callable[[SimulatedMachines, Owner], bool], repeated: int, change: Change
+) -> None:
+    async def run() -> None:
+        async with cell(workers=0) as env:
+            env.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.5)
+            machines = machines_of(env)
+            first = await own_with_upkeep(machines, "one")
+            await submit(first, "before", job(step(3, processors=4000)))
+            await until(lambda: reached(machines, first), limit_s=15.0)
+            await change(machines, first)
+            second = await own_with_upkeep(machines, "two")
+            await until(lambda: machines.status == "completed", limit_s=15.0)
+            assert sorted(machines.begun) == ["m-w0", "m-w1", "m-w2"]
+            assert machines.most_down == 1
+            assert len(machines.orders) <= 3 + repeated, machines.orders
+            await until(lambda: second.state("before").state == "completed")
+            await begins_work(env, second, tasks=3)
+            assert "upkeep/1" not in env.table.rows
+
+    run_async(run())
+
+
+# Guards against a wave that begins its time anew with each owner and is late.
+def test_new_owner_counts_time_from_first_sight_of_wave() -> None:
+    run = WaveRun(
+        wave=Wave(number=WAVE, machines=("a", "b"), due_in_s=20.0, cap=1), seen_at=50.0
+    )
+    record = WaveRecord(begun=("a",), seen_s=1000.0)
+    run.restore(record, now=50.0, now_s=1008.0)
+    assert run.begun == {"a"}
+    assert run.seen_at == 42.0
+    run.restore(record, now=50.0, now_s=990.0)
+    assert run.seen_at == 50.0
+    run.restore(record, now=50.0, now_s=9000.0)
+    assert run.seen_at == 30.0
+
+
+# Guards against a state in a row that nobody can read, which must not end the director.
+def test_unreadable_record_is_written_again() -> None:
+    async def run() -> None:
+        async with cell(workers=0) as env:
+            machines = machines_of(env, workers=1)
+            put = Put(key="upkeep/1", value="{")
+            env.table.apply(Transaction(puts=(put,)))
+            await own_with_upkeep(machines, "one")
+            await until(lambda: machines.status == "completed", limit_s=15.0)
+
+    run_async(run())
--- a/tests/upkeep_cell.py
+++ b/tests/upkeep_cell.py
@@ -99,6 +99,7 @@
         client=machines,
         writer=machines.env.table,
         status=lambda number, state: Put(key=f"status/wave/{number}", value=state),
+        written_state=lambda row: row.value,
         waves=lambda: {machines.wave.number: machines.wave},
         cluster_state=owner.cluster_state,
         holder="one",
