A machine listed in upkeep is ordered undrained only if it has no work

A new owner orders machines that the list shows in upkeep without draining them. The list is up to a second old: where the upkeep was another wave's and is over, the order would end what its next worker has begun (AVAIL, work thrown away).

Such a machine is now left out while anything is placed on it; once it is listed as up it is drained like any other.

Found by reading, not seen in a run.

--- a/cranberrycleat/workflow/upkeep.py
+++ b/cranberrycleat/workflow/upkeep.py
@@ -163,16 +163,20 @@
         """Return whether upkeep has begun on every machine that still exists."""
         return not self.left(machines)
 
-    def already_down(self, machines: dict[str, Machine], now: float) -> list[str]:
+    def already_down(
+        self, machines: dict[str, Machine], fleet: Fleet, now: float
+    ) -> list[str]:
         """Return the machines in upkeep of which it is not known for which wave.
 
-        Ordering the upkeep of such a machine ends nothing that runs.
+        Ordering the upkeep of such a machine ends nothing that runs, unless the list is
+        out of date and its next worker has work already.
         """
         return [
             name
             for name in self.left(machines)
             if machines[name].state is MachineState.UPKEEP
             and name not in self.draining
+            and not _has_work(machines[name], fleet)
             and not self._is_refused(name, now)
         ]
 
@@ -209,6 +213,11 @@
         return left_s * DRAIN_WAIT_FRACTION / max(1, rounds)
 
 
+def _has_work(machine: Machine, fleet: Fleet) -> bool:
+    worker = fleet.newest.get(machine.worker)
+    return worker is not None and bool(worker.placements)
+
+
 def _load(machine: Machine, fleet: Fleet) -> int:
     worker = fleet.newest.get(machine.worker)
     return 0 if worker is None else worker.used.processors
--- a/cranberrycleat/workflow/upkeep_director.py
+++ b/cranberrycleat/workflow/upkeep_director.py
@@ -152,7 +152,7 @@
             await self._write_status(run, RUNNING)
         await self._write_record(run)
         now = self.clock.now()
-        for name in run.already_down(self._machines, now):
+        for name in run.already_down(self._machines, self.cluster_state.fleet, now):
             await self._start_upkeep(run, self._machines[name], None)
         run.select_machines(self._machines, self.cluster_state.fleet, now)
         for name in sorted(run.draining):
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -281,6 +281,25 @@
     assert run.select_machines(machines, fleet, now=0.0) == ["c"]
 
 
+# Guards against an upkeep that ends work: the list of machines may be a second old, and
+# a machine in another wave's upkeep may be back and have work.
+@pytest.mark.parametrize(("tasks", "expected"), [(0, ["a"]), (1, [])])
+def test_machine_in_upkeep_is_ordered_without_draining_if_it_has_no_work(
+    tasks: int, expected: list[str]
+) -> None:
+    owner_board = cluster_state()
+    owner_board.fleet.add(worker("w-a"))
+    for number in range(tasks):
+        owner_board.accept(f"j{number}", queue(), job(step(1)))
+    Planner(cluster_state=owner_board).plan(now=0.0, now_s=NOW_S)
+    machines = {
+        "a": make_machine("a", MachineState.UPKEEP),
+        "b": make_machine("b"),
+    }
+    run = make_wave_run("a", "b")
+    assert run.already_down(machines, owner_board.fleet, now=0.0) == expected
+
+
 def test_wave_completes_when_remaining_machines_have_begun() -> None:
     """A removed machine does not count; a busy one does."""
     run = make_wave_run("a", "b")
