A wave with lasting tasks ends, or tells what it waits for and gives its machines back

A lasting task without `may_miss` was never moved, so that the wave never ended and its machine took no other work (review, once, for 15 s). A member whose step had too many away for long kept its machine from all work in the same way.

Members of a step without a budget are now moved one at a time, while all others are in service. A machine of which no member may be moved for 5 s is used as before, leaves its place under the cap to others and is drained again 10 s later. The event `upkeep.waits` tells what a machine waits for, once a change.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -744,6 +744,15 @@
     state: str
 
 
+@event("upkeep.waits", essential=True)
+class UpkeepWaits:
+    """What the upkeep of a machine waits for; logged when that changes."""
+
+    wave: int
+    machine: str
+    waits_for: str
+
+
 @event("upkeep.ordered")
 class UpkeepOrdered:
     """The upkeep of a machine was ordered."""
--- a/cranberrycleat/workflow/upkeep.py
+++ b/cranberrycleat/workflow/upkeep.py
@@ -4,8 +4,9 @@
 once and a due time. A machine is drained before its upkeep kills everything on it:
 its worker gets no new tasks; checkpointed work is moved away, and so are service
 members as far as their disruption budget allows; other work may finish as long as the
-wave's due time allows. A wave is reported as completed only after upkeep has begun on
-every machine of it that still exists.
+wave's due time allows. A machine with a service member that may not be moved for a
+while is used as before and drained again later. A wave is reported as completed only
+after upkeep has begun on every machine of it that still exists.
 
 The platform accepts a repeated request for upkeep that was already done, but its
 answer does not tell so, and a machine must be drained before the request. A new owner
@@ -22,6 +23,11 @@
 from cranberrycleat.workflow.fleet import Fleet, FleetWorker, Liveness, Placement
 from cranberrycleat.workflow.state import StepRun, Task
 
+BLOCKED_S: Final = 5.0
+"""How long a machine is drained while none of its service members may be moved. A moved
+member is in service again within 2 s if there is room."""
+POSTPONED_S: Final = 10.0
+"""For how long such a machine is used as before."""
 DRAIN_WAIT_FRACTION: Final = 0.5
 """Fraction of a wave's time per machine during which running work may finish."""
 
@@ -124,7 +130,10 @@
         written_state: The state that was last written for the operator.
         restored: Whether the state and the record written by earlier owners were read.
         recorded: The machines that the stored record contains; None without a record.
-        refused_until: Until when a machine is not ordered again after a refusal.
+        postponed_until: Until when a machine is not drained again.
+        progress_at: When a machine began to be drained or a member there was last told
+            to stop, on the owner's clock.
+        obstacles: What each machine that is left waits for, as last logged.
     """
 
     wave: Wave
@@ -135,7 +144,9 @@
     written_state: str = ""
     restored: bool = False
     recorded: frozenset[str] | None = None
-    refused_until: dict[str, float] = attrs.field(factory=dict)
+    postponed_until: dict[str, float] = attrs.field(factory=dict)
+    progress_at: dict[str, float] = attrs.field(factory=dict)
+    obstacles: dict[str, str] = attrs.field(factory=dict)
 
     def restore(self, record: WaveRecord, now: float, now_s: float) -> None:
         """Adopt the record of an earlier owner.
@@ -177,7 +188,7 @@
             if machines[name].state is MachineState.UPKEEP
             and name not in self.draining
             and not _has_work(machines[name], fleet)
-            and not self._is_refused(name, now)
+            and not self._is_postponed(name, now)
         ]
 
     def select_machines(
@@ -196,15 +207,33 @@
             for name in self.left(machines)
             if name not in self.draining
             and machines[name].state is MachineState.UP
-            and not self._is_refused(name, now)
+            and not self._is_postponed(name, now)
         ]
         waiting.sort(key=lambda name: (_load(machines[name], fleet), name))
         newly_draining = waiting[: max(0, available)]
         self.draining.update(newly_draining)
+        self.progress_at.update(dict.fromkeys(newly_draining, now))
         return newly_draining
 
-    def _is_refused(self, machine: str, now: float) -> bool:
-        return now < self.refused_until.get(machine, now)
+    def postpone(self, machine: str, until: float) -> None:
+        """Stop draining a machine; it is not drained again before a time."""
+        self.draining.discard(machine)
+        self.postponed_until[machine] = until
+
+    def is_blocked(self, machine: str, worker: FleetWorker, now: float) -> bool:
+        """Return whether a machine's service members have not been moved for long."""
+        since = self.progress_at.get(machine, now)
+        return has_service_members(worker) and now - since > BLOCKED_S
+
+    def note_obstacle(self, machine: str, obstacle: str) -> bool:
+        """Record what a machine waits for; return whether that has changed."""
+        if self.obstacles.get(machine, "") == obstacle:
+            return False
+        self.obstacles[machine] = obstacle
+        return True
+
+    def _is_postponed(self, machine: str, now: float) -> bool:
+        return now < self.postponed_until.get(machine, now)
 
     def wait_s(self, now: float, machines: dict[str, Machine]) -> float:
         """Return how long to wait for a machine's work to finish by itself."""
@@ -239,7 +268,7 @@
         step = task.step
         if step.spec.service:
             stopped_here = stopped.get(step.name, 0)
-            if absent_members(step, fleet) + stopped_here < step.spec.may_be_away:
+            if stopped_here < may_be_stopped(step, fleet):
                 stopped[step.name] = stopped_here + 1
                 selected.append(each)
         elif step.spec.checkpoints:
@@ -247,6 +276,15 @@
     return selected
 
 
+def may_be_stopped(step: StepRun, fleet: Fleet) -> int:
+    """Return how many members of a service step may be stopped now for an upkeep.
+
+    A step without a disruption budget is moved one member at a time: its members never
+    end by themselves, and their machines could not be maintained at all.
+    """
+    return max(1, step.spec.may_be_away) - absent_members(step, fleet)
+
+
 def absent_members(step: StepRun, fleet: Fleet) -> int:
     """Return how many members of a service step are not, or soon not, in service.
 
@@ -271,9 +309,26 @@
     """
     if worker is None or worker.liveness is Liveness.GONE:
         return True
-    placements = list(worker.placements.values())
-    if any(
-        each.tracked_task and each.tracked_task.step.spec.service for each in placements
-    ):
+    if has_service_members(worker):
         return False
-    return not placements or wait_s <= 0
+    return not worker.placements or wait_s <= 0
+
+
+def has_service_members(worker: FleetWorker) -> bool:
+    """Return whether members of service steps count on a worker."""
+    return any(
+        each.tracked_task is not None and each.tracked_task.step.spec.service
+        for each in worker.placements.values()
+    )
+
+
+def obstacle(worker: FleetWorker) -> str:
+    """Return what the upkeep of a worker's machine waits for, for logs."""
+    if not has_service_members(worker):
+        return "work that may finish"
+    steps = {
+        each.tracked_task.step.name
+        for each in worker.placements.values()
+        if each.tracked_task is not None and each.tracked_task.step.spec.service
+    }
+    return f"members of {min(steps)} that may not be away yet"
--- a/cranberrycleat/workflow/upkeep_director.py
+++ b/cranberrycleat/workflow/upkeep_director.py
@@ -14,6 +14,7 @@
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.upkeep import (
+    POSTPONED_S,
     Machine,
     MachineClient,
     MachinesUnavailable,
@@ -22,6 +23,7 @@
     WaveRecord,
     WaveRun,
     may_begin_upkeep,
+    obstacle,
     placements_to_move,
 )
 
@@ -166,12 +168,26 @@
 
     async def _drain_machine(self, run: WaveRun, machine: Machine, now: float) -> None:
         worker = self._worker_on(machine.name)
-        if worker is not None:
-            self._evacuate(worker)
+        if worker is not None and self._evacuate(worker):
+            run.progress_at[machine.name] = now
         wait_s = run.wait_s(now, self._machines)
-        if may_begin_upkeep(worker, wait_s) and self.may_order():
+        if worker is not None and not may_begin_upkeep(worker, wait_s):
+            self._report_obstacle(run, machine, obstacle(worker))
+            if run.is_blocked(machine.name, worker, now):
+                worker.release(now)
+                run.postpone(machine.name, now + POSTPONED_S)
+        elif self.may_order():
             await self._start_upkeep(run, machine, worker)
 
+    def _report_obstacle(self, run: WaveRun, machine: Machine, what: str) -> None:
+        """Log what a machine's upkeep waits for, once for each change of it."""
+        if run.note_obstacle(machine.name, what):
+            emit(
+                events.UpkeepWaits(
+                    wave=run.wave.number, machine=machine.name, waits_for=what
+                )
+            )
+
     def _renew_holds(self, run: WaveRun) -> None:
         """Hold all machines that are being drained; each order may take a second."""
         until = self.clock.now() + HOLD_S
@@ -184,10 +200,13 @@
         listed = self._machines[machine].worker
         return self.cluster_state.fleet.newest.get(listed)
 
-    def _evacuate(self, worker: FleetWorker) -> None:
-        for placement in placements_to_move(worker, self.cluster_state.fleet):
+    def _evacuate(self, worker: FleetWorker) -> bool:
+        """Stop what is to move now; return whether there was anything."""
+        selected = placements_to_move(worker, self.cluster_state.fleet)
+        for placement in selected:
             self.cluster_state.stop(worker, placement, "upkeep")
         self.stop_soon()
+        return bool(selected)
 
     async def _start_upkeep(
         self, run: WaveRun, machine: Machine, worker: FleetWorker | None
@@ -201,6 +220,7 @@
             )
         except MachinesUnavailable:
             run.unanswered.add(machine.name)
+            self._report_obstacle(run, machine, "its order was not answered")
             raise
         emit(
             events.UpkeepOrdered(
@@ -221,8 +241,8 @@
             case _:
                 if worker is not None:
                     worker.release(self.clock.now())
-                run.draining.discard(machine.name)
-                run.refused_until[machine.name] = self.clock.now() + REFUSED_PAUSE_S
+                run.postpone(machine.name, self.clock.now() + REFUSED_PAUSE_S)
+                self._report_obstacle(run, machine, f"refused: {verdict.value}")
 
     async def _write_record(self, run: WaveRun) -> None:
         """Store which machines have begun, for the next owner, where that is new."""
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -162,7 +162,7 @@
         guarantee="decisions",
         mechanism="the disruption budget of a service",
         file="workflow/upkeep.py",
-        text="if absent_members(step, fleet) + stopped_here < step.spec.may_be_away:",
+        text="if stopped_here < may_be_stopped(step, fleet):",
         replacement="if True:",
         test="tests/test_services.py::test_services_are_evacuated_within_disruption_budget",
     ),
--- a/tests/test_upkeep_owner_change.py
+++ b/tests/test_upkeep_owner_change.py
@@ -33,9 +33,11 @@
     return SimulatedMachines(env=env, wave=wave)
 
 
-async def begins_work(env: Cell, owner: Owner, tasks: int) -> None:
+async def begins_work(
+    env: Cell, owner: Owner, tasks: int, processors: int = 4000
+) -> None:
     """Check that a job that needs every worker is carried out."""
-    await submit(owner, "after", job(step(tasks, processors=4000)))
+    await submit(owner, "after", job(step(tasks, processors=processors)))
     await until(lambda: owner.state("after").state == "completed", limit_s=6.0)
 
 
--- a/tests/upkeep_cell.py
+++ b/tests/upkeep_cell.py
@@ -28,6 +28,7 @@
         begun: The machines whose upkeep has begun, in order.
         most_down: The most machines that were down at once.
         states: The states of machines that are not up.
+        asked: Whether the operator has requested the wave.
     """
 
     env: Cell
@@ -37,6 +38,7 @@
     begun: list[str] = attrs.field(factory=list)
     most_down: int = 0
     states: dict[str, MachineState] = attrs.field(factory=dict)
+    asked: bool = True
     tasks: "set[asyncio.Task[None]]" = attrs.field(factory=set)
 
     async def machines(self) -> tuple[Machine, ...]:
@@ -100,7 +102,7 @@
         writer=machines.env.table,
         status=lambda number, state: Put(key=f"status/wave/{number}", value=state),
         written_state=lambda row: row.value,
-        waves=lambda: {machines.wave.number: machines.wave},
+        waves=lambda: {WAVE: machines.wave} if machines.asked else {},
         cluster_state=owner.cluster_state,
         holder="one",
         epoch=lambda: owner.epoch,
