An upkeep order without answer holds neither its machine nor the rest of the wave for good

Cause: a machine whose order was not answered stayed drained until an order was accepted, however long that took, and each round of the director ended with the first unanswered order, always the same machine's, so that no other machine was ordered.

It counts under the wave's cap all the while, as it may be carried out yet. The other machines are ordered in the same round.

--- a/cranberrycleat/workflow/upkeep.py
+++ b/cranberrycleat/workflow/upkeep.py
@@ -200,8 +200,11 @@
             for name in self.wave.machines
             if name in machines
         )
-        self.draining &= set(self.left(machines))
-        available = self.wave.cap - down - len(self.draining)
+        left = set(self.left(machines))
+        self.draining &= left
+        self.unanswered &= left
+        unavailable = self.draining | self.unanswered
+        available = self.wave.cap - down - len(unavailable)
         waiting = [
             name
             for name in self.left(machines)
@@ -210,7 +213,10 @@
             and not self._is_postponed(name, now)
         ]
         waiting.sort(key=lambda name: (_load(machines[name], fleet), name))
-        newly_draining = waiting[: max(0, available)]
+        # Machines with an unanswered order count already.
+        newly_draining = [name for name in waiting if name in self.unanswered]
+        others = [name for name in waiting if name not in self.unanswered]
+        newly_draining += others[: max(0, available)]
         self.draining.update(newly_draining)
         self.progress_at.update(dict.fromkeys(newly_draining, now))
         return newly_draining
@@ -220,10 +226,17 @@
         self.draining.discard(machine)
         self.postponed_until[machine] = until
 
+    def note_unanswered(self, machine: str, now: float) -> None:
+        """Record that a machine's order was not answered."""
+        if machine not in self.unanswered:
+            self.progress_at[machine] = now
+        self.unanswered.add(machine)
+
     def is_blocked(self, machine: str, worker: FleetWorker, now: float) -> bool:
-        """Return whether a machine's service members have not been moved for long."""
+        """Return whether no member was moved, or no order answered, for long."""
         since = self.progress_at.get(machine, now)
-        return has_service_members(worker) and now - since > BLOCKED_S
+        waits = has_service_members(worker) or machine in self.unanswered
+        return waits and now - since > BLOCKED_S
 
     def note_obstacle(self, machine: str, obstacle: str) -> bool:
         """Record what a machine waits for; return whether that has changed."""
--- a/cranberrycleat/workflow/upkeep_director.py
+++ b/cranberrycleat/workflow/upkeep_director.py
@@ -78,6 +78,7 @@
     runs: dict[int, WaveRun] = attrs.field(factory=dict)
     _machines: dict[str, Machine] = attrs.field(factory=dict)
     _listed_at: float = float("-inf")
+    _is_away: bool = False
 
     async def run(self) -> None:
         """Process waves until cancelled."""
@@ -98,8 +99,12 @@
                 for run in open_runs:
                     if run.written_state != COMPLETED:
                         await self._advance_wave(run)
+                self._is_away = False
             except MachinesUnavailable as exc:
-                LOG.info("The platform's machine API is unavailable: %s", exc)
+                if not self._is_away:
+                    LOG.info("The platform's machine API is unavailable: %s", exc)
+                self._is_away = True
+                await asyncio.sleep(LIST_INTERVAL_S)
             except errors.TableUnavailable as exc:
                 LOG.info("The state of an upkeep wave could not be written: %s", exc)
 
@@ -173,11 +178,12 @@
         wait_s = run.wait_s(now, self._machines)
         if worker is not None and not may_begin_upkeep(worker, wait_s):
             self._report_obstacle(run, machine, obstacle(worker))
-            if run.is_blocked(machine.name, worker, now):
-                worker.release(now)
-                run.postpone(machine.name, now + POSTPONED_S)
         elif self.may_order():
             await self._start_upkeep(run, machine, worker)
+        now = self.clock.now()
+        if worker is not None and run.is_blocked(machine.name, worker, now):
+            worker.release(now)
+            run.postpone(machine.name, now + POSTPONED_S)
 
     def _report_obstacle(self, run: WaveRun, machine: Machine, what: str) -> None:
         """Log what a machine's upkeep waits for, once for each change of it."""
@@ -219,9 +225,10 @@
                 epoch=self.epoch(),
             )
         except MachinesUnavailable:
-            run.unanswered.add(machine.name)
+            # The other machines are ordered all the same: it may be this one's fault.
+            run.note_unanswered(machine.name, self.clock.now())
             self._report_obstacle(run, machine, "its order was not answered")
-            raise
+            return
         emit(
             events.UpkeepOrdered(
                 wave=run.wave.number, machine=machine.name, verdict=verdict.value
--- a/tests/test_upkeep_owner_change.py
+++ b/tests/test_upkeep_owner_change.py
@@ -167,3 +167,35 @@
             await until(lambda: machines.status == "completed", limit_s=15.0)
 
     run_async(run())
+
+
+# Guards against a hold whose end depends on an answer that may never come.
+@pytest.mark.parametrize("listed", [True, False])
+def test_machine_works_on_while_machine_api_does_not_answer(
+    monkeypatch: pytest.MonkeyPatch, listed: bool
+) -> None:
+    monkeypatch.setattr("cranberrycleat.workflow.upkeep.BLOCKED_S", 1.0)
+
+    async def run() -> None:
+        async with cell(workers=0) as env:
+            machines = machines_of(env, workers=1)
+            machines.unanswered = {"m-w0"}
+            owner = await own_with_upkeep(machines, "one")
+            await until(lambda: bool(machines.orders))
+            machines.away = not listed
+            await begins_work(env, owner, tasks=1)
+
+    run_async(run())
+
+
+# Guards against a wave in which one machine without answers keeps all others waiting.
+def test_unanswered_order_does_not_delay_other_machines() -> None:
+    async def run() -> None:
+        async with cell(workers=0) as env:
+            machines = machines_of(env, workers=3, cap=2)
+            machines.unanswered = {"m-w0"}
+            await own_with_upkeep(machines, "one")
+            await until(lambda: machines.begun == ["m-w1", "m-w2"], limit_s=15.0)
+            assert machines.most_down == 1
+
+    run_async(run())
--- a/tests/upkeep_cell.py
+++ b/tests/upkeep_cell.py
@@ -7,7 +7,13 @@
 
 from cranberrycleat.table import Put
 from cranberrycleat.workflow.owner import Owner
-from cranberrycleat.workflow.upkeep import Machine, MachineState, MachineVerdict, Wave
+from cranberrycleat.workflow.upkeep import (
+    Machine,
+    MachineState,
+    MachinesUnavailable,
+    MachineVerdict,
+    Wave,
+)
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
 from tests.cell import Cell
 
@@ -29,6 +35,8 @@
         most_down: The most machines that were down at once.
         states: The states of machines that are not up.
         asked: Whether the operator has requested the wave.
+        away: Whether nothing is answered.
+        unanswered: The machines for which no order is answered or carried out.
     """
 
     env: Cell
@@ -39,10 +47,14 @@
     most_down: int = 0
     states: dict[str, MachineState] = attrs.field(factory=dict)
     asked: bool = True
+    away: bool = False
+    unanswered: set[str] = attrs.field(factory=set)
     tasks: "set[asyncio.Task[None]]" = attrs.field(factory=set)
 
     async def machines(self) -> tuple[Machine, ...]:
         """Return every machine."""
+        if self.away:
+            raise MachinesUnavailable("away")
         return tuple(
             Machine(
                 name=f"m-{worker}",
@@ -58,6 +70,8 @@
     ) -> MachineVerdict:
         """Begin a machine's upkeep unless it was done already."""
         self.orders.append(machine)
+        if self.away or machine in self.unanswered:
+            raise MachinesUnavailable("no answer")
         if machine in self.verdicts:
             return self.verdicts[machine]
         if machine in self.begun:
