--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -726,6 +726,16 @@
     machines: int
 
 
+@event("wave.resumed", essential=True)
+class WaveResumed:
+    """A new owner read how far a wave of upkeep had come."""
+
+    wave: int
+    state: str
+    begun: int
+    after_s: float
+
+
 @event("wave.told", essential=True)
 class WaveStatusWritten:
     """The state of a wave was written for the operator."""
@@ -734,6 +744,15 @@
     state: str
 
 
+@event("upkeep.waits", essential=True)
+class UpkeepWaits:
+    """What the upkeep of a machine waits for; logged when that changes."""
+
+    wave: int
+    machine: str
+    waits_for: str
+
+
 @event("upkeep.ordered")
 class UpkeepOrdered:
     """The upkeep of a machine was ordered."""
