The soak finds accepted jobs that wait beside workers with room

tests/stall_checker.py judges the rule from outside, by the workers' events, the platform's list and the permit service: for 3 s nothing of an accepted job runs while a task's turn has come, workers that it may use have room for twice what it needs, and less than half of the pool's processors are in use. As in the rule, these 3 s and the 4 s before them have to be calm. Tasks that fail and workers that fail what they start count as calm. It watches every run of the soak but those with quotas.

The usual faults leave no calm of 7 s.

--- a/cranberrycleat/standins/fleet.py
+++ b/cranberrycleat/standins/fleet.py
@@ -105,6 +105,8 @@
             only when `carry_out` is called.
         refuse: The verdict that it gives to every start; None: its own.
         stalled: It answers, but nothing that runs there makes progress.
+        fails_after_s: How long each attempt that starts there runs until it fails;
+            None: attempts end as their tasks do.
         has_answered_sync: It has answered a sync, so the caller knows of it.
         starts_sent: How many starts were sent to it, whether they reached it or not.
         clock_started_at: When its own clock was at 0, on the fleet's clock.
@@ -118,6 +120,7 @@
     unanswered_starts: int = 0
     refuse: Verdict | None = None
     stalled: bool = False
+    fails_after_s: float | None = None
     last_advance_at: float = 0.0
     fence: int = 0
     lease_end_ms: int = 0
@@ -269,6 +272,8 @@
     def _begin(self, worker: SimulatedWorker, order: StartOrder) -> None:
         now = self.clock.now()
         work = self.work(order.task, order.attempt)
+        if worker.fails_after_s is not None:
+            work = SimulatedWork(seconds=worker.fails_after_s, how=EndKind.FAILED)
         run = Run(
             task=order.task,
             attempt=order.attempt,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,8 @@
 """A fault soak: random jobs and faults, checked against the workers' record.
 
     python -m tests.soak --seed 7 --runs 4 --seconds 20 [--crashing 0.03] [--restarts]
-        [--quotas] [--rejections] [--weights] [--injectors 5] [--record DIRECTORY]
+        [--quotas] [--rejections] [--weights] [--stalls] [--injectors 5]
+        [--record DIRECTORY]
 
 Owners on three hosts, doors, a table and workers run in one process. The stand-in fleet
 checks what must never happen (concurrent runs of one task, exceeded capacity, a new run
@@ -26,6 +27,13 @@
 With `--weights`, jobs belong to workspaces with weights, and one of them sends more
 than there is room for; the others do not wait for its surplus (see `share_checker`).
 
+An accepted job that waits beside workers with room for it is a finding wherever it has
+been calm (see `stall_checker`). Runs with quotas are not judged by this: a quota may
+keep a job waiting. With `--stalls`,
+faults pause for longer than the rule asks for. Meanwhile workers fail whatever they
+start for seconds, more tasks fail, and permits and labels leave jobs a few workers,
+some of which long tasks fill.
+
 A run with findings writes its record to `--record` (see `soak_record`): for each
 finding the decisions and the workers' own events behind it, then everything.
 """
@@ -33,15 +41,16 @@
 import argparse
 import asyncio
 import contextlib
+import functools
 import random
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any, Final
 
 import attrs
 
-from cranberrycleat import errors, logs
+from cranberrycleat import errors, events, logs
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.standins.fleet import SimulatedWork, SimulatedWorker, WorkerEvent
 from cranberrycleat.workflow.access import Granted
@@ -57,13 +66,14 @@
 from cranberrycleat.workflow.decisions.ordering import Urgency
 from cranberrycleat.workflow.job_frontend import JobFrontend, RequestStatus
 from cranberrycleat.workflow.owner import Owner
-from cranberrycleat.workflow.ports import EndKind, Queue
+from cranberrycleat.workflow.ports import EndKind, Permit, PermitTiming, Queue
 from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
 from cranberrycleat.workflow.state import FINAL_STATES, JobState
-from tests.cell import Cell, cell, entry, job, queue, step
+from tests.cell import AllPermits, Cell, cell, entry, job, queue, step
 from tests.quota_checker import QuotaChecker
 from tests.share_checker import HOT_WORKSPACE, MAX_OVERTAKEN_S, WEIGHTS, ShareChecker
 from tests.soak_record import Record
+from tests.stall_checker import CALM_S, NOTABLE_S, SAMPLE_S, StallChecker
 
 HOSTS: Final = 3
 WORKERS: Final = 5
@@ -92,13 +102,41 @@
 QUOTAS: Final = (500, 3000, 6000, 12_000)
 """In thousandths of a processor; the workers have 20,000 in all."""
 
+STALL_WORKERS: Final = 8
+"""With `--stalls`: enough that long tasks fill several of them and less than half."""
+PERMIT_DELAY_S: Final = 0.05
+PERMIT_QUEUE: Final = attrs.evolve(
+    QUEUE,
+    name="permits",
+    permits=PermitTiming(decide_s=PERMIT_DELAY_S, each_s=0.0, valid_s=1.5),
+)
+PERMIT_SHARE: Final = 0.7
+LABEL_SHARE: Final = 0.2
+NARROW_SHARE: Final = 0.6
+"""Share of permitted jobs, long tasks and failing workers that meet on a few slots."""
+LONG_CALLERS: Final = 3
+FAILING_WORKERS: Final = 2
+FAILED_SHARE: Final = 0.05
+FAILED_SHARE_WITH_STALLS: Final = 0.15
+SUBMIT_EVERY_S: Final = (0.02, 0.15)
+SUBMIT_EVERY_S_WITH_STALLS: Final = (0.1, 0.8)
+
 
 @attrs.define(kw_only=True)
 class SubmittedJob:
-    """A job that was submitted, and the status that its caller got each time."""
+    """A job that was submitted, and the status that its caller got each time.
+
+    Attributes:
+        spec: The job.
+        workspace: Its workspace.
+        slots: The slots whose workers the permit service allows; None: it needs none.
+        statuses: The answer to each attempt to submit it.
+        cancelled: Whether it was cancelled.
+    """
 
     spec: WorkflowSpec
     workspace: str = ""
+    slots: frozenset[int] | None = None
     statuses: list[RequestStatus] = attrs.field(factory=list)
     cancelled: bool = False
 
@@ -122,6 +160,26 @@
         return RequestStatus.OVERLOADED in self.statuses[first:]
 
 
+@attrs.define(kw_only=True, eq=False)
+class SlotPermits(AllPermits):
+    """A permit service that allows each job the workers of some slots.
+
+    Attributes:
+        is_allowed: Returns whether a job may use a worker, by the worker's name.
+    """
+
+    is_allowed: Callable[[str, str], bool] = lambda job_id, worker: True
+
+    async def ask(
+        self, *, step: str, workers: tuple[str, ...], timeout_s: float
+    ) -> tuple[Permit, ...]:
+        """Allow the workers that the job may use."""
+        found = await super().ask(step=step, workers=workers, timeout_s=timeout_s)
+        await asyncio.sleep(PERMIT_DELAY_S)
+        job_id = step.partition(".")[0]
+        return tuple(each for each in found if self.is_allowed(job_id, each.worker))
+
+
 @attrs.define(kw_only=True, eq=False)
 class RandomForecast(LoadForecast):
     """Forecasts that are too late at random.
@@ -163,7 +221,11 @@
         share: Sets the workspaces' weights and checks their shares; None: there are no
             weights.
         injectors: How many faults are injected at a time.
+        stalls: Whether workers fail what they start, beside long tasks, and faults
+            pause.
+        checker: Checks that no job waits beside room; None: quotas may keep jobs.
         record: What happened, to trace findings.
+        reported_stalls: Number of stalls that owners reported in calm time.
         healthy_failed: Number of healthy jobs that were failed, whether or not that was
             a finding.
     """
@@ -183,16 +245,36 @@
     rejections: bool = False
     share: ShareChecker | None = None
     injectors: int = INJECTORS
+    stalls: bool = False
+    checker: StallChecker | None = None
     healthy_failed: int = 0
+    reported_stalls: int = 0
+    _narrow: list[int] = attrs.field(factory=list)
+    _long_tasks: dict[str, float] = attrs.field(factory=dict)
+    _slots: dict[str, int] = attrs.field(factory=dict)
+    _may_inject: asyncio.Event = attrs.field(factory=asyncio.Event)
     _incarnations: int = 0
     _failed: set[str] = attrs.field(factory=set)
 
     async def run(self, seconds: float) -> list[str]:
         """Play jobs and faults for a time; return the findings."""
         self._configure_fleet()
+        self._may_inject.set()
         for number in range(HOSTS):
             self._start_host(f"h{number}")
+        judge = asyncio.create_task(self._judge_waits())
         activities = [asyncio.create_task(self._submit_jobs()) for _ in range(2)]
+        if self.stalls:
+            activities.append(asyncio.create_task(self._change_narrow_slots()))
+            activities.append(asyncio.create_task(self._pause_faults()))
+            activities += [
+                asyncio.create_task(self._submit_long_jobs())
+                for _ in range(LONG_CALLERS)
+            ]
+            activities += [
+                asyncio.create_task(self._fail_on_worker())
+                for _ in range(FAILING_WORKERS)
+            ]
         if self.share is not None:
             activities += [
                 asyncio.create_task(self._submit_jobs(HOT_WORKSPACE))
@@ -211,6 +293,11 @@
                 self.record.add_exception(exc)
         self._end_faults()
         await self._wait_until_finished()
+        judge.cancel()
+        (exc,) = await asyncio.gather(judge, return_exceptions=True)
+        if isinstance(exc, Exception):
+            self.problems.append(repr(exc))
+            self.record.add_exception(exc)
         # While there is an owner: its lease ends soon after it is cancelled.
         findings = self._findings()
         for task in self.hosts.values():
@@ -240,8 +327,11 @@
                 return SimulatedWork(seconds=60.0, crashes_after_s=crashes_after_s)
             if self._shares_gang_with_crashing_task(task):
                 return SimulatedWork(seconds=60.0)
+            if task in self._long_tasks:
+                return SimulatedWork(seconds=self._long_tasks[task])
             seconds = self.rng.choice((0.02, 0.1, 0.4))
-            if self.rng.random() < 0.05 and task not in self._failed:
+            share = FAILED_SHARE_WITH_STALLS if self.stalls else FAILED_SHARE
+            if self.rng.random() < share and task not in self._failed:
                 self._failed.add(task)
                 return SimulatedWork(seconds=seconds, how=EndKind.FAILED)
             return SimulatedWork(seconds=seconds)
@@ -253,13 +343,29 @@
         fleet = self.harness.fleet
         fleet.needs, fleet.gang, fleet.work = needs, gang, work
         fleet.on_event = self._record_worker_event
+        if self.stalls:
+            self._slots = {name: slot for slot, name in enumerate(fleet.workers)}
+            self.harness.permits = SlotPermits(is_allowed=self._is_allowed)
         if self.quotas is not None:
             self.quotas.change(self._draw_quotas())
             self.harness.quotas = self.quotas.told
             fleet.workspace, fleet.over_quota = workspace, self.quotas.fault
 
+    def _is_allowed(self, job_id: str, worker: str) -> bool:
+        """Return whether the permit service allows a job a worker."""
+        slots = self.submitted[job_id].slots
+        slot = self._slots[worker.partition("@")[0].partition("+")[0]]
+        return slots is None or slot in slots
+
+    async def _judge_waits(self) -> None:
+        while self.checker is not None:
+            await asyncio.sleep(SAMPLE_S)
+            self.checker.sample()
+
     def _record_worker_event(self, record: WorkerEvent) -> None:
         self.record.add_worker_event(record)
+        if self.checker is not None:
+            self.checker.record(record)
         if record.what == "fault":
             self._record_placements(record.worker)
 
@@ -306,6 +412,38 @@
             steps.append(spec)
         return job(*steps)
 
+    def _draw_spec_with_label(self) -> WorkflowSpec:
+        """Return a job some steps of which run on the workers of one rack only."""
+        steps = tuple(
+            (
+                attrs.evolve(each, label=self.fault_rng.choice(RACKS))
+                if self.fault_rng.random() < LABEL_SHARE
+                else each
+            )
+            for each in self._draw_spec().steps
+        )
+        return job(*steps)
+
+    def _draw_slots(self, spec: WorkflowSpec) -> frozenset[int]:
+        """Return enough slots that every step fits on their workers when empty.
+
+        A step with a label needs enough workers of its rack: it may use every slot.
+        """
+        if any(each.label for each in spec.steps):
+            return frozenset(range(STALL_WORKERS))
+        needed = max(map(self._slots_needed, spec.steps))
+        if self.fault_rng.random() < NARROW_SHARE and needed <= len(self._narrow):
+            return frozenset(self._narrow)
+        count = max(needed, self.fault_rng.choice((1, 2, 3, 4)))
+        return frozenset(self.fault_rng.sample(range(STALL_WORKERS), k=count))
+
+    @staticmethod
+    def _slots_needed(spec: StepSpec) -> int:
+        per_worker = entry("").capacity.processors // spec.needs.processors
+        if spec.most_per_worker:
+            per_worker = min(per_worker, spec.most_per_worker)
+        return -(-spec.count // per_worker)
+
     def _door(self) -> JobFrontend:
         """Return a door that knows an owner, a former one, or none."""
         known: list[Owner | None] = [
@@ -319,9 +457,11 @@
 
     async def _submit_jobs(self, workspace: str = "") -> None:
         while True:
-            await asyncio.sleep(self.rng.uniform(0.02, 0.15))
+            every_s = SUBMIT_EVERY_S_WITH_STALLS if self.stalls else SUBMIT_EVERY_S
+            await asyncio.sleep(self.rng.uniform(*every_s))
             job_id = f"{self.rng.getrandbits(64):016x}"
-            submitted = self.submitted[job_id] = SubmittedJob(spec=self._draw_spec())
+            spec = self._draw_spec_with_label() if self.stalls else self._draw_spec()
+            submitted = self.submitted[job_id] = SubmittedJob(spec=spec)
             if self.quotas is not None:
                 submitted.workspace = self.fault_rng.choice(WORKSPACES)
             elif self.share is not None:
@@ -329,6 +469,8 @@
                 submitted.workspace = workspace or self.fault_rng.choice(others)
             access = Granted(workspace=submitted.workspace)
             at = QUEUE if self.share is None else LONG_OBJECTIVE_QUEUE
+            if self.stalls and self.fault_rng.random() < PERMIT_SHARE:
+                at, submitted.slots = PERMIT_QUEUE, self._draw_slots(spec)
             if self.fault_rng.random() < self.crashing:
                 index = self.fault_rng.randrange(submitted.spec.steps[0].count)
                 self.crashing_tasks.add(f"{job_id}.0.0.{index}")
@@ -338,6 +480,8 @@
                 if status in (RequestStatus.REFUSED, RequestStatus.OVERLOADED):
                     break
             if self.rng.random() < 0.1 and submitted.accepted:
+                if self.checker is not None:
+                    self.checker.cancelled(job_id)
                 gone = await self._door().cancel(
                     job_id, limit_s=1.0, workspace=submitted.workspace
                 )
@@ -347,6 +491,9 @@
         self, at: Queue, job_id: str, submitted: SubmittedJob, access: Granted
     ) -> RequestStatus:
         """Submit a job, and again through any door if it is rejected for the load."""
+        checker = self.checker
+        if checker is not None and not submitted.statuses:
+            checker.submitted(job_id, submitted.spec)
         for retry in range(RETRIES + 1):
             # The run may end before the answer.
             submitted.statuses.append(RequestStatus.UNKNOWN)
@@ -354,13 +501,78 @@
                 at, job_id, submitted.spec, limit_s=1.0, access=access
             )
             submitted.statuses[-1] = answer.status
+            if checker is not None and submitted.accepted:
+                checker.accepted(
+                    job_id,
+                    at.max_attempts,
+                    (
+                        functools.partial(self._is_allowed, job_id)
+                        if self.stalls
+                        else lambda worker: True
+                    ),
+                )
             if answer.status is not RequestStatus.OVERLOADED or retry == RETRIES:
                 break
             await asyncio.sleep(self.fault_rng.choice(RETURN_DELAYS_S))
         return answer.status
 
+    async def _submit_long_jobs(self) -> None:
+        """Keep a worker filled by one long task after the other."""
+        while True:
+            await asyncio.sleep(self.fault_rng.uniform(0.1, 1.0))
+            job_id = f"{self.fault_rng.getrandbits(64):016x}"
+            seconds = self.fault_rng.uniform(4.0, 9.0)
+            processors = self.fault_rng.choice((3000, 4000))
+            spec = job(step(processors=processors, estimate_s=seconds))
+            self._long_tasks[f"{job_id}.0.0.0"] = seconds
+            submitted = self.submitted[job_id] = SubmittedJob(spec=spec)
+            slots: Sequence[int] = range(STALL_WORKERS)
+            if self.fault_rng.random() < NARROW_SHARE:
+                slots = self._narrow
+            submitted.slots = frozenset({self.fault_rng.choice(slots)})
+            await self._submit_until_decided(
+                PERMIT_QUEUE, job_id, submitted, Granted(workspace="")
+            )
+            await asyncio.sleep(seconds)
+
     # --- faults -----------------------------------------------------------------
 
+    async def _pause_faults(self) -> None:
+        """Let faults happen for a while, and then none for longer than a calm time."""
+        while True:
+            self._may_inject.set()
+            await asyncio.sleep(self.fault_rng.uniform(0.3, 1.5))
+            self._may_inject.clear()
+            await asyncio.sleep(CALM_S + self.fault_rng.uniform(8.0, 16.0))
+
+    async def _change_narrow_slots(self) -> None:
+        """Have work, failures and long tasks meet on other workers after a while."""
+        while True:
+            count = self.fault_rng.choice((2, 2, 3))
+            self._narrow = self.fault_rng.sample(range(STALL_WORKERS), k=count)
+            self.record.add_fault(f"slots {self._narrow} are narrow")
+            await asyncio.sleep(self.fault_rng.uniform(6.0, 10.0))
+
+    def _slot_of(self, worker: SimulatedWorker) -> int:
+        return self._slots[worker.entry.worker.partition("+")[0]]
+
+    async def _fail_on_worker(self) -> None:
+        """Have one worker after the other fail whatever it starts for seconds."""
+        while True:
+            await asyncio.sleep(self.fault_rng.uniform(0.3, 2.0))
+            workers = list(self.harness.fleet.workers.values())
+            if self.fault_rng.random() < NARROW_SHARE:
+                workers = [
+                    each for each in workers if self._slot_of(each) in self._narrow
+                ]
+            worker = self.fault_rng.choice(workers)
+            name = worker.entry.worker
+            worker.fails_after_s = self.fault_rng.choice((0.02, 0.2, 1.0))
+            self.record.add_fault(f"{name} fails what it starts")
+            await asyncio.sleep(self.fault_rng.uniform(1.0, 8.0))
+            worker.fails_after_s = None
+            self.record.add_fault(f"{name} no longer fails what it starts")
+
     def _start_host(self, host: str) -> None:
         self._incarnations += 1
         self.hosts[host] = asyncio.create_task(self._stand(host, self._incarnations))
@@ -406,11 +618,25 @@
             faults = (*faults, self._change_quotas, self._hide_quotas)
         while True:
             await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+            await self._may_inject.wait()
             fault = self.rng.choice(faults)
             self.record.add_fault(fault.__name__.strip("_"))
-            await fault()
+            with self._disturbance():
+                await fault()
             self.record.add_fault(f"{fault.__name__.strip('_')} is over")
 
+    def _disturbance(self) -> contextlib.AbstractContextManager[None]:
+        checker = self.checker
+        return contextlib.nullcontext() if checker is None else checker.disturbance()
+
+    def _is_disturbed(self) -> bool:
+        """Return whether an injected fault is in force."""
+        faults = self.harness.table.faults
+        return bool(faults.down or faults.slow_s or faults.lose_replies) or any(
+            worker.silent or worker.stalled or worker.down or worker.unanswered_starts
+            for worker in self.harness.fleet.workers.values()
+        )
+
     async def _kill_host(self) -> None:
         host = self.rng.choice(sorted(self.hosts))
         killed = self.hosts[host]
@@ -495,6 +721,8 @@
         self._incarnations += 1
         rack = self.harness.fleet.workers[name].entry.labels[1]
         fresh = entry(f"w-{self._incarnations}", rack=rack, born_ms=int(self.restarts))
+        if self.stalls:
+            self._slots[fresh.worker] = self._slots[name.partition("+")[0]]
         # Another fault may list it as soon as the fleet has it.
         self.harness.entries[fresh.worker] = fresh
         self.harness.fleet.replace_worker(name, fresh)
@@ -538,6 +766,8 @@
         await asyncio.sleep(self.fault_rng.uniform(0.0, 2.0))
 
     def _end_faults(self) -> None:
+        if self.checker is not None:
+            self.checker.disturb()
         if self.quotas is not None:
             self.quotas.change({})
         faults = self.harness.table.faults
@@ -548,6 +778,7 @@
         for name, worker in self.harness.fleet.workers.items():
             worker.silent = worker.stalled = False
             worker.unanswered_starts = 0
+            worker.fails_after_s = None
             worker.late.clear()
             self.harness.entries[name] = worker.entry
             self.harness.list_worker(name)
@@ -562,6 +793,12 @@
 
     # --- the verdict --------------------------------------------------------------
 
+    def _is_given_up(self, job_id: str) -> bool:
+        """Return whether callers are told that a job has failed."""
+        owner = self._current_owner()
+        reported = {} if owner is None else owner.cluster_state.reported
+        return reported.get(job_id) is JobState.FAILED
+
     def _current_owner(self) -> Owner | None:
         for owner in self.owners.values():
             if owner.ready.is_set() and owner.lease.is_valid():
@@ -592,6 +829,17 @@
         while self._unfinished_jobs() and loop.time() < end:
             await asyncio.sleep(0.1)
 
+    def waits(self) -> str:
+        """Return what was seen of waits beside room, in human-readable form."""
+        if self.checker is None:
+            return "waits not judged"
+        return (
+            f"{self.checker.notable_waits} waits of {NOTABLE_S} s beside room, "
+            f"the longest {self.checker.longest_s:.2f} s, "
+            f"in {self.checker.calm_s:.1f} s of calm, {self.checker.pauses} pauses, "
+            f"{self.reported_stalls} stalls reported by owners"
+        )
+
     def _findings(self) -> list[str]:
         fleet = self.harness.fleet
         fleet.advance_all()
@@ -614,6 +862,7 @@
         ]
         problems = [
             *self.problems,
+            *(() if self.checker is None else self.checker.findings),
             *self._overtaken_jobs(),
             *fleet.faults,
             *fleet.late_copies,
@@ -640,9 +889,23 @@
 
     def _observe(self, event: Any) -> None:
         self.record.add_event(event)
+        if isinstance(event, events.StepStalled):
+            self._note_reported_stall(event)
         if self.share is not None:
             self.share.record(event, self.harness.clock.now())
 
+    def _note_reported_stall(self, event: events.StepStalled) -> None:
+        """Count an owner's report of a stall, and record what the workers show.
+
+        It is no finding of its own. The owner looks once a second: it may miss a run
+        that failed at once, and room that was there for a moment only counts for it.
+        """
+        if self.checker is None or self.checker.calm_for_s() < CALM_S:
+            return
+        self.reported_stalls += 1
+        job_id = event.step.partition(".")[0]
+        self.record.add_placements(f"record: {self.checker.explain(job_id)}")
+
     def _misattributed_crashes(self) -> list[str]:
         """Return tasks that were started too often, and healthy jobs that failed."""
         found = []
@@ -655,6 +918,8 @@
         faulty = {task.partition(".")[0] for task in self.crashing_tasks}
         for job_id in self.submitted:
             failed = reported.get(job_id) is JobState.FAILED
+            if failed and self.checker and self.checker.used_up_attempts(job_id):
+                continue
             if failed and job_id not in faulty:
                 self.healthy_failed += 1
                 if not self._indistinguishable_from_crash(job_id):
@@ -706,6 +971,7 @@
     injectors: int = INJECTORS,
     rejections: bool = False,
     weights: bool = False,
+    stalls: bool = False,
 ) -> list[str]:
     """Run one seed; return its findings.
 
@@ -720,11 +986,13 @@
         injectors: How many faults are injected at a time.
         rejections: Whether owners reject jobs because of the load.
         weights: Whether workspaces have weights, and one sends far more than its own.
+        stalls: Whether workers fail what they start, beside long tasks, and faults
+            pause.
     """
     share = LoadPolicies(weighted_fair_share=True, delay_cost_order=bool(seed % 2))
     async with cell(workers=0) as harness:
-        for number in range(WORKERS):
-            rack = RACKS[number % len(RACKS)] if crashing else RACKS[0]
+        for number in range(STALL_WORKERS if stalls else WORKERS):
+            rack = RACKS[number % len(RACKS)] if crashing or stalls else RACKS[0]
             harness.add_worker(f"w{number}", rack=rack, born_ms=int(restarts))
         harness.fleet.reports_progress = True
         harness.fleet.keeps_identity = restarts
@@ -739,7 +1007,16 @@
             share=ShareChecker(policies=share) if weights else None,
             injectors=injectors,
             rejections=rejections,
+            stalls=stalls,
         )
+        if not quotas:
+            soak.checker = StallChecker(
+                clock=harness.clock,
+                fleet=harness.fleet,
+                is_listed=lambda name: f"servers/{name}" in harness.table.rows,
+                is_disturbed=soak._is_disturbed,
+                is_given_up=soak._is_given_up,
+            )
         logs.set_observer(soak._observe)
         try:
             found = await soak.run(seconds)
@@ -756,6 +1033,7 @@
             f"{len(soak.crashing_tasks)} crashing tasks, "
             f"{soak.healthy_failed} healthy jobs failed, "
             f"{len(harness.fleet.late_copies)} late copies, "
+            f"{soak.waits()}, "
             f"{len(found)} findings",
             flush=True,
         )
@@ -773,6 +1051,7 @@
     parser.add_argument("--quotas", action="store_true")
     parser.add_argument("--rejections", action="store_true")
     parser.add_argument("--weights", action="store_true")
+    parser.add_argument("--stalls", action="store_true")
     parser.add_argument("--injectors", type=int, default=INJECTORS)
     parser.add_argument("--record", type=Path, default=Path("soak-record"))
     cfg = parser.parse_args()
@@ -789,6 +1068,7 @@
                 cfg.injectors,
                 cfg.rejections,
                 cfg.weights,
+                cfg.stalls,
             )
         )
         for each in found:
