--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -62,6 +62,12 @@
     assert asyncio.run(soak.run_seed(seed, SECONDS, weights=True)) == []
 
 
+# Guards against a mode that breaks unnoticed. There is little calm in so short a run;
+# the check has tests of its own, and finds waits (LOST) in longer runs by hand.
+def test_no_accepted_job_waits_beside_room() -> None:
+    assert asyncio.run(soak.run_seed(1, 3.0, stalls=True)) == []
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 5, 11, 18])
 def test_newest_configuration_is_in_force_after_faults(seed: int) -> None:
     assert asyncio.run(config_soak.Soak(seed=seed, seconds=SECONDS).run()) == []
