--- a/tests/soak.py
+++ b/tests/soak.py
@@ -894,8 +894,8 @@
     def _note_reported_stall(self, event: events.StepStalled) -> None:
         """Count an owner's report of a stall, and record what the workers show.
 
-        It is no finding of its own. The owner looks once a second: it may miss a run
-        that failed at once, and room that was there for a moment only counts for it.
+        It is no finding of its own. The owner looks every 0.5 s: it may miss a run that
+        failed at once, and room that was there for a moment only counts for it.
         """
         if self.checker is None or self.checker.calm_for_s() < CALM_S:
             return
