Tests: what a stalled step does not override

A review showed that no test noticed a stalled step on a worker that is leaving, held, silent, unlisted, in a silent data centre, without answers to orders or beside an isolated attempt; without a permit; beyond its limit a worker; or in a pool in use, or beside a running task of its job.

--- a/tests/test_stalled_steps.py
+++ b/tests/test_stalled_steps.py
@@ -1,6 +1,7 @@
 """Tests of waits beside workers with room, and of what yields to a stalled step."""
 
 import collections
+from collections.abc import Callable
 
 import attrs
 import pytest
@@ -608,3 +609,101 @@
                 began[placement.task] = round(now, 1)
         now += ROUND_S
     assert max(began.values()) <= STALL_S, began
+
+
+def _leaving(at: FleetWorker) -> None:
+    at.update(attrs.evolve(at.entry, leaving=True))
+
+
+def _held(at: FleetWorker) -> None:
+    at.hold(float("inf"))
+
+
+def _silent(at: FleetWorker) -> None:
+    at.liveness = Liveness.SILENT
+
+
+def _unlisted(at: FleetWorker) -> None:
+    at.listed = False
+
+
+def _in_silent_data_centre(at: FleetWorker) -> None:
+    at.unresponsive = True
+
+
+def _misses_orders(at: FleetWorker) -> None:
+    at.orders_unanswered_until = float("inf")
+
+
+def _isolates(at: FleetWorker) -> None:
+    at.isolated_attempt = next(iter(at.placements.values()))
+
+
+# Guards against placements that break a rule (DRAIN, LIMIT, TWICE): only precautions
+# after failures yield, whatever else keeps a worker from work.
+@pytest.mark.parametrize("rests", [False, True], ids=["schedulable", "resting"])
+@pytest.mark.parametrize(
+    "mark",
+    [
+        _leaving,
+        _held,
+        _silent,
+        _unlisted,
+        _in_silent_data_centre,
+        _misses_orders,
+        _isolates,
+    ],
+)
+def test_stalled_step_is_not_placed_on_unavailable_worker(
+    mark: Callable[[FleetWorker], None], rests: bool
+) -> None:
+    at = resting("w") if rests else worker("w")
+    owner_board = cluster_state(at, worker("e1"), worker("e2"))
+    occupy(owner_board, at, "small", processors=100)
+    mark(at)
+    submit(owner_board, "a", job(step(1)), PERMITTED)
+    allow(owner_board, step_of(owner_board, "a"), "w")
+    planner = Planner(cluster_state=owner_board)
+    placed_at, _ = rounds_until(
+        planner, step_of(owner_board, "a"), 0.0, MAX_QUARANTINE_S - ROUND_S
+    )
+    assert placed_at is None
+
+
+# Guards against starts that the permit service or the step's limit forbids (ROUTE).
+@pytest.mark.parametrize("kind", ["no permit", "limit a worker"])
+def test_stalled_step_keeps_to_permits_and_limits(kind: str) -> None:
+    at = resting("w", processors=16000)
+    owner_board = cluster_state(at, worker("e1"), worker("e2"))
+    limited = step(3, gang=True, most_per_worker=2)
+    spec = limited if kind == "limit a worker" else step(1)
+    submit(owner_board, "a", job(spec), PERMITTED)
+    waiting = step_of(owner_board, "a")
+    permits = owner_board.permits_of(waiting)
+    assert permits is not None
+    names = ("w", "e1", "e2")
+    tickets = (Permit(worker="w", ticket="t"),) if kind == "limit a worker" else ()
+    permits.record_answer(names, tickets, sent_at=0.0)
+    planner = Planner(cluster_state=owner_board)
+    placed_at, _ = rounds_until(planner, waiting, 0.0, MAX_QUARANTINE_S - ROUND_S)
+    assert placed_at is None
+
+
+# Guards against precautions that are given up where the platform counts no stall: half
+# of the pool is in use, or something of the job runs.
+@pytest.mark.parametrize("kind", ["pool in use", "another task runs"])
+def test_precautions_hold_where_nothing_counts_as_stalled(kind: str) -> None:
+    at = resting("w")
+    owner_board = cluster_state(at, worker("used"), worker("e1"))
+    occupy(owner_board, owner_board.fleet.workers["used"], "long")
+    submit(owner_board, "a", job(step(2)), PERMITTED)
+    waiting = step_of(owner_board, "a")
+    allow(owner_board, waiting, "w", "used")
+    if kind == "pool in use":
+        occupy(owner_board, owner_board.fleet.workers["e1"], "longer")
+    else:
+        other = owner_board.fleet.workers["e1"]
+        owner_board.place(waiting.tasks[0], other, 1, now=0.0).began(0.0)
+    planner = Planner(cluster_state=owner_board)
+    rounds_until(planner, waiting, 0.0, MAX_QUARANTINE_S - ROUND_S)
+    assert not placed(owner_board)["w"]
