--- a/cranberrycleat/workflow/decisions/load_control.py
+++ b/cranberrycleat/workflow/decisions/load_control.py
@@ -65,6 +65,11 @@
             return DEFAULT_SPEED
         return self.speeds.speed_of(worker)
 
+    def is_surplus(self, job: Job) -> bool:
+        """Return whether a job is beyond its workspace's fair share."""
+        fair_share = self.fair_share
+        return fair_share is not None and fair_share.tier(job) is ShareTier.SURPLUS
+
     def record_forecast(self, job: Job, now: float, now_s: float) -> None:
         """Record the forecast of an accepted job and count the job in later ones.
 
@@ -75,16 +80,12 @@
         """
         if self.forecast is None:
             return
-        surplus = (
-            self.fair_share is not None
-            and self.fair_share.tier(job) is ShareTier.SURPLUS
-        )
         demand = JobDemand(
             job_id=job.job_id,
             queue=job.queue,
             spec=job.spec,
             workspace=job.workspace,
-            surplus=surplus,
+            surplus=self.is_surplus(job),
             sent_s=job.accepted_s,
         )
         urgency = urgency_if_accepted(self.order, demand, now_s)
--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -705,8 +705,14 @@
         ]
 
     def _room_for_stalled(self, step: StepRun, worker: FleetWorker) -> int:
-        """Return how many tasks of a stalled step a worker has room for."""
-        room = self._firm_reservations.unreserved(worker)
+        """Return how many tasks of a stalled step a worker has room for.
+
+        Surplus work takes no reserved room: due work may wait behind it as well, and
+        not yet for long enough.
+        """
+        is_surplus = self.cluster_state.load.is_surplus(step.job)
+        reservations = self._reservations if is_surplus else self._firm_reservations
+        room = reservations.unreserved(worker)
         fits = how_many_fit(reserved_resources(step.spec), room)
         if step.spec.most_per_worker:
             return min(fits, self._remaining_worker_limit(step, worker))
