The cost of placing a wide step grows with its tasks plus the workers

Cause: for each task the planner filtered and sorted all workers anew, and for each of them counted the tasks of the step on it (`_tasks_on_worker`) by looking at all tasks: n x m x n. Nothing bounded the time of a round.

- The tasks of a step on each worker, late starts included, are counted once a round and updated where the round places one (`decisions/task_counts`).
Nothing else places or ends a task during a round.
`obstacles`, which the owner also calls between rounds, counts anew.
- Workers for single tasks wait in a queue by preference (`decisions/best_fit`).
Placing a task changes its own worker only, which is moved to its new place.
A task that failed or lost a worker still looks at all workers, as each avoids others.
- A round ends once it has placed 500 tasks, fewer of those that failed, and continues at once with the next, which ranks the steps anew.
Ranks are kept: no later step is given room before, and a step that was cut short neither preempts nor reserves.
Only placed tasks count, so that a step that cannot be placed ends no round.
Of the tasks of a step that must run isolated and find no worker, 20 are tried in a round.

The placements are those of the old choice on random boards (a property test that holds the old loop), and on the existing tests.

--- a/cranberrycleat/workflow/decisions/__init__.py
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -14,7 +14,8 @@
 - `job_admission` (with `admission_record`, `retry_spread`): which jobs are rejected
 - `load_forecast` (with `load_snapshot`, `capacity_curve`, `job_shape`, `first_rank`):
   when a job would begin and end; `forecast_outcomes` compares that with the outcome
-- `pool_snapshot`, `locality`, `permit_choice`: on which workers a step may be placed
+- `pool_snapshot`, `locality`, `permit_choice`, `task_counts`, `best_fit`: on which
+  workers a step may be placed, and the best of them
 - `speed_model`, `runtime_estimates`, `speed_choice`: how fast workers are, how long
   tasks run, and which speed a step needs
 - `isolation`, `retrying`: how a failed or suspect task is retried
--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -17,6 +17,7 @@
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.decisions import exclusion, isolation, stalls
+from cranberrycleat.workflow.decisions.best_fit import BestFit, Preference
 from cranberrycleat.workflow.decisions.exclusion import lost_exclusion_ends_at
 from cranberrycleat.workflow.decisions.filler_throttling import (
     runs_until_cancelled,
@@ -53,6 +54,7 @@
 )
 from cranberrycleat.workflow.decisions.round_scan import RoundScan
 from cranberrycleat.workflow.decisions.speed_choice import SpeedChoice, speed_of_class
+from cranberrycleat.workflow.decisions.task_counts import TaskCounts
 from cranberrycleat.workflow.decisions.wait_report import (
     TaskObstacle,
     count_obstacles,
@@ -79,6 +81,15 @@
 worker, and in a burst hundreds of steps begin to wait in one round."""
 AT_QUOTA: Final = "its workspace is at its quota, or a newer one may be in force"
 HELD_BACK: Final = "its tasks are held back"
+MAX_ROUND_WORK: Final = 8000
+"""Workers looked at in a round for the tasks that it places. The round ends once they
+are exceeded and continues with the next, so that the owner renews its lease meanwhile:
+500 tasks that never failed take 0.02 s, on a weak core several times as long."""
+PLACEMENT_WORK: Final = 16
+"""Workers that could be looked at in the time that a placement takes."""
+MAX_ISOLATED_TRIES: Final = 20
+"""Tasks of a step that find no worker for an isolated attempt until a round leaves its
+other such tasks out. Each looks at all workers, and their wait for one is bounded."""
 MAX_UNSERVED_STEPS_LOGGED: Final = 50
 """Steps without an eligible worker whose wait a round logs at most, or finds logged
 already. 5,000 of them are logged within the interval at five rounds per second."""
@@ -138,6 +149,11 @@
     _speed_choice: SpeedChoice = attrs.field(factory=SpeedChoice)
     _preemption_round_at: float = float("-inf")
     _counts_left: int = MAX_OBSTACLE_COUNTS
+    _work_left: int = MAX_ROUND_WORK
+    _task_counts: TaskCounts = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._task_counts = TaskCounts(cluster_state=self.cluster_state)
 
     def plan(self, *, now: float, now_s: float) -> Plan:
         """Run one round and place all waiting tasks that fit.
@@ -149,6 +165,8 @@
         plan = Plan()
         self._expected = GangReservations()
         self._counts_left = MAX_OBSTACLE_COUNTS
+        self._work_left = MAX_ROUND_WORK
+        self._task_counts = TaskCounts(cluster_state=self.cluster_state)
         self._snapshots = {}
         load = self.cluster_state.load
         self._reservations = GangReservations(disjoint=load.disjoint_reservations)
@@ -182,6 +200,10 @@
                 placed = self._place_gang(step, tasks, candidates, now, plan)
             if stalled and not placed:
                 placed = self._place_stalled(step, tasks, now, plan)
+            if self._work_left <= 0:
+                # What the step has not been given it may not lack.
+                self._schedule_retry(plan, now)
+                break
             is_held = self._preempt_for_urgent_work(
                 step, tasks, candidates, now, now_s, plan
             )
@@ -443,6 +465,8 @@
 
     def obstacles(self, step: StepRun, now: float) -> dict[str, int]:
         """Return how many workers take none of a step's pending tasks, by reason."""
+        # Tasks may have ended since the last round.
+        self._task_counts = TaskCounts(cluster_state=self.cluster_state)
         needs = reserved_resources(step.spec)
         usable = self._exclude_failed_workers(
             step, step.pending(), self._candidates(step, now), now
@@ -618,7 +642,7 @@
         """Return how many more tasks the step's per-worker limit allows."""
         limit = step.spec.most_per_worker
         return (
-            max(0, limit - self._tasks_on_worker(step, worker))
+            max(0, limit - self._task_counts.count(step, worker))
             if limit
             else step.spec.count
         )
@@ -650,15 +674,6 @@
         """Return the free resources of a worker that no gang has reserved."""
         return self._reservations.unreserved(worker)
 
-    def _tasks_on_worker(self, step: StepRun, worker: FleetWorker) -> int:
-        """Return how many tasks of a step a worker may run, late starts included."""
-        late_starts = self.cluster_state.late_starts
-        if not late_starts.entries:
-            return sum(task.worker == worker.name for task in step.tasks)
-        late = late_starts.released_on(worker.entry.worker, step.name)
-        placed = {task.name for task in step.tasks if task.worker == worker.name}
-        return len(placed | late)
-
     def _place_single(
         self,
         step: StepRun,
@@ -672,19 +687,39 @@
         group = PlannedGroup(step=step)
         limit = step.spec.most_per_worker
         candidates = self._workers_near_data(step, candidates, now, plan)
+
+        def fits(worker: FleetWorker) -> bool:
+            return (
+                needs.fits_in(self._unreserved(worker))
+                and worker.may_accept_work(now)
+                and (not limit or self._task_counts.count(step, worker) < limit)
+            )
+
+        choice = BestFit(
+            fits=fits, preference=lambda worker: self._preference(step, worker)
+        )
+        choice.add_all(candidates)
+        tries_left = MAX_ISOLATED_TRIES
         for task in tasks:
-            if not self._count_within_quota(step):
+            if self._work_left <= 0 or not self._count_within_quota(step):
                 break
+            if not task.failed_on and step.losses_of(task) is None:
+                best = choice.best()
+                if best is None:
+                    break
+                self._place(step, task, best, step.last_attempt + 1, now, group)
+                choice.update(best)
+                continue
+            isolated_attempt = isolation.record_for(task)
+            if isolated_attempt is not None and tries_left <= 0:
+                continue
             fitting = [
                 worker
                 for worker in self._exclude_failed_workers(
                     step, [task], candidates, now
                 )
-                if needs.fits_in(self._unreserved(worker))
-                and worker.may_accept_work(now)
-                and (not limit or self._tasks_on_worker(step, worker) < limit)
+                if fits(worker)
             ]
-            isolated_attempt = isolation.record_for(task)
             if isolated_attempt is not None:
                 fitting = isolation.candidates_for(
                     isolated_attempt,
@@ -695,9 +730,12 @@
             if not fitting and isolated_attempt is None:
                 break
             if not fitting:
+                tries_left -= 1
                 continue
             best = min(fitting, key=lambda each: self._preference(step, each))
             self._place(step, task, best, step.last_attempt + 1, now, group)
+            choice.update(best)
+            self._work_left -= len(candidates)
         if group.placements:
             plan.groups.append(group)
             used = [worker for worker, _ in group.placements]
@@ -787,9 +825,7 @@
         """Return whether workers have free resources for all given tasks of a step."""
         return sum(self._fits_now(step, each) for each in workers) >= len(tasks)
 
-    def _preference(
-        self, step: StepRun, worker: FleetWorker
-    ) -> tuple[bool, int, int, int, str]:
+    def _preference(self, step: StepRun, worker: FleetWorker) -> Preference:
         away = bool(step.spec.data_rack) and (
             step.spec.data_rack not in worker.entry.labels
         )
@@ -903,7 +939,7 @@
         }
         classes = self._speed_choice.gang_classes(step, fits, count)
 
-        def preference(worker: FleetWorker) -> tuple[bool, int, int, int, str]:
+        def preference(worker: FleetWorker) -> Preference:
             away, interference, _, free, name = self._preference(step, worker)
             return (away, interference, classes[worker], free, name)
 
@@ -959,6 +995,8 @@
         group: PlannedGroup,
     ) -> None:
         placement = self.cluster_state.place(task, worker, attempt, now=now)
+        self._task_counts.add(task)
+        self._work_left -= PLACEMENT_WORK
         step.idle_since = None
         if isolation.record_for(task) is not None:
             placement.on_unstable_machine = isolation.is_known_unstable(
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -750,6 +750,22 @@
         replacement="            bound = placeable",
         test="tests/test_steps_without_worker.py::test_steps_that_cannot_start_do_not_exhaust_a_round",
     ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="ending a round that has placed many tasks",
+        file="workflow/decisions/planner.py",
+        text="            if self._work_left <= 0:\n",
+        replacement="            if False:\n",
+        test="tests/test_wide_steps.py::test_long_round_continues_with_the_next",
+    ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="choosing the next worker by what was placed before",
+        file="workflow/decisions/best_fit.py",
+        text="        if self._position.pop(worker, None) is None:",
+        replacement="        if True:",
+        test="tests/test_wide_steps.py::test_workers_are_the_same_as_if_chosen_anew_for_each_task",
+    ),
     Mutant(
         guarantee="quota",
         mechanism="scanning other workspaces' steps beside the backlog of one",
@@ -849,8 +865,8 @@
     Mutant(
         guarantee="1 capacity",
         mechanism="counting late starts towards the limit per worker",
-        file="workflow/decisions/planner.py",
-        text="        return len(placed | late)",
+        file="workflow/decisions/task_counts.py",
+        text="        return len({task.name for task in placed} | late)",
         replacement="        return len(placed)",
         test="tests/test_late_starts.py::test_late_start_counts_towards_limit_per_worker",
     ),
