Sent placements are removed from a group without comparing all pairs

`Dispatcher._dispatch` looked up each placement of a group in the list of those that were sent: n x n / 2 comparisons.

--- a/cranberrycleat/workflow/dispatcher.py
+++ b/cranberrycleat/workflow/dispatcher.py
@@ -147,7 +147,7 @@
             if group.step.spec.gang and len(ready) < len(pending):
                 ready = []
             self._send(ready)
-            pending = [pair for pair in pending if pair not in ready]
+            pending = without(pending, ready)
             if not pending:
                 return
             await asyncio.sleep(PERMIT_RETRY_S)
@@ -216,3 +216,12 @@
             together, permits.to_renew = permits.to_renew | workers, set()
             stale = permits.workers_to_renew(together, self.clock.now())
             await self.permit_queue.ask(step.name, stale, permits, self._urgency(step))
+
+
+def without(
+    pending: list[tuple[FleetWorker, Placement]],
+    sent: list[tuple[FleetWorker, Placement]],
+) -> list[tuple[FleetWorker, Placement]]:
+    """Return the pending placements that were not sent."""
+    placements = {placement for _, placement in sent}
+    return [pair for pair in pending if pair[1] not in placements]
--- a/tests/test_wide_steps.py
+++ b/tests/test_wide_steps.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from cranberrycleat.amounts import Amounts
+from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.crash_attribution import LostWorker
 from cranberrycleat.workflow.decisions import isolation
@@ -19,7 +19,8 @@
     PlannedGroup,
     Planner,
 )
-from cranberrycleat.workflow.fleet import FleetWorker, reserved_resources
+from cranberrycleat.workflow.dispatcher import without
+from cranberrycleat.workflow.fleet import FleetWorker, Placement, reserved_resources
 from cranberrycleat.workflow.state import StepRun, Task
 from tests.cell import job, queue, step
 from tests.test_planner import NOW_S, cluster_state, placed, plan, submit, worker
@@ -101,6 +102,38 @@
     assert planner.obstacles(waiting, 0.0) == {"has room": 1}
 
 
+class CountingPair(tuple[FleetWorker, Placement]):
+    """A placement with its worker; counts comparisons with others."""
+
+    comparisons = 0
+
+    def __eq__(self, other: object) -> bool:
+        CountingPair.comparisons += 1
+        return super().__eq__(other)
+
+    __hash__ = None  # type: ignore[assignment]
+
+
+# Guards against an owner that is blocked while the starts of a wide step are sent.
+def test_sent_placements_are_removed_without_comparing_all(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    at = worker("w")
+    pairs: list[tuple[FleetWorker, Placement]] = [
+        CountingPair(
+            (
+                at,
+                Placement(task=f"t{each}", attempt=1, needs=NOTHING, tracked_task=None),
+            )
+        )
+        for each in range(100)
+    ]
+    monkeypatch.setattr(CountingPair, "comparisons", 0)
+    left = without(list(pairs), pairs[10:])
+    assert [placement.task for _, placement in left] == [f"t{n}" for n in range(10)]
+    assert CountingPair.comparisons == 0
+
+
 class ChoosingAnew(Planner):
     """Chooses among all workers anew for each task."""
 
