A round looks at few tasks of wide steps without a worker

The first task that is not held back is enough; for a gang, the first that is.

Evidence: test_round_looks_at_few_tasks_of_wide_steps_without_worker failed before: 10,000 tasks looked at where 50 are allowed.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -201,7 +201,7 @@
             if stalled and not placed:
                 placed = self._place_stalled(step, tasks, now, plan)
             if self._work_left <= 0:
-                # What the step has not been given it may not lack.
+                # The rest of its tasks may fit, so that it must not preempt or reserve.
                 self._schedule_retry(plan, now)
                 break
             is_held = self._preempt_for_urgent_work(
@@ -498,7 +498,7 @@
         unserved: list[RequirementGroup] = []
         for group in waiting.groups():
             (served if scan.is_served(group) else unserved).append(group)
-        self._log_unserved(unserved, now, now_s)
+        self._log_unserved(unserved, scan, now_s)
         steps = []
         for group in served:
             for step in group.steps.values():
@@ -510,7 +510,7 @@
         return scan.limit(steps)
 
     def _log_unserved(
-        self, groups: list[RequirementGroup], now: float, now_s: float
+        self, groups: list[RequirementGroup], scan: RoundScan, now_s: float
     ) -> None:
         """Log the waits of steps that no worker could run, some of them a round."""
         waiting = self.cluster_state.waiting
@@ -519,8 +519,8 @@
             while left > 0:
                 left -= 1
                 name, step = next(iter(group.steps.items()))
-                reason = self._unserved_reason(step, now)
-                if not self._log_waiting(step, reason, 0, now, now_s):
+                reason = self._unserved_reason(step, scan)
+                if not self._log_waiting(step, reason, 0, scan.now, now_s):
                     # The others were logged later.
                     break
                 group.steps.move_to_end(name)
@@ -528,10 +528,10 @@
             if left <= 0:
                 break
 
-    def _unserved_reason(self, step: StepRun, now: float) -> str:
+    def _unserved_reason(self, step: StepRun, scan: RoundScan) -> str:
         if not self._count_within_quota(step):
             return AT_QUOTA
-        if not self._placeable_tasks(step, now, Plan()):
+        if not scan.has_placeable_task(step):
             return HELD_BACK
         return self._wait_reason(step, [])
 
--- a/cranberrycleat/workflow/decisions/round_scan.py
+++ b/cranberrycleat/workflow/decisions/round_scan.py
@@ -116,6 +116,15 @@
                 found.append(step)
         return found
 
+    def has_placeable_task(self, step: StepRun) -> bool:
+        """Return whether a task of a step, or its whole gang, is not held back."""
+        placeable = (
+            task.state is TaskState.PENDING
+            and task_obstacle(self.cluster_state, task, self.now) is None
+            for task in step.tasks
+        )
+        return all(placeable) if step.spec.gang else any(placeable)
+
     def _might_be_placed(self, step: StepRun) -> bool:
         """Return whether a step might be placed in this round; False is definite."""
         needs = reserved_resources(step.spec)
@@ -126,7 +135,7 @@
             workers.total_free
         ):
             return False
-        return self._may_have_permit(step, needs) and self._has_placeable_task(step)
+        return self._may_have_permit(step, needs) and self.has_placeable_task(step)
 
     def _may_have_permit(self, step: StepRun, needs: Amounts) -> bool:
         """Return whether a step has a permit for a worker with room, or may get one."""
@@ -143,15 +152,6 @@
         workers = self._workers_with(pool, label).schedulable
         return any(each.name not in permits.asked for each in workers)
 
-    def _has_placeable_task(self, step: StepRun) -> bool:
-        """Return whether a task of a step, or its whole gang, is not held back."""
-        placeable = (
-            task.state is TaskState.PENDING
-            and task_obstacle(self.cluster_state, task, self.now) is None
-            for task in step.tasks
-        )
-        return all(placeable) if step.spec.gang else any(placeable)
-
     def _workers_with(self, pool: str, label: str) -> LabelledWorkers:
         found = self._labelled.get((pool, label))
         if found is None:
--- a/tests/test_steps_without_worker.py
+++ b/tests/test_steps_without_worker.py
@@ -14,7 +14,7 @@
 from cranberrycleat import events
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.decisions import planner as planning, stalls
+from cranberrycleat.workflow.decisions import planner as planning, round_scan, stalls
 from cranberrycleat.workflow.decisions.planner import (
     NO_ELIGIBLE_WORKER,
     WAIT_LOG_INTERVAL_S,
@@ -26,10 +26,11 @@
     STALL_YIELD_S,
     StallMonitor,
 )
+from cranberrycleat.workflow.decisions.wait_report import TaskObstacle, task_obstacle
 from cranberrycleat.workflow.fleet import FleetWorker, Liveness
 from cranberrycleat.workflow.ports import Permit, PermitTiming, Queue
 from cranberrycleat.workflow.spec import StepSpec
-from cranberrycleat.workflow.state import StepRun
+from cranberrycleat.workflow.state import StepRun, Task
 from tests.cell import job, queue, step
 from tests.test_planner import NOW_S, cluster_state, plan, submit, worker
 
@@ -302,3 +303,28 @@
     workers[0].update(attrs.evolve(workers[0].entry, labels=(RARE,)))
     found = monitor.check(STALL_S)
     assert found and all(each.room == 4 for each in found)
+
+
+# Guards against an owner that is blocked by wide steps without a worker: a round looked
+# at all tasks of those whose wait it might log.
+def test_round_looks_at_few_tasks_of_wide_steps_without_worker(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    owner_board = cluster_state(worker("w"))
+    tasks = 200
+    for number in range(planning.MAX_UNSERVED_STEPS_LOGGED):
+        spec = job(step(tasks, 100 + number, label=RARE))
+        submit(owner_board, f"a{number}", spec, queue())
+    looks = 0
+
+    def counting(cluster: ClusterState, task: Task, now: float) -> TaskObstacle | None:
+        nonlocal looks
+        looks += 1
+        return task_obstacle(cluster, task, now)
+
+    planner = Planner(cluster_state=owner_board)
+    planner.plan(now=0.0, now_s=NOW_S)
+    monkeypatch.setattr(planning, "task_obstacle", counting)
+    monkeypatch.setattr(round_scan, "task_obstacle", counting)
+    planner.plan(now=ROUND_S, now_s=NOW_S)
+    assert looks <= planning.MAX_UNSERVED_STEPS_LOGGED
