A round of upkeep ends with one order without answer, and begins with the next machine

An order without answer takes 1 s. Since a round went on after one: with a machine API that answers no order, a round over 60 drained machines would have taken a minute, with all of them held. Found by reading.

A round of a wave ends again with the first unanswered order, and orders begin with the machine that was ordered longest ago. Other waves go on. Machines that are blocked are given back before any order is sent. The budget of a step is computed once a machine, not for each of its members there.

Evidence: test_unanswered_order_does_not_delay_other_machines now runs with no machine given back; it fails with the orders sorted by name (tests.prove, this row and the one of the budget: "fails without").

--- a/cranberrycleat/workflow/upkeep.py
+++ b/cranberrycleat/workflow/upkeep.py
@@ -133,6 +133,7 @@
         postponed_until: Until when a machine is not drained again.
         progress_at: When a machine began to be drained or a member there was last told
             to stop, on the owner's clock.
+        ordered_at: When each machine was last ordered, on the owner's clock.
         obstacles: What each machine that is left waits for, as last logged.
     """
 
@@ -146,6 +147,7 @@
     recorded: frozenset[str] | None = None
     postponed_until: dict[str, float] = attrs.field(factory=dict)
     progress_at: dict[str, float] = attrs.field(factory=dict)
+    ordered_at: dict[str, float] = attrs.field(factory=dict)
     obstacles: dict[str, str] = attrs.field(factory=dict)
 
     def restore(self, record: WaveRecord, now: float, now_s: float) -> None:
@@ -226,6 +228,16 @@
         self.draining.discard(machine)
         self.postponed_until[machine] = until
 
+    def drained_in_turn(self) -> list[str]:
+        """Return the machines that are drained, the least recently ordered first.
+
+        A round ends with the first order that is not answered, which takes a second.
+        """
+        return sorted(
+            self.draining,
+            key=lambda name: (self.ordered_at.get(name, float("-inf")), name),
+        )
+
     def note_unanswered(self, machine: str, now: float) -> None:
         """Record that a machine's order was not answered."""
         if machine not in self.unanswered:
@@ -273,16 +285,17 @@
         fleet: All workers.
     """
     selected: list[Placement] = []
-    stopped: dict[str, int] = {}
+    allowed: dict[str, int] = {}
     for each in worker.placements.values():
         task = each.tracked_task
         if task is None or each.stopping or not each.running:
             continue
         step = task.step
         if step.spec.service:
-            stopped_here = stopped.get(step.name, 0)
-            if stopped_here < may_be_stopped(step, fleet):
-                stopped[step.name] = stopped_here + 1
+            if step.name not in allowed:
+                allowed[step.name] = may_be_stopped(step, fleet)
+            if allowed[step.name] > 0:
+                allowed[step.name] -= 1
                 selected.append(each)
         elif step.spec.checkpoints:
             selected.append(each)
--- a/cranberrycleat/workflow/upkeep_director.py
+++ b/cranberrycleat/workflow/upkeep_director.py
@@ -96,10 +96,10 @@
                     if not run.restored:
                         await self._restore(run)
                 await self._refresh_machines()
+                self._is_away = False
                 for run in open_runs:
                     if run.written_state != COMPLETED:
-                        await self._advance_wave(run)
-                self._is_away = False
+                        await self._advance_if_answered(run)
             except MachinesUnavailable as exc:
                 if not self._is_away:
                     LOG.info("The platform's machine API is unavailable: %s", exc)
@@ -151,6 +151,16 @@
         self._listed_at = self.clock.now()
         self._machines = {each.name: each for each in found}
 
+    async def _advance_if_answered(self, run: WaveRun) -> None:
+        """Advance a wave until an order is not answered, which is logged by machine.
+
+        Other waves go on: the fault may be one machine's.
+        """
+        try:
+            await self._advance_wave(run)
+        except MachinesUnavailable as exc:
+            LOG.debug("An order of upkeep wave %d: %s", run.wave.number, exc)
+
     async def _advance_wave(self, run: WaveRun) -> None:
         if not self.may_order():
             # A late write must not replace what a successor has written.
@@ -158,39 +168,50 @@
         if not run.written_state:
             await self._write_status(run, RUNNING)
         await self._write_record(run)
-        now = self.clock.now()
-        for name in run.already_down(self._machines, self.cluster_state.fleet, now):
-            await self._start_upkeep(run, self._machines[name], None)
-        run.select_machines(self._machines, self.cluster_state.fleet, now)
-        for name in sorted(run.draining):
-            self._renew_holds(run)
-            await self._drain_machine(run, self._machines[name], now)
+        run.select_machines(self._machines, self.cluster_state.fleet, self.clock.now())
+        self._drain_machines(run)
+        await self._order_upkeep(run)
         if run.is_complete(self._machines):
             await self._write_status(run, COMPLETED)
             await self._delete_record(run)
         else:
             await self._write_record(run)
 
-    async def _drain_machine(self, run: WaveRun, machine: Machine, now: float) -> None:
-        worker = self._worker_on(machine.name)
-        if worker is not None and self._evacuate(worker):
-            run.progress_at[machine.name] = now
-        wait_s = run.wait_s(now, self._machines)
-        if worker is not None and not may_begin_upkeep(worker, wait_s):
-            self._report_obstacle(run, machine, obstacle(worker))
-        elif self.may_order():
-            await self._start_upkeep(run, machine, worker)
+    def _drain_machines(self, run: WaveRun) -> None:
+        """Move work off machines; give back those where that is not possible."""
         now = self.clock.now()
-        if worker is not None and run.is_blocked(machine.name, worker, now):
-            worker.release(now)
-            run.postpone(machine.name, now + POSTPONED_S)
+        wait_s = run.wait_s(now, self._machines)
+        for name in sorted(run.draining):
+            worker = self._worker_on(name)
+            if worker is None:
+                continue
+            if self._evacuate(worker):
+                run.progress_at[name] = now
+            if not may_begin_upkeep(worker, wait_s):
+                self._report_obstacle(run, name, obstacle(worker))
+            if run.is_blocked(name, worker, now):
+                worker.release(now)
+                run.postpone(name, now + POSTPONED_S)
 
-    def _report_obstacle(self, run: WaveRun, machine: Machine, what: str) -> None:
+    async def _order_upkeep(self, run: WaveRun) -> None:
+        """Order the upkeep of the machines that are ready for it."""
+        for name in run.drained_in_turn():
+            self._renew_holds(run)
+            worker = self._worker_on(name)
+            wait_s = run.wait_s(self.clock.now(), self._machines)
+            if may_begin_upkeep(worker, wait_s) and self.may_order():
+                await self._start_upkeep(run, self._machines[name], worker)
+        fleet = self.cluster_state.fleet
+        for name in run.already_down(self._machines, fleet, self.clock.now()):
+            if self.may_order():
+                await self._start_upkeep(run, self._machines[name], None)
+
+    def _report_obstacle(self, run: WaveRun, machine: str, what: str) -> None:
         """Log what a machine's upkeep waits for, once for each change of it."""
-        if run.note_obstacle(machine.name, what):
+        if run.note_obstacle(machine, what):
             emit(
                 events.UpkeepWaits(
-                    wave=run.wave.number, machine=machine.name, waits_for=what
+                    wave=run.wave.number, machine=machine, waits_for=what
                 )
             )
 
@@ -217,6 +238,7 @@
     async def _start_upkeep(
         self, run: WaveRun, machine: Machine, worker: FleetWorker | None
     ) -> None:
+        run.ordered_at[machine.name] = self.clock.now()
         try:
             verdict = await self.client.start_upkeep(
                 machine=machine.name,
@@ -225,10 +247,11 @@
                 epoch=self.epoch(),
             )
         except MachinesUnavailable:
-            # The other machines are ordered all the same: it may be this one's fault.
             run.note_unanswered(machine.name, self.clock.now())
-            self._report_obstacle(run, machine, "its order was not answered")
-            return
+            self._report_obstacle(run, machine.name, "its order was not answered")
+            if machine.name not in run.draining:
+                run.postpone(machine.name, self.clock.now() + POSTPONED_S)
+            raise
         emit(
             events.UpkeepOrdered(
                 wave=run.wave.number, machine=machine.name, verdict=verdict.value
@@ -249,7 +272,7 @@
                 if worker is not None:
                     worker.release(self.clock.now())
                 run.postpone(machine.name, self.clock.now() + REFUSED_PAUSE_S)
-                self._report_obstacle(run, machine, f"refused: {verdict.value}")
+                self._report_obstacle(run, machine.name, f"refused: {verdict.value}")
 
     async def _write_record(self, run: WaveRun) -> None:
         """Store which machines have begun, for the next owner, where that is new."""
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -162,7 +162,7 @@
         guarantee="decisions",
         mechanism="the disruption budget of a service",
         file="workflow/upkeep.py",
-        text="if stopped_here < may_be_stopped(step, fleet):",
+        text="if allowed[step.name] > 0:",
         replacement="if True:",
         test="tests/test_services.py::test_services_are_evacuated_within_disruption_budget",
     ),
@@ -217,9 +217,9 @@
     Mutant(
         guarantee="faults",
         mechanism="ordering other machines beside an unanswered order",
-        file="workflow/upkeep_director.py",
-        text='            self._report_obstacle(run, machine, "its order was not answered")\n            return',
-        replacement='            self._report_obstacle(run, machine, "its order was not answered")\n            raise',
+        file="workflow/upkeep.py",
+        text='(self.ordered_at.get(name, float("-inf")), name)',
+        replacement="name",
         test="tests/test_upkeep_owner_change.py::test_unanswered_order_does_not_delay_other_machines",
     ),
     Mutant(
--- a/tests/test_upkeep_owner_change.py
+++ b/tests/test_upkeep_owner_change.py
@@ -189,7 +189,12 @@
 
 
 # Guards against a wave in which one machine without answers keeps all others waiting.
-def test_unanswered_order_does_not_delay_other_machines() -> None:
+def test_unanswered_order_does_not_delay_other_machines(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The machine is not postponed meanwhile.
+    monkeypatch.setattr("cranberrycleat.workflow.upkeep.BLOCKED_S", 60.0)
+
     async def run() -> None:
         async with cell(workers=0) as env:
             machines = machines_of(env, workers=3, cap=2)
