A row that the table never takes holds up no other change, and no job outgrows its row

Cause: all open occurrences of a timed job stood in one row without a limit. Once it was over row_bytes, the owner took the refusal for an outage and sent the same transaction, with all other changes in it, until its lease was over. The next owner read the same rows.

Change: - TableLimits (table.py) holds row_bytes, entries and bytes of a transaction. row_bytes is read from the settings; PlatformStore.commit checks all three before the call. The in-memory table has the same limits. - TableRejected tells a refusal for good (400, 403, 413, 422, or a limit) from an outage. The lease forgets such a write. The inbox writer sends the changes of a rejected batch one by one. - A job whose row would be too large is stored as a head and pages of at most row_bytes (job_pages.py), written in several transactions if one does not hold them. Rows of other jobs are unchanged, and so are older rows. - At most 64 occurrences of a timed job that were never placed are open. Later ones are opened afterwards with the time at which they were due; none is skipped. Occurrences of which a task was placed do not count, so that a first step that can run runs. - Learned speeds that do not fit into a row leave out the workers with the fewest samples. - Rows of jobs that ended long ago are deleted beside other writes as well (24 in a transaction that stores jobs); before, only a transaction without writes deleted any.

--- a/cranberrycleat/errors.py
+++ b/cranberrycleat/errors.py
@@ -165,6 +165,10 @@
     """The table refused a call before applying any of it."""
 
 
+class TableRejected(TableUnavailable):
+    """The table will never take this transaction; no part of it was applied."""
+
+
 class PeerUnavailable(Exception):
     """A peer, worker or daemon was unreachable or did not answer."""
 
--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -576,6 +576,15 @@
     down: bool
 
 
+@event("table.rejected", essential=True)
+class TableRejected:
+    """The table will never take a transaction; `job` is set if it held one job only."""
+
+    reason: str
+    jobs: int
+    job: str
+
+
 @event("table.back", essential=True)
 class TableBack:
     """The table answers transactions again."""
--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -244,6 +244,7 @@
 
         Raises:
             LeaseLost: Another process holds the lease; nothing was written.
+            TableRejected: The table never takes these changes; nothing was written.
             TableUnavailable: No reply; the write may have committed. The next
                 call resolves it first, whatever changes that call is given.
         """
@@ -270,7 +271,12 @@
             self._pending_since = self.clock.now()
         txn = self._transaction(self._held_version, self._pending, changes)
         began = self.clock.now()
-        reply = await self._send_and_watch(txn)
+        try:
+            reply = await self._send_and_watch(txn)
+        except errors.TableRejected:
+            # No copy of it was or will be applied, so that it is no longer pending.
+            self._pending = None
+            raise
         if reply.committed:
             # A resent copy may have waited for an outage to end, which says
             # nothing about the table's speed. A lease three times as long would
--- a/cranberrycleat/platform/adapter.py
+++ b/cranberrycleat/platform/adapter.py
@@ -39,6 +39,7 @@
         self.settings = fresh
         self.store.address = fresh.store
         self.store.carries_bytes_s = fresh.room.carries_bytes_s()
+        self.store.limits = fresh.table_limits
         self.permits.address = fresh.permits
         if self.machines is not None:
             self.machines.address = fresh.machines
@@ -83,7 +84,10 @@
     return PlatformAdapter(
         settings=cfg,
         store=PlatformStore(
-            address=cfg.store, http=http, carries_bytes_s=cfg.room.carries_bytes_s()
+            address=cfg.store,
+            http=http,
+            carries_bytes_s=cfg.room.carries_bytes_s(),
+            limits=cfg.table_limits,
         ),
         workers=PlatformWorkers(),
         permits=PlatformPermits(address=cfg.permits, http=http),
--- a/cranberrycleat/platform/settings.py
+++ b/cranberrycleat/platform/settings.py
@@ -10,6 +10,7 @@
 
 from cranberrycleat import errors
 from cranberrycleat.platform.early import FILE_VARIABLE
+from cranberrycleat.table import TableLimits
 from cranberrycleat.workflow.ports import (
     CheckpointTiming,
     HostResources,
@@ -32,6 +33,12 @@
     addr: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class _WirePlatform:
+    addr: str = ""
+    row_bytes: int = TableLimits().row_bytes
+
+
 @attrs.frozen(kw_only=True)
 class _WireBounds:
     hold_max_ms: float
@@ -62,7 +69,7 @@
     zone: str
     port_range: tuple[int, int]
     listen: _WireListen
-    platform: _WireAddress
+    platform: _WirePlatform
     bounds: _WireBounds
     limits: _WireLimits = _WireLimits()
     cloud: _WireAddress = _WireAddress()
@@ -116,6 +123,7 @@
         grace_s=bounds.grace_s,
         config_bound_s=bounds.config_ms / 1000,
         revoke_bound_s=bounds.revoke_ms / 1000 if bounds.strict_revoke else None,
+        table_limits=TableLimits(row_bytes=wire.platform.row_bytes),
     )
 
 
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -17,7 +17,7 @@
 from cranberrycleat.clock import Clock, MonotonicClock
 from cranberrycleat.http_client import HttpClient, HttpReply, NoAnswer, ResponseTooLarge
 from cranberrycleat.logs import part_logger
-from cranberrycleat.table import CommitReply, Row, Transaction
+from cranberrycleat.table import CommitReply, Row, TableLimits, Transaction
 from cranberrycleat.workflow.answer_timeout import AnswerTimeout
 from cranberrycleat.workflow.ports import (
     Feed,
@@ -38,6 +38,8 @@
 CONDITION_FAILED: Final = 412
 GONE: Final = 410
 REJECTED_STATUSES: Final = frozenset({429, 503})
+INVALID_STATUSES: Final = frozenset({400, 403, 413, 422})
+"""Answers to a transaction that the store will never take, however often it is sent."""
 PAGE_ROWS: Final = 200
 """Rows read per call; about 100 KB, which take 0.2 s on a link of 5 Mbit/s."""
 PAGE_START_S: Final = 1.5
@@ -113,6 +115,7 @@
         address: IP and port.
         http: The process's HTTP client.
         carries_bytes_s: Bandwidth to the store in bytes per second.
+        limits: The limits of a transaction, checked before the call.
         answer_timeout: Adaptive timeout for answers.
         clock: Clock to measure answer times.
     """
@@ -120,6 +123,7 @@
     address: str
     http: HttpClient
     carries_bytes_s: float = float("inf")
+    limits: TableLimits = TableLimits()
     answer_timeout: AnswerTimeout = attrs.field(factory=AnswerTimeout)
     clock: Clock = attrs.field(factory=MonotonicClock)
     _unread_tables: set[str] = attrs.field(factory=set)
@@ -219,6 +223,9 @@
 
     async def commit(self, txn: Transaction) -> CommitReply:
         """Commit a transaction if all its conditions hold."""
+        violation = self.limits.violation(txn)
+        if violation:
+            raise errors.TableRejected(violation)
         wire = _WireTransaction(
             expect_rev=tuple(
                 _WireCheck(**_wire_key(each.key), schema_ver=each.version)
@@ -243,6 +250,9 @@
                 if _version(current.get(each.key)) != each.version
             ]
             return CommitReply(committed=False, conflicts=tuple(conflicting))
+        if reply.status in INVALID_STATUSES:
+            text = reply.body[:200].decode(errors="replace")
+            raise errors.TableRejected(f"rows-tx: status {reply.status}: {text}")
         page = self._page(reply, "rows-tx")
         return CommitReply(committed=True, version=page.schema_ver)
 
--- a/cranberrycleat/standins/table.py
+++ b/cranberrycleat/standins/table.py
@@ -9,7 +9,7 @@
 import attrs
 
 from cranberrycleat import errors
-from cranberrycleat.table import ABSENT, CommitReply, Row, Transaction
+from cranberrycleat.table import ABSENT, CommitReply, Row, TableLimits, Transaction
 
 
 @attrs.define(kw_only=True)
@@ -38,10 +38,21 @@
 
 @attrs.define(kw_only=True)
 class MemoryTable:
-    """A table held in memory."""
+    """A table held in memory.
+
+    Attributes:
+        rows: The rows by key.
+        revision: The version of the newest row.
+        limits: The limits of a transaction sent with `commit`.
+        faults: The injected faults.
+        counts: How often each operation was carried out.
+        rejected: Why transactions were rejected for good, in order.
+    """
 
     rows: dict[str, Row] = attrs.field(factory=dict)
     revision: int = 0
+    limits: TableLimits = TableLimits()
+    rejected: list[str] = attrs.field(factory=list)
     faults: TableFaults = attrs.field(factory=TableFaults)
     counts: TableCounts = attrs.field(factory=TableCounts)
 
@@ -61,6 +72,10 @@
     async def commit(self, txn: Transaction) -> CommitReply:
         """Apply the transaction, then fail without an answer if that fault is on."""
         await self._apply_faults()
+        violation = self.limits.violation(txn)
+        if violation:
+            self.rejected.append(violation)
+            raise errors.TableRejected(violation)
         reply = self.apply(txn)
         if self.faults.lose_replies > 0:
             self.faults.lose_replies -= 1
--- a/cranberrycleat/table.py
+++ b/cranberrycleat/table.py
@@ -55,7 +55,41 @@
 
     def size(self) -> int:
         """Return the approximate number of bytes written: the total size of values."""
-        return sum(len(put.value) for put in self.puts)
+        return sum(value_bytes(put.value) for put in self.puts)
+
+
+@attrs.frozen(kw_only=True)
+class TableLimits:
+    """What the table takes at most.
+
+    Attributes:
+        row_bytes: Bytes of one row's value.
+        entries: Entries of a transaction: conditions, writes and deletions.
+        transaction_bytes: Bytes of a transaction as sent.
+    """
+
+    row_bytes: int = 65_536
+    entries: int = 100
+    transaction_bytes: int = 1_000_000
+
+    def violation(self, txn: Transaction) -> str:
+        """Return which limit a transaction exceeds; empty if none."""
+        for put in txn.puts:
+            size = value_bytes(put.value)
+            if size > self.row_bytes:
+                return f"row {put.key} has {size} bytes, over {self.row_bytes}"
+        entries = len(txn.checks) + len(txn.puts) + len(txn.deletes)
+        if entries > self.entries:
+            return f"{entries} entries, over {self.entries}"
+        # Values are sent in base64, which takes four bytes for three.
+        if txn.size() * 4 / 3 > self.transaction_bytes:
+            return f"{txn.size()} bytes of values, over {self.transaction_bytes} sent"
+        return ""
+
+
+def value_bytes(text: str) -> int:
+    """Return the number of bytes of a row's value."""
+    return len(text) if text.isascii() else len(text.encode())
 
 
 @attrs.frozen(kw_only=True)
@@ -94,6 +128,7 @@
         """Apply a transaction if all its conditions hold.
 
         Raises:
+            TableRejected: The table will never take the transaction.
             TableUnavailable: No answer; the writes may have been applied, or may
                 still be applied.
         """
--- a/cranberrycleat/workflow/batches.py
+++ b/cranberrycleat/workflow/batches.py
@@ -14,13 +14,20 @@
 
 from cranberrycleat import events
 from cranberrycleat.logs import emit
-from cranberrycleat.table import Put
+from cranberrycleat.table import Put, value_bytes
 from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.fleet import Placement, job_of
-from cranberrycleat.workflow.options import MAX_BATCH_BYTES
+from cranberrycleat.workflow.options import MAX_BATCH_BYTES, MAX_DELETES_PER_BATCH
+from cranberrycleat.workflow.rows import JobWrite
 from cranberrycleat.workflow.state import FINAL_STATES, Job, JobState, OrphanedAttempt
 
+RESERVED_ENTRIES: Final = 4
+"""Entries of a transaction for the owner's row: its condition and its write."""
+MAX_DELETES_BESIDE_JOBS: Final = 24
+"""Rows deleted in a transaction that stores jobs. A job takes one to three entries
+until it has ended and one more when it is forgotten, so that a quarter of the entries
+keeps up with as many jobs as the others store."""
 MAX_ENTRIES: Final = 96
 """A transaction holds 100 entries, one of which is the owner's row. A job needs one to
 three. A fixed limit of 30 jobs per transaction was too low for a slow table, which
@@ -38,6 +45,9 @@
         placements: Placements that it stores.
         acknowledgeable: By worker, the number up to which task ends may be acknowledged
             once it is stored.
+        pages_before: Pages of a job that a single transaction does not hold, by
+            transaction; they are to be written before it.
+        written: The rows of its jobs.
     """
 
     jobs: tuple[tuple[Job, JobState], ...]
@@ -45,50 +55,106 @@
     deletes: tuple[str, ...]
     placements: tuple[Placement, ...]
     acknowledgeable: tuple[tuple[str, int], ...]
+    pages_before: tuple[tuple[Put, ...], ...] = ()
+    written: tuple[tuple[Job, JobWrite], ...] = ()
 
 
 def take_batch(cluster_state: ClusterState, most_bytes: int = MAX_BATCH_BYTES) -> Batch:
     """Return the next transaction's content; the remaining jobs stay dirty.
 
+    The pages of a single job that do not fit into it are written in earlier ones.
+
     Args:
         cluster_state: The owner's in-memory state.
         most_bytes: Maximum bytes of values; a single job may exceed it.
     """
-    chosen: list[Job] = []
+    limits = cluster_state.table_limits
+    max_entries = min(MAX_ENTRIES, limits.entries - RESERVED_ENTRIES)
+    isolating = cluster_state.rejections.most_jobs is not None
+    deletes = [] if isolating else _discarded(cluster_state, MAX_DELETES_BESIDE_JOBS)
+    chosen: list[tuple[Job, JobWrite]] = []
     puts: list[Put] = []
-    deletes: list[str] = []
+    pages_before: tuple[tuple[Put, ...], ...] = ()
     size = 0
-    for job in list(cluster_state.dirty.values()):
-        wanted = _job_puts(cluster_state, job)
+    for job in _storable(cluster_state):
+        write = _job_write(cluster_state, job)
+        wanted = [write.put, *write.pages]
+        if job.verdict is None and not job.spec_stored and not job.spec_inline:
+            wanted.append(rows.spec_put(job))
         ended = job.verdict is not None and not job.spec_inline
         entries = len(puts) + len(deletes) + len(wanted) + ended
-        size += sum(len(each.value) for each in wanted)
-        if chosen and (entries > MAX_ENTRIES or size > most_bytes):
+        more = sum(value_bytes(each.value) for each in wanted)
+        is_full = entries > max_entries or size + more > most_bytes
+        if chosen and is_full:
             break
+        if is_full and write.pages:
+            pages_before = _transactions(write.pages, max_entries, most_bytes)
+            wanted = [each for each in wanted if each not in write.pages]
+        size += more
         del cluster_state.dirty[job.job_id]
         job.sent_to_table = True
-        chosen.append(job)
+        job.last_page = write.last_page
+        chosen.append((job, write))
         puts += wanted
         if ended:
             deletes.append(rows.spec_key(job.job_id))
-    if len(puts) + len(deletes) < MAX_ENTRIES and size <= most_bytes:
-        puts += _speed_puts(cluster_state, MAX_ENTRIES - len(puts) - len(deletes))
+        if len(chosen) == cluster_state.rejections.most_jobs:
+            break
+    room = max_entries - len(puts) - len(deletes)
+    if room > 0 and size <= most_bytes and not isolating:
+        puts += _speed_puts(cluster_state, room)
+    if not puts:
+        deletes = _discarded(cluster_state, MAX_DELETES_PER_BATCH)
     return Batch(
-        jobs=tuple((job, job.state()) for job in chosen),
+        jobs=tuple((job, job.state()) for job, _ in chosen),
         puts=tuple(puts),
         deletes=tuple(deletes),
-        placements=tuple(_unstored_placements(cluster_state, chosen)),
+        placements=tuple(
+            _unstored_placements(cluster_state, (job for job, _ in chosen))
+        ),
         acknowledgeable=tuple(_acknowledgeable_ends(cluster_state)),
+        pages_before=pages_before,
+        written=tuple(chosen),
     )
 
 
-def _job_puts(cluster_state: ClusterState, job: Job) -> list[Put]:
+def _discarded(cluster_state: ClusterState, most: int) -> list[str]:
+    return list(itertools.islice(cluster_state.discarded, most))
+
+
+def has_storable(cluster_state: ClusterState) -> bool:
+    """Return whether any changes are to be stored now."""
+    return next(_storable(cluster_state), None) is not None
+
+
+def _storable(cluster_state: ClusterState) -> Iterator[Job]:
+    """Yield the dirty jobs but those that were put aside."""
+    now = cluster_state.now()
+    for job in list(cluster_state.dirty.values()):
+        if not cluster_state.rejections.is_put_aside(job.job_id, now):
+            yield job
+
+
+def _job_write(cluster_state: ClusterState, job: Job) -> JobWrite:
     left = tuple(_orphaned_attempts(cluster_state, job))
     unanswered = cluster_state.late_starts.unanswered_of(job.job_id)
-    wanted = [rows.job_put(job, left, unanswered)]
-    if job.verdict is None and not job.spec_stored and not job.spec_inline:
-        wanted.append(rows.spec_put(job))
-    return wanted
+    row_bytes = cluster_state.table_limits.row_bytes
+    return rows.job_write(job, left, unanswered, row_bytes)
+
+
+def _transactions(
+    pages: Iterable[Put], max_entries: int, most_bytes: int
+) -> tuple[tuple[Put, ...], ...]:
+    """Return pages divided into transactions of bounded size."""
+    found: list[list[Put]] = []
+    size = 0
+    for page in pages:
+        size += value_bytes(page.value)
+        if not found or len(found[-1]) == max_entries or size > most_bytes:
+            found.append([])
+            size = value_bytes(page.value)
+        found[-1].append(page)
+    return tuple(map(tuple, found))
 
 
 def _speed_puts(cluster_state: ClusterState, max_puts: int) -> Iterable[Put]:
@@ -102,8 +168,9 @@
         return ()
     due = speeds.take_due_summaries(cluster_state.fleet.newest, cluster_state.now())
     now_s = cluster_state.time_of_day()
+    row_bytes = cluster_state.table_limits.row_bytes
     return (
-        rows.speeds_put(pool, summary, now_s)
+        rows.speeds_put(pool, summary, now_s, row_bytes)
         for pool, summary in itertools.islice(due, max_puts)
     )
 
@@ -155,6 +222,12 @@
 
 def note_stored(cluster_state: ClusterState, batch: Batch) -> None:
     """Record that a batch was stored, and release what waited for it."""
+    for key in batch.deletes:
+        cluster_state.discarded.pop(key, None)
+    for job, write in batch.written:
+        job.sections = write.sections
+        cluster_state.discarded.update(dict.fromkeys(write.deletes))
+    cluster_state.rejections.stored([job.job_id for job, _ in batch.jobs])
     for job, state in batch.jobs:
         _log_stored(cluster_state, job, state)
         job.spec_stored = True
@@ -167,6 +240,28 @@
             worker.acknowledge(number)
 
 
+def note_rejected(cluster_state: ClusterState, batch: Batch) -> None:
+    """Take back a batch of which the table will never take any part."""
+    jobs = [job for job, _ in batch.jobs]
+    cluster_state.rejections.rejected([job.job_id for job in jobs], cluster_state.now())
+    first = {job.job_id: job for job in jobs}
+    later = {
+        job_id: job
+        for job_id, job in cluster_state.dirty.items()
+        if job_id not in first
+    }
+    cluster_state.dirty.clear()
+    cluster_state.dirty.update(first | later)
+    for pages in batch.pages_before:
+        cluster_state.discarded.update(dict.fromkeys(put.key for put in pages))
+    for job in jobs:
+        job.sent_to_table = job.spec_stored
+    if not jobs:
+        # They hold no job; what is left of them is deleted by the next owner.
+        for key in batch.deletes:
+            cluster_state.discarded.pop(key, None)
+
+
 def _log_stored(cluster_state: ClusterState, job: Job, state: JobState) -> None:
     now_s = cluster_state.time_of_day()
     if not job.spec_stored:
@@ -185,15 +280,18 @@
 ) -> tuple[str, ...]:
     """Drop jobs that ended before a Unix time; return the keys of their rows."""
     old: list[str] = []
+    pages: list[str] = []
     while (
         cluster_state.ended
         and cluster_state.ended[0][0] < before_s
         and len(old) < max_jobs
     ):
         _, job_id = heapq.heappop(cluster_state.ended)
-        if cluster_state.jobs.pop(job_id, None) is not None:
+        job = cluster_state.jobs.pop(job_id, None)
+        if job is not None:
             old.append(job_id)
+            pages += rows.page_keys(job)
         if cluster_state.load.fair_share is not None:
             cluster_state.load.fair_share.forget(job_id)
         cluster_state.reported.pop(job_id, None)
-    return tuple(rows.job_key(job_id) for job_id in old)
+    return (*(rows.job_key(job_id) for job_id in old), *pages)
--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -16,6 +16,7 @@
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.clock import BootClock, WallClock
 from cranberrycleat.logs import emit
+from cranberrycleat.table import TableLimits
 from cranberrycleat.workflow.decisions.load_control import LoadControl
 from cranberrycleat.workflow.decisions.ordering import objective_s
 from cranberrycleat.workflow.decisions.permit_choice import AllowedShare
@@ -51,6 +52,7 @@
     identity_of,
 )
 from cranberrycleat.workflow.quota import QuotaLedger
+from cranberrycleat.workflow.rejections import Rejections
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import (
     Job,
@@ -72,6 +74,10 @@
 """The survival time logged for an attempt that began before this owner took over."""
 ENDED_AT_ROUNDING_S: Final = 1.0
 """Rows hold the time at which a job ended in whole seconds."""
+MAX_UNBEGUN_OCCURRENCES: Final = 64
+"""How many occurrences of a job that were never placed are open at once. What keeps
+them waiting keeps later ones waiting as well. At one check each 0.2 s, this opens 320
+occurrences per second when the wait is over."""
 FULL_SPEED_PERCENT: Final = 100
 """The percentage from which a member of a service counts as running at full speed."""
 
@@ -110,6 +116,9 @@
             can read the rows.
         orphaned: The number of orphaned attempts that still count, by task.
         load: The policies for hard load; told of accepted jobs and ended attempts.
+        table_limits: What the table takes at most.
+        discarded: Keys of rows to be deleted, in the order in which they are.
+        rejections: The jobs whose rows the table rejected.
     """
 
     time_of_day: Callable[[], float] = attrs.field(factory=lambda: WallClock().now_s)
@@ -130,6 +139,9 @@
     quotas: QuotaLedger = attrs.field(factory=QuotaLedger)
     orphaned: "collections.Counter[str]" = attrs.field(factory=collections.Counter)
     load: LoadControl = attrs.field(factory=LoadControl)
+    table_limits: TableLimits = TableLimits()
+    discarded: dict[str, None] = attrs.field(factory=dict)
+    rejections: Rejections = attrs.field(factory=Rejections)
     _scheduled: set[str] = attrs.field(factory=set)
     losses: LossTracker = attrs.field(init=False)
 
@@ -214,6 +226,7 @@
             self._unreserve(worker, placement)
         self._remove_waiting_steps(job)
         self.dirty.pop(job_id, None)
+        self.rejections.put_aside.pop(job_id, None)
         if self.load.fair_share is not None:
             self.load.fair_share.withdraw(job)
         self.load.outcomes.forget(job_id)
@@ -232,24 +245,40 @@
         else:
             heapq.heappush(self.ended, (job.ended_s, job.job_id))
 
-    def open_due_occurrences(self, job: Job) -> None:
-        """Open every occurrence of a job that is due."""
+    def open_due_occurrences(self, job: Job) -> bool:
+        """Open the occurrences of a job that are due; return whether there were any.
+
+        Only `MAX_UNBEGUN_OCCURRENCES` are open of which no task was ever placed. The
+        others are opened later, with the time at which they were due.
+        """
         now_s = self.time_of_day()
         due = job.next_occurrence_due_s()
-        while due is not None and due <= now_s:
-            job.open_occurrence()
-            self._mark_dirty(job)
-            due = job.next_occurrence_due_s()
+        opened = 0
+        if due is not None and due <= now_s:
+            unbegun = sum(each.is_unbegun() for each in job.open.values())
+            while (
+                due is not None
+                and due <= now_s
+                and unbegun + opened < MAX_UNBEGUN_OCCURRENCES
+            ):
+                job.open_occurrence()
+                opened += 1
+                self._mark_dirty(job)
+                due = job.next_occurrence_due_s()
         if due is None:
             self._scheduled.discard(job.job_id)
         else:
             self._scheduled.add(job.job_id)
         self._enqueue_ready_steps(job)
+        return bool(opened)
 
-    def open_all_due_occurrences(self) -> None:
-        """Open every occurrence of any job that is due."""
-        for job_id in list(self._scheduled):
+    def open_all_due_occurrences(self) -> bool:
+        """Open the occurrences of all jobs that are due; return if there were any."""
+        opened = [
             self.open_due_occurrences(self.jobs[job_id])
+            for job_id in list(self._scheduled)
+        ]
+        return any(opened)
 
     def next_due_s(self) -> float | None:
         """Return when the next occurrence is due, since 1970; None if there is none."""
--- a/cranberrycleat/workflow/job_frontend.py
+++ b/cranberrycleat/workflow/job_frontend.py
@@ -50,6 +50,7 @@
     Conflicted,
     NotAttempted,
     OutcomeUnknown,
+    Rejected,
     WriteResult,
 )
 
@@ -389,7 +390,7 @@
                     stored = await self._stored_by_workspace(req)
                 except (errors.TableUnavailable, errors.FindingsError) as exc:
                     return self._inbox_outcome_unknown(req, str(exc))
-            case NotAttempted():
+            case NotAttempted() | Rejected():
                 return _Step()
             case OutcomeUnknown():
                 return self._inbox_outcome_unknown(req, "the write is not settled")
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -503,6 +503,7 @@
             peers=self._membership,
             spread_factor=cfg.spread_factor,
             batch_bytes=options.batch_bytes(cfg.room),
+            table_limits=cfg.table_limits,
             pools=self._pools,
             access=self._access,
             policies=self.policies,
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -21,11 +21,14 @@
 from cranberrycleat.lease import Changes, LeaseLost, OwnershipLease
 from cranberrycleat.lifecycle import BackgroundTasks
 from cranberrycleat.logs import emit, part_logger
+from cranberrycleat.table import TableLimits
 from cranberrycleat.workflow import incarnations, options
 from cranberrycleat.workflow.access import KeyAuthorizer
 from cranberrycleat.workflow.answer_timeout import AnswerTimeout
 from cranberrycleat.workflow.batches import (
     Batch,
+    has_storable,
+    note_rejected,
     note_stored,
     purge_ended_jobs,
     take_batch,
@@ -73,6 +76,7 @@
 
 LOG: Final[logging.Logger] = part_logger("owner")
 TABLE_UNAVAILABLE_REASON: Final = "the table does not answer"
+TABLE_REJECTED_REASON: Final = "the table does not take the job's rows"
 HANDOVER_TIMEOUT_S: Final = 2.0
 HANDOVER_STORE_LIMIT_S: Final = 0.3
 """How long an owner that hands over keeps storing new changes.
@@ -118,6 +122,7 @@
         takeover_read_timeout_s: The time limit for reading the rows at a takeover; None
             if no stronger host is known.
         batch_bytes: The maximum size of the values in one transaction.
+        table_limits: What the table takes at most.
         director: Carries out upkeep waves; None where there are no machines.
         pools: Returns the pools named in the configuration; None without one.
         access: Rechecks what other hosts granted; None if no request needs a key.
@@ -149,6 +154,7 @@
     spread_factor: float = 1.0
     takeover_read_timeout_s: float | None = None
     batch_bytes: int = options.MAX_BATCH_BYTES
+    table_limits: TableLimits = TableLimits()
     director: UpkeepDirector | None = None
     pools: Callable[[], frozenset[str] | None] = lambda: None
     access: KeyAuthorizer | None = None
@@ -179,6 +185,7 @@
     dispatcher: Dispatcher = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.cluster_state.table_limits = self.table_limits
         late_starts = self.cluster_state.late_starts
         late_starts.bound_s = self.leases.late_order_s
         late_starts.run_on_s = self.leases.bounds.max_run_on_s()
@@ -378,8 +385,12 @@
             self._changed.clear()
             await asyncio.sleep(options.STORE_BATCH_DELAY_S)
             try:
+                self._discard_old_jobs()
                 batch = take_batch(self.cluster_state, self.batch_bytes)
-                await self._store(batch)
+                try:
+                    await self._store(batch)
+                except errors.TableRejected as exc:
+                    await self._handle_rejection(batch, exc)
             except LeaseLost:
                 emit(events.OwnerLost(epoch=self.epoch, reason="the row has another"))
                 self._ended.set()
@@ -391,11 +402,12 @@
                 LOG.exception("storing a batch failed; releasing the ownership")
                 await self._release()
                 return
+            storable = has_storable(self.cluster_state)
             if self.handing_over and (
-                not self.cluster_state.dirty or self._is_past_handover_store_limit()
+                not storable or self._is_past_handover_store_limit()
             ):
                 await self._release()
-            elif self.cluster_state.dirty:
+            elif storable:
                 self._changed.set()
 
     def _is_past_handover_store_limit(self) -> bool:
@@ -416,29 +428,65 @@
             emit(events.OwnerReleased(epoch=self.epoch))
         self._ended.set()
 
-    async def _store(self, batch: Batch) -> None:
-        forget = purge_ended_jobs(
-            self.cluster_state,
+    def _discard_old_jobs(self) -> None:
+        """Have the rows of jobs deleted that ended too long ago to be asked for."""
+        discarded = self.cluster_state.discarded
+        before_s = (
             self.cluster_state.time_of_day()
             - self.status_s
-            - options.RETENTION_MARGIN_S,
-            0 if batch.puts else options.MAX_DELETES_PER_BATCH,
+            - options.RETENTION_MARGIN_S
         )
-        changes = Changes(puts=batch.puts, deletes=(*batch.deletes, *forget))
+        room = max(0, options.MAX_DELETES_PER_BATCH - len(discarded))
+        keys = purge_ended_jobs(self.cluster_state, before_s, room)
+        discarded.update(dict.fromkeys(keys))
+
+    async def _store(self, batch: Batch) -> None:
+        """Store a batch, repeating its transactions while the table does not answer.
+
+        Raises:
+            LeaseLost: Another process holds the lease.
+            TableRejected: The table will never take a transaction of the batch.
+        """
+        for pages in batch.pages_before:
+            await self._commit(Changes(puts=pages))
+        await self._commit(Changes(puts=batch.puts, deletes=batch.deletes))
+        note_stored(self.cluster_state, batch)
+        self._stored.fire()
+
+    async def _commit(self, changes: Changes) -> None:
         since = self.clock.now()
         while True:
             try:
                 await self.lease.commit(changes)
                 break
+            except errors.TableRejected:
+                self._note_table_answers(since)
+                raise
             except errors.TableUnavailable as exc:
                 self._note_table_unavailable(exc, since)
                 await asyncio.sleep(options.STORE_RETRY_INTERVAL_S)
+        self._note_table_answers(since)
+
+    def _note_table_answers(self, since: float) -> None:
         if not self.store_answers:
             emit(events.TableBack(after_s=round(self.clock.now() - since, 2)))
             self.worker_list_settled_at = self.clock.now() + MISSING_ENTRY_GRACE_S
         self.store_answers = True
-        note_stored(self.cluster_state, batch)
+
+    async def _handle_rejection(self, batch: Batch, exc: errors.TableRejected) -> None:
+        """Take back a batch that the table will never take; find the job at fault."""
+        jobs = tuple(job.job_id for job, _ in batch.jobs)
+        emit(
+            events.TableRejected(
+                reason=str(exc),
+                jobs=len(jobs),
+                job=jobs[0] if len(jobs) == 1 else "",
+            )
+        )
+        note_rejected(self.cluster_state, batch)
         self._stored.fire()
+        if not jobs:
+            await asyncio.sleep(options.STORE_RETRY_INTERVAL_S)
 
     def _note_table_unavailable(
         self, exc: errors.TableUnavailable, since: float
@@ -522,8 +570,8 @@
                 self.changed()
             due = self.cluster_state.next_due_s()
             if due is not None and due <= self.cluster_state.time_of_day():
-                self.cluster_state.open_all_due_occurrences()
-                self.changed()
+                if self.cluster_state.open_all_due_occurrences():
+                    self.changed()
             if self.cluster_state.waiting:
                 self._plan_due.set()
             if now >= self._workers_reported_at + WORKER_REPORT_INTERVAL_S:
@@ -620,12 +668,20 @@
             self.load_admission.accept(req)
         began = self.clock.now()
         reported = self.cluster_state.reported
-        if await self._until_stored(lambda: req.job_id in reported, CHANGE_LIMIT_S):
+        rejected = self.cluster_state.rejections.put_aside
+        await self._until_stored(
+            lambda: req.job_id in reported or req.job_id in rejected, CHANGE_LIMIT_S
+        )
+        if req.job_id in reported:
             return SubmitReply(accepted=True)
-        if not self.store_answers and self.cluster_state.withdraw(req.job_id):
+        is_rejected = req.job_id in rejected
+        if (is_rejected or not self.store_answers) and self.cluster_state.withdraw(
+            req.job_id
+        ):
             waited_s = round(self.clock.now() - began, 3)
             emit(events.JobWithdrawn(job=req.job_id, after_s=waited_s))
-            return SubmitReply(refused=True, reason=TABLE_UNAVAILABLE_REASON)
+            reason = TABLE_REJECTED_REASON if is_rejected else TABLE_UNAVAILABLE_REASON
+            return SubmitReply(refused=True, reason=reason)
         raise errors.PeerUnavailable("not known to be stored")
 
     def state(self, job_id: str, workspace: str = "") -> JobReply:
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -11,7 +11,7 @@
 import attrs
 
 from cranberrycleat.amounts import NOTHING, Amounts
-from cranberrycleat.table import Row, Table
+from cranberrycleat.table import Row, Table, TableLimits
 
 
 @attrs.frozen(kw_only=True)
@@ -533,6 +533,7 @@
             must be active on every host.
         revoke_bound_s: Time within which a revoked key must be rejected by every
             host, including isolated ones; None for no such bound.
+        table_limits: What the table takes at most.
     """
 
     name: str
@@ -552,6 +553,7 @@
     checkpoints: CheckpointTiming = CheckpointTiming()
     config_bound_s: float = 3.0
     revoke_bound_s: float | None = None
+    table_limits: TableLimits = TableLimits()
 
 
 MAX_WORKERS_PER_PERMIT_CALL: Final = 100
--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -9,10 +9,12 @@
 without field names (msgspec's `array_like`, which attrs classes do not support): a job
 with ten placed tasks takes about 300 bytes instead of 900.
 
+A job whose state outgrows one row is stored in several (see `job_pages`).
+
 `speeds/POOL` holds the speeds of a pool's workers, for the next owner.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Final
 
 import attrs
@@ -20,9 +22,17 @@
 
 from cranberrycleat import codec, errors
 from cranberrycleat.amounts import Amounts
-from cranberrycleat.table import Put
+from cranberrycleat.table import Put, TableLimits, value_bytes
 from cranberrycleat.workflow.crash_attribution import LossRecord, LostWorker
 from cranberrycleat.workflow.decisions.speed_model import LearnedSpeed
+from cranberrycleat.workflow.job_pages import (
+    OTHER_SECTION,
+    StoredSection,
+    page_key,
+    page_numbers,
+    read_sections,
+    write_sections,
+)
 from cranberrycleat.workflow.ports import Queue
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import (
@@ -39,6 +49,9 @@
 SPECS: Final = "specs"
 INBOX: Final = "inbox"
 SPEEDS: Final = "speeds"
+SECTION_OCCURRENCES: Final = 32
+"""Occurrences of a job that are stored together if it outgrew its row. A change writes
+one such section again; 32 occurrences of three steps take about 2.5 KB."""
 MAX_LOG_SPEED: Final = 100.0
 """Largest logarithm of a learned speed that is believed, in either direction; the
 exponential of a much larger one exceeds the range of numbers in every round."""
@@ -109,6 +122,43 @@
         return JobState.RUNNING if self.started else JobState.QUEUED
 
 
+class _Section(msgspec.Struct, array_like=True):
+    """A section of a job that outgrew its row; its fields are those of `JobRow`.
+
+    An occurrence without steps is one of which no task was ever placed.
+    """
+
+    open: tuple[_OccurrenceRow, ...] = ()
+    left: tuple[tuple[str, int, str, int, int, int], ...] = ()
+    unanswered: tuple[tuple[str, int, str, str, int, int, int], ...] = ()
+
+
+class _HeadRow(msgspec.Struct):
+    """The row of a job that outgrew it; `sections` names the pages of each section."""
+
+    head: JobRow
+    sections: tuple[tuple[int, tuple[int, ...]], ...]
+
+
+@attrs.frozen(kw_only=True)
+class JobWrite:
+    """The writes that store a job's mutable part.
+
+    Attributes:
+        put: The row `jobs/ID`.
+        pages: The pages to write before it or with it.
+        deletes: The keys of pages that are no longer needed once it is written.
+        sections: The sections as stored then.
+        last_page: The highest number of any page.
+    """
+
+    put: Put
+    pages: tuple[Put, ...] = ()
+    deletes: tuple[str, ...] = ()
+    sections: Mapping[int, StoredSection] = attrs.field(factory=dict)
+    last_page: int = 0
+
+
 def job_key(job_id: str) -> str:
     """Return the key of a job's mutable part."""
     return f"{JOBS}/{job_id}"
@@ -143,9 +193,79 @@
     left: tuple[OrphanedAttempt, ...] = (),
     unanswered: tuple[UnansweredStart, ...] = (),
 ) -> Put:
-    """Return the write of a job's mutable part, with the spec inline if it is small."""
+    """Return the write of a job's mutable part as one row, of whatever size."""
+    row = _job_row(job, left, unanswered)
+    return Put(key=job_key(job.job_id), value=msgspec.json.encode(row).decode())
+
+
+def job_write(
+    job: Job,
+    left: tuple[OrphanedAttempt, ...],
+    unanswered: tuple[UnansweredStart, ...],
+    row_bytes: int,
+) -> JobWrite:
+    """Return the writes of a job's mutable part, of which no row is too large."""
+    row = _job_row(job, left, unanswered)
+    text = msgspec.json.encode(row)
+    key = job_key(job.job_id)
+    if len(text) <= row_bytes:
+        return JobWrite(
+            put=Put(key=key, value=text.decode()),
+            deletes=page_keys(job),
+            last_page=job.last_page,
+        )
+    written = write_sections(
+        job.job_id,
+        _section_texts(job, row),
+        job.sections,
+        last_page=job.last_page,
+        row_bytes=row_bytes,
+    )
+    head = _HeadRow(
+        head=msgspec.structs.replace(row, open=(), left=(), unanswered=()),
+        sections=tuple(
+            (number, section.pages) for number, section in written.sections.items()
+        ),
+    )
+    return JobWrite(
+        put=Put(key=key, value=msgspec.json.encode(head).decode()),
+        pages=written.puts,
+        deletes=tuple(page_key(job.job_id, each) for each in written.replaced),
+        sections=written.sections,
+        last_page=written.last_page,
+    )
+
+
+def page_keys(job: Job) -> tuple[str, ...]:
+    """Return the keys of a job's pages, as last stored."""
+    return tuple(page_key(job.job_id, each) for each in page_numbers(job.sections))
+
+
+def _section_texts(job: Job, row: JobRow) -> dict[int, bytes]:
+    sections: dict[int, list[_OccurrenceRow]] = {}
+    for packed in row.open:
+        if job.open[packed.number].is_unbegun():
+            packed = _OccurrenceRow(number=packed.number, steps=())
+        number = packed.number // SECTION_OCCURRENCES
+        sections.setdefault(number, []).append(packed)
+    texts = {
+        number: msgspec.json.encode(_Section(open=tuple(found)))
+        for number, found in sections.items()
+    }
+    if row.left or row.unanswered:
+        other = _Section(left=row.left, unanswered=row.unanswered)
+        texts[OTHER_SECTION] = msgspec.json.encode(other)
+    return texts
+
+
+def _job_row(
+    job: Job,
+    left: tuple[OrphanedAttempt, ...],
+    unanswered: tuple[UnansweredStart, ...],
+) -> JobRow:
+    """Return a job's mutable part, with the spec inline if it is small."""
     inline = job.spec_inline and job.verdict is None
-    row = JobRow(
+    return JobRow(
         verdict=_VERDICTS.index(job.verdict),
         ended_s=round(job.ended_s),
         started=job.started,
@@ -157,7 +277,6 @@
         unanswered=tuple(_pack_unanswered_start(each) for each in unanswered),
         accepted_s=job.accepted_s if job.verdict and job.workspace else 0.0,
     )
-    return Put(key=job_key(job.job_id), value=msgspec.json.encode(row).decode())
 
 
 def _pack(occurrence: Occurrence) -> _OccurrenceRow:
@@ -249,16 +368,54 @@
 
 
 def decode_job_row(text: str, place: str) -> JobRow:
-    """Decode the mutable part of a job.
+    """Decode the mutable part of a job; without its sections if it has any.
 
     Raises:
         FindingsError: The row is malformed.
     """
+    return _decode_head(text, place).head
+
+
+def decode_whole_job(
+    text: str, pages: Mapping[int, str], place: str
+) -> tuple[JobRow, dict[int, StoredSection]]:
+    """Decode the mutable part of a job with its sections, and return these as well.
+
+    Args:
+        text: The row `jobs/ID`.
+        pages: The texts of the job's pages by number.
+        place: The row's key.
+
+    Raises:
+        FindingsError: The row or a section is malformed, or a page is missing.
+    """
+    head = _decode_head(text, place)
+    row, sections = head.head, {}
+    for number, (section, found) in read_sections(head.sections, pages, place).items():
+        sections[number] = section
+        try:
+            decoded = msgspec.json.decode(found, type=_Section)
+        except msgspec.DecodeError as exc:
+            raise _malformed(place, exc) from None
+        row.open += decoded.open
+        row.left += decoded.left
+        row.unanswered += decoded.unanswered
+    row.open = tuple(sorted(row.open, key=lambda each: each.number))
+    return row, sections
+
+
+def _decode_head(text: str, place: str) -> _HeadRow:
     try:
-        return msgspec.json.decode(text, type=JobRow)
+        if text.startswith("{"):
+            return msgspec.json.decode(text, type=_HeadRow)
+        return _HeadRow(head=msgspec.json.decode(text, type=JobRow), sections=())
     except msgspec.DecodeError as exc:
-        found = errors.finding(place, errors.MALFORMED, reason=str(exc))
-        raise errors.FindingsError(findings=(found,)) from None
+        raise _malformed(place, exc) from None
+
+
+def _malformed(place: str, exc: Exception) -> errors.FindingsError:
+    found = errors.finding(place, errors.MALFORMED, reason=str(exc))
+    return errors.FindingsError(findings=(found,))
 
 
 def restore(job_id: str, spec: SpecRow, row: JobRow) -> Job:
@@ -302,6 +459,8 @@
 
 
 def _unpack(occurrence: Occurrence, packed: _OccurrenceRow) -> None:
+    if not packed.steps:
+        return
     for step, step_row in zip(occurrence.steps, packed.steps, strict=True):
         step.last_attempt = step_row.last_attempt
         step.gang_failures = step_row.gang_failures
@@ -336,8 +495,28 @@
     workers: tuple[tuple[str, int, str, int, int, int, float, float], ...]
 
 
-def speeds_put(pool: str, speeds: Iterable[LearnedSpeed], now_s: float) -> Put:
-    """Return the write of the learned speeds of a pool at a Unix time in seconds."""
+def speeds_put(
+    pool: str,
+    speeds: Iterable[LearnedSpeed],
+    now_s: float,
+    row_bytes: int = TableLimits().row_bytes,
+) -> Put:
+    """Return the write of the learned speeds of a pool at a Unix time in seconds.
+
+    Of more workers than fit into a row, those with the fewest samples are left out.
+    """
+    found = list(speeds)
+    put = _speeds_put(pool, found, now_s)
+    if value_bytes(put.value) > row_bytes:
+        found.sort(key=lambda each: -each.samples)
+    while found and value_bytes(put.value) > row_bytes:
+        fitting = len(found) * row_bytes // value_bytes(put.value)
+        found = found[: min(fitting, len(found) - 1)]
+        put = _speeds_put(pool, found, now_s)
+    return put
+
+
+def _speeds_put(pool: str, speeds: Iterable[LearnedSpeed], now_s: float) -> Put:
     row = SpeedsRow(
         written_s=round(now_s, 1),
         workers=tuple(
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -5,12 +5,14 @@
 """
 
 import enum
+from collections.abc import Mapping
 
 import attrs
 
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.workflow.access import may_see
 from cranberrycleat.workflow.crash_attribution import LossRecord
+from cranberrycleat.workflow.job_pages import StoredSection
 from cranberrycleat.workflow.ports import EndKind, Queue
 from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
 
@@ -168,6 +170,10 @@
         """Return whether every step is done."""
         return all(step.is_done for step in self.steps)
 
+    def is_unbegun(self) -> bool:
+        """Return whether no task of it was ever placed."""
+        return not any(step.last_attempt for step in self.steps)
+
     def ready_steps(self) -> list[StepRun]:
         """Return the unfinished steps whose dependencies are done."""
         return [
@@ -235,6 +241,8 @@
         workspace: The workspace it belongs to; empty for none: visible to everyone.
         left: Orphaned attempts whose end an earlier owner did not receive.
         unanswered: Starts that an earlier owner sent without an answer.
+        sections: The sections of its state as stored, if it outgrew one row.
+        last_page: The highest number of any page of these sections.
     """
 
     job_id: str
@@ -253,6 +261,8 @@
     workspace: str = ""
     left: tuple[OrphanedAttempt, ...] = ()
     unanswered: tuple[UnansweredStart, ...] = ()
+    sections: Mapping[int, StoredSection] = attrs.field(factory=dict)
+    last_page: int = 0
 
     def is_visible_to(self, workspace: str) -> bool:
         """Return whether callers of a workspace may see the job."""
--- a/cranberrycleat/workflow/takeover.py
+++ b/cranberrycleat/workflow/takeover.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
 import attrs
@@ -19,6 +20,7 @@
 from cranberrycleat.workflow import options, rows
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.directory import WorkerDirectory
+from cranberrycleat.workflow.job_pages import PAGES, split_page_key
 from cranberrycleat.workflow.ports import FeedTable
 
 LOG: Final[logging.Logger] = part_logger("takeover")
@@ -38,6 +40,7 @@
     jobs: tuple[Row, ...]
     inbox: tuple[Row, ...]
     speeds: tuple[Row, ...] = ()
+    pages: tuple[Row, ...] = ()
 
 
 async def read_all(
@@ -74,9 +77,10 @@
 ) -> StoredRows:
     speeds = asyncio.ensure_future(_read_speeds(store)) if with_speeds else None
     try:
-        specs, jobs, inbox, _ = await asyncio.gather(
+        specs, jobs, pages, inbox, _ = await asyncio.gather(
             store.scan(prefix=f"{rows.SPECS}/"),
             store.scan(prefix=f"{rows.JOBS}/"),
+            store.scan(prefix=f"{PAGES}/"),
             store.scan(prefix=f"{rows.INBOX}/"),
             directory.read_all(),
         )
@@ -84,7 +88,7 @@
     finally:
         if speeds is not None:
             speeds.cancel()
-    return StoredRows(specs=specs, jobs=jobs, inbox=inbox, speeds=found)
+    return StoredRows(specs=specs, jobs=jobs, pages=pages, inbox=inbox, speeds=found)
 
 
 async def _speeds_read_by_now(
@@ -132,13 +136,20 @@
 def restore(cluster_state: ClusterState, stored: StoredRows) -> None:
     """Add every stored job; rows that cannot be decoded are logged with their keys."""
     specs = {row.key.partition("/")[2]: row for row in stored.specs}
+    pages: dict[str, dict[int, str]] = {}
+    for row in stored.pages:
+        job_id, number = split_page_key(row.key)
+        pages.setdefault(job_id, {})[number] = row.value
     for row in stored.jobs:
         job_id = row.key.partition("/")[2]
         try:
-            _restore_job(cluster_state, job_id, row, specs.get(job_id))
+            _restore_job(
+                cluster_state, job_id, row, specs.get(job_id), pages.get(job_id, {})
+            )
         except errors.FindingsError as exc:
             cluster_state.unreadable.add(job_id)
             emit(events.RowUnreadable(findings=str(exc)))
+    _discard_unnamed_pages(cluster_state, stored.pages)
     fair_share = cluster_state.load.fair_share
     if fair_share is not None:
         fair_share.record_restored(cluster_state.jobs.values())
@@ -171,14 +182,28 @@
 
 
 def _restore_job(
-    cluster_state: ClusterState, job_id: str, row: Row, spec: Row | None
+    cluster_state: ClusterState,
+    job_id: str,
+    row: Row,
+    spec: Row | None,
+    pages: Mapping[int, str],
 ) -> None:
-    job_row = rows.decode_job_row(row.value, row.key)
+    job_row, sections = rows.decode_whole_job(row.value, pages, row.key)
     if job_row.spec is not None:
-        cluster_state.restore(rows.restore(job_id, job_row.spec, job_row))
-        return
-    if spec is None:
-        cluster_state.restore(rows.ended_job(job_id, job_row))
-        return
-    spec_row = codec.decode(spec.value, rows.SpecRow, place=spec.key)
-    cluster_state.restore(rows.restore(job_id, spec_row, job_row))
+        job = rows.restore(job_id, job_row.spec, job_row)
+    elif spec is None:
+        job = rows.ended_job(job_id, job_row)
+    else:
+        spec_row = codec.decode(spec.value, rows.SpecRow, place=spec.key)
+        job = rows.restore(job_id, spec_row, job_row)
+    job.sections, job.last_page = sections, max(pages, default=0)
+    cluster_state.restore(job)
+
+
+def _discard_unnamed_pages(cluster_state: ClusterState, pages: Iterable[Row]) -> None:
+    """Have the pages deleted that an earlier owner wrote and no head names."""
+    named = {key for job in cluster_state.jobs.values() for key in rows.page_keys(job)}
+    for row in pages:
+        job_id, _ = split_page_key(row.key)
+        if row.key not in named and job_id not in cluster_state.unreadable:
+            cluster_state.discarded[row.key] = None
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -164,6 +164,8 @@
                 metrics.count("config.unread")
             case events.TableSilent(down=down):
                 metrics.count("table.silent", down=str(down).lower())
+            case events.TableRejected():
+                metrics.count("table.rejected")
             case events.WorkerSilent():
                 metrics.count("workers.silent")
             case events.WorkerOrdersUnanswered():
--- a/cranberrycleat/writer.py
+++ b/cranberrycleat/writer.py
@@ -62,6 +62,11 @@
     """Not sent, because the table recently did not reply to other changes."""
 
 
+@attrs.frozen(kw_only=True)
+class Rejected(OutcomeUnknown):
+    """Not written: the table will never take the change."""
+
+
 WriteResult = Committed | Conflicted | OutcomeUnknown
 
 
@@ -140,6 +145,9 @@
         while batch:
             try:
                 batch = await self._send_once(batch)
+            except errors.TableRejected:
+                await self._send_apart(batch)
+                return
             except errors.TableUnavailable:
                 tries += 1
                 self._failed_at = self.clock.now()
@@ -147,6 +155,14 @@
                     self._resolve(batch, OutcomeUnknown())
                     return
 
+    async def _send_apart(self, batch: list[_QueuedChange]) -> None:
+        """Send each change by itself, as the table rejected them together."""
+        if len(batch) == 1:
+            self._resolve(batch, Rejected())
+            return
+        for each in batch:
+            await self._send([each])
+
     async def _send_once(self, batch: list[_QueuedChange]) -> list[_QueuedChange]:
         """Send one transaction; return the changes to be resent."""
         self.transactions += 1
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -196,6 +196,7 @@
             ),
             status_s=120.0,
             peers=Membership(),
+            table_limits=self.table.limits,
         )
         owner.cluster_state.quotas.quotas = self.quotas
         return owner
