--- a/tests/test_row_limits.py
+++ b/tests/test_row_limits.py
@@ -15,10 +15,12 @@
 from cranberrycleat.standins.feed_table import MemoryFeedTable
 from cranberrycleat.standins.fleet import SimulatedWork
 from cranberrycleat.table import CommitReply, Put, TableLimits, Transaction, value_bytes
+from cranberrycleat.workflow.cluster_state import MAX_UNBEGUN_OCCURRENCES, ClusterState
+from cranberrycleat.workflow.fleet import FleetWorker
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peering import SubmitRequest
 from cranberrycleat.workflow.spec import Schedule, StepSpec, WorkflowSpec
-from tests.cell import Cell, cell, job, queue, step, submit, until
+from tests.cell import Cell, cell, entry, job, queue, step, submit, until
 from tests.fakes import run_async
 
 LIMITS: Final = TableLimits(row_bytes=3000)
@@ -91,6 +93,28 @@
     run_async(run())
 
 
+def test_waiting_occurrences_are_opened_up_to_a_bound() -> None:
+    """Guards against a row, and planning rounds, that grow with each due time.
+
+    Those that wait are opened in order as earlier ones are placed; none is skipped.
+    """
+    cluster_state = ClusterState(time_of_day=lambda: 1e6, now=lambda: 0.0)
+    worker = FleetWorker(entry=entry("w", processors=10**9))
+    cluster_state.fleet.workers["w"] = worker
+    schedule = Schedule(runs=RUNS, first_s=0.0, period_s=1.0)
+    spec = WorkflowSpec(program="p", steps=(step(),), schedule=schedule)
+    accepted = cluster_state.accept("t", queue(), spec)
+    opened: list[int] = []
+    while cluster_state.next_due_s() is not None:
+        assert len(accepted.open) - len(opened) == MAX_UNBEGUN_OCCURRENCES
+        for number in list(accepted.open)[len(opened) :]:
+            opened.append(number)
+            task = accepted.open[number].steps[0].tasks[0]
+            cluster_state.place(task, worker, 1, now=0.0)
+        assert cluster_state.open_all_due_occurrences()
+    assert list(accepted.open) == list(range(RUNS))
+
+
 def test_job_with_more_tasks_than_a_row_holds_is_done() -> None:
     """Guards against a job that is accepted and then cannot be stored (LOST)."""
 
