The bound of waiting occurrences is checked before any is placed

The prover row of the bound was not noticed: without the bound all were open at once, and the test's loop ended before its first check. Now it fails without it. A failure of the wide job no longer prints the owner with 400 tasks, which took minutes.

--- a/tests/test_row_limits.py
+++ b/tests/test_row_limits.py
@@ -104,6 +104,7 @@
     schedule = Schedule(runs=RUNS, first_s=0.0, period_s=1.0)
     spec = WorkflowSpec(program="p", steps=(step(),), schedule=schedule)
     accepted = cluster_state.accept("t", queue(), spec)
+    assert list(accepted.open) == list(range(MAX_UNBEGUN_OCCURRENCES))
     opened: list[int] = []
     while cluster_state.next_due_s() is not None:
         assert len(accepted.open) - len(opened) == MAX_UNBEGUN_OCCURRENCES
@@ -122,7 +123,9 @@
         async with cell(table=MemoryFeedTable(limits=LIMITS)) as env:
             env.fleet.work = lambda task, attempt: SimulatedWork(seconds=0.2)
             owner = await env.own("one")
-            await submit(owner, "wide", job(step(400, processors=20)))
+            wide = submit(owner, "wide", job(step(400, processors=20)))
+            # On a failure, pytest would print the owner with its 400 tasks for minutes.
+            assert await asyncio.gather(wide, return_exceptions=True) == [None]
             await until(lambda: len(env.fleet.starts) > 200)
             env.tasks[0].cancel()
             owner = await env.own("two")
