The lease outlasts rejections, jobs too large are rejected at once, large rows are told

- After the rejection of a single job the owner renews its lease with an empty transaction, and puts the job behind the others.
With 200 jobs whose rows are rejected the owner lost its lease before ("the table does not answer", test_lease_is_renewed_while_jobs_are_rejected).
- A job whose specification does not fit into a row is answered as malformed at submission.
- row.fill is logged when the largest row passes a half or four fifths of the limit; the gauge rows.largest.share has its share.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -849,6 +849,15 @@
     evidence_age_s: float
 
 
+@event("row.fill", essential=True)
+class RowFill:
+    """The largest row passed a half or four fifths of the limit, up or down."""
+
+    key: str
+    size: int
+    limit: int
+
+
 @event("row.unreadable", essential=True)
 class RowUnreadable:
     """A row of the table cannot be decoded; it is left unchanged."""
--- a/cranberrycleat/workflow/batches.py
+++ b/cranberrycleat/workflow/batches.py
@@ -227,6 +227,9 @@
     for job, write in batch.written:
         job.sections = write.sections
         cluster_state.discarded.update(dict.fromkeys(write.deletes))
+    cluster_state.row_sizes.stored(
+        batch.puts, batch.deletes, cluster_state.table_limits.row_bytes
+    )
     cluster_state.rejections.stored([job.job_id for job, _ in batch.jobs])
     for job, state in batch.jobs:
         _log_stored(cluster_state, job, state)
@@ -251,7 +254,8 @@
         if job_id not in first
     }
     cluster_state.dirty.clear()
-    cluster_state.dirty.update(first | later)
+    # A job put aside goes behind the others, which it would hold up when it returns.
+    cluster_state.dirty.update(later | first if len(jobs) == 1 else first | later)
     for pages in batch.pages_before:
         cluster_state.discarded.update(dict.fromkeys(put.key for put in pages))
     for job in jobs:
--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -53,6 +53,7 @@
 )
 from cranberrycleat.workflow.quota import QuotaLedger
 from cranberrycleat.workflow.rejections import Rejections
+from cranberrycleat.workflow.row_sizes import RowSizes
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import (
     Job,
@@ -119,6 +120,7 @@
         table_limits: What the table takes at most.
         discarded: Keys of rows to be deleted, in the order in which they are.
         rejections: The jobs whose rows the table rejected.
+        row_sizes: The sizes of large rows.
     """
 
     time_of_day: Callable[[], float] = attrs.field(factory=lambda: WallClock().now_s)
@@ -142,6 +144,7 @@
     table_limits: TableLimits = TableLimits()
     discarded: dict[str, None] = attrs.field(factory=dict)
     rejections: Rejections = attrs.field(factory=Rejections)
+    row_sizes: RowSizes = attrs.field(factory=RowSizes)
     _scheduled: set[str] = attrs.field(factory=set)
     losses: LossTracker = attrs.field(init=False)
 
--- a/cranberrycleat/workflow/job_frontend.py
+++ b/cranberrycleat/workflow/job_frontend.py
@@ -19,7 +19,7 @@
 from cranberrycleat import codec, errors, events
 from cranberrycleat.clock import Clock, time_of_day
 from cranberrycleat.logs import emit, part_logger
-from cranberrycleat.table import ABSENT, Check, Put, Row
+from cranberrycleat.table import ABSENT, Check, Put, Row, TableLimits, value_bytes
 from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.access import (
     LOGGED_DIGEST_DIGITS,
@@ -168,6 +168,7 @@
         answer_timeout: Adaptive limit for waiting on the owner alone, before the
             inbox or the table is tried as well.
         clock: A monotonic clock.
+        table_limits: What the table takes at most.
         heartbeat: The owner's latest heartbeat reply.
         heartbeat_at: When it was received.
     """
@@ -185,6 +186,7 @@
     refused: Callable[[], None]
     left_in_inbox: Callable[[], None]
     clock: Clock
+    table_limits: TableLimits = TableLimits()
     answer_timeout: AnswerTimeout = attrs.field(factory=AnswerTimeout)
     heartbeat: HeartbeatReply | None = None
     heartbeat_at: float = float("-inf")
@@ -244,11 +246,11 @@
             limit_s: How long the caller waits for the answer.
             access: The access granted to the caller.
         """
-        spec_fault = find_spec_fault(spec)
+        req = SubmitRequest(job_id=job_id, queue=queue, spec=spec, access=access)
+        spec_fault = find_spec_fault(spec) or self._find_size_fault(req)
         if spec_fault:
             emit(events.JobMalformed(job=job_id, queue=queue.name, reason=spec_fault))
             return RequestResult(status=RequestStatus.MALFORMED, reason=spec_fault)
-        req = SubmitRequest(job_id=job_id, queue=queue, spec=spec, access=access)
         started_at = self.clock.now()
         deadline = started_at + limit_s * RETRY_TIME_FRACTION
         possibly_stored = False
@@ -266,6 +268,14 @@
             await asyncio.sleep(SUBMIT_RETRY_INTERVAL_S)
         return self._timeout_result(req, possibly_stored, started_at)
 
+    def _find_size_fault(self, req: SubmitRequest) -> str:
+        """Return why the table cannot hold a job as submitted; empty if it can."""
+        size = value_bytes(codec.encode_text(_spec_row(req)))
+        limit = self.table_limits.row_bytes
+        if size <= limit:
+            return ""
+        return f"the job takes {size} bytes, over the {limit} of a row"
+
     def _timeout_result(
         self, req: SubmitRequest, possibly_stored: bool, started_at: float
     ) -> RequestResult:
@@ -370,12 +380,7 @@
         return await self.peers.submit(address, req)
 
     async def _store_in_inbox(self, req: SubmitRequest) -> "_Step":
-        row = rows.SpecRow(
-            queue=req.queue,
-            spec=req.spec,
-            accepted_s=time_of_day(),
-            workspace=req.access.workspace,
-        )
+        row = _spec_row(req)
         key = rows.inbox_key(req.job_id)
         change = Change(
             check=Check(key=key, version=ABSENT),
@@ -535,6 +540,15 @@
         )
 
 
+def _spec_row(req: SubmitRequest) -> rows.SpecRow:
+    return rows.SpecRow(
+        queue=req.queue,
+        spec=req.spec,
+        accepted_s=time_of_day(),
+        workspace=req.access.workspace,
+    )
+
+
 def _inbox_workspace(row: Row) -> str:
     """Return the workspace that owns an inbox row; raises `errors.FindingsError`."""
     return codec.decode(row.value, rows.SpecRow, place=row.key).workspace
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -149,6 +149,7 @@
             refused=self._suspect_owner,
             left_in_inbox=self._notify_owner,
             clock=self.clock,
+            table_limits=cfg.table_limits,
         )
 
     address: str = attrs.field(init=False)
@@ -314,6 +315,7 @@
         metrics.add_gauge("tasks.pending", lambda: self._owner_gauge("pending"))
         metrics.add_gauge("tasks.held", lambda: self._owner_gauge("placed"))
         metrics.add_gauge("jobs.rejected.share", self._rejected_share)
+        metrics.add_gauge("rows.largest.share", self._largest_row_share)
         metrics.add_gauge("jobs.open", lambda: self._owner_gauge("open"))
 
     def _lease_left(self) -> float:
@@ -325,6 +327,10 @@
         owner = self._active_owner()
         return 0.0 if owner is None else owner.load_admission.rejected_share()
 
+    def _largest_row_share(self) -> float:
+        owner = self._active_owner()
+        return 0.0 if owner is None else owner.cluster_state.row_sizes.share()
+
     def _owner_gauge(self, key: str) -> float:
         owner = self._active_owner()
         return 0.0 if owner is None else float(owner.summary()[key])
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -485,7 +485,12 @@
         )
         note_rejected(self.cluster_state, batch)
         self._stored.fire()
-        if not jobs:
+        if len(jobs) > 1:
+            return
+        # A rejected transaction renews nothing, and others may be rejected after it.
+        try:
+            await self._commit(Changes())
+        except errors.TableRejected:
             await asyncio.sleep(options.STORE_RETRY_INTERVAL_S)
 
     def _note_table_unavailable(
--- a/tests/test_row_limits.py
+++ b/tests/test_row_limits.py
@@ -10,17 +10,20 @@
 import attrs
 import pytest
 
-from cranberrycleat import errors
+from cranberrycleat import errors, events
+from cranberrycleat.amounts import Amounts
 from cranberrycleat.lease import Changes, OwnershipLease
 from cranberrycleat.standins.feed_table import MemoryFeedTable
 from cranberrycleat.standins.fleet import SimulatedWork
 from cranberrycleat.table import CommitReply, Put, TableLimits, Transaction, value_bytes
 from cranberrycleat.workflow.cluster_state import MAX_UNBEGUN_OCCURRENCES, ClusterState
 from cranberrycleat.workflow.fleet import FleetWorker
+from cranberrycleat.workflow.job_frontend import RequestStatus
 from cranberrycleat.workflow.owner import Owner
 from cranberrycleat.workflow.peering import SubmitRequest
+from cranberrycleat.workflow.row_sizes import RowSizes
 from cranberrycleat.workflow.spec import Schedule, StepSpec, WorkflowSpec
-from tests.cell import Cell, cell, entry, job, queue, step, submit, until
+from tests.cell import OWNER_LEASE_S, Cell, cell, entry, job, queue, step, submit, until
 from tests.fakes import run_async
 
 LIMITS: Final = TableLimits(row_bytes=3000)
@@ -125,7 +128,8 @@
             owner = await env.own("one")
             wide = submit(owner, "wide", job(step(400, processors=20)))
             # On a failure, pytest would print the owner with its 400 tasks for minutes.
-            assert await asyncio.gather(wide, return_exceptions=True) == [None]
+            (failure,) = await asyncio.gather(wide, return_exceptions=True)
+            assert failure is None
             await until(lambda: len(env.fleet.starts) > 200)
             env.tasks[0].cancel()
             owner = await env.own("two")
@@ -179,6 +183,27 @@
     run_async(run())
 
 
+def test_lease_is_renewed_while_jobs_are_rejected() -> None:
+    """Guards against an owner that loses its lease to rows that the table rejects."""
+
+    async def run() -> None:
+        tiny = Amounts(processors=1, memory_mb=1)
+        names = [f"bad{number}" for number in range(200)]
+        table = RejectingTable()
+        async with cell(table=table) as env:
+            owner = await env.own("one")
+            table.bad = frozenset(f"jobs/{name}" for name in names)
+            for name in names:
+                owner.cluster_state.accept(name, queue(), job(step(needs=tiny)))
+            owner.changed()
+            await asyncio.sleep(3 * OWNER_LEASE_S)
+            owner.cluster_state.accept("good", queue(), job(step()))
+            await until(lambda: _state(owner, "good") == "completed")
+            assert owner.lease.is_valid() and owner.epoch == 1
+
+    run_async(run())
+
+
 def test_job_whose_row_is_rejected_later_is_kept() -> None:
     """An accepted job that cannot be stored for a while is not lost."""
 
@@ -238,3 +263,38 @@
     """A violation is found before the call, by bytes and not by characters."""
     assert LIMITS.violation(txn).startswith(expected)
     assert bool(LIMITS.violation(txn)) is bool(expected)
+
+
+def test_job_larger_than_a_row_is_rejected_at_submission() -> None:
+    """Guards against a job that is accepted although its rows cannot be stored."""
+
+    async def run() -> None:
+        async with cell() as env:
+            owner = await env.own("one")
+            frontend = env.job_frontend(lambda: owner, table_limits=LIMITS)
+            wide = job(*(step(label=f"label-{n}") for n in range(40)))
+            found = await frontend.submit(queue(), "a", wide, limit_s=1.0)
+            assert found.status is RequestStatus.MALFORMED
+            assert "over the 3000 of a row" in found.reason
+            assert not owner.cluster_state.jobs
+            found = await frontend.submit(queue(), "b", job(step()), limit_s=1.0)
+            assert found.status is RequestStatus.DONE
+
+    run_async(run())
+
+
+def test_transitions_of_the_largest_row_are_logged_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a row that comes near its limit unnoticed, and against floods."""
+    logged: list[events.RowFill] = []
+    monkeypatch.setattr("cranberrycleat.workflow.row_sizes.emit", logged.append)
+    sizes = RowSizes()
+    for size in (10, 500, 600, 790, 800, 900, 700, 10):
+        put = Put(key="jobs/a", value="x" * size)
+        sizes.stored((put, Put(key="pages/a.1", value="x" * 1000)), (), 1000)
+    assert [each.size for each in logged] == [500, 800, 700, 0]
+    sizes.stored((Put(key="jobs/b", value="x" * 900),), (), 1000)
+    assert sizes.share() == 0.9
+    sizes.stored((), ("jobs/b",), 1000)
+    assert sizes.share() == 0.0 and len(logged) == 6
