--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -576,6 +576,15 @@
     down: bool
 
 
+@event("table.rejected", essential=True)
+class TableRejected:
+    """The table will never take a transaction; `job` is set if it held one job only."""
+
+    reason: str
+    jobs: int
+    job: str
+
+
 @event("table.back", essential=True)
 class TableBack:
     """The table answers transactions again."""
@@ -859,6 +868,15 @@
     evidence_age_s: float
 
 
+@event("row.fill", essential=True)
+class RowFill:
+    """The largest row passed a half or four fifths of the limit, up or down."""
+
+    key: str
+    size: int
+    limit: int
+
+
 @event("row.unreadable", essential=True)
 class RowUnreadable:
     """A row of the table cannot be decoded; it is left unchanged."""
