Placing all members of a stalled service keeps to the quota

Found when reading again: the quota of the workspace was checked for one task, and all waiting members of a stalled service were placed at a time. test_stalled_service_keeps_to_quota_of_its_workspace placed 8 where 3 are allowed.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -731,8 +731,7 @@
     def _room_for_stalled(self, step: StepRun, worker: FleetWorker) -> int:
         """Return how many tasks of a stalled step a worker has room for.
 
-        Surplus work takes no reserved room: due work may wait behind it as well, and
-        not yet for long enough.
+        Surplus work takes no reserved room, for which newer due work may be waiting.
         """
         is_surplus = self.cluster_state.load.is_surplus(step.job)
         reservations = self._reservations if is_surplus else self._firm_reservations
@@ -874,14 +873,17 @@
                 )
             ]
         group = PlannedGroup(step=step)
-        attempt = step.last_attempt + 1
-        for number, (task, worker) in enumerate(zip(tasks, assigned, strict=False)):
+        gang_attempt = step.last_attempt + 1
+        for task, worker in zip(tasks, assigned, strict=False):
+            if not spec.gang and not self._count_within_quota(step):
+                break
             if not worker.may_accept_work(now):
                 worker.yielded_at = now
-            number = 0 if spec.gang else number
-            self._place(step, task, worker, attempt + number, now, group)
-        plan.groups.append(group)
-        return True
+            attempt = gang_attempt if spec.gang else step.last_attempt + 1
+            self._place(step, task, worker, attempt, now, group)
+        if group.placements:
+            plan.groups.append(group)
+        return bool(group.placements)
 
     def _exclude_failed_workers(
         self,
--- a/cranberrycleat/workflow/decisions/stalls.py
+++ b/cranberrycleat/workflow/decisions/stalls.py
@@ -41,7 +41,7 @@
 MAX_YIELDING_STEPS: Final = 30
 """Stalled steps for which a round looks for room; each look is at every worker."""
 YIELD_RETRY_S: Final = 0.2
-"""When a stalled step for which none was found is looked at again."""
+"""After how long room is looked for again for a step for which none was found."""
 FIRM_AFTER_S: Final = 10.0
 """How long nothing of a gang runs before the room that it reserves no longer yields to
 stalled steps of lower rank: those that arrive all the time would starve it."""
@@ -54,7 +54,7 @@
 MAX_CHECKED_STEPS: Final = 50
 """Idle steps that one check compares with the workers; the others follow."""
 CHECK_AGAIN_S: Final = 2.0
-"""When an idle step without enough room is compared again."""
+"""After how long an idle step without enough room is compared again."""
 
 
 def is_idle_too_long(cluster_state: ClusterState, step: StepRun, now: float) -> bool:
--- a/tests/test_stalled_steps.py
+++ b/tests/test_stalled_steps.py
@@ -707,3 +707,15 @@
     planner = Planner(cluster_state=owner_board)
     rounds_until(planner, waiting, 0.0, MAX_QUARANTINE_S - ROUND_S)
     assert not placed(owner_board)["w"]
+
+
+# Guards against a workspace beyond its quota: all waiting members of a stalled service
+# are placed at a time.
+def test_stalled_service_keeps_to_quota_of_its_workspace() -> None:
+    owner_board = cluster_state(resting("w", processors=16000))
+    quota = Amounts(processors=3000, memory_mb=100_000)
+    owner_board.quotas.quotas = lambda: {"ws": quota}
+    owner_board.accept("s", queue(), job(step(8, service=True)), workspace="ws")
+    planner = Planner(cluster_state=owner_board)
+    rounds_until(planner, step_of(owner_board, "s"), 0.0, STALL_S)
+    assert len(placed(owner_board)["w"]) == 3
