Two tests show again that their mechanisms are needed; new rows of the proofs

Since yielding to stalled steps hid two mechanisms from their tests: with the exclusion made endless, or the probe without an end of its own, the rows of the prover named tests that passed. The row of the exclusion names the test at full use of the pool, and the probe is tested beside a worker in use.

--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -332,7 +332,7 @@
         file="workflow/decisions/exclusion.py",
         text="            until = failed_at + FAILED_WORKER_EXCLUSION_S",
         replacement='            until = float("inf")',
-        test="tests/test_retries_left_waiting.py::test_failed_step_does_not_wait_for_ever_beside_idle_worker",
+        test="tests/test_retries_left_waiting.py::test_exclusion_of_failed_worker_ends_while_pool_is_in_use",
     ),
     Mutant(
         guarantee="decisions",
--- a/tests/test_retries_left_waiting.py
+++ b/tests/test_retries_left_waiting.py
@@ -263,8 +263,10 @@
 # probed after a quarantine is a service, which never ends.
 @pytest.mark.parametrize("lasting", [True, False], ids=["service", "long task"])
 def test_worker_probed_by_lasting_task_takes_other_work(lasting: bool) -> None:
-    probed = worker("w")
-    owner_board = cluster_state(probed)
+    probed, used = worker("w"), worker("used")
+    owner_board = cluster_state(probed, used)
+    # With half of the pool in use, the probe does not yield to a stalled step.
+    occupy(owner_board, used, "long")
     probed.quarantine(0.0)
     began = probed.quarantined_until
     spec = step(1, service=lasting, estimate_s=60.0)
