Surplus work never yields past precautions

A surplus step that had stalled was also given resting workers, and workers that its retries avoid, which newer due work may not use yet. Surplus work no longer counts as stalled; without fair share there is none.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -232,7 +232,10 @@
         """Return whether precautions no longer keep a waiting step from room.
 
         A round looks for room for a limited number of such steps; the others follow.
+        Surplus work never takes what newer due work may not use yet.
         """
+        if self.cluster_state.load.is_surplus(step.job):
+            return False
         if not stalls.is_idle_too_long(self.cluster_state, step, now):
             return False
         if now < step.yields_at or self._yields_left <= 0:
@@ -729,13 +732,8 @@
         ]
 
     def _room_for_stalled(self, step: StepRun, worker: FleetWorker) -> int:
-        """Return how many tasks of a stalled step a worker has room for.
-
-        Surplus work takes no reserved room, for which newer due work may be waiting.
-        """
-        is_surplus = self.cluster_state.load.is_surplus(step.job)
-        reservations = self._reservations if is_surplus else self._firm_reservations
-        room = reservations.unreserved(worker)
+        """Return how many tasks of a stalled step a worker has room for."""
+        room = self._firm_reservations.unreserved(worker)
         fits = how_many_fit(reserved_resources(step.spec), room)
         if step.spec.most_per_worker:
             return min(fits, self._remaining_worker_limit(step, worker))
