A stalled step places all tasks that a worker may take but for its exclusion

It now places as many as fit beside reservations on a worker that takes work; where others are kept out, one.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -13,7 +13,7 @@
 import attrs
 
 from cranberrycleat import events
-from cranberrycleat.amounts import Amounts
+from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.decisions import exclusion, isolation, stalls
@@ -828,6 +828,7 @@
         wants_rack = spec.same_rack or bool(spec.data_rack)
         if not tasks or (wants_rack and self._waits_for_rack(step, now, plan)):
             return False
+        needs = reserved_resources(spec)
         workers = self._workers_with_room(step, now)
         if step.job.queue.permits is not None:
             permits = self.cluster_state.permits.get(step.name)
@@ -852,24 +853,22 @@
                 self._preference(step, each),
             )
         )
-        wanted = len(tasks) if spec.gang or spec.service else 1
+        at_once = spec.gang or spec.service
+        if not at_once:
+            tasks = [task for task in tasks if not _is_last_attempt(task)] or tasks
         assigned: list[FleetWorker] = []
         for worker in workers:
-            assigned += [worker] * min(rooms[worker], wanted - len(assigned))
+            fits = min(rooms[worker], len(tasks) - len(assigned))
+            if not at_once:
+                # One task is enough to end the stall where others are kept out.
+                usable = worker.may_accept_work(now)
+                room = self._unreserved(worker) if usable else NOTHING
+                fits = min(fits, max(how_many_fit(needs, room), 1 - len(assigned)))
+            assigned += [worker] * max(0, fits)
         if not assigned or (spec.gang and len(assigned) < len(step.tasks)):
             return False
-        if wanted == 1:
-            first = assigned[0].name
-            tasks = [
-                min(
-                    tasks,
-                    key=lambda task: (
-                        _is_last_attempt(task),
-                        first in task.failed_on,
-                        task.index,
-                    ),
-                )
-            ]
+        first = assigned[0].name
+        tasks.sort(key=lambda task: (first in task.failed_on, task.index))
         group = PlannedGroup(step=step)
         gang_attempt = step.last_attempt + 1
         for task, worker in zip(tasks, assigned, strict=False):
