--- a/cranberrycleat/workflow/decisions/stalls.py
+++ b/cranberrycleat/workflow/decisions/stalls.py
@@ -4,8 +4,8 @@
 in use; a service, whatever is in use, if a member of it waits. Precautions keep workers
 from a step: an exclusion after failures, the rest of a worker after a quarantine, room
 reserved for a gang. Each has an end of its own, but several may follow one another, and
-some last longer than that. After `STALL_YIELD_S` the planner therefore places one task
-or gang of such a step, and all waiting members of a service, wherever there is room.
+some last longer than that. After `STALL_YIELD_S` the planner therefore places tasks of
+such a step, its gang, or the waiting members of a service, wherever there is room.
 
 `StallMonitor` reports the steps that stall all the same, whatever the reason, since a
 reason may itself be the fault.
