--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -568,6 +568,25 @@
     evidence: str
 
 
+@event("owner.missing", essential=True)
+class OwnerMissing:
+    """This host has known of no acting owner for 3 s; repeated when the row changes.
+
+    Attributes:
+        for_s: For how long.
+        row_holder: The process that the owner's row names, as last read.
+        row_epoch: The epoch in that row.
+        row_is_own: Whether it names this process, which does not act as the owner.
+        table_s: How long ago the table last answered this host.
+    """
+
+    for_s: float
+    row_holder: str
+    row_epoch: int
+    row_is_own: bool
+    table_s: float
+
+
 @event("table.silent", essential=True)
 class TableSilent:
     """A transaction was not answered; `down` tells whether new jobs are refused."""
--- a/cranberrycleat/explain.py
+++ b/cranberrycleat/explain.py
@@ -31,6 +31,7 @@
     events.OwnerReleased,
     events.OwnerSuspected,
     events.OwnerTookOver,
+    events.OwnerMissing,
     events.TableSilent,
     events.TableBack,
     events.WorkerSilent,
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -35,6 +35,7 @@
 from cranberrycleat.workflow.job_frontend import MAX_JOBS_PER_INBOX_WRITE, JobFrontend
 from cranberrycleat.workflow.membership import Membership
 from cranberrycleat.workflow.owner import Owner
+from cranberrycleat.workflow.owner_absence import OwnerAbsence
 from cranberrycleat.workflow.peer_api import PeerApi
 from cranberrycleat.workflow.peering import Heartbeat, HeartbeatReply, PeerClient
 from cranberrycleat.workflow.permit_queue import PermitQueue
@@ -95,6 +96,7 @@
     _last_ready: bool = False
     _membership: Membership = attrs.field(factory=Membership)
     _reachability: Reachability = attrs.field(init=False)
+    _owner_absence: OwnerAbsence = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         cfg = self.adapter.settings
@@ -102,6 +104,12 @@
         self._holder_prefix = f"{cfg.name}@{self.address}"
         self._peers = PeerClient(http=self.http)
         self._reachability = Reachability(clock=self.clock)
+        self._owner_absence = OwnerAbsence(
+            clock=self.clock,
+            acts_here=self._acts_as_owner,
+            owner_age_s=self._reachability.owner_age_s,
+            table_age_s=self._reachability.table_age_s,
+        )
         self._config = ConfigWatch(
             follower=self.adapter.config_follower(),
             reachability=self._reachability,
@@ -256,6 +264,9 @@
         owner = self.owner
         return owner if owner is not None and owner.ready.is_set() else None
 
+    def _acts_as_owner(self) -> bool:
+        return self._active_owner() is not None and self._lease.is_valid()
+
     # --- lifecycle ------------------------------------------------------------
 
     async def start(self) -> None:
@@ -312,6 +323,7 @@
         )
         metrics.add_gauge("config.late", self._config.late_s)
         metrics.add_gauge("owner.lease.left", self._lease_left)
+        metrics.add_gauge("owner.missing.duration", self._owner_absence.duration_s)
         metrics.add_gauge("tasks.pending", lambda: self._owner_gauge("pending"))
         metrics.add_gauge("tasks.held", lambda: self._owner_gauge("placed"))
         metrics.add_gauge("jobs.rejected.share", self._rejected_share)
@@ -414,6 +426,7 @@
             "configuration": None if config is None else config.version,
             "owner": self.owner_address(),
             "epoch": self._lease.epoch,
+            "owner_missing_s": round(self._owner_absence.duration_s(), 3),
             "owned": None if self.owner is None else self.owner.summary(),
             "workspaces": None if self.owner is None else self.owner.workspaces(),
             "forecast": None if self.owner is None else self.owner.forecast_inputs(),
@@ -566,6 +579,11 @@
                     or not await self._send_heartbeat_to_owner(address)
                 ):
                     await self._send_heartbeat_elsewhere()
+            missing = self._owner_absence.check(
+                self._lease.latest_row(), self._lease.holder
+            )
+            if missing is not None:
+                emit(missing)
             await asyncio.sleep(options.HEARTBEAT_INTERVAL_S)
 
     def _make_heartbeat(self) -> Heartbeat:
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -157,6 +157,8 @@
                 metrics.record("owner.takeover.duration", took_s)
             case events.OwnerLost(reason=reason):
                 metrics.count("owner.lost", reason=reason)
+            case events.OwnerMissing(row_is_own=row_is_own):
+                metrics.count("owner.missing", row_is_own=str(row_is_own).lower())
             case events.ConfigTaken(size=size, read_s=read_s):
                 metrics.record("config.read.duration", read_s)
                 metrics.count("config.read.bytes", size)
