A process whose takeover had no answer renews the lease it finds expired

Cause: the store carried out the write of the takeover and fell silent before its answer. When the row could be read again it named this process, and its lease of 0.9 s, counted from before the write, was over. `OwnershipLease.acquire` then returned False at each poll: a row that names the process itself was neither renewed nor waited out, and no other process was left to end it. `Scheduler._step` had a branch for this; the node had none.

Evidence: with the event of the commit before, `owner.missing` with row_is_own true and table_s 0.04. The case of test_lease.py needs two steps: acquire, lease over, acquire.

Change: `acquire` renews such a lease with a write that is conditional on the row as it was read, as a holder does after an outage. It is safe for the same reason: the write fails if another process has taken over, and the lease counts from before it was sent. An earlier renewal without an answer is settled first. The branch in `Scheduler._step` is gone; the rule is in one place.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -216,6 +216,9 @@
     async def acquire(self) -> bool:
         """Read the row once, and acquire the lease if it is free.
 
+        A lease that this process holds already, or took over without an answer, is
+        renewed if it has expired: no other process may be there to end it.
+
         Returns:
             Whether this process holds a valid lease afterwards.
 
@@ -226,6 +229,8 @@
         row = rows[0] if rows else None
         self._observe(row)
         if self._adopt_if_own(row):
+            if not self.is_valid():
+                await self._renew_expired()
             return self.is_valid()
         if not self._is_free(row):
             self._free_since = None
@@ -235,6 +240,18 @@
         await self._take_over(row)
         return self.is_valid()
 
+    async def _renew_expired(self) -> None:
+        """Renew an expired lease, unless another process has taken it over."""
+        unanswered = self._pending is not None
+        try:
+            await self.commit()
+            if unanswered and not self.is_valid():
+                # That only found out that an earlier renewal was stored.
+                await self.commit()
+        except (LeaseLost, ConditionFailed):
+            # The row changed after it was read; the next call reads it again.
+            return
+
     async def commit(self, changes: Changes = Changes()) -> None:
         """Write the changes and renew the lease in one transaction.
 
--- a/cranberrycleat/scheduler.py
+++ b/cranberrycleat/scheduler.py
@@ -202,9 +202,6 @@
             await self._round(self.shard)
         elif await self.lease.acquire():
             await self._take_over()
-        elif self.lease.is_holder:
-            # Acquired, but it expired before the shard's rows could be read.
-            await self.lease.commit()
 
     async def _take_over(self) -> None:
         shard = Shard(data_centre=self.cfg.data_centre)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,6 +1,8 @@
 """Ownership lease: at most one valid holder despite lost replies and late writes."""
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 import attrs
 import pytest
@@ -21,6 +23,8 @@
 from tests.fakes import DelayedTable, run_async
 
 LEASE_S = 10.0
+POLLS_TO_ACQUIRE = 6
+"""Four polls a lease: by the sixth a lease seen at the first one is over."""
 
 
 def candidate(table: DelayedTable, clock: ManualClock, name: str) -> OwnershipLease:
@@ -137,6 +141,86 @@
     assert not run_async(pair.b.acquire())
 
 
+@pytest.mark.parametrize("pause_s", [0.0, LEASE_S / 2, 3 * LEASE_S])
+@pytest.mark.parametrize("is_late", [False, True], ids=["stored", "stored late"])
+@pytest.mark.parametrize("renewals_lost", [0, 1, 2])
+@pytest.mark.parametrize("predecessor", ["none", "dead", "released"])
+def test_unanswered_takeover_makes_its_process_the_holder(
+    pause_s: float, is_late: bool, renewals_lost: int, predecessor: str
+) -> None:
+    """Guards against a stall: the row named a process that never acted (review/5).
+
+    The lease of a takeover without an answer may be over before the row is read. With
+    no other process left, nobody else ends it.
+    """
+    pair = CandidatePair()
+    if predecessor != "none":
+        run_async(pair.b.acquire())
+        run_async(pair.a.look())
+    if predecessor == "released":
+        run_async(pair.b.release())
+    pair.advance(1.1 * LEASE_S)
+    _lose_answer(pair.table, pair.a.acquire(), is_late=is_late)
+    pair.advance(pause_s)
+    pair.table.deliver()
+    for _ in range(renewals_lost):
+        # Only a lease that is over by then needs a write.
+        if pause_s > LEASE_S:
+            _lose_answer(pair.table, pair.a.acquire(), is_late=is_late)
+            pair.advance(pause_s)
+            pair.table.deliver()
+    assert run_async(pair.a.acquire())
+    assert not run_async(pair.b.acquire())
+    assert pair.a.epoch == (1 if predecessor == "none" else 2)
+
+
+def _lose_answer(
+    table: DelayedTable, call: Coroutine[Any, Any, object], *, is_late: bool
+) -> None:
+    """Make a call whose write gets no answer; it is stored now, or when delivered."""
+    table.delay_commits = is_late
+    table.inner.faults.lose_replies = int(not is_late)
+    with pytest.raises(errors.TableUnavailable):
+        run_async(call)
+    table.delay_commits = False
+    table.inner.faults.lose_replies = 0
+
+
+def test_expired_lease_that_was_taken_over_meanwhile_is_not_renewed() -> None:
+    """The row changes between the read of the expired lease and its renewal."""
+    pair = CandidatePair()
+    _lose_answer(pair.table, pair.a.acquire(), is_late=False)
+    run_async(pair.b.look())
+    pair.advance(1.1 * LEASE_S)
+    rival = TableWithRival(table=pair.table, rival=pair.b)
+    pair.a.table = rival
+    assert not run_async(pair.a.acquire())
+    assert pair.b.is_valid() and pair.b.epoch == 2
+
+
+@attrs.define(kw_only=True, eq=False)
+class TableWithRival:
+    """A table in which a rival acquires the lease before the next commit."""
+
+    table: DelayedTable
+    rival: OwnershipLease | None
+
+    async def read(self, *, keys: tuple[str, ...]) -> tuple[Row, ...]:
+        """Read from the table."""
+        return await self.table.read(keys=keys)
+
+    async def scan(self, *, prefix: str) -> tuple[Row, ...]:
+        """Scan the table."""
+        return await self.table.scan(prefix=prefix)
+
+    async def commit(self, txn: Transaction) -> CommitReply:
+        """Let the rival acquire the lease, then commit."""
+        rival, self.rival = self.rival, None
+        if rival is not None:
+            assert await rival.acquire()
+        return await self.table.commit(txn)
+
+
 def test_late_write_of_previous_holder_has_no_effect() -> None:
     """A previous holder's write that arrives after a takeover has no effect."""
     pair = CandidatePair()
@@ -216,6 +300,23 @@
         """Deliver the delayed writes."""
         self.table.deliver()
 
+    def teardown(self) -> None:
+        """Check that each process, left alone without faults, acquires the lease."""
+        self.table.inner.faults.lose_replies = 0
+        self.table.delay_commits = False
+        for number, lease in enumerate(self.leases):
+            if self._acquires_alone(number):
+                # The next process is alone once this one has been killed.
+                continue
+            raise AssertionError(f"{lease.holder} never acquires the lease")
+
+    def _acquires_alone(self, number: int) -> bool:
+        for _ in range(POLLS_TO_ACQUIRE):
+            if run_async(self.leases[number].acquire()):
+                return True
+            self.clocks[number].advance(seconds=LEASE_S / 4)
+        return False
+
     @invariant()
     def at_most_one_valid_lease(self) -> None:
         """Check that at most one process has a valid lease."""
