A lease that was given up is taken over in a new epoch, never used on

Callers would see, with one host left: after an order that a worker refused for a later fence, or a batch that could not be stored and a release without answer, the next owner of the same process has the epoch of the last one; workers that saw a higher fence refuse its orders, and it ends again.

Cause: `mark_lost` and an unanswered `release` dropped the lease in memory only, and the row went on naming the process. `acquire` adopted the row, with what the time of an earlier write gave as its end. The text of `Owner` says "read again in a new epoch"; the epoch was the old one. Worse for a release that is stored late: the adopted lease was valid here while the released row was free at once for every candidate.

Change: `OwnershipLease.abandon` (was `mark_lost`) keeps the epoch that is over. What a process may do with the row as read is one value, `RowStatus`, decided in one place: HELD, FREE or TAKEN. A row that names this process in an epoch that is over is free for it at once, by a takeover that is conditional on the row's version, so that a late release or renewal of the old epoch has no effect. A holder that reads another one's row abandons its lease. The new epoch is above each that the process has seen, also if the row was deleted.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -25,6 +25,7 @@
 """
 
 import asyncio
+import enum
 from collections.abc import Callable
 from typing import Final
 
@@ -102,6 +103,14 @@
     deletes: tuple[str, ...] = ()
 
 
+class RowStatus(enum.Enum):
+    """What a process may do next with the lease's row as it was read."""
+
+    HELD = "Use it: the row names this process. If the lease has expired, renew it."
+    FREE = "Take it over, in a new epoch: nobody may act on the row any more."
+    TAKEN = "Wait: another process may have a valid lease."
+
+
 class LeaseLost(Exception):
     """Another process holds the lease; no part of the write took effect."""
 
@@ -161,6 +170,7 @@
     _pending_unreleased: bool = False
     _last_answer_at: float = float("-inf")
     _established: bool = False
+    _abandoned_epoch: int = 0
 
     def is_valid(self) -> bool:
         """Return whether this process holds an unexpired lease right now."""
@@ -195,9 +205,17 @@
             return None
         return codec.decode(self._observed_row.value, OwnerRow, place=self.key)
 
-    def mark_lost(self) -> None:
-        """Drop the lease immediately, on evidence of a later holder elsewhere."""
+    def abandon(self) -> None:
+        """Stop using the lease immediately, for example on evidence of a later holder.
+
+        It is never used again in its epoch, even if the row still names this process:
+        a release or a renewal that is under way may be stored at any later time, and
+        orders of a later epoch are told apart from those that were sent already.
+        """
+        if self._held is not None:
+            self._abandoned_epoch = self._held.epoch
         self._held = None
+        self._pending = None
         self._valid_until = float("-inf")
 
     def mark_established(self) -> None:
@@ -228,16 +246,19 @@
         rows = await self.table.read(keys=(self.key,))
         row = rows[0] if rows else None
         self._observe(row)
-        if self._adopt_if_own(row):
-            if not self.is_valid():
-                await self._renew_expired()
-            return self.is_valid()
-        if not self._is_free(row):
-            self._free_since = None
-            return False
-        if not self._takeover_delay_passed(row):
-            return False
-        await self._take_over(row)
+        status = self._status(row)
+        if status is not RowStatus.HELD:
+            self.abandon()
+        match status:
+            case RowStatus.HELD:
+                self._adopt(row)
+                if not self.is_valid():
+                    await self._renew_expired()
+            case RowStatus.FREE:
+                if self._takeover_delay_passed(row):
+                    await self._take_over(row)
+            case RowStatus.TAKEN:
+                self._free_since = None
         return self.is_valid()
 
     async def _renew_expired(self) -> None:
@@ -360,7 +381,7 @@
             raise LeaseLost(self.key)
         held = self._held
         version = self._held_version
-        self.mark_lost()
+        self.abandon()
         done = attrs.evolve(
             held,
             sequence=held.sequence + 1,
@@ -412,13 +433,20 @@
             self._observed_row = row
             self._observed_at = self.clock.now()
 
-    def _is_free(self, row: Row | None) -> bool:
+    def _status(self, row: Row | None) -> RowStatus:
+        """Return what this process may do next with the row as read."""
         if row is None:
-            return True
+            return RowStatus.FREE
         owner = codec.decode(row.value, OwnerRow, place=self.key)
         self.epoch = max(self.epoch, owner.epoch)
         if owner.released:
-            return True
+            return RowStatus.FREE
+        if owner.holder == self.holder:
+            is_abandoned = owner.epoch <= self._abandoned_epoch
+            return RowStatus.FREE if is_abandoned else RowStatus.HELD
+        return RowStatus.FREE if self._has_expired(owner) else RowStatus.TAKEN
+
+    def _has_expired(self, owner: OwnerRow) -> bool:
         if self.is_dead(owner.holder) and not self._was_isolated:
             return True
         margin = owner.lease_s * MAX_CLOCK_DRIFT
@@ -440,7 +468,7 @@
         self._pending_unreleased = old is not None and not old.released
         ours = OwnerRow(
             holder=self.holder,
-            epoch=1 if old is None else old.epoch + 1,
+            epoch=self.epoch + 1,
             sequence=0,
             lease_s=self.lease_s,
             strength=max(self.strength, STRENGTH_DECAY * old.strength if old else 0.0),
@@ -461,16 +489,11 @@
             return old.inherited_s
         return max(old.inherited_s, old.lease_s + self.grants_outlive_lease_s)
 
-    def _adopt_if_own(self, row: Row | None) -> bool:
-        """Resolve a takeover whose reply was lost: the row names the holder."""
-        if row is None:
-            return False
-        owner = codec.decode(row.value, OwnerRow, place=self.key)
-        if owner.holder != self.holder or owner.released:
-            return False
-        if self._held is None:
+    def _adopt(self, row: Row | None) -> None:
+        """Resolve a takeover whose reply was lost: the row shows that it committed."""
+        if row is not None and self._held is None:
+            owner = codec.decode(row.value, OwnerRow, place=self.key)
             self._record_acquired(owner, row.version)
-        return True
 
     def _record_acquired(self, owner: OwnerRow, version: int) -> None:
         self._established = False
@@ -499,7 +522,7 @@
         if ours:
             # We still hold the lease, so one of the caller's own checks failed.
             raise ConditionFailed(self.key)
-        self.mark_lost()
+        self.abandon()
         raise LeaseLost(self.key)
 
 
--- a/cranberrycleat/link.py
+++ b/cranberrycleat/link.py
@@ -222,7 +222,7 @@
     def _handle_error(self, exc: errors.ProblemError) -> None:
         if exc.code == errors.STALE_EPOCH:
             LOG.warning("Worker %s has a newer owner.", self.entry.name)
-            self.lease.mark_lost()
+            self.lease.abandon()
         self._incarnation = ""
 
     def _handle_reply(self, order: SyncOrder, reply: SyncReply) -> None:
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -256,7 +256,7 @@
     def fenced(self) -> None:
         """Give up the ownership because a worker rejected this owner's epoch."""
         emit(events.OwnerLost(epoch=self.epoch, reason="a worker saw a later one"))
-        self.lease.mark_lost()
+        self.lease.abandon()
         self._ended.set()
 
     def changed(self) -> None:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,6 +1,7 @@
 """Ownership lease: at most one valid holder despite lost replies and late writes."""
 
 import asyncio
+import collections
 from collections.abc import Coroutine
 from typing import Any
 
@@ -221,6 +222,66 @@
         return await self.table.commit(txn)
 
 
+@pytest.mark.parametrize("pause_s", [0.0, LEASE_S / 2, 3 * LEASE_S])
+@pytest.mark.parametrize(
+    "how", ["fenced", "release lost", "release late", "renewal late", "row deleted"]
+)
+def test_abandoned_lease_is_taken_over_in_a_new_epoch(pause_s: float, how: str) -> None:
+    """Guards against a lease that goes on in the epoch of orders sent before.
+
+    Workers refuse the orders of a second owner in one epoch; once the lease had
+    expired, nothing renewed it at all.
+    """
+    pair = CandidatePair()
+    assert run_async(pair.a.acquire())
+    _abandon(pair, how)
+    assert not pair.a.is_valid()
+    pair.advance(pause_s)
+    assert run_async(pair.a.acquire())
+    assert pair.a.epoch == 2
+    pair.table.deliver()
+    run_async(pair.a.commit())
+    assert not run_async(pair.b.acquire())
+
+
+def _abandon(pair: CandidatePair, how: str) -> None:
+    """End the first candidate's use of the lease, with its last write as named."""
+    pair.table.delay_commits = how.endswith("late")
+    pair.table.inner.faults.lose_replies = 3 if how == "release lost" else 0
+    if how.startswith("release"):
+        with pytest.raises(errors.TableUnavailable):
+            run_async(pair.a.release())
+    elif how.startswith("renewal"):
+        with pytest.raises(errors.TableUnavailable):
+            run_async(pair.a.commit())
+    elif how == "row deleted":
+        pair.table.inner.rows.clear()
+    pair.a.abandon()
+    pair.table.delay_commits = False
+    pair.table.inner.faults.lose_replies = 0
+
+
+def test_late_release_does_not_end_a_later_tenure_of_its_process() -> None:
+    """Two valid leases: the released row is free at once for every candidate."""
+    pair = CandidatePair()
+    assert run_async(pair.a.acquire())
+    _abandon(pair, "release late")
+    run_async(pair.a.acquire())
+    pair.table.deliver()
+    run_async(pair.b.acquire())
+    assert not (pair.a.is_valid() and pair.b.is_valid())
+
+
+def test_lease_found_in_the_hands_of_another_is_abandoned() -> None:
+    """On evidence of its death another process may win before a holder's lease ends."""
+    pair = CandidatePair()
+    assert run_async(pair.a.acquire())
+    pair.b.is_dead = lambda holder: True
+    assert run_async(pair.b.acquire())
+    assert not run_async(pair.a.acquire())
+    assert not pair.a.is_holder
+
+
 def test_late_write_of_previous_holder_has_no_effect() -> None:
     """A previous holder's write that arrives after a takeover has no effect."""
     pair = CandidatePair()
@@ -245,6 +306,8 @@
         self.clocks = [ManualClock(), ManualClock(time_s=1e4), ManualClock()]
         self.leases = [self._fresh(number) for number in range(3)]
         self.starts = 0
+        self.tenures: collections.Counter[str] = collections.Counter()
+        self.used_epochs: dict[int, tuple[str, int]] = {}
 
     def _fresh(self, number: int) -> OwnershipLease:
         self.starts = getattr(self, "starts", 0) + 1
@@ -277,14 +340,29 @@
         """Replace one process by a new one, as after a crash and restart."""
         self.leases[number] = self._fresh(number)
 
+    @invariant()
+    def each_epoch_is_used_once(self) -> None:
+        """Check that no epoch is used by two processes, or again once it is over."""
+        for lease in self.leases:
+            if lease.is_valid():
+                tenure = (lease.holder, self.tenures[lease.holder])
+                assert self.used_epochs.setdefault(lease.epoch, tenure) == tenure
+
     @rule(number=st.integers(0, 2))
     def release(self, number: int) -> None:
         """Let one process release the lease, if it holds it."""
+        self.tenures[self.leases[number].holder] += 1
         try:
             run_async(self.leases[number].release())
         except (errors.TableUnavailable, LeaseLost):
             pass
 
+    @rule(number=st.integers(0, 2))
+    def abandon(self, number: int) -> None:
+        """Let one process stop using the lease, as after evidence of a later one."""
+        self.tenures[self.leases[number].holder] += 1
+        self.leases[number].abandon()
+
     @rule(lost=st.integers(0, 2))
     def lose_replies(self, lost: int) -> None:
         """Lose the next replies after their writes committed."""
