A takeover found in the row counts from its first copy

Two processes could have a valid lease at once: a takeover without answer is stored late, after the process has read the row once more and before it sends a second copy. The second copy meets a conflict, the next read shows the takeover, and its lease was counted from the second copy; a candidate had counted from the moment at which the first one was stored. The gap is the time between the read at the table and the second copy: a slow answer to the read, or a pause of the process.

Cause: `_pending_since` was set anew for each copy of a takeover, and the row does not tell copies apart.

Change: what was sent is kept as a value, `_Takeover`, with the time of its first copy, until the row shows what became of it. A lease adopted from the row counts from there; a takeover that is answered counts from its own copy, as an earlier one that had been stored would have met it with a conflict. Adopted leases are over more often, which costs the write of a renewal since.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -103,6 +103,23 @@
     deletes: tuple[str, ...] = ()
 
 
+@attrs.frozen(kw_only=True)
+class _Takeover:
+    """A takeover that was sent; until it is resolved, a copy of it may be stored.
+
+    Attributes:
+        row: The row that it writes.
+        replaces: The version of the row that it replaces.
+        unreleased: Whether the holder before had not released the lease.
+        sent_at: When the first copy was sent.
+    """
+
+    row: OwnerRow
+    replaces: int
+    unreleased: bool
+    sent_at: float
+
+
 class RowStatus(enum.Enum):
     """What a process may do next with the lease's row as it was read."""
 
@@ -167,7 +184,7 @@
     _pending: OwnerRow | None = None
     _pending_changes: Changes = Changes()
     _pending_since: float = float("-inf")
-    _pending_unreleased: bool = False
+    _takeover: _Takeover | None = None
     _last_answer_at: float = float("-inf")
     _established: bool = False
     _abandoned_epoch: int = 0
@@ -465,7 +482,6 @@
     async def _take_over(self, row: Row | None) -> None:
         version = ABSENT if row is None else row.version
         old = codec.decode(row.value, OwnerRow) if row is not None else None
-        self._pending_unreleased = old is not None and not old.released
         ours = OwnerRow(
             holder=self.holder,
             epoch=self.epoch + 1,
@@ -474,10 +490,19 @@
             strength=max(self.strength, STRENGTH_DECAY * old.strength if old else 0.0),
             inherited_s=0.0 if old is None else self._inherited_after_takeover_s(old),
         )
-        self._pending_since = self.clock.now()
+        copy = _Takeover(
+            row=ours,
+            replaces=version,
+            unreleased=old is not None and not old.released,
+            sent_at=self.clock.now(),
+        )
+        first = self._takeover
+        if first is None or (first.row, first.replaces) != (ours, version):
+            self._takeover = copy
         reply = await self.table.commit(self._transaction(version, ours, Changes()))
         if reply.committed:
-            self._record_acquired(ours, reply.version)
+            # No earlier copy was stored, or this one would have met a conflict.
+            self._record_acquired(copy, reply.version)
 
     def _inherited_remaining_s(self) -> float:
         """Return for how long from now earlier holders may still act."""
@@ -490,17 +515,29 @@
         return max(old.inherited_s, old.lease_s + self.grants_outlive_lease_s)
 
     def _adopt(self, row: Row | None) -> None:
-        """Resolve a takeover whose reply was lost: the row shows that it committed."""
-        if row is not None and self._held is None:
-            owner = codec.decode(row.value, OwnerRow, place=self.key)
-            self._record_acquired(owner, row.version)
+        """Resolve a takeover whose reply was lost: the row shows that it committed.
+
+        The row does not show which copy was stored, and candidates may have counted
+        from the first one. A copy that is no longer known of gives no valid lease.
+        """
+        if row is None or self._held is not None:
+            return
+        owner = codec.decode(row.value, OwnerRow, place=self.key)
+        sent = self._takeover
+        if sent is None or sent.row != owner:
+            sent = _Takeover(
+                row=owner, replaces=ABSENT, unreleased=True, sent_at=float("-inf")
+            )
+        self._record_acquired(sent, row.version)
 
-    def _record_acquired(self, owner: OwnerRow, version: int) -> None:
+    def _record_acquired(self, sent: _Takeover, version: int) -> None:
         self._established = False
-        self.takeover_unreleased = self._pending_unreleased
-        self.inherited_s = owner.inherited_s
-        self._inherited_until = self.clock.now() + owner.inherited_s
-        self._record_renewed(owner, version)
+        self.takeover_unreleased = sent.unreleased
+        self.inherited_s = sent.row.inherited_s
+        self._inherited_until = self.clock.now() + sent.row.inherited_s
+        self._pending_since = sent.sent_at
+        self._takeover = None
+        self._record_renewed(sent.row, version)
 
     def _record_renewed(self, owner: OwnerRow, version: int) -> None:
         self._held = owner
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import attrs
@@ -272,6 +272,80 @@
     assert not (pair.a.is_valid() and pair.b.is_valid())
 
 
+@pytest.mark.parametrize("pause_s", [0.0, LEASE_S / 2, 0.8 * LEASE_S, 3 * LEASE_S])
+@pytest.mark.parametrize("second", ["conflict", "conflict lost", "late"])
+def test_adopted_lease_counts_from_the_first_copy_of_its_takeover(
+    pause_s: float, second: str
+) -> None:
+    """Guards against two valid leases after a takeover that is stored late.
+
+    The first copy is stored between the read of the row and the second copy, and a
+    candidate counts from there. The read takes long, or the process is paused.
+    """
+    pair = CandidatePair()
+    _lose_answer(pair.table, pair.a.acquire(), is_late=True)
+    slow = SlowReadTable(table=pair.table, lose_replies=second == "conflict lost")
+    pair.a.table = slow
+
+    async def while_reading() -> None:
+        pair.table.deliver()
+        await pair.b.look()
+        pair.advance(pause_s)
+
+    slow.while_reading = while_reading
+    pair.table.delay_commits = second == "late"
+    try:
+        run_async(pair.a.acquire())
+    except errors.TableUnavailable:
+        pass
+    pair.table.delay_commits = False
+    pair.a.table = pair.table
+    # A step shorter than the rest of the pause, so that every order of ends is seen.
+    for _ in range(12):
+        run_async(pair.b.acquire())
+        assert not (pair.a.is_valid() and pair.b.is_valid())
+        if not pair.b.is_holder:
+            run_async(pair.a.acquire())
+        assert not (pair.a.is_valid() and pair.b.is_valid())
+        pair.advance(LEASE_S / 10)
+    pair.table.deliver()
+    assert run_async(pair.a.acquire()) is not run_async(pair.b.acquire())
+
+
+@attrs.define(kw_only=True, eq=False)
+class SlowReadTable:
+    """A table of which the answer to a read arrives late.
+
+    Attributes:
+        table: The table.
+        while_reading: Called once between a read and its answer.
+        lose_replies: Whether the answers of commits are lost.
+    """
+
+    table: DelayedTable
+    while_reading: Callable[[], Awaitable[None]] | None = None
+    lose_replies: bool = False
+
+    async def read(self, *, keys: tuple[str, ...]) -> tuple[Row, ...]:
+        """Read from the table; the answer arrives after `while_reading`."""
+        rows = await self.table.read(keys=keys)
+        wait, self.while_reading = self.while_reading, None
+        if wait is not None:
+            await wait()
+        return rows
+
+    async def scan(self, *, prefix: str) -> tuple[Row, ...]:
+        """Scan the table."""
+        return await self.table.scan(prefix=prefix)
+
+    async def commit(self, txn: Transaction) -> CommitReply:
+        """Commit to the table."""
+        reply = await self.table.commit(txn)
+        if self.lose_replies:
+            raise errors.TableUnavailable("reply lost")
+        return reply
+
+
 def test_lease_found_in_the_hands_of_another_is_abandoned() -> None:
     """On evidence of its death another process may win before a holder's lease ends."""
     pair = CandidatePair()
