Whatever ends an owner, the host does not use its epoch again

Callers would see, with one host left: after a handover to a stronger host that the table left unanswered for 2 s, nobody owned until, and a second owner in the epoch of the first since. Beside another host: a host whose takeovers fail takes over again and again and renews the row meanwhile, so that the other one never owns.

Cause: `Owner.run` also ends without a release: by a handover that ran into its time limit, and by an error of the takeover that nothing expects, after which the candidacy loop is restarted. The lease was kept as held, valid or expired.

Change: `Node._run_owner` abandons the lease at the end of each owner, and the scheduler does when it gives the shard up. A takeover that fails ends its links, releases the lease and then reports the error, so that other hosts compete with the same chances.

--- a/cranberrycleat/scheduler.py
+++ b/cranberrycleat/scheduler.py
@@ -221,6 +221,7 @@
     async def _ownership_lost(self) -> None:
         if self.shard is not None:
             LOG.warning("No longer owner of %s.", self.cfg.data_centre)
+        self.lease.abandon()
         self.shard = None
         self._pending = None
         await self._link_tasks.cancel()
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -478,11 +478,13 @@
                 epoch=self._lease.epoch, silent=self._lease.takeover_unreleased
             )
         )
-        self.owner = self._make_owner()
         try:
+            self.owner = self._make_owner()
             await self.owner.run()
         finally:
             self.owner = None
+            # Whatever ended it, the row may still name this process.
+            self._lease.abandon()
             # An owner does not poll its row, so its last read of it is out of date.
             self._reachability.record_table_failure()
 
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -305,6 +305,11 @@
                 "stored rows not read within the takeover time limit; "
                 "ownership released for a stronger host"
             )
+        except Exception:
+            # Another host may succeed where this one failed, and this one tries again.
+            await self._background_tasks.cancel()
+            await self._release()
+            raise
         finally:
             await self._background_tasks.cancel()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -27,6 +27,8 @@
 
 PARTITION_TIMEOUT_S = 0.1
 """Time until a call over a partitioned link fails."""
+FAILED_SCAN_S = 0.3
+"""Time until a scan fails: the lease is renewed once meanwhile."""
 LONG_LEASE_S = 60.0
 """Longer than any test waits, so an earlier takeover is not due to lease expiry."""
 JOB = {
@@ -42,10 +44,12 @@
     Attributes:
         table: The shared table.
         cut: Whether all calls fail.
+        scans_to_fail: How many of the next scans raise what nothing expects.
     """
 
     table: MemoryFeedTable
     cut: bool = False
+    scans_to_fail: int = 0
 
     def __getattr__(self, name: str) -> Any:
         """Return a method of the table that fails while the connection is cut."""
@@ -55,6 +59,10 @@
             if self.cut:
                 await asyncio.sleep(PARTITION_TIMEOUT_S)
                 raise errors.TableUnavailable("cut")
+            if name == "scan" and self.scans_to_fail:
+                self.scans_to_fail -= 1
+                await asyncio.sleep(FAILED_SCAN_S)
+                raise ValueError("a fault of the host")
             return await call(*args, **given)
 
         return forward
