A release settles a renewal that had no answer, and tells a later holder apart

Stronger hosts had to wait until the lease expired although it was to be released for them: an owner whose takeover exceeds its time limit is cut off in a renewal. Where that was stored, the release met a conflict, took it for another process's write and gave up; the row went on naming a process that does not act. The other way round a conflict after a lost answer passed for the release's own first copy, also where another process had taken over, and the log said "released".

Cause: `release` told the cases apart by the number of the attempt.

Change: after a conflict the row is read. A row of this process's epoch is released with its present version, or is released already; any other is `LeaseLost`. Three attempts without an answer end it, as before.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -396,27 +396,42 @@
         """
         if self._held is None:
             raise LeaseLost(self.key)
-        held = self._held
-        version = self._held_version
+        held, version = self._held, self._held_version
+        inherited_s = self._inherited_remaining_s()
         self.abandon()
-        done = attrs.evolve(
-            held,
-            sequence=held.sequence + 1,
-            released=True,
-            inherited_s=self._inherited_remaining_s(),
-        )
-        txn = self._transaction(version, done, Changes())
-        for attempt in range(RELEASE_ATTEMPTS):
+        unanswered = 0
+        # Only this process writes in its epoch: an earlier copy of the release, or one
+        # renewal, may have been stored without an answer.
+        while not held.released:
+            done = attrs.evolve(
+                held,
+                sequence=held.sequence + 1,
+                released=True,
+                inherited_s=inherited_s,
+            )
             try:
-                reply = await self.table.commit(txn)
+                reply = await self.table.commit(
+                    self._transaction(version, done, Changes())
+                )
+                if reply.committed:
+                    return
+                found = await self._read_own_row(held.epoch)
             except errors.TableUnavailable:
-                if attempt + 1 == RELEASE_ATTEMPTS:
+                unanswered += 1
+                if unanswered == RELEASE_ATTEMPTS:
                     raise
                 continue
-            # After a lost reply the conflict may be with our own first copy.
-            if not reply.committed and not attempt:
+            if found is None:
                 raise LeaseLost(self.key)
-            return
+            held, version = found
+
+    async def _read_own_row(self, epoch: int) -> tuple[OwnerRow, int] | None:
+        """Read the row and its version; None if it is not of this process's epoch."""
+        rows = await self.table.read(keys=(self.key,))
+        owner = codec.decode(rows[0].value, OwnerRow, place=self.key) if rows else None
+        if owner is None or (owner.holder, owner.epoch) != (self.holder, epoch):
+            return None
+        return owner, rows[0].version
 
     def _length_s(self) -> float:
         """Return the lease duration for the next write.
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -30,11 +30,13 @@
     Attributes:
         inner: The underlying table.
         delay_commits: Whether commits are delayed; the sender gets no reply.
+        drop_commits: How many of the next commits are lost before they are stored.
         held: The delayed commits.
     """
 
     inner: MemoryTable = attrs.field(factory=MemoryTable)
     delay_commits: bool = False
+    drop_commits: int = 0
     held: list[Transaction] = attrs.field(factory=list)
 
     async def read(self, *, keys: tuple[str, ...]) -> tuple[Row, ...]:
@@ -47,6 +49,9 @@
 
     async def commit(self, txn: Transaction) -> CommitReply:
         """Commit to the underlying table, or delay the transaction."""
+        if self.drop_commits:
+            self.drop_commits -= 1
+            raise errors.TableUnavailable("lost")
         if self.delay_commits:
             self.held.append(txn)
             raise errors.TableUnavailable("held back")
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -503,6 +503,36 @@
     run_async(run())
 
 
+@pytest.mark.parametrize("is_late", [False, True], ids=["stored", "never stored"])
+@pytest.mark.parametrize("lost", [0, 1, 2])
+def test_release_settles_an_unanswered_renewal(is_late: bool, lost: int) -> None:
+    """Guards against a release that takes a renewal of its own for another's write.
+
+    The owner of a takeover that exceeds its time limit is cut off in a renewal; the
+    stronger hosts, for which it releases the lease, had to wait until it expired.
+    """
+    pair = CandidatePair()
+    assert run_async(pair.a.acquire())
+    _lose_answer(pair.table, pair.a.commit(), is_late=is_late)
+    pair.table.inner.faults.lose_replies = lost
+    run_async(pair.a.release())
+    assert run_async(pair.b.acquire())
+    assert not pair.b.takeover_unreleased
+
+
+@pytest.mark.parametrize("lost", [0, 1, 2])
+def test_release_after_takeover_by_another_is_reported(lost: int) -> None:
+    """A conflict with another process must not pass for this one's first copy."""
+    pair = CandidatePair()
+    assert run_async(pair.a.acquire())
+    pair.b.is_dead = lambda holder: True
+    assert run_async(pair.b.acquire())
+    pair.table.drop_commits = lost
+    with pytest.raises(LeaseLost):
+        run_async(pair.a.release())
+    assert pair.b.is_valid()
+
+
 @pytest.mark.parametrize(
     ("away_s", "renewed", "expected"),
     [
