A task stands still after the time of two percents, not always after 1.2 s

Cause: progress is reported in whole percents, and a worker counted as standing still once none of its plain tasks had advanced for 1.2 s. A percent of a task of 300 s takes 3 s. The log has `worker.stands_still` and "its worker stands still" for each stop.

Change: the time limit is at least the time of two percents of the attempt, by its estimate or by what its percents have taken so far, whichever is longer. For estimates up to 60 s nothing changes. An attempt that advanced within its limit shows that the worker moves, also if it has just begun.

Not changed: members on a worker that does stand still are stopped without a look at `may_miss` (docs/incidents/service-stopped-beside-long-tasks.md).

--- a/cranberrycleat/workflow/decisions/progress.py
+++ b/cranberrycleat/workflow/decisions/progress.py
@@ -10,6 +10,7 @@
 quarantined and probed with a single task, like a worker that fails what it starts.
 """
 
+import math
 from typing import Final
 
 from cranberrycleat.workflow.decisions.ordering import EXPIRED_BAND, SERVICE_BAND, rank
@@ -28,6 +29,9 @@
 stopped gangs with 8 s of slack, and the benefit score of that kind of job fell from 1.0
 to 0.92."""
 COMPLETE_PERCENT: Final = 100.0
+PERCENTS_PER_STALL: Final = 2.0
+"""A task without progress for the time of this many percents is stalled. Progress is
+reported in whole percents, so that one of them takes up to its own time to be seen."""
 
 
 def stall_timeout_s(speed: float) -> float:
@@ -47,15 +51,16 @@
         now: The owner's clock.
         speed: The worker's own speed.
     """
-    timeout_s = stall_timeout_s(speed)
-    indicators = [
-        each
-        for each in worker.placements.values()
-        if _indicates_worker_state(each, now, timeout_s)
-    ]
-    if not indicators:
-        return False
-    return all(now - each.advanced_at >= timeout_s for each in indicators)
+    is_evident = False
+    for each in worker.placements.values():
+        if not _reports_progress(each):
+            continue
+        if now - each.advanced_at >= _timeout_s(each, speed):
+            is_evident = True
+        elif each.advanced_at > each.running_since:
+            return False
+        # Otherwise it has just begun, which tells nothing.
+    return is_evident
 
 
 def placements_to_stop(worker: FleetWorker, now_s: float) -> list[Placement]:
@@ -72,7 +77,7 @@
     ]
 
 
-def _indicates_worker_state(placement: Placement, now: float, timeout_s: float) -> bool:
+def _reports_progress(placement: Placement) -> bool:
     """Return whether an attempt's progress reflects the state of its worker.
 
     The progress of a gang does not, since it waits for members on other workers that
@@ -82,14 +87,33 @@
     if task is None or not placement.running or placement.stopping:
         return False
     spec = task.step.spec
-    if (
+    return not (
         spec.gang
         or spec.service
         or spec.filler
         or placement.percent >= COMPLETE_PERCENT
-    ):
-        return False
-    return now - placement.running_since >= timeout_s
+    )
+
+
+def _timeout_s(placement: Placement, speed: float) -> float:
+    """Return after how long without progress an attempt on a worker is stalled."""
+    least_s = stall_timeout_s(speed)
+    relative_s = PERCENTS_PER_STALL * _percent_s(placement)
+    return max(least_s, relative_s * least_s / STALL_TIMEOUT_S)
+
+
+def _percent_s(placement: Placement) -> float:
+    """Return how long one percent of an attempt takes, in seconds.
+
+    The estimate may be too low; what the attempt has taken so far is then the better
+    one. An attempt that an earlier owner started has no known beginning.
+    """
+    task = placement.tracked_task
+    estimated_s = 0.0 if task is None else task.step.spec.estimate_s / COMPLETE_PERCENT
+    took_s = placement.advanced_at - placement.running_since
+    if placement.percent <= 0.0 or not math.isfinite(took_s):
+        return estimated_s
+    return max(estimated_s, took_s / placement.percent)
 
 
 def _must_restart_elsewhere(placement: Placement, now_s: float) -> bool:
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -66,6 +66,45 @@
     assert progress.is_stalled(only, AFTER_TIMEOUT_S) is expected
 
 
+@pytest.mark.parametrize(
+    ("estimate_s", "percent_s", "percents", "after_s", "expected"),
+    [
+        (300.0, 3.0, 0, 2.9, False),
+        (300.0, 3.0, 0, 6.1, True),
+        (300.0, 3.0, 4, 2.9, False),
+        (300.0, 3.0, 4, 6.1, True),
+        (1.0, 3.0, 4, 2.9, False),
+        (1.0, 3.0, 4, 6.1, True),
+        (60.0, 0.6, 4, AFTER_TIMEOUT_S, True),
+        (300.0, 0.3, 4, AFTER_TIMEOUT_S, False),
+    ],
+    ids=[
+        "first percent of a long task",
+        "long task that has not begun",
+        "long task",
+        "long task that stands still",
+        "longer than estimated",
+        "longer than estimated, stands still",
+        "a minute",
+        "shorter than estimated",
+    ],
+)
+def test_stall_timeout_covers_the_time_of_one_percent(
+    estimate_s: float, percent_s: float, percents: int, after_s: float, expected: bool
+) -> None:
+    """Guards against stops of all members of a service beside long tasks (review/7).
+
+    Progress is reported in whole percents, of which one may take seconds.
+    """
+    only = _worker_running(step(1, estimate_s=estimate_s))
+    (each,) = only.placements.values()
+    for number in range(1, percents + 1):
+        each.apply_report(_report(each, number), number * percent_s)
+    now = percents * percent_s + after_s
+    each.apply_report(_report(each, percents), now)
+    assert progress.is_stalled(only, now) is expected
+
+
 def test_new_task_is_no_stall_evidence() -> None:
     only = _worker_running(step(1))
     assert not progress.is_stalled(only, progress.STALL_TIMEOUT_S / 2)
