A holder goes on with its row under another version

Found in the read-through, of the same class: where the table's rows were restored from a copy, the owner's row names the process and is equal to what it holds, under a version that the process does not know. Each renewal met a conflict, which was taken for a failed check of the caller, and an expired lease stayed so for good.

Change: `acquire` takes the version of the row over where the row is equal to what is held. A write is still conditional on it.

--- a/cranberrycleat/lease.py
+++ b/cranberrycleat/lease.py
@@ -21,6 +21,9 @@
   evidence if the row has changed since: the candidate itself was isolated while
   the holder went on renewing.
 
+What a process may do next with the row as it was read is a `RowStatus`, decided in one
+place; docs/design/ownership-lease.md lists the states and the way out of each.
+
 This module can be imported on its own; it needs a `Clock` and a `Table`.
 """
 
@@ -268,7 +271,7 @@
             self.abandon()
         match status:
             case RowStatus.HELD:
-                self._adopt(row)
+                self._reconcile(row)
                 if not self.is_valid():
                     await self._renew_expired()
             case RowStatus.FREE:
@@ -529,15 +532,22 @@
             return old.inherited_s
         return max(old.inherited_s, old.lease_s + self.grants_outlive_lease_s)
 
-    def _adopt(self, row: Row | None) -> None:
-        """Resolve a takeover whose reply was lost: the row shows that it committed.
+    def _reconcile(self, row: Row | None) -> None:
+        """Bring the lease held into line with the row, which names this process.
+
+        If none is held, a takeover whose reply was lost has committed.
 
         The row does not show which copy was stored, and candidates may have counted
         from the first one. A copy that is no longer known of gives no valid lease.
         """
-        if row is None or self._held is not None:
+        if row is None:
             return
         owner = codec.decode(row.value, OwnerRow, place=self.key)
+        if self._held is not None:
+            if owner == self._held:
+                # Its version differs if the table's rows were restored from a copy.
+                self._held_version = row.version
+            return
         sent = self._takeover
         if sent is None or sent.row != owner:
             sent = _Takeover(
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -346,6 +346,22 @@
         return reply
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 3 * LEASE_S])
+def test_lease_is_renewed_after_its_row_was_rewritten_unchanged(pause_s: float) -> None:
+    """Guards against a stall after the table's rows were restored from a copy.
+
+    The row names this process and has a version that it does not know.
+    """
+    pair = CandidatePair()
+    assert run_async(pair.a.acquire())
+    row = pair.table.inner.rows["lease"]
+    pair.table.inner.apply(Transaction(puts=(Put(key=row.key, value=row.value),)))
+    pair.advance(pause_s)
+    assert run_async(pair.a.acquire())
+    run_async(pair.a.commit())
+    assert pair.a.epoch == 1
+
+
 def test_lease_found_in_the_hands_of_another_is_abandoned() -> None:
     """On evidence of its death another process may win before a holder's lease ends."""
     pair = CandidatePair()
