A long task does not hide short ones that stand still beside it

Beside a task of 300 s, short urgent tasks on a worker that stands still would have been noticed after 6 s instead of 1.2 s.

Change: only an attempt that advanced within the usual time limit shows that the worker moves. One between that and its own limit tells nothing.

Before: 2 of 3 cases of test_long_task_does_not_hide_short_ones_that_stand_still fail. After: they pass, with the other tests of progress, stalled work and steps, decisions and speeds.

--- a/cranberrycleat/workflow/decisions/progress.py
+++ b/cranberrycleat/workflow/decisions/progress.py
@@ -51,15 +51,16 @@
         now: The owner's clock.
         speed: The worker's own speed.
     """
+    moves_s = stall_timeout_s(speed)
     is_evident = False
     for each in worker.placements.values():
         if not _reports_progress(each):
             continue
-        if now - each.advanced_at >= _timeout_s(each, speed):
-            is_evident = True
-        elif each.advanced_at > each.running_since:
+        silent_s = now - each.advanced_at
+        if silent_s < moves_s and each.advanced_at > each.running_since:
             return False
-        # Otherwise it has just begun, which tells nothing.
+        # One that has just begun, or whose percents take long, tells nothing yet.
+        is_evident = is_evident or silent_s >= _timeout_s(each, speed)
     return is_evident
 
 
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -105,6 +105,29 @@
     assert progress.is_stalled(only, now) is expected
 
 
+@pytest.mark.parametrize(
+    ("long_advanced_ago_s", "expected"),
+    [(0.5, False), (2.0, True), (4.0, True)],
+    ids=["it has just advanced", "since then nothing moved", "long since"],
+)
+def test_long_task_does_not_hide_short_ones_that_stand_still(
+    long_advanced_ago_s: float, expected: bool
+) -> None:
+    """The long percents of one task tell nothing of the time since the last of them."""
+    only = _worker_running(step(1), step(1, estimate_s=300.0))
+    now = 9.0
+    for each in only.placements.values():
+        is_long = each.tracked_task is not None and each.tracked_task.step.spec == step(
+            1, estimate_s=300.0
+        )
+        at = now - long_advanced_ago_s if is_long else now - AFTER_TIMEOUT_S
+        each.apply_report(_report(each, 2), at)
+        each.apply_report(_report(each, 2), now)
+        if not is_long:
+            each.running_since = each.advanced_at - 0.1
+    assert progress.is_stalled(only, now) is expected
+
+
 def test_new_task_is_no_stall_evidence() -> None:
     only = _worker_running(step(1))
     assert not progress.is_stalled(only, progress.STALL_TIMEOUT_S / 2)
