job.ended tells why a job is failed, and each lost worker is logged with its kind

Cause: after a takeover nothing in the logs told a job that used up its attempts from one whose workers were lost. job.ended counted the attempts of one owner and named no cause, task.crashes_workers named workers without a reason, and a host did not log where it read the state that it told.

Change: job.ended has the cause as a value: the ends that were counted, with max_attempts as in force for the job, or the lost workers with attempt, address, kind, proof, owner and age. Rows keep both, at the end of a step's fields, so that older versions read them. A loss is a value with its kind; which losses count is unchanged.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -230,9 +230,75 @@
     state: str
 
 
+ATTEMPTS_USED: Final = "attempts used"
+WORKERS_CRASHED: Final = "workers crashed"
+
+
+@attrs.frozen(kw_only=True)
+class CountedEnd:
+    """An end of an attempt that was counted as failed.
+
+    Attributes:
+        index: The index of the task in its step.
+        attempt: The attempt number.
+        worker: The worker that reported it.
+    """
+
+    index: int
+    attempt: int
+    worker: str
+
+
+@attrs.frozen(kw_only=True)
+class CountedLoss:
+    """A worker lost under a task.
+
+    Attributes:
+        attempt: The attempt that it ran.
+        worker: Its incarnation name.
+        address: Its address.
+        kind: What is known of the attempt (see `crash_attribution.LossKind`).
+        proof: How it was proved that the attempt is over.
+        epoch: The epoch of the owner that recorded the loss.
+        age_s: How long before the end of the job it was recorded.
+    """
+
+    attempt: int
+    worker: str
+    address: str
+    kind: str
+    proof: str
+    epoch: int
+    age_s: float
+
+
+@attrs.frozen(kw_only=True)
+class FailureReport:
+    """Why a job was failed.
+
+    Attributes:
+        cause: `ATTEMPTS_USED` or `WORKERS_CRASHED`.
+        task: The task that decided it.
+        max_attempts: The limit that was in force for the job; 0 for other causes.
+        ends: The ends that were counted, of earlier owners as well.
+        losses: The workers lost under the task, of earlier owners as well.
+    """
+
+    cause: str
+    task: str
+    max_attempts: int = 0
+    ends: tuple[CountedEnd, ...] = ()
+    losses: tuple[CountedLoss, ...] = ()
+
+
 @event("job.ended", essential=True)
 class JobEnded:
-    """A job reached a final state; `late` tells whether it missed its objective."""
+    """A job reached a final state; `failure` tells why it is `failed`.
+
+    Attributes:
+        late: Whether it missed its objective.
+        attempts: The number of attempts of its tasks, by all owners.
+    """
 
     job: str
     queue: str
@@ -241,6 +307,15 @@
     objective_s: float
     late: bool
     attempts: int
+    failure: FailureReport | None = None
+
+
+@event("job.failure_told", essential=True)
+class JobFailureTold:
+    """A host told a caller that a job is `failed`; `source` is where it read that."""
+
+    job: str
+    source: str
 
 
 @event("job.shown")
@@ -500,6 +575,24 @@
     survived_s: float = 0.0
 
 
+@event("task.lost_worker")
+class TaskLostWorker:
+    """A worker was lost under an attempt; `kind` tells what that says of the task.
+
+    Attributes:
+        proof: How it was proved that the attempt is over.
+        recorded: The number of losses on record.
+    """
+
+    task: str
+    attempt: int
+    worker: str
+    address: str
+    kind: str
+    proof: str
+    recorded: int
+
+
 @event("task.crashes_workers", essential=True)
 class TaskCrashesWorkers:
     """A task is considered to crash its workers: its job fails.
--- a/cranberrycleat/explain.py
+++ b/cranberrycleat/explain.py
@@ -242,6 +242,9 @@
     for entry in timeline.job_entries:
         if isinstance(entry.event, events.TaskCrashesWorkers):
             return Cause(text="given up: it crashes its workers", entry=entry)
+        if isinstance(entry.event, events.JobEnded) and entry.event.failure:
+            failure = entry.event.failure
+            return Cause(text=f"failed, {failure.cause}: {failure.task}", entry=entry)
     return _stage_cause(timeline)
 
 
--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -22,6 +22,7 @@
 from cranberrycleat.workflow.decisions.permit_choice import AllowedShare
 from cranberrycleat.workflow.decisions.retrying import retry_delay_s
 from cranberrycleat.workflow.decisions.speed_model import DEFAULT_SPEED, is_evidence
+from cranberrycleat.workflow.failure_report import failure_report
 from cranberrycleat.workflow.fleet import (
     AttemptKey,
     Fleet,
@@ -151,7 +152,10 @@
 
     def __attrs_post_init__(self) -> None:
         self.losses = LossTracker(
-            fleet=self.fleet, now=self.now, changed=self._mark_dirty
+            fleet=self.fleet,
+            now=self.now,
+            time_of_day=self.time_of_day,
+            changed=self._mark_dirty,
         )
 
     # --- jobs ---------------------------------------------------------------
@@ -328,6 +332,7 @@
                 objective_s=round(objective, 3),
                 late=after_s > objective,
                 attempts=job.attempts,
+                failure=failure_report(job.failure, job.ended_s),
             )
         )
 
@@ -765,8 +770,9 @@
             return 0
         correlated = self.fleet.failures_correlated_with(worker)
         for placement in placements:
-            if self.losses.record_loss(worker, placement, correlated):
-                self._fail_job(placement)
+            failure = self.losses.record_loss(worker, placement, correlated, loss)
+            if failure is not None and placement.tracked_task is not None:
+                placement.tracked_task.step.job.fail(failure)
             self.give_up(worker, placement, loss.value)
         return len(placements)
 
@@ -780,16 +786,13 @@
                 correlated[key] = self.fleet.failures_correlated_with(
                     each.worker, each.failure
                 )
-            if self.losses.settle(each, correlated[key]):
-                self._finish_job(each.task.step.job, JobState.FAILED)
+            failure = self.losses.settle(each, correlated[key])
+            if failure is not None:
+                job = each.task.step.job
+                job.fail(failure)
+                self._finish_job(job, JobState.FAILED)
         return bool(settled)
 
-    @staticmethod
-    def _fail_job(placement: Placement) -> None:
-        """Set the job of an attempt to fail once the attempt is given up."""
-        assert placement.tracked_task is not None
-        placement.tracked_task.step.job.verdict = JobState.FAILED
-
     # --- replies of workers ---------------------------------------------------
 
     def note_begun(self, placement: Placement) -> None:
@@ -914,7 +917,7 @@
             if end.how is not EndKind.DONE or task.step.spec.service:
                 return
             self._stop_later_attempts(task)
-        job.end(task, end.how, end.saved)
+        job.end(task, end.how, end.saved, worker.name)
         if end.how is EndKind.FAILED:
             task.failed_on[worker.name] = now
             self._delay_retry(task, now)
--- a/cranberrycleat/workflow/crash_attribution.py
+++ b/cranberrycleat/workflow/crash_attribution.py
@@ -27,6 +27,7 @@
 decides where isolated attempts are placed.
 """
 
+import enum
 from typing import Final
 
 import attrs
@@ -54,6 +55,21 @@
 lost, but the task must still start where owners change every few seconds."""
 
 
+class LossKind(enum.Enum):
+    """What is known of an attempt whose worker was lost; the values are stored."""
+
+    CRASH = "crash"
+    """It had only just begun, and nothing else explains the loss."""
+    COINCIDENT = "coincident"
+    """It had only just begun, but the loss may have another cause."""
+    UNOBSERVED = "unobserved"
+    """An earlier owner started it; this one does not know how long it ran."""
+    LATER = "later"
+    """It had outlived the crash window."""
+    OUTLIVED = "outlived"
+    """It had only just begun, but a later attempt outlived the crash window."""
+
+
 @attrs.frozen(kw_only=True)
 class LostWorker:
     """A worker that was lost while it ran an attempt of a task.
@@ -62,14 +78,24 @@
         attempt: The attempt number.
         worker: The worker's incarnation name.
         address: The worker's address; empty if unknown.
-        early: Whether the loss suggests that the attempt, having only just begun,
-            crashed the worker.
+        kind: What is known of the attempt.
+        proof: How it was proved that the attempt is over.
+        epoch: The epoch of the owner that recorded the loss.
+        recorded_s: When it did, in seconds since 1970.
     """
 
     attempt: int
     worker: str
     address: str
-    early: bool
+    kind: LossKind
+    proof: str = ""
+    epoch: int = 0
+    recorded_s: float = 0.0
+
+    @property
+    def early(self) -> bool:
+        """Whether the loss suggests that the attempt crashed the worker."""
+        return self.kind is LossKind.CRASH
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -112,7 +138,7 @@
         if loss not in self.lost:
             return False
         at = self.lost.index(loss)
-        self.lost[at] = attrs.evolve(loss, early=False)
+        self.lost[at] = attrs.evolve(loss, kind=LossKind.COINCIDENT)
         return True
 
     def record_takeover(self, now: float) -> None:
@@ -135,7 +161,10 @@
                 through so many losses that their number means nothing.
         """
         before = self.lost
-        cleared = [attrs.evolve(each, early=False) for each in before]
+        cleared = [
+            attrs.evolve(each, kind=LossKind.OUTLIVED) if each.early else each
+            for each in before
+        ]
         self.lost = [] if lasts else cleared
         return self.lost != before
 
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -203,6 +203,11 @@
             return 0.0
         return max(0.0, now - max(self.running_since, self.planned_at))
 
+    @property
+    def is_adopted(self) -> bool:
+        """Whether an earlier owner placed it."""
+        return self.running_since == float("-inf")
+
     @property
     def is_current(self) -> bool:
         """Whether its task is still placed with this attempt."""
--- a/cranberrycleat/workflow/job_frontend.py
+++ b/cranberrycleat/workflow/job_frontend.py
@@ -445,15 +445,24 @@
         if done:
             answer = query.result()
             if answer is not None and answer.known:
+                self._log_failed_state(job_id, answer.state, "owner")
                 return RequestResult(status=RequestStatus.DONE, state=answer.state)
         else:
             query.cancel()
         if not self.in_contact():
             return RequestResult(status=RequestStatus.REFUSED, reason="cut off")
         try:
-            return await self._stored_state(req)
+            found = await self._stored_state(req)
         except (errors.TableUnavailable, errors.FindingsError) as exc:
             return RequestResult(status=RequestStatus.REFUSED, reason=str(exc))
+        self._log_failed_state(job_id, found.state, "table")
+        return found
+
+    @staticmethod
+    def _log_failed_state(job_id: str, state: str, source: str) -> None:
+        """Log where a host read that a job is failed, before it tells its caller."""
+        if state == JobState.FAILED.value:
+            emit(events.JobFailureTold(job=job_id, source=source))
 
     async def _stored_state(self, req: JobRequest) -> RequestResult:
         keys = (rows.job_key(req.job_id), rows.inbox_key(req.job_id))
--- a/cranberrycleat/workflow/loss_tracker.py
+++ b/cranberrycleat/workflow/loss_tracker.py
@@ -17,9 +17,14 @@
 
 from cranberrycleat import events
 from cranberrycleat.logs import emit
-from cranberrycleat.workflow.crash_attribution import LossRecord, LostWorker
-from cranberrycleat.workflow.fleet import Fleet, FleetWorker, Placement
-from cranberrycleat.workflow.state import Job, Task, TaskState
+from cranberrycleat.workflow.crash_attribution import (
+    CRASH_WINDOW_S,
+    LossKind,
+    LossRecord,
+    LostWorker,
+)
+from cranberrycleat.workflow.fleet import Fleet, FleetWorker, LossCause, Placement
+from cranberrycleat.workflow.state import Job, Task, TaskState, WorkersCrashed
 from cranberrycleat.workflow.worker_failures import CorrelatedFailures, WorkerFailure
 
 
@@ -53,14 +58,18 @@
     Attributes:
         fleet: The workers.
         now: Returns the time on the owner's clock.
+        time_of_day: Returns the time in seconds since 1970.
         changed: Called with a job whose records must be stored.
+        epoch: The owner's epoch.
         jobs_with_losses: Open jobs with tasks under which workers were lost, by job ID.
         provisional: Losses to be judged again, oldest first.
     """
 
     fleet: Fleet
     now: Callable[[], float]
+    time_of_day: Callable[[], float]
     changed: Callable[[Job], None]
+    epoch: int = 0
     jobs_with_losses: dict[str, Job] = attrs.field(factory=dict)
     provisional: list[ProvisionalCrash] = attrs.field(factory=list)
 
@@ -78,8 +87,12 @@
         ]
 
     def record_loss(
-        self, worker: FleetWorker, placement: Placement, correlated: CorrelatedFailures
-    ) -> bool:
+        self,
+        worker: FleetWorker,
+        placement: Placement,
+        correlated: CorrelatedFailures,
+        cause: LossCause,
+    ) -> WorkersCrashed | None:
         """Add a lost worker to the record of a task that may have crashed it.
 
         A worker that left in an orderly way, or whose machine was in maintenance, did
@@ -91,28 +104,33 @@
             worker: The lost worker.
             placement: An attempt that still counts on it.
             correlated: The failures that may have the same cause as the worker's.
+            cause: How it was proved that the attempt is over.
 
         Returns:
-            Whether the job is to be failed.
+            Why the job is to be failed; None if it is not.
         """
         task = placement.tracked_task
         if task is None or not placement.is_current or not placement.ordered:
-            return False
+            return None
         job = task.step.job
         just_begun = not worker.outlived_crash_window(placement)
         left = worker.entry.leaving and bool(worker.entry.address) and not just_begun
         if left or worker.was_held_when_last_heard() or job.verdict is not None:
-            return False
+            return None
         record = task.step.ensure_losses_of(task)
         failure = self.fleet.failure_of(worker)
         isolated = record.needs_isolation()
+        is_crash = not placement.on_unstable_machine and _is_crash(
+            job, failure, correlated, isolated=isolated
+        )
         loss = LostWorker(
             attempt=placement.attempt,
             worker=worker.name,
             address=worker.entry.address,
-            early=just_begun
-            and not placement.on_unstable_machine
-            and _is_crash(job, failure, correlated, isolated=isolated),
+            kind=_kind_of(worker, placement, is_crash=is_crash),
+            proof=cause.value,
+            epoch=self.epoch,
+            recorded_s=self.time_of_day(),
         )
         if (
             loss.early
@@ -131,10 +149,21 @@
             self.provisional.append(provisional)
             if provisional.decides:
                 record.undecided.add(worker.name)
-                loss = attrs.evolve(loss, early=False)
+                loss = attrs.evolve(loss, kind=LossKind.COINCIDENT)
         record.add_loss(loss, self.now())
         self.jobs_with_losses[job.job_id] = job
-        return self._limit_reached(task, record)
+        emit(
+            events.TaskLostWorker(
+                task=task.name,
+                attempt=loss.attempt,
+                worker=loss.worker,
+                address=loss.address,
+                kind=loss.kind.value,
+                proof=loss.proof,
+                recorded=len(record.lost),
+            )
+        )
+        return self._failure_of(task, record)
 
     def take_settled(self) -> list[ProvisionalCrash]:
         """Remove and return the losses that can be judged now."""
@@ -151,8 +180,8 @@
 
     def settle(
         self, provisional: ProvisionalCrash, correlated: CorrelatedFailures
-    ) -> bool:
-        """Judge a loss again; return whether its job is to be failed.
+    ) -> WorkersCrashed | None:
+        """Judge a loss again; return why its job is to be failed, or None.
 
         Args:
             provisional: The loss.
@@ -162,30 +191,30 @@
         job = task.step.job
         record.undecided.discard(loss.worker)
         if job.verdict is not None or task.state is TaskState.DONE:
-            return False
+            return None
         crashed = _is_crash(
             job, provisional.failure, correlated, isolated=provisional.isolated
         )
         if crashed and provisional.decides:
             record.add_loss(loss, self.now())
             self.changed(job)
-            return self._limit_reached(task, record)
+            return self._failure_of(task, record)
         if not crashed and record.exonerate(loss):
             self.changed(job)
-        return False
+        return None
 
     @staticmethod
-    def _limit_reached(task: Task, record: LossRecord) -> bool:
-        """Return whether a task has lost too many workers, and log that."""
+    def _failure_of(task: Task, record: LossRecord) -> WorkersCrashed | None:
+        """Return why a task's job is to be failed for its losses, and log that."""
         if not record.limit_reached():
-            return False
+            return None
         lost = tuple(each.worker for each in record.lost)
         emit(
             events.TaskCrashesWorkers(
                 task=task.name, workers=lost, crashes=record.crashes()
             )
         )
-        return True
+        return WorkersCrashed(task=task.name, losses=tuple(record.lost))
 
     def clear(self, worker: FleetWorker) -> None:
         """Remove a worker that answers again from all records: no task crashed it."""
@@ -213,6 +242,26 @@
             self.changed(task.step.job)
 
 
+def _kind_of(worker: FleetWorker, placement: Placement, *, is_crash: bool) -> LossKind:
+    """Return what is known of an attempt whose worker was lost.
+
+    Args:
+        worker: The lost worker.
+        placement: The attempt.
+        is_crash: Whether nothing but the attempt explains the loss, if it had only just
+            begun.
+    """
+    if placement.is_adopted:
+        # It ran at the worker's latest answer, and had been started before the
+        # takeover.
+        heard_for_s = worker.clock_read_at - placement.planned_at
+        is_later = heard_for_s >= CRASH_WINDOW_S
+        return LossKind.LATER if is_later else LossKind.UNOBSERVED
+    if worker.outlived_crash_window(placement):
+        return LossKind.LATER
+    return LossKind.CRASH if is_crash else LossKind.COINCIDENT
+
+
 def _is_crash(
     job: Job,
     failure: WorkerFailure | None,
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -186,6 +186,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.cluster_state.table_limits = self.table_limits
+        self.cluster_state.losses.epoch = self.epoch
         late_starts = self.cluster_state.late_starts
         late_starts.bound_s = self.leases.late_order_s
         late_starts.run_on_s = self.leases.bounds.max_run_on_s()
--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -23,7 +23,7 @@
 from cranberrycleat import codec, errors
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.table import Put, TableLimits, value_bytes
-from cranberrycleat.workflow.crash_attribution import LossRecord, LostWorker
+from cranberrycleat.workflow.crash_attribution import LossKind, LossRecord, LostWorker
 from cranberrycleat.workflow.decisions.speed_model import LearnedSpeed
 from cranberrycleat.workflow.job_pages import (
     OTHER_SECTION,
@@ -36,6 +36,7 @@
 from cranberrycleat.workflow.ports import Queue
 from cranberrycleat.workflow.spec import WorkflowSpec
 from cranberrycleat.workflow.state import (
+    FailedEnd,
     Job,
     JobState,
     Occurrence,
@@ -76,6 +77,13 @@
 
 
 class _StepRow(msgspec.Struct, array_like=True):
+    """A step of an occurrence.
+
+    `loss_details` has one entry for each of `lost`; a row of an earlier version has
+    none. Fields are only ever added at the end: during a rolling upgrade both versions
+    read each other's rows.
+    """
+
     last_attempt: int = 0
     gang_failures: int = 0
     failed_attempt: int = 0
@@ -84,6 +92,8 @@
     failures: tuple[tuple[int, int], ...] = ()
     saved: tuple[tuple[int, str], ...] = ()
     lost: tuple[tuple[int, int, str, str, bool], ...] = ()
+    loss_details: tuple[tuple[str, str, int, float], ...] = ()
+    failed_ends: tuple[tuple[int, int, str], ...] = ()
 
 
 class _OccurrenceRow(msgspec.Struct, array_like=True):
@@ -100,7 +110,7 @@
     attempts stopped because another one completed the task. `unanswered` lists starts
     that a later incarnation of their worker may carry out (see `late_starts`).
     `accepted_s` is given for ended jobs of a workspace, which count towards its share
-    (see `fair_share`).
+    (see `fair_share`). `attempts` is the number of attempts placed, of an open job.
     """
 
     verdict: int = 0
@@ -113,6 +123,7 @@
     left: tuple[tuple[str, int, str, int, int, int], ...] = ()
     unanswered: tuple[tuple[str, int, str, str, int, int, int], ...] = ()
     accepted_s: float = 0.0
+    attempts: int = 0
 
     def state(self) -> JobState:
         """Return the state reported to callers."""
@@ -276,6 +287,7 @@
         left=tuple(_pack_orphaned_attempt(each) for each in left),
         unanswered=tuple(_pack_unanswered_start(each) for each in unanswered),
         accepted_s=job.accepted_s if job.verdict and job.workspace else 0.0,
+        attempts=0 if job.verdict else job.attempts,
     )
 
 
@@ -301,6 +313,10 @@
                     if t.saved and t.state is not TaskState.DONE
                 ),
                 lost=tuple(_pack_losses(step)),
+                loss_details=tuple(_pack_loss_details(step)),
+                failed_ends=tuple(
+                    (each.index, each.attempt, each.worker) for each in step.failed_ends
+                ),
             )
         )
     return _OccurrenceRow(number=occurrence.number, steps=tuple(steps))
@@ -367,6 +383,14 @@
             yield index, each.attempt, each.worker, each.address, each.early
 
 
+def _pack_loss_details(step: StepRun) -> Iterator[tuple[str, str, int, float]]:
+    """Yield the rest of each lost worker, in the same order."""
+    for record in step.losses.values():
+        for each in record.lost:
+            at_s = round(each.recorded_s, 1)
+            yield each.kind.value, each.proof, each.epoch, at_s
+
+
 def decode_job_row(text: str, place: str) -> JobRow:
     """Decode the mutable part of a job; without its sections if it has any.
 
@@ -430,6 +454,7 @@
         started=row.started,
         spec_stored=True,
         spec_inline=row.spec is not None,
+        attempts=row.attempts,
         workspace=spec.workspace,
         left=_unpack_orphaned_attempts(row),
         unanswered=_unpack_unanswered_starts(row),
@@ -467,11 +492,11 @@
         step.failed_attempt = step_row.failed_attempt
         for index, failures in step_row.failures:
             step.tasks[index].failures = failures
-        for index, attempt, worker, address, early in step_row.lost:
-            loss = LostWorker(
-                attempt=attempt, worker=worker, address=address, early=early
-            )
-            step.losses.setdefault(index, LossRecord()).lost.append(loss)
+        _unpack_losses(step, step_row)
+        step.failed_ends = [
+            FailedEnd(index=index, attempt=attempt, worker=worker)
+            for index, attempt, worker in step_row.failed_ends
+        ]
         for index, saved in step_row.saved:
             step.tasks[index].saved = saved
         for index in step_row.done:
@@ -484,6 +509,34 @@
             task.worker = worker
 
 
+def _unpack_losses(step: StepRun, step_row: _StepRow) -> None:
+    for number, (index, attempt, worker, address, early) in enumerate(step_row.lost):
+        # An earlier version stored no more than whether the loss was a crash.
+        kind = LossKind.CRASH if early else LossKind.UNOBSERVED
+        proof, epoch, recorded_s = "", 0, 0.0
+        if number < len(step_row.loss_details):
+            name, proof, epoch, recorded_s = step_row.loss_details[number]
+            kind = _loss_kind(name, kind)
+        loss = LostWorker(
+            attempt=attempt,
+            worker=worker,
+            address=address,
+            kind=kind,
+            proof=proof,
+            epoch=epoch,
+            recorded_s=recorded_s,
+        )
+        step.losses.setdefault(index, LossRecord()).lost.append(loss)
+
+
+def _loss_kind(name: str, otherwise: LossKind) -> LossKind:
+    """Return a stored kind of loss; `otherwise` for one that a later version wrote."""
+    try:
+        return LossKind(name)
+    except ValueError:
+        return otherwise
+
+
 class SpeedsRow(msgspec.Struct, array_like=True):
     """The learned speeds of a pool's workers, and when they were written (Unix time).
 
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -11,7 +11,7 @@
 
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.workflow.access import may_see
-from cranberrycleat.workflow.crash_attribution import LossRecord
+from cranberrycleat.workflow.crash_attribution import LossRecord, LostWorker
 from cranberrycleat.workflow.job_pages import StoredSection
 from cranberrycleat.workflow.ports import EndKind, Queue
 from cranberrycleat.workflow.spec import StepSpec, WorkflowSpec
@@ -38,6 +38,52 @@
 FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
 
+@attrs.frozen(kw_only=True)
+class FailedEnd:
+    """An end of an attempt that counts towards a queue's `max_attempts`.
+
+    Attributes:
+        index: The index of the task in its step.
+        attempt: The attempt number.
+        worker: The worker that reported it.
+    """
+
+    index: int
+    attempt: int
+    worker: str
+
+
+@attrs.frozen(kw_only=True)
+class AttemptsUsed:
+    """A job is failed because a task or gang failed as often as its queue allows.
+
+    Attributes:
+        task: The task that failed last.
+        max_attempts: The limit in force for the job.
+        ends: The ends that were counted.
+    """
+
+    task: str
+    max_attempts: int
+    ends: tuple[FailedEnd, ...]
+
+
+@attrs.frozen(kw_only=True)
+class WorkersCrashed:
+    """A job is failed because a task or gang is held to crash its workers.
+
+    Attributes:
+        task: The task under which the last worker was lost.
+        losses: The lost workers on record.
+    """
+
+    task: str
+    losses: tuple[LostWorker, ...]
+
+
+FailureCause = AttemptsUsed | WorkersCrashed
+
+
 @attrs.define(kw_only=True, eq=False)
 class Task:
     """One task of one step of one occurrence.
@@ -112,6 +158,7 @@
         urgency: The inputs to its scheduling rank, once computed.
         losses: The workers lost while they ran its tasks, by task index; those of a
             gang are recorded under its first member.
+        failed_ends: The ends that were counted as failed, oldest first.
     """
 
     job: "Job"
@@ -131,6 +178,7 @@
     waits_since: float | None = None
     urgency: StepUrgency | None = None
     losses: dict[int, LossRecord] = attrs.field(factory=dict)
+    failed_ends: list[FailedEnd] = attrs.field(factory=list)
 
     @property
     def name(self) -> str:
@@ -234,6 +282,7 @@
         spec: The job as submitted.
         accepted_s: When it was accepted, in seconds since 1970.
         verdict: Its final state; None while it is open.
+        failure: Why it is failed; None if it is not, or if an earlier owner failed it.
         ended_s: When it became final, in seconds since 1970.
         started: Whether any of its tasks was ever placed.
         next_occurrence: The number of the first occurrence not yet opened.
@@ -241,7 +290,7 @@
         spec_stored: Whether its immutable part has been stored.
         spec_inline: Whether the immutable part is stored inline, in the mutable row.
         sent_to_table: Whether any transaction containing it was sent.
-        attempts: The number of attempts of its tasks that this owner placed.
+        attempts: The number of attempts of its tasks that were placed.
         workspace: The workspace it belongs to; empty for none: visible to everyone.
         left: Orphaned attempts whose end an earlier owner did not receive.
         unanswered: Starts that an earlier owner sent without an answer.
@@ -254,6 +303,7 @@
     spec: WorkflowSpec
     accepted_s: float
     verdict: JobState | None = None
+    failure: FailureCause | None = None
     ended_s: float = 0.0
     started: bool = False
     next_occurrence: int = 0
@@ -336,8 +386,13 @@
         task.is_stopping = False
         task.worker = ""
 
-    def end(self, task: Task, how: EndKind, saved: str) -> None:
-        """Record the end of the current attempt of a task."""
+    def fail(self, cause: FailureCause) -> None:
+        """Set the job to failed."""
+        self.verdict = JobState.FAILED
+        self.failure = cause
+
+    def end(self, task: Task, how: EndKind, saved: str, worker: str) -> None:
+        """Record the end of the current attempt of a task, reported by a worker."""
         if saved:
             self.note_saved(task, saved)
         match how:
@@ -345,7 +400,7 @@
                 self._mark_done(task)
             case EndKind.FAILED if not task.step.spec.service:
                 self.unplace(task)
-                self._count_failure(task)
+                self._count_failure(task, worker)
             case _:
                 self.unplace(task)
 
@@ -369,15 +424,24 @@
         if not self.open and self.next_occurrence >= self.spec.occurrences():
             self.verdict = JobState.COMPLETED
 
-    def _count_failure(self, task: Task) -> None:
+    def _count_failure(self, task: Task, worker: str) -> None:
         step = task.step
+        end = FailedEnd(index=task.index, attempt=task.attempt, worker=worker)
         if not step.spec.gang:
             task.failures += 1
             failures = task.failures
+            step.failed_ends.append(end)
         else:
             if step.failed_attempt < task.attempt:
                 step.failed_attempt = task.attempt
                 step.gang_failures += 1
+                step.failed_ends.append(end)
             failures = step.gang_failures
         if failures >= self.queue.max_attempts:
-            self.verdict = JobState.FAILED
+            ends = tuple(
+                each
+                for each in step.failed_ends
+                if step.spec.gang or each.index == task.index
+            )
+            limit = self.queue.max_attempts
+            self.fail(AttemptsUsed(task=task.name, max_attempts=limit, ends=ends))
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -71,6 +71,8 @@
                     "jobs.ended", queue=queue, state=state, late=str(late).lower()
                 )
                 metrics.record("jobs.duration", after_s, queue=queue)
+                if event.failure is not None:
+                    metrics.count("jobs.failed", queue=queue, cause=event.failure.cause)
             case events.JobForecastOutcome(
                 queue=queue, what=what, forecast_s=forecast_s, after_s=after_s
             ):
@@ -137,6 +139,8 @@
                 metrics.count("tasks.refused", verdict=verdict)
             case events.TaskGivenUp(reason=reason):
                 metrics.count("tasks.given_up", reason=reason)
+            case events.TaskLostWorker(kind=kind):
+                metrics.count("tasks.lost_workers", kind=kind)
             case events.TaskCrashesWorkers():
                 metrics.count("tasks.crash_workers")
             case events.TaskEnded(how=how, ran_s=ran_s):
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -20,6 +20,7 @@
     ISOLATION_WAIT_S,
     LOST_WORKER_LIMIT,
     TAKEOVER_ISOLATION_WAIT_S,
+    LossKind,
     LossRecord,
     LostWorker,
 )
@@ -37,25 +38,23 @@
 from tests.fakes import run_async
 from tests.test_planner import NOW_S, cluster_state, plan, worker
 
-EARLY = "early"
-LATE = "late"
-SURVIVED = "settled"
+EARLY = LossKind.CRASH
+LATE = LossKind.LATER
+SURVIVED = None
 
 
-def _loss(number: int, address: str, *, early: bool = True) -> LostWorker:
-    return LostWorker(
-        attempt=number, worker=f"i-{number}", address=address, early=early
-    )
+def _loss(number: int, address: str, *, kind: LossKind = LossKind.CRASH) -> LostWorker:
+    return LostWorker(attempt=number, worker=f"i-{number}", address=address, kind=kind)
 
 
-def _record(*what: tuple[str, str], lasts: bool = False) -> LossRecord:
+def _record(*what: tuple[LossKind | None, str], lasts: bool = False) -> LossRecord:
     """Return a record of losses, and of attempts between them that survived."""
     record = LossRecord()
     for number, (kind, address) in enumerate(what):
-        if kind == SURVIVED:
+        if kind is None:
             record.attempt_survived(lasts=lasts)
         else:
-            record.add_loss(_loss(number, address, early=kind == EARLY), now=0.0)
+            record.add_loss(_loss(number, address, kind=kind), now=0.0)
     return record
 
 
@@ -91,7 +90,7 @@
     ],
 )
 def test_when_a_loss_record_reaches_its_limits(
-    what: list[tuple[str, str]], lasts: bool, trial: bool, enough: bool
+    what: list[tuple[LossKind | None, str]], lasts: bool, trial: bool, enough: bool
 ) -> None:
     record = _record(*what, lasts=lasts)
     assert record.next_crash_is_final() == bool(trial)
@@ -143,8 +142,8 @@
 
 def test_gang_records_one_lost_worker_per_attempt() -> None:
     record = LossRecord()
-    for number, early in enumerate((False, True, False)):
-        loss = LostWorker(attempt=7, worker=f"w{number}", address="", early=early)
+    for number, kind in enumerate((LATE, EARLY, LATE)):
+        loss = LostWorker(attempt=7, worker=f"w{number}", address="", kind=kind)
         record.add_loss(loss, now=0.0)
     assert [(each.worker, each.early) for each in record.lost] == [("w1", True)]
 
@@ -351,7 +350,7 @@
     owner_board = cluster_state(worker("w"))
     owner_board.accept("a", queue(), job(step()))
     text = rows.job_put(owner_board.jobs["a"]).value
-    older = text.replace(",[]]]]]", "]]]]", 1)
+    older = text.replace(",[],[],[]]]]]", "]]]]", 1)
     assert older != text
     spec = rows.SpecRow(queue=queue(), spec=job(step()), accepted_s=NOW_S)
     restored = rows.restore("a", spec, rows.decode_job_row(older, "jobs/a"))
@@ -475,7 +474,7 @@
     _accept_suspected_job(owner_board, spec, 0)
     record = _step_of(owner_board).ensure_losses_of(_step_of(owner_board).tasks[0])
     for number in range(lost):
-        record.add_loss(_loss(number, f"elsewhere-{number}:1", early=False), now=0.0)
+        record.add_loss(_loss(number, f"elsewhere-{number}:1", kind=LATE), now=0.0)
     for each in owner_board.fleet.workers.values():
         owner_board.fleet.record_worker_failure(each, 0.0)
     assert len(plan(owner_board, now=ISOLATION_WAIT_S - 0.1).groups) == expected
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -7,7 +7,7 @@
 
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.crash_attribution import LostWorker
+from cranberrycleat.workflow.crash_attribution import LossKind, LostWorker
 from cranberrycleat.workflow.decisions.feasibility import infeasibility_reason
 from cranberrycleat.workflow.decisions.planner import Plan, Planner
 from cranberrycleat.workflow.fleet import (
@@ -103,7 +103,7 @@
             attempt=number + 1,
             worker=f"{lost.name}-before",
             address=lost.entry.address,
-            early=False,
+            kind=LossKind.COINCIDENT,
         )
         gang.ensure_losses_of(gang.tasks[0]).add_loss(loss, 0.0)
     submit(owner_board, "s", job(step(1)), queue())
--- a/tests/test_provisional_losses.py
+++ b/tests/test_provisional_losses.py
@@ -18,6 +18,7 @@
     CRASH_WINDOW_S,
     ISOLATION_WAIT_S,
     LOST_WORKER_LIMIT,
+    LossKind,
     LossRecord,
     LostWorker,
 )
@@ -208,7 +209,10 @@
     owner_board.accept("a", queue(), job(spec))
     for number in range(CRASH_ADDRESS_LIMIT - 1):
         loss = LostWorker(
-            attempt=number, worker=f"i-{number}", address=f"e-{number}:1", early=True
+            attempt=number,
+            worker=f"i-{number}",
+            address=f"e-{number}:1",
+            kind=LossKind.CRASH,
         )
         _record_of(owner_board).add_loss(loss, 0.0)
     _begin(owner_board, "a", lost, CRASH_ADDRESS_LIMIT)
@@ -342,7 +346,10 @@
     for number in range(len(record.lost), LOST_WORKER_LIMIT):
         assert not record.limit_reached()
         loss = LostWorker(
-            attempt=10 + number, worker="x", address=f"x-{number}:1", early=False
+            attempt=10 + number,
+            worker="x",
+            address=f"x-{number}:1",
+            kind=LossKind.COINCIDENT,
         )
         record.add_loss(loss, 50.0)
     assert record.limit_reached()
@@ -358,7 +365,11 @@
             attempt=number,
             worker=f"i-{number}",
             address=f"e-{number}:1",
-            early=number < CRASH_ADDRESS_LIMIT - 1,
+            kind=(
+                LossKind.CRASH
+                if number < CRASH_ADDRESS_LIMIT - 1
+                else LossKind.COINCIDENT
+            ),
         )
         _record_of(owner_board).add_loss(loss, 0.0)
     _begin(owner_board, "a", lost, LOST_WORKER_LIMIT)
--- a/tests/test_stalled_steps.py
+++ b/tests/test_stalled_steps.py
@@ -9,7 +9,7 @@
 from cranberrycleat import events
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.crash_attribution import LostWorker
+from cranberrycleat.workflow.crash_attribution import LossKind, LostWorker
 from cranberrycleat.workflow.decisions import stalls
 from cranberrycleat.workflow.decisions.planner import Planner
 from cranberrycleat.workflow.decisions.pool_snapshot import could_run_on
@@ -229,7 +229,7 @@
     losses = step_run.ensure_losses_of(step_run.tasks[index])
     for attempt, at in enumerate((address, "gone-2:1"), start=1):
         lost = LostWorker(
-            attempt=attempt, worker=f"before-{attempt}", address=at, early=True
+            attempt=attempt, worker=f"before-{attempt}", address=at, kind=LossKind.CRASH
         )
         losses.add_loss(lost, 0.0)
     assert losses.needs_isolation()
@@ -404,7 +404,10 @@
         waiting.tasks[0].failed_on["idle"] = 0.0
     else:
         loss = LostWorker(
-            attempt=1, worker="before", address=idle.entry.address, early=False
+            attempt=1,
+            worker="before",
+            address=idle.entry.address,
+            kind=LossKind.COINCIDENT,
         )
         waiting.ensure_losses_of(waiting.tasks[0]).add_loss(loss, 0.0)
     planner = Planner(cluster_state=owner_board)
--- a/tests/test_wide_steps.py
+++ b/tests/test_wide_steps.py
@@ -10,7 +10,7 @@
 
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.workflow.cluster_state import ClusterState
-from cranberrycleat.workflow.crash_attribution import LostWorker
+from cranberrycleat.workflow.crash_attribution import LossKind, LostWorker
 from cranberrycleat.workflow.decisions import isolation
 from cranberrycleat.workflow.decisions.planner import (
     MAX_ROUND_WORK,
@@ -236,7 +236,10 @@
             run.tasks[index % shape.tasks].failed_on[f"w{at}"] = 0.0
         for index, at in shape.lost.items():
             loss = LostWorker(
-                attempt=1, worker=f"before-{at}", address=f"w{at}:1", early=True
+                attempt=1,
+                worker=f"before-{at}",
+                address=f"w{at}:1",
+                kind=LossKind.CRASH,
             )
             run.ensure_losses_of(run.tasks[index % shape.tasks]).add_loss(loss, 0.0)
     return owner_board
