A job is failed by lost workers only where they are evidence that its task crashed them

Cause: LOST_WORKER_LIMIT counted five lost workers for any reason: an attempt that had run for seconds, a worker that was cut off, that fell with others, or that a new owner did not reach. Class: a verdict that counts what is no evidence.

Change: each loss has a kind, and one table (EVIDENCE) says what a kind counts for, the same for tasks, gangs and services. A job is failed by crashes at three addresses, as before, or by five losses in a row of attempts that no owner has seen outlive the crash window, two of them unexplained. Other losses never fail it. An attempt that outlives the window ends the row; a gang has outlived it once all members have. An attempt of an earlier owner counts as observed from the takeover on, not for ever.

The last attempts are isolated after three losses that may have been crashes, not after any three. A gang's record was kept for ever; it is now kept while any member has not outlived the window.

--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -73,8 +73,6 @@
 MAX_KEPT_ENDS: Final = 400
 """How many ends of one worker are kept at most: it lists the oldest 500 only, so that
 later ones would not be received."""
-MAX_REPORTED_SURVIVAL_S: Final = 999.0
-"""The survival time logged for an attempt that began before this owner took over."""
 ENDED_AT_ROUNDING_S: Final = 1.0
 """Rows hold the time at which a job ended in whole seconds."""
 MAX_UNBEGUN_OCCURRENCES: Final = 64
@@ -739,9 +737,7 @@
                 worker=worker.name,
                 reason=reason,
                 began=placement.running,
-                survived_s=round(
-                    min(MAX_REPORTED_SURVIVAL_S, worker.survived_s(placement)), 3
-                ),
+                survived_s=round(worker.survived_s(placement), 3),
             )
         )
         task = placement.tracked_task
--- a/cranberrycleat/workflow/crash_attribution.py
+++ b/cranberrycleat/workflow/crash_attribution.py
@@ -4,49 +4,56 @@
 task did to it, and workers are lost for many other reasons too. Errors in both
 directions are expensive: a task that is retried for ever takes down a worker, and
 everything that runs there, with each start; a healthy task that is failed is lost to
-its caller. A task is therefore held responsible only if all of the following hold:
+its caller. So each loss has a kind, and `EVIDENCE` says what a kind counts for. A loss
+is held against its task only if all of the following hold:
 
 - The attempt had only just begun (`CRASH_WINDOW_S`). An attempt that has run for a
   while beside other tasks is not what crashed its worker, and it clears all earlier
   suspicion of its task.
-- It happened at several addresses, so that a machine that fails repeatedly is not
-  attributed to a task.
-- At the last loss nothing else had just begun on the worker, no other worker was lost
-  at that moment, and the machine had not failed shortly before. Such an attempt is
-  called isolated. Without it, tasks that merely
-  ran beside one that crashes its workers would be held responsible with it, since they
-  are lost at the same moments and are placed together again; and workers that are lost
-  together may have a cause in common.
+- At that moment no other worker was lost with a common cause. Where the attempt was
+  isolated, no other worker at all was lost, nothing else had just begun there, and the
+  machine had not failed shortly before.
 
 A worker that answers again was partitioned and did not crash, so it is removed from the
-record. Whatever the reasons, no task may lose more than `LOST_WORKER_LIMIT` workers:
-this stops tasks that crash a worker only after a while, and tasks that may run on few
-machines. The last attempts before that limit wait for a stable machine
-(`LossRecord.needs_isolation`), so that they are not lost to the same disturbance as the
-first ones. `rows` stores the record so that it survives a change of owner; the planner
-decides where isolated attempts are placed.
+record. The job is failed after such losses at `CRASH_ADDRESS_LIMIT` addresses, so that
+a machine that fails repeatedly is not attributed to a task. The last attempt before
+that is isolated: tasks that merely ran beside one that crashes its workers are lost at
+the same moments and are placed together again.
+
+A task that crashes its workers amid other failures, amid changes of owner or on few
+machines is stopped by `START_LOSS_LIMIT`. It counts losses in a row, each of an attempt
+that no owner has seen outlive the window. As other failures explain some of them,
+`MIN_UNEXPLAINED` of them must have no explanation but the task. Losses of any other
+kind never fail a task, however many there are. `rows` stores the record so that it
+survives a change of owner; the planner decides where isolated attempts are placed.
 """
 
 import enum
+from collections.abc import Mapping
 from typing import Final
 
 import attrs
 
 CRASH_WINDOW_S: Final = 0.3
 """An attempt whose worker still answers this long after the attempt began is not held
-responsible for a crash. A task that crashes its worker later is stopped by
-`LOST_WORKER_LIMIT`; with a longer window more coincidental failures would be attributed
-to healthy tasks."""
+responsible for a crash; with a longer window more coincidental failures would be
+attributed to healthy tasks."""
 CRASH_ADDRESS_LIMIT: Final = 3
 """Number of addresses at which a task must have crashed its worker, the last time in an
 isolated attempt. The platform allows two; the third protects healthy tasks that were
 beside the crashing one twice."""
-LOST_WORKER_LIMIT: Final = 5
-"""Number of workers that a task may lose for any reason. The platform forbids a sixth
-start of a task that crashes its workers."""
-ISOLATED_LAST_ATTEMPTS: Final = 2
-"""Number of attempts before `LOST_WORKER_LIMIT` that are isolated, however the earlier
-workers were lost."""
+START_LOSS_LIMIT: Final = 5
+"""Number of attempts in a row that may be lost just after they began. The platform
+forbids a sixth start of a task that crashes its workers."""
+MIN_UNEXPLAINED: Final = 2
+"""Number of these losses that nothing but the task explains. The platform allows to
+give up a task under which two workers have crashed."""
+SUSPECT_LOSSES: Final = 3
+"""Number of losses that may have been crashes after which attempts are isolated: while
+many workers are lost, a healthy task that is retried at once would lose
+`START_LOSS_LIMIT` of them to one disturbance."""
+MAX_LOSSES_KEPT: Final = 8
+"""How many losses a record keeps; a long task may lose workers for days."""
 ISOLATION_WAIT_S: Final = 3.0
 """How long an isolated attempt waits for a stable worker on which nothing has just
 begun."""
@@ -63,11 +70,39 @@
     COINCIDENT = "coincident"
     """It had only just begun, but the loss may have another cause."""
     UNOBSERVED = "unobserved"
-    """An earlier owner started it; this one does not know how long it ran."""
+    """An earlier owner started it, and the worker was replaced or is not listed."""
+    UNREACHED = "unreached"
+    """An earlier owner started it, and this one never reached the listed worker."""
     LATER = "later"
     """It had outlived the crash window."""
     OUTLIVED = "outlived"
-    """It had only just begun, but a later attempt outlived the crash window."""
+    """Like the first four, but a later attempt has outlived the crash window."""
+
+
+class Evidence(enum.IntEnum):
+    """What a loss counts for; each value includes the lower ones."""
+
+    NONE = 0
+    SUSPECT = 1
+    """It may have been a crash: counts towards `SUSPECT_LOSSES`."""
+    AT_START = 2
+    """Counts towards `START_LOSS_LIMIT`."""
+    UNEXPLAINED = 3
+    """Counts towards `MIN_UNEXPLAINED`."""
+    CRASH = 4
+    """Its address counts towards `CRASH_ADDRESS_LIMIT`."""
+
+
+EVIDENCE: Final[Mapping[LossKind, Evidence]] = {
+    LossKind.CRASH: Evidence.CRASH,
+    # While a task has suspect losses, that an attempt outlived the window is stored; so
+    # no owner is known to have seen it.
+    LossKind.UNOBSERVED: Evidence.UNEXPLAINED,
+    LossKind.COINCIDENT: Evidence.AT_START,
+    LossKind.UNREACHED: Evidence.SUSPECT,
+    LossKind.LATER: Evidence.NONE,
+    LossKind.OUTLIVED: Evidence.NONE,
+}
 
 
 @attrs.frozen(kw_only=True)
@@ -93,9 +128,9 @@
     recorded_s: float = 0.0
 
     @property
-    def early(self) -> bool:
-        """Whether the loss suggests that the attempt crashed the worker."""
-        return self.kind is LossKind.CRASH
+    def evidence(self) -> Evidence:
+        """What the loss counts for."""
+        return EVIDENCE[self.kind]
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -117,20 +152,26 @@
 
     def add_loss(self, loss: LostWorker, now: float) -> None:
         """Record a loss; a gang that loses several workers at once counts one."""
+        added = self._with(loss)
+        if added is not self.lost:
+            self.lost = added
+            self.changed_at = now
+
+    def _with(self, loss: LostWorker) -> list[LostWorker]:
+        """Return the losses with one more; the same list if it adds nothing."""
         same = [each for each in self.lost if each.attempt == loss.attempt]
-        if same and (same[0].early or not loss.early):
-            return
-        self.lost = [each for each in self.lost if each not in same]
-        self.lost.append(loss)
-        self.changed_at = now
+        if same and same[0].evidence >= loss.evidence:
+            return self.lost
+        kept = [each for each in self.lost if each not in same]
+        if len(kept) >= MAX_LOSSES_KEPT:
+            kept.remove(min(kept, key=lambda each: each.evidence))
+        return [*kept, loss]
 
     def would_fail_task(self, loss: LostWorker) -> bool:
         """Return whether the task is to be failed only if a loss is a crash."""
-        addresses = {each.address for each in self.lost if each.early}
-        return (
-            len(addresses | {loss.address}) >= CRASH_ADDRESS_LIMIT
-            and len({loss.attempt, *(each.attempt for each in self.lost)})
-            < LOST_WORKER_LIMIT
+        otherwise = attrs.evolve(loss, kind=LossKind.COINCIDENT)
+        return LossRecord(lost=self._with(loss)).limit_reached() and not (
+            LossRecord(lost=self._with(otherwise)).limit_reached()
         )
 
     def exonerate(self, loss: LostWorker) -> bool:
@@ -162,7 +203,7 @@
         """
         before = self.lost
         cleared = [
-            attrs.evolve(each, kind=LossKind.OUTLIVED) if each.early else each
+            (attrs.evolve(each, kind=LossKind.OUTLIVED) if each.evidence else each)
             for each in before
         ]
         self.lost = [] if lasts else cleared
@@ -177,15 +218,9 @@
         return self.crashes() >= CRASH_ADDRESS_LIMIT - 1
 
     def needs_isolation(self) -> bool:
-        """Return whether the next attempt must be isolated from other starts.
-
-        While many workers are lost, a healthy task that is retried at once loses
-        `LOST_WORKER_LIMIT` of them within seconds. So the last attempts before that
-        limit are isolated as well.
-        """
-        return (
-            self.next_crash_is_final()
-            or len(self.lost) >= LOST_WORKER_LIMIT - ISOLATED_LAST_ATTEMPTS
+        """Return whether the next attempt must be isolated from other starts."""
+        return self.next_crash_is_final() or (
+            self._count(Evidence.SUSPECT) >= SUSPECT_LOSSES
         )
 
     def isolation_wait_expired(self, now: float) -> bool:
@@ -194,10 +229,16 @@
 
     def limit_reached(self) -> bool:
         """Return whether the task is to be failed."""
-        return (
-            self.crashes() >= CRASH_ADDRESS_LIMIT or len(self.lost) >= LOST_WORKER_LIMIT
+        return self.crashes() >= CRASH_ADDRESS_LIMIT or (
+            self._count(Evidence.AT_START) >= START_LOSS_LIMIT
+            and self._count(Evidence.UNEXPLAINED) >= MIN_UNEXPLAINED
         )
 
     def crashes(self) -> int:
         """Return at how many addresses the task appears to have crashed its worker."""
-        return len({each.address for each in self.lost if each.early})
+        return len(
+            {each.address for each in self.lost if each.evidence is Evidence.CRASH}
+        )
+
+    def _count(self, at_least: Evidence) -> int:
+        return sum(each.evidence >= at_least for each in self.lost)
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -486,10 +486,14 @@
         return self.unsized > 0
 
     def survived_s(self, placement: Placement) -> float:
-        """Return how long after an attempt began this worker last answered."""
+        """Return how long after an attempt began this worker last answered.
+
+        An attempt of an earlier owner had begun at the latest when this one took over.
+        """
         if not placement.running:
             return 0.0
-        return max(0.0, self.clock_read_at - placement.running_since)
+        began_at = max(placement.running_since, placement.planned_at)
+        return max(0.0, self.clock_read_at - began_at)
 
     def counts(self, placement: Placement) -> bool:
         """Return whether a placement still counts here."""
--- a/cranberrycleat/workflow/loss_tracker.py
+++ b/cranberrycleat/workflow/loss_tracker.py
@@ -18,7 +18,6 @@
 from cranberrycleat import events
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.crash_attribution import (
-    CRASH_WINDOW_S,
     LossKind,
     LossRecord,
     LostWorker,
@@ -96,9 +95,8 @@
         """Add a lost worker to the record of a task that may have crashed it.
 
         A worker that left in an orderly way, or whose machine was in maintenance, did
-        not crash; but what a leaving worker was given in its last moments may have
-        crashed it. For a placement that an earlier owner stored it is not known how
-        long it ran.
+        not crash; but what a leaving worker was given in its last moments by this owner
+        may have crashed it.
 
         Args:
             worker: The lost worker.
@@ -114,7 +112,8 @@
             return None
         job = task.step.job
         just_begun = not worker.outlived_crash_window(placement)
-        left = worker.entry.leaving and bool(worker.entry.address) and not just_begun
+        is_leaving = worker.entry.leaving and bool(worker.entry.address)
+        left = is_leaving and (placement.is_adopted or not just_begun)
         if left or worker.was_held_when_last_heard() or job.verdict is not None:
             return None
         record = task.step.ensure_losses_of(task)
@@ -127,13 +126,13 @@
             attempt=placement.attempt,
             worker=worker.name,
             address=worker.entry.address,
-            kind=_kind_of(worker, placement, is_crash=is_crash),
+            kind=_kind_of(worker, placement, cause, is_crash=is_crash),
             proof=cause.value,
             epoch=self.epoch,
             recorded_s=self.time_of_day(),
         )
         if (
-            loss.early
+            loss.kind is LossKind.CRASH
             and failure is not None
             and failure.may_miss_others(self.now(), self.fleet.heard_until())
         ):
@@ -229,36 +228,51 @@
     def attempt_survived(self, worker: FleetWorker, placement: Placement) -> None:
         """Clear suspicion of a task whose attempt has outlived the crash window.
 
-        A gang's record is kept: its other members run on while the loss of one is still
-        being detected.
+        A gang has outlived it once every member has: the others run on while the loss
+        of one is still being detected.
         """
         task = placement.tracked_task
-        if task is None or not placement.is_current or task.step.spec.gang:
+        if task is None or not placement.is_current:
             return
-        record = task.step.losses_of(task)
-        if record is None or not worker.outlived_crash_window(placement):
+        step = task.step
+        record = step.losses_of(task)
+        if record is None or not record.lost:
             return
-        if record.attempt_survived(lasts=task.step.spec.service):
-            self.changed(task.step.job)
+        members = step.tasks if step.spec.gang else [task]
+        if not worker.outlived_crash_window(placement) or not all(
+            map(self._outlived_crash_window, members)
+        ):
+            return
+        if record.attempt_survived(lasts=step.spec.service):
+            self.changed(step.job)
+
+    def _outlived_crash_window(self, task: Task) -> bool:
+        """Return whether the current attempt of a task has outlived the window."""
+        worker = self.fleet.workers.get(task.worker)
+        if worker is None:
+            return False
+        placement = worker.placements.get((task.name, task.attempt))
+        return placement is not None and worker.outlived_crash_window(placement)
 
 
-def _kind_of(worker: FleetWorker, placement: Placement, *, is_crash: bool) -> LossKind:
+def _kind_of(
+    worker: FleetWorker, placement: Placement, cause: LossCause, *, is_crash: bool
+) -> LossKind:
     """Return what is known of an attempt whose worker was lost.
 
     Args:
         worker: The lost worker.
         placement: The attempt.
+        cause: How it was proved that the attempt is over.
         is_crash: Whether nothing but the attempt explains the loss, if it had only just
             begun.
     """
-    if placement.is_adopted:
-        # It ran at the worker's latest answer, and had been started before the
-        # takeover.
-        heard_for_s = worker.clock_read_at - placement.planned_at
-        is_later = heard_for_s >= CRASH_WINDOW_S
-        return LossKind.LATER if is_later else LossKind.UNOBSERVED
     if worker.outlived_crash_window(placement):
         return LossKind.LATER
+    if placement.is_adopted:
+        # The platform drops the entry of a worker that crashed or left.
+        has_ended = cause is LossCause.REPLACED or not worker.listed
+        return LossKind.UNOBSERVED if has_ended else LossKind.UNREACHED
     return LossKind.CRASH if is_crash else LossKind.COINCIDENT
 
 
--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -380,7 +380,8 @@
     """Yield the lost workers; a successor continues the count from them."""
     for index, record in step.losses.items():
         for each in record.lost:
-            yield index, each.attempt, each.worker, each.address, each.early
+            is_crash = each.kind is LossKind.CRASH
+            yield index, each.attempt, each.worker, each.address, is_crash
 
 
 def _pack_loss_details(step: StepRun) -> Iterator[tuple[str, str, int, float]]:
@@ -512,7 +513,7 @@
 def _unpack_losses(step: StepRun, step_row: _StepRow) -> None:
     for number, (index, attempt, worker, address, early) in enumerate(step_row.lost):
         # An earlier version stored no more than whether the loss was a crash.
-        kind = LossKind.CRASH if early else LossKind.UNOBSERVED
+        kind = LossKind.CRASH if early else LossKind.UNREACHED
         proof, epoch, recorded_s = "", 0, 0.0
         if number < len(step_row.loss_details):
             name, proof, epoch, recorded_s = step_row.loss_details[number]
