An end of an attempt that is reported again is not counted again

Callers could see a job as failed after one failed attempt of two (LOST).

Cause: _handle_end took an end of the latest attempt of a task for news while the task waited for its next attempt, even if that attempt had ended already. The same end comes again from a worker whose entry lapsed before the end was acknowledged and that the owner meets anew, or from a copy of the start that another incarnation carried out late. Gangs were guarded by failed_attempt, single tasks by nothing. Class: one observation counted twice.

Change: a task keeps the number of the attempt that has ended; a second end of it is news only if it is done.

That this is what the users met is not shown: the task must wait until its end is heard again.

--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -906,10 +906,12 @@
         self._untrack_unstarted(job)
         if task.state is TaskState.DONE:
             return
-        given_up = task.attempt != end.attempt or (
-            bool(task.worker) and task.worker != worker.name
+        is_over = (
+            task.attempt != end.attempt
+            or task.ended_attempt == end.attempt
+            or (bool(task.worker) and task.worker != worker.name)
         )
-        if given_up:
+        if is_over:
             if end.how is not EndKind.DONE or task.step.spec.service:
                 return
             self._stop_later_attempts(task)
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -94,6 +94,8 @@
         state: Whether it is pending, placed or done.
         attempt: The number of the latest attempt; 0 before the first.
         worker: The worker on which that attempt was placed; empty while pending.
+        ended_attempt: The number of the latest attempt that was reported to have ended,
+            as far as this owner knows.
         failures: The number of attempts that ended as failed.
         saved: The latest checkpoint; empty for none.
         not_before: When it may be placed again, on the owner's clock.
@@ -108,6 +110,7 @@
     state: TaskState = TaskState.PENDING
     attempt: int = 0
     worker: str = ""
+    ended_attempt: int = 0
     failures: int = 0
     saved: str = ""
     not_before: float = 0.0
@@ -395,6 +398,7 @@
         """Record the end of the current attempt of a task, reported by a worker."""
         if saved:
             self.note_saved(task, saved)
+        task.ended_attempt = task.attempt
         match how:
             case EndKind.DONE if not task.step.spec.service:
                 self._mark_done(task)
