The soak counts one fall under two tasks of a job once

Its excuse for a failed healthy job asks for two workers that fell alone; two tasks of the job on one worker made one fall count as two.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -938,7 +938,7 @@
         allows a task to be failed once two workers have crashed under it.
         """
         fleet = self.harness.fleet
-        alone = 0
+        alone = set()
         failure_times = [
             at
             for worker_failures in fleet.worker_failures.values()
@@ -960,8 +960,9 @@
                 simultaneous = sum(
                     abs(at - failed_at) < SIMULTANEOUS_S for at in failure_times
                 )
-                alone += not concurrent and simultaneous == 1
-        return alone >= MIN_CRASHED_WORKERS
+                if not concurrent and simultaneous == 1:
+                    alone.add((start.worker, failed_at))
+        return len(alone) >= MIN_CRASHED_WORKERS
 
 
 async def run_seed(
