A run that fails on a second incarnation counts, an end told again does not

BUDGET counts runs that have ended failed, and a late copy of a start is a run of its own: counted an attempt once, whatever ran it, and would have started a task once more than allowed. An end is the same if the same incarnation tells it again, under whatever number or after the owner has met it anew.

test_run_of_a_late_copy_that_fails_is_counted failed before.

--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -916,7 +916,7 @@
             return
         is_over = (
             task.attempt != end.attempt
-            or task.ended_attempt == end.attempt
+            or worker.name in task.ended_on
             or (bool(task.worker) and task.worker != worker.name)
         )
         if is_over:
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -94,8 +94,8 @@
         state: Whether it is pending, placed or done.
         attempt: The number of the latest attempt; 0 before the first.
         worker: The worker on which that attempt was placed; empty while pending.
-        ended_attempt: The number of the latest attempt that was reported to have ended,
-            as far as this owner knows.
+        ended_on: The worker incarnations that reported the end of that attempt, as far
+            as this owner knows; a late copy of its start may run on a second one.
         failures: The number of attempts that ended as failed.
         saved: The latest checkpoint; empty for none.
         not_before: When it may be placed again, on the owner's clock.
@@ -110,7 +110,7 @@
     state: TaskState = TaskState.PENDING
     attempt: int = 0
     worker: str = ""
-    ended_attempt: int = 0
+    ended_on: set[str] = attrs.field(factory=set)
     failures: int = 0
     saved: str = ""
     not_before: float = 0.0
@@ -381,6 +381,7 @@
         task.is_stopping = False
         task.worker = worker
         task.attempt = attempt
+        task.ended_on.clear()
         task.step.last_attempt = max(task.step.last_attempt, attempt)
         self.started = True
         self.attempts += 1
@@ -401,7 +402,7 @@
         """Record the end of the current attempt of a task, reported by a worker."""
         if saved:
             self.note_saved(task, saved)
-        task.ended_attempt = task.attempt
+        task.ended_on.add(worker)
         match how:
             case EndKind.DONE if not task.step.spec.service:
                 self._mark_done(task)
