Rows keep only the losses that count for something, of tasks that are not done

A record of eight losses a task made the row of a job of 2,000 tasks 2.3 MB, most of it of losses that count for nothing or of tasks that are done; an owner of an earlier version counts every loss that it reads, and would fail the job.

Both new tests of tests/test_loss_kinds.py failed before.

--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -316,7 +316,9 @@
                 lost=tuple(_pack_losses(step)),
                 loss_details=tuple(_pack_loss_details(step)),
                 failed_ends=tuple(
-                    (each.index, each.attempt, each.worker) for each in step.failed_ends
+                    (each.index, each.attempt, each.worker)
+                    for each in step.failed_ends
+                    if tasks[each.index].state is not TaskState.DONE
                 ),
                 placed_s=round(step.placed_s, 1),
             )
@@ -380,16 +382,26 @@
 
 def _pack_losses(step: StepRun) -> Iterator[tuple[int, int, str, str, bool]]:
     """Yield the lost workers; a successor continues the count from them."""
-    for index, record in step.losses.items():
-        for each in record.lost:
+    for index, losses in _stored_losses(step):
+        for each in losses:
             is_crash = each.kind is LossKind.CRASH
             yield index, each.attempt, each.worker, each.address, is_crash
 
 
+def _stored_losses(step: StepRun) -> Iterator[tuple[int, list[LostWorker]]]:
+    """Yield the losses that count for something, by task, of tasks that are not done.
+
+    An earlier version counts every loss that it reads.
+    """
+    for index, record in step.losses.items():
+        if step.tasks[index].state is not TaskState.DONE:
+            yield index, [each for each in record.lost if each.evidence]
+
+
 def _pack_loss_details(step: StepRun) -> Iterator[tuple[str, str, int, float]]:
     """Yield the rest of each lost worker, in the same order."""
-    for record in step.losses.values():
-        for each in record.lost:
+    for _, losses in _stored_losses(step):
+        for each in losses:
             at_s = round(each.recorded_s, 1)
             yield each.kind.value, each.proof, each.epoch, at_s
 
--- a/tests/test_loss_kinds.py
+++ b/tests/test_loss_kinds.py
@@ -11,6 +11,7 @@
 import pytest
 
 from cranberrycleat.table import Row
+from cranberrycleat.workflow import rows
 from cranberrycleat.workflow.batches import note_stored, take_batch
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.crash_attribution import (
@@ -429,3 +430,29 @@
     (after,) = env.step_run.losses[0].lost
     assert attrs.evolve(after, recorded_s=before.recorded_s) == before
     assert after.recorded_s == pytest.approx(NOW_S + env.now, abs=2.0)
+
+
+# Guards against rows that outgrow the table's limit, and against a job that an owner of
+# an earlier version fails, since it counts every loss that it reads.
+def test_only_losses_that_count_for_something_are_stored() -> None:
+    env = Deployment(spec=step(2))
+    _crash_later(env)
+    assert env.kinds == [LossKind.LATER]
+    _crash_alone(env)
+    env.store()
+    (stored,) = rows.decode_job_row(env.rows["jobs/a"], "jobs/a").open[0].steps
+    assert [each[1] for each in stored.lost] == [env.attempt]
+    assert [each[0] for each in stored.loss_details] == [LossKind.CRASH.value]
+
+
+def test_nothing_is_stored_of_what_a_done_task_met() -> None:
+    env = Deployment(spec=step(2))
+    env.start(ran_s=LONG_S)
+    env.report(0, EndKind.FAILED)
+    env.start(ran_s=0.0)
+    env.lose(env.first(), LossCause.REPLACED)
+    env.start(ran_s=0.0)
+    env.report(0, EndKind.DONE)
+    (stored,) = rows.decode_job_row(env.rows["jobs/a"], "jobs/a").open[0].steps
+    assert stored.lost == ()
+    assert stored.failed_ends == ()
