--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import errno
 import json
+import random
 import socket
 from collections.abc import AsyncIterator, Callable
 from typing import Any
@@ -29,6 +31,8 @@
 """Time until a call over a partitioned link fails."""
 FAILED_SCAN_S = 0.3
 """Time until a scan fails: the lease is renewed once meanwhile."""
+LISTEN_PORTS = range(20_000, 32_000)
+"""Below the ports that outgoing connections are given."""
 LONG_LEASE_S = 60.0
 """Longer than any test waits, so an earlier takeover is not due to lease expiry."""
 JOB = {
@@ -135,10 +139,16 @@
 
 
 def free_port() -> int:
-    """Return an unused port."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
+    """Return an unused port that no outgoing connection is given meanwhile."""
+    while True:
+        port = random.SystemRandom().choice(LISTEN_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError as exc:
+                if exc.errno != errno.EADDRINUSE:
+                    raise
+                continue
         return port
 
 
