How long an attempt survived is told by its worker's clock

An owner that was suspended between two answers read one late that its worker had given 10 ms after the attempt began, took the attempt for one that had outlived the crash window, and cleared its record: a task that crashes its workers could be started once more for each such pause. What this owner heard of an adopted attempt is still measured on its own clock.

--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -726,6 +726,7 @@
         self.quotas.release((previous.name, placement.task, placement.attempt))
         self._reserve(worker, placement)
         placement.ordered = True
+        placement.began_ms = None
         if not placement.running:
             placement.began(self.now())
         task = placement.tracked_task
@@ -831,18 +832,23 @@
             worker.record_end(end.number, end.task)
         listed = attempts_by_key(reply.running)
         for key, run in listed.items():
-            self._handle_running(worker, key, run, now)
+            self._handle_running(worker, key, run, now, reply.worker_time_ms)
         if len(reply.ended) < MAX_ENDS_PER_SYNC:
             self._give_up_missing(worker, listed, sent_at, fence)
         return fresh
 
     def _handle_running(
-        self, worker: FleetWorker, key: AttemptKey, run: RunningTask, now: float
+        self,
+        worker: FleetWorker,
+        key: AttemptKey,
+        run: RunningTask,
+        now: float,
+        worker_time_ms: int,
     ) -> None:
         placement = worker.placements.get(key)
         if placement is None:
             placement = self._add_orphaned_attempt(worker, run)
-        placement.apply_report(run, now)
+        placement.apply_report(run, now, worker_time_ms)
         self._note_listed(worker, placement)
         self.note_begun(placement)
         task = placement.tracked_task
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -125,6 +125,7 @@
         ordered: Whether a start order may have reached the worker.
         running: Whether the worker has reported that it runs.
         running_since: When the worker first reported that, on the owner's clock.
+        began_ms: The worker's clock then; None if unknown.
         unsized: Whether its resource needs are unknown; its worker is given no work
             beside it.
         stopping: Whether it is to be stopped.
@@ -159,6 +160,7 @@
     ordered: bool = False
     running: bool = False
     running_since: float = 0.0
+    began_ms: int | None = None
     unsized: bool = False
     stopping: bool = False
     stop_reason: str = ""
@@ -175,10 +177,11 @@
     def __attrs_post_init__(self) -> None:
         self.is_startable = self.may_start_late
 
-    def began(self, now: float) -> None:
-        """Record that the worker reports it as running."""
+    def began(self, now: float, worker_time_ms: int | None = None) -> None:
+        """Record that the worker reports it as running, by its clock if known."""
         self.running = True
         self.running_since = now
+        self.began_ms = worker_time_ms
         self.advanced_at = now
 
     def stop(self, reason: str) -> None:
@@ -188,10 +191,12 @@
         if self.tracked_task is not None and self.is_current:
             self.tracked_task.is_stopping = True
 
-    def apply_report(self, run: RunningTask, now: float) -> None:
+    def apply_report(
+        self, run: RunningTask, now: float, worker_time_ms: int | None = None
+    ) -> None:
         """Apply what the worker's list of running tasks says of it."""
         if not self.running:
-            self.began(now)
+            self.began(now, worker_time_ms)
         if self.listed_at is None:
             self.listed_at = now
         if run.percent > self.percent:
@@ -510,7 +515,12 @@
         """
         if not placement.running:
             return 0.0
-        return max(0.0, self.clock_read_at - placement.running_since)
+        survived_s = self.clock_read_at - placement.running_since
+        if placement.began_ms is not None:
+            # The owner may have read the answer long after it was given.
+            by_worker_s = (self.worker_time_ms - placement.began_ms) / 1000
+            survived_s = min(survived_s, by_worker_s)
+        return max(0.0, survived_s)
 
     def is_seen_past_crash_window(self, placement: Placement) -> bool:
         """Return whether this owner knows that an attempt outlived the crash window.
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -602,7 +602,7 @@
             case Verdict.ACCEPTED | Verdict.STALE_ATTEMPT:
                 # A stale attempt has ended there, or never began because a stop
                 # overtook its start; the next sync replies tell which.
-                placement.began(now)
+                placement.began(now, reply.worker_time_ms)
                 if reply.verdict is Verdict.ACCEPTED:
                     self.cluster_state.note_begun(placement)
                 self._emit_started(placement, sent)
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -129,6 +129,22 @@
     assert env.starts["a"] <= 2 * START_LOSS_LIMIT
 
 
+# Guards against a task that crashes its workers without end: the owner reads an answer
+# late that the worker gave before it crashed.
+def test_answer_that_is_read_late_does_not_prove_that_an_attempt_survived() -> None:
+    env = Deployment(spec=step())
+    lost = env.start(ran_s=0.0)
+    began_ms = 1_000_000
+    lost.update_clock(began_ms, env.now)
+    (placement,) = lost.placements.values()
+    placement.began(env.now, began_ms)
+    env.now += 2 * CRASH_WINDOW_S
+    # The worker's own clock shows that it answered 10 ms after the attempt began.
+    lost.update_clock(began_ms + 10, env.now)
+    env.lose(lost, LossCause.REPLACED)
+    assert env.kinds != [LossKind.LATER]
+
+
 def _report(env: Deployment, index: int, percent: float) -> None:
     task = env.step_run.tasks[index]
     on = env.state.fleet.workers[task.worker]
