One round selects the work that gives way for all waiting members of services

Cause: select_victims returned the victims for one task, and none while any worker would have room for one once its stopping tasks had ended. It did not count how many members, of this and of other services, waited for that same room, nor whether they might use it (anti_affinity). Class: one observation (room) used for several purposes.

Change: a round keeps account of the room on each worker (service_preemption). Room that is free or that stops under way will free is promised to one member only, then the least costly work is selected for the others, as long as a worker may take them by the step's limit per worker, its label and candidates, probing and their workspace's quota. Costs, their order and the delay of 0.5 s are as before; the delay counts for each member and no longer for its step. Victims that turn out not to be needed beside the others on their worker are left out. A gang is stopped as a whole, since all of it ends with one member, and all of its room counts. Services are never stopped. Urgent work still is if nothing else is left: members are owed room however full the pool is.

Time: a round looks at up to 100,000 workers for victims and leaves further services to the next one; a service that got no room for some members is looked at again after 0.1 s.

--- a/cranberrycleat/workflow/decisions/__init__.py
+++ b/cranberrycleat/workflow/decisions/__init__.py
@@ -22,8 +22,9 @@
   which workers its retries avoid until when
 - `stalls`, `wait_report`: when precautions yield to a step that waits beside room, and
   what is reported about steps that wait
-- `preemption`, `preemption_victims`, `preemption_budget`, `filler_throttling`,
-  `progress`, `evacuation`: which running attempts are stopped or slowed down
+- `preemption`, `preemption_victims`, `preemption_budget`, `service_preemption`,
+  `filler_throttling`, `progress`, `evacuation`: which running attempts are stopped or
+  slowed down
 - `feasibility`: which jobs can never run
 
 To add a policy, say an order of steps by size: write a class with the method `rank` of
--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -53,6 +53,12 @@
     preemption_cost_core_s,
 )
 from cranberrycleat.workflow.decisions.round_scan import RoundScan
+from cranberrycleat.workflow.decisions.service_preemption import (
+    SELECTION_INTERVAL_S,
+    MemberSelection,
+    ServicePreemption,
+    count_due_members,
+)
 from cranberrycleat.workflow.decisions.speed_choice import SpeedChoice, speed_of_class
 from cranberrycleat.workflow.decisions.task_counts import TaskCounts
 from cranberrycleat.workflow.decisions.wait_report import (
@@ -65,7 +71,6 @@
     FleetWorker,
     Placement,
     how_many_fit,
-    job_of,
     reserved_resources,
 )
 from cranberrycleat.workflow.state import StepRun, Task, TaskState
@@ -155,9 +160,17 @@
     _counts_left: int = MAX_OBSTACLE_COUNTS
     _work_left: int = MAX_ROUND_WORK
     _task_counts: TaskCounts = attrs.field(init=False)
+    _service_preemption: ServicePreemption = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._begin_counts()
+
+    def _begin_counts(self) -> None:
+        """Begin what a round counts."""
         self._task_counts = TaskCounts(cluster_state=self.cluster_state)
+        self._service_preemption = ServicePreemption(
+            attempts_of=self.cluster_state.placements_of
+        )
 
     def plan(self, *, now: float, now_s: float) -> Plan:
         """Run one round and place all waiting tasks that fit.
@@ -172,7 +185,7 @@
         self._firm_reservations = GangReservations()
         self._members = {}
         self._work_left = MAX_ROUND_WORK
-        self._task_counts = TaskCounts(cluster_state=self.cluster_state)
+        self._begin_counts()
         self._snapshots = {}
         self._used_shares = {}
         self._yields_left = stalls.MAX_YIELDING_STEPS
@@ -188,7 +201,9 @@
         for position, step in enumerate(self._steps_by_rank(now, now_s)):
             tasks = self._placeable_tasks(step, now, plan)
             if not tasks or not self._count_within_quota(step):
-                step.waits_since = step.idle_since = None
+                step.idle_since = None
+                if step.spec.service:
+                    _end_waits(step)
                 if not tasks and step.pending():
                     self._log_waiting(step, HELD_BACK, 0, now, now_s)
                 continue
@@ -219,7 +234,7 @@
                 usable = self._exclude_failed_workers(step, tasks, candidates, now)
                 self._reserve_for_gang(step, usable, now, plan)
             if step.spec.service:
-                self._preempt_for_service(step, candidates, now, now_s)
+                self._preempt_for_service(step, tasks, candidates, now, now_s, plan)
             if step.pending():
                 reason = self._wait_reason(step, candidates)
                 self._log_waiting(step, reason, len(candidates), now, now_s)
@@ -259,18 +274,45 @@
         return self._used_shares[pool]
 
     def _preempt_for_service(
-        self, step: StepRun, candidates: list[FleetWorker], now: float, now_s: float
+        self,
+        step: StepRun,
+        tasks: list[Task],
+        candidates: list[FleetWorker],
+        now: float,
+        now_s: float,
+        plan: Plan,
     ) -> None:
         """Preempt other work if service members have waited too long for resources."""
-        preemption = self.cluster_state.load.preemption
+        preemption = self._service_preemption
+        needs = reserved_resources(step.spec)
+        workspace = step.job.workspace
+        promised = preemption.promised.get(workspace, NOTHING)
+        due = self._slots_within_quota(step, count_due_members(tasks, now), promised)
+        selection = preemption.promise_room(
+            needs,
+            due,
+            candidates,
+            lambda worker: self._remaining_worker_limit(step, worker),
+        )
+        if selection.missing and now >= step.selects_victims_at:
+            if preemption.may_compare():
+                self._preempt_for_members(step, selection, now, now_s)
+            else:
+                self._schedule_retry(plan, now)
+        given = needs.times(due - selection.missing)
+        preemption.promised[workspace] = promised.plus(given)
+
+    def _preempt_for_members(
+        self, step: StepRun, selection: MemberSelection, now: float, now_s: float
+    ) -> None:
+        """Preempt other work for the members of a service that have no room yet."""
         slack_s = self._order.rank(step, now_s).slack_s
-        for placement in preemption.choose_for_service(step, candidates, now):
-            for worker, each in self.cluster_state.placements_of(
-                job_of(placement.task)
-            ):
-                if each is placement and each.tracked_task is not None:
-                    victim = self._order.rank(each.tracked_task.step, now_s)
-                    self._preempt(worker, each, step, now, slack_s, victim.slack_s)
+        for worker, placement in selection.select_victims():
+            assert placement.tracked_task is not None
+            victim = self._order.rank(placement.tracked_task.step, now_s)
+            self._preempt(worker, placement, step, now, slack_s, victim.slack_s)
+        if selection.missing:
+            step.selects_victims_at = now + SELECTION_INTERVAL_S
 
     def _preempt(
         self,
@@ -420,13 +462,23 @@
         longer_s = step.spec.estimate_s * (1 / speed_of_class(speed_class) - 1)
         return self.cluster_state.load.preemption.is_due(step, slack_s - longer_s)
 
-    def _slots_within_quota(self, step: StepRun, slots: int) -> int:
-        """Return for how many more tasks, up to `slots`, the quota has room."""
+    def _slots_within_quota(
+        self, step: StepRun, slots: int, promised: Amounts = NOTHING
+    ) -> int:
+        """Return for how many more tasks, up to `slots`, the quota has room.
+
+        Args:
+            step: The step of the tasks.
+            slots: The number of tasks.
+            promised: What other tasks of its workspace are to be given.
+        """
         if step.spec.gang:
             return slots
         needs = reserved_resources(step.spec)
         quotas = self.cluster_state.quotas
-        while slots > 0 and not quotas.may_begin(step.job.workspace, needs, slots):
+        while slots > 0 and not quotas.may_begin(
+            step.job.workspace, needs, slots, promised
+        ):
             slots -= 1
         return slots
 
@@ -602,7 +654,9 @@
             obstacle = task_obstacle(self.cluster_state, task, now)
             if obstacle is None:
                 tasks.append(task)
-            elif obstacle is TaskObstacle.RETRY_DELAY:
+                continue
+            task.waits_since = None
+            if obstacle is TaskObstacle.RETRY_DELAY:
                 self._schedule_retry(plan, task.not_before)
         if step.spec.gang and len(tasks) < len(step.tasks):
             return []
@@ -1094,7 +1148,7 @@
         placement = self.cluster_state.place(task, worker, attempt, now=now)
         self._task_counts.add(task)
         self._work_left -= PLACEMENT_WORK
-        step.idle_since = None
+        step.idle_since = task.waits_since = None
         if isolation.record_for(task) is not None:
             placement.on_unstable_machine = isolation.is_known_unstable(
                 worker, self.cluster_state.fleet.worker_failures, now
@@ -1104,6 +1158,12 @@
         group.placements.append((worker, placement))
 
 
+def _end_waits(service: StepRun) -> None:
+    """Record that no member of a service waits for room."""
+    for task in service.tasks:
+        task.waits_since = None
+
+
 def _is_last_attempt(task: Task) -> bool:
     """Return whether a task's job fails if its next attempt does."""
     step = task.step
--- a/cranberrycleat/workflow/decisions/preemption.py
+++ b/cranberrycleat/workflow/decisions/preemption.py
@@ -1,15 +1,11 @@
-"""Preempts running work when a service member or an urgent step cannot be placed.
-
-A service has value only while its members are running, and the platform expects a
-lost member back within seconds, however full the pool is. The preemption stops the
-least urgent work, prefers work that checkpoints, and stops no more than needed
-(`select_victims`).
+"""Preempts running work when an urgent step cannot be placed.
 
 A step that would miss its objective by waiting preempts, if enabled, only work that
 checkpoints, is less urgent or beyond its workspace's share, and can resume in time (see
 `preemption_victims`). It does so just before its last chance: running work often ends
 first, and then nothing is stopped. What it may cost is limited by `preemption_budget`
 and by the value of the step. A gang that waits for a common rack does not preempt.
+Members of services preempt by other rules (see `service_preemption`).
 """
 
 import collections
@@ -34,12 +30,9 @@
     ends_within,
     start_delay_s,
 )
-from cranberrycleat.workflow.fleet import FleetWorker, Placement, reserved_resources
+from cranberrycleat.workflow.fleet import FleetWorker, reserved_resources
 from cranberrycleat.workflow.state import StepRun
 
-PREEMPTION_DELAY_S: Final = 0.5
-"""How long a service member waits for free resources before other work is preempted.
-Most tasks end within a second or two, and the platform allows 3 s."""
 DEFAULT_STOP_S: Final = 0.2
 """Assumed longest time of a stop before the owner sets the platform's bound."""
 MARGIN_S: Final = 0.25
@@ -63,60 +56,6 @@
 idle for longer."""
 
 
-def select_victims(needs: Amounts, workers: list[FleetWorker]) -> list[Placement]:
-    """Return the placements to stop so that one task fits, or an empty list.
-
-    The worker with the lowest preemption cost is chosen. If some worker will have
-    enough free resources once its already stopping tasks end, nothing is stopped.
-    """
-    best: list[Placement] = []
-    best_cost = float("inf")
-    for worker in workers:
-        chosen = _victims_on_worker(needs, worker)
-        if chosen is None:
-            continue
-        if not chosen:
-            return []
-        cost = sum(_preemption_cost(each) for each in chosen)
-        if cost < best_cost:
-            best, best_cost = chosen, cost
-    return best
-
-
-def _victims_on_worker(needs: Amounts, worker: FleetWorker) -> list[Placement] | None:
-    stopped = NOTHING
-    for each in worker.placements.values():
-        if each.stopping:
-            stopped = stopped.plus(each.needs)
-    chosen: list[Placement] = []
-    preemptible = [each for each in worker.placements.values() if _is_preemptible(each)]
-    preemptible.sort(key=_preemption_cost)
-    for each in preemptible:
-        if needs.fits_in(worker.free_without(stopped)):
-            break
-        chosen.append(each)
-        stopped = stopped.plus(each.needs)
-    return chosen if needs.fits_in(worker.free_without(stopped)) else None
-
-
-def _is_preemptible(placement: Placement) -> bool:
-    task = placement.tracked_task
-    if task is None or placement.stopping or not placement.is_current:
-        return False
-    return not task.step.spec.service
-
-
-def _preemption_cost(placement: Placement) -> float:
-    """Return the cost of a stop: higher for urgent, gang and non-checkpointed work."""
-    task = placement.tracked_task
-    assert task is not None
-    spec = task.step.spec
-    urgency = 4.0 / (1 + task.step.job.queue.priority)
-    lost = 0.2 if spec.checkpoints else 1.0
-    members = spec.count if spec.gang else 1
-    return urgency * lost * members * max(1, placement.needs.processors)
-
-
 @attrs.frozen(kw_only=True)
 class Room:
     """What a step may use on a worker.
@@ -349,7 +288,7 @@
     """Selects running attempts that give way to a waiting step.
 
     Attributes:
-        for_urgent_work: Whether steps that would be late may preempt, besides services.
+        for_urgent_work: Whether steps that would be late may preempt.
         stop_s: The longest time a stop takes.
     """
 
@@ -363,19 +302,6 @@
     _claims: int = 0
     _rooms: int = 0
 
-    def choose_for_service(
-        self, step: StepRun, candidates: list[FleetWorker], now: float
-    ) -> list[Placement]:
-        """Return what to stop if service members have waited too long for resources."""
-        if not step.pending():
-            step.waits_since = None
-            return []
-        if step.waits_since is None:
-            step.waits_since = now
-        if now - step.waits_since < PREEMPTION_DELAY_S:
-            return []
-        return select_victims(reserved_resources(step.spec), candidates)
-
     def begin_round(self, now: float) -> None:
         """Begin a planning round: forget what has expired."""
         self._history.begin_round(now)
--- a/cranberrycleat/workflow/quota.py
+++ b/cranberrycleat/workflow/quota.py
@@ -90,18 +90,31 @@
             return NOTHING
         return remaining_quota(quotas.get(workspace, NOTHING), self.used_by(workspace))
 
-    def may_begin(self, workspace: str, needs: Amounts, count: int = 1) -> bool:
+    def may_begin(
+        self,
+        workspace: str,
+        needs: Amounts,
+        count: int = 1,
+        promised: Amounts = NOTHING,
+    ) -> bool:
         """Return whether `count` identical tasks may start together.
 
         A single task may always start if nothing else of its workspace is charged.
         Otherwise it would wait forever once the quota is lowered below its needs.
+
+        Args:
+            workspace: Their workspace.
+            needs: The resources that each takes.
+            count: Their number.
+            promised: What other tasks of the workspace are to be given.
         """
         if not workspace:
             return True
-        room = self.headroom(workspace)
+        room = self.headroom(workspace).minus(promised)
         if needs.times(count).fits_in(room):
             return True
-        return count == 1 and not self.running[workspace] and self.quotas() is not None
+        is_alone = not self.running[workspace] and promised == NOTHING
+        return count == 1 and is_alone and self.quotas() is not None
 
     def allows_more(self, workspace: str) -> bool:
         """Return whether an attempt of a workspace that is stopped may start again."""
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -103,6 +103,8 @@
         is_stopping: Whether its current attempt is to be stopped.
         failed_on: When an attempt of it last failed on each worker, on the owner's
             clock, as far as this owner knows.
+        waits_since: Since when it has waited for room, if it is a member of a service
+            that could be placed; None if it does not wait.
     """
 
     step: "StepRun"
@@ -117,6 +119,7 @@
     at_full_speed: bool = False
     is_stopping: bool = False
     failed_on: dict[str, float] = attrs.field(factory=dict)
+    waits_since: float | None = None
 
     @property
     def name(self) -> str:
@@ -155,7 +158,8 @@
         idle_since: Since when nothing of its job has been placed, for a service since
             when a member has waited, as far as planning rounds have seen.
         yields_at: From when room may be looked for without precautions again.
-        waits_since: Since when members of a service have waited for capacity.
+        selects_victims_at: From when victims may be selected again for members of a
+            service that got no room.
         wait_reason: Why it was last left waiting, for logs.
         wait_logged_at: When that reason was last logged.
         urgency: The inputs to its scheduling rank, once computed.
@@ -178,7 +182,7 @@
     wait_logged_at: float = 0.0
     idle_since: float | None = None
     yields_at: float = float("-inf")
-    waits_since: float | None = None
+    selects_victims_at: float = float("-inf")
     urgency: StepUrgency | None = None
     losses: dict[int, LossRecord] = attrs.field(factory=dict)
     failed_ends: list[FailedEnd] = attrs.field(factory=list)
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -1142,6 +1142,14 @@
         replacement="        if False:",
         test="tests/test_urgent_preemption.py::test_which_work_gives_way",
     ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="promising room that becomes free to one waiting member only",
+        file="workflow/decisions/service_preemption.py",
+        text="        self.promised = self.promised.plus(needs.times(members))",
+        replacement="        pass",
+        test="tests/test_service_preemption.py::test_room_freed_by_stops_under_way_counts_for_one_member",
+    ),
     Mutant(
         guarantee="decisions",
         mechanism="reserving preempted resources for the step",
--- a/tests/test_late_start_effects.py
+++ b/tests/test_late_start_effects.py
@@ -16,7 +16,6 @@
 from cranberrycleat.workflow.batches import note_stored, take_batch
 from cranberrycleat.workflow.cluster_state import MAX_ENDS_PER_SYNC, ClusterState
 from cranberrycleat.workflow.decisions.planner import Planner
-from cranberrycleat.workflow.decisions.preemption import select_victims
 from cranberrycleat.workflow.fleet import FleetWorker, Liveness, LossCause, Placement
 from cranberrycleat.workflow.ports import (
     EndedTask,
@@ -43,6 +42,7 @@
     set_run_time,
     starts_of,
 )
+from tests.test_service_preemption import select_victims
 
 BOUND_S = 12.0
 NOW_S = 1_000_000.0
@@ -409,9 +409,10 @@
     board.state.start_settled(worker, running, float("-inf"))
     running.began(board.time)
     board.state.update_startable(worker, running)
-    victims = select_victims(Amounts(processors=2000, memory_mb=100), [worker])
-    for victim in victims:
-        board.state.give_up(worker, victim, "stopped")
+    victims = select_victims(Amounts(processors=2000, memory_mb=100), 1, [worker])
+    for each in list(worker.placements.values()):
+        if each.task in victims:
+            board.state.give_up(worker, each, "stopped")
     room = worker.free.processors
     assert not victims or room >= 2000, f"stopped {len(victims)}, free {room}"
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -16,7 +16,6 @@
 from cranberrycleat.workflow.decisions.evacuation import placements_to_stop
 from cranberrycleat.workflow.decisions.filler_throttling import throttle_orders
 from cranberrycleat.workflow.decisions.planner import Planner
-from cranberrycleat.workflow.decisions.preemption import select_victims
 from cranberrycleat.workflow.fleet import FleetWorker, Liveness, Placement
 from cranberrycleat.workflow.links import WorkerLink
 from cranberrycleat.workflow.owner import Owner
@@ -40,6 +39,7 @@
 from tests.cell import BOUNDS, Cell, cell, job, queue, step, submit, until
 from tests.fakes import run_async
 from tests.test_planner import NOW_S, cluster_state, placed, worker
+from tests.test_service_preemption import select_victims
 
 
 def mark_all_running(
@@ -200,9 +200,9 @@
     owner_board.accept("serves", queue(priority=2), job(step(1, service=True)))
     Planner(cluster_state=owner_board).plan(now=0.0, now_s=NOW_S)
     mark_all_running(only)
-    chosen = select_victims(step(1, processors=1000).needs, [only])
-    assert [each.task for each in chosen] == ["saves.0.0.0"]
-    more = select_victims(step(1, processors=4000).needs, [only])
+    chosen = select_victims(step(1, processors=1000).needs, 1, [only])
+    assert chosen == ["saves.0.0.0"]
+    more = select_victims(step(1, processors=4000).needs, 1, [only])
     assert more == []
 
 
