Work gives way only on workers where the members that wait for it may be placed

Work was stopped for members of services on workers that these members avoid: where they failed, or at an address where a worker was lost under them. The members were not placed there, other work took the room, and the next round stopped it again. Since a round selects for all waiting members, this cost as many stops each time.

Cause: victims were compared on all workers that the step may use, but tasks are placed with exclusions. Class: two places that decide where a task may go.

Change: victims are compared on the workers that the waiting members do not avoid at present, by the rule that places them (_workers_not_avoided, taken out of _exclude_failed_workers, which decides as before). Once members have waited for 2 s the planner places them beside the exclusions as well (stalls), and work gives way anywhere.

Not covered: a single member that waits that long and for which room for one is made where it failed is still not placed there, as a stalled step asks for room for two (STALL_ROOM_FACTOR); the same as before.

--- a/cranberrycleat/workflow/decisions/planner.py
+++ b/cranberrycleat/workflow/decisions/planner.py
@@ -57,7 +57,7 @@
     SELECTION_INTERVAL_S,
     MemberSelection,
     ServicePreemption,
-    count_due_members,
+    due_members,
 )
 from cranberrycleat.workflow.decisions.speed_choice import SpeedChoice, speed_of_class
 from cranberrycleat.workflow.decisions.task_counts import TaskCounts
@@ -287,7 +287,11 @@
         needs = reserved_resources(step.spec)
         workspace = step.job.workspace
         promised = preemption.promised.get(workspace, NOTHING)
-        due = self._slots_within_quota(step, count_due_members(tasks, now), promised)
+        waiting = due_members(tasks, now)
+        due = self._slots_within_quota(step, len(waiting), promised)
+        if not stalls.is_idle_too_long(self.cluster_state, step, now):
+            # From then on members are placed where they failed as well.
+            candidates = self._workers_not_avoided(step, waiting, candidates, now)
         selection = preemption.promise_room(
             needs,
             due,
@@ -952,19 +956,36 @@
         exclusions = exclusion.exclusions_of(step, tasks)
         if not exclusions:
             return candidates
-        ends_at = {each: exclusions.ends_at(each) for each in candidates}
-        preferred = [each for each in candidates if ends_at[each] is None]
+        preferred = [each for each in candidates if exclusions.ends_at(each) is None]
         if self._fit_now(step, tasks, preferred):
             return preferred
-        eligible = [
-            each
-            for each, excluded_until in ends_at.items()
-            if excluded_until is None or excluded_until <= now
-        ]
-        fitting = sum(
-            min(self._fits_when_empty(step, each), 1 if each.is_probed else len(tasks))
-            for each in eligible
-        )
+        return self._workers_not_avoided(step, tasks, candidates, now)
+
+    def _workers_not_avoided(
+        self,
+        step: StepRun,
+        tasks: list[Task],
+        candidates: list[FleetWorker],
+        now: float,
+    ) -> list[FleetWorker]:
+        """Return the workers that these tasks avoid no longer or never did.
+
+        All candidates if those could not hold the tasks even when empty.
+        """
+        exclusions = exclusion.exclusions_of(step, tasks)
+        if not exclusions:
+            return candidates
+        eligible = []
+        for each in candidates:
+            excluded_until = exclusions.ends_at(each)
+            if excluded_until is None or excluded_until <= now:
+                eligible.append(each)
+        fitting = 0
+        for each in eligible:
+            if fitting >= len(tasks):
+                break
+            fits = self._fits_when_empty(step, each)
+            fitting += min(fits, 1 if each.is_probed else len(tasks))
         return eligible if fitting >= len(tasks) else candidates
 
     def _fit_now(
--- a/cranberrycleat/workflow/decisions/service_preemption.py
+++ b/cranberrycleat/workflow/decisions/service_preemption.py
@@ -35,18 +35,19 @@
 one; what is found holds for all members of the same needs."""
 
 
-def count_due_members(tasks: Iterable[Task], now: float) -> int:
-    """Return how many of a service's tasks have waited long enough for room.
+def due_members(tasks: Iterable[Task], now: float) -> list[Task]:
+    """Return those of a service's tasks that have waited long enough for room.
 
     Updates since when each has waited.
     """
-    due = 0
+    due = []
     for task in tasks:
         if task.state is not TaskState.PENDING:
             continue
         if task.waits_since is None:
             task.waits_since = now
-        due += now - task.waits_since >= PREEMPTION_DELAY_S
+        if now - task.waits_since >= PREEMPTION_DELAY_S:
+            due.append(task)
     return due
 
 
--- a/tests/test_service_preemption.py
+++ b/tests/test_service_preemption.py
@@ -1,6 +1,6 @@
 """Tests of the selection of work that gives way to waiting members of services."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Any
 
 import attrs
@@ -8,9 +8,11 @@
 
 from cranberrycleat.amounts import Amounts
 from cranberrycleat.workflow.cluster_state import ClusterState
+from cranberrycleat.workflow.crash_attribution import LossKind, LostWorker
 from cranberrycleat.workflow.decisions import service_preemption
 from cranberrycleat.workflow.decisions.planner import Plan, Planner
 from cranberrycleat.workflow.decisions.service_preemption import ServicePreemption
+from cranberrycleat.workflow.decisions.stalls import STALL_YIELD_S
 from cranberrycleat.workflow.fleet import FleetWorker, Placement
 from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.state import Task
@@ -391,3 +393,48 @@
         plan = pool.plan(DUE_S + 0.01 * number)
         assert len(pool.stopping()) == 2 * (number + 1)
         assert (plan.retry_at is not None) == (number < 2)
+
+
+def _failed_there(pool: Pool, member: Task) -> None:
+    pool.board.fleet.workers["w0"].failures = 1
+    member.failed_on["w0"] = ARRIVAL_S
+
+
+def _lost_there(pool: Pool, member: Task) -> None:
+    loss = LostWorker(
+        attempt=1, worker="w0-before", address="w0:1", kind=LossKind.COINCIDENT
+    )
+    member.step.ensure_losses_of(member).add_loss(loss, ARRIVAL_S)
+
+
+# Guards against work that is stopped again and again on a worker that may not take the
+# member for which it gives way: other work takes the room each time.
+@pytest.mark.parametrize("exclude", [_failed_there, _lost_there])
+def test_work_gives_way_where_the_member_may_be_placed(
+    exclude: Callable[[Pool, Task], None],
+) -> None:
+    pool = full_pool(step(20))
+    pool.submit("s0", step(1, service=True))
+    (member,) = pool.members("s0")
+    exclude(pool, member)
+    preempt(pool)
+    assert list(pool.stopping_on()) == ["w1"]
+    pool.end_stopping()
+    pool.plan(DUE_S + 0.2)
+    assert member.worker == "w1"
+
+
+# Guards against members that stay away (LOST) although work could give way, but only
+# where they failed: the planner places them there as well after 2 s.
+def test_work_gives_way_where_members_failed_after_too_long_a_wait() -> None:
+    pool = full_pool(step(4, service=True, label="r1"), step(6), workers=2, racks=2)
+    pool.submit("s0", step(2, service=True))
+    for member in pool.members("s0"):
+        _failed_there(pool, member)
+    preempt(pool)
+    assert not pool.stopping()
+    pool.plan(ARRIVAL_S + STALL_YIELD_S)
+    assert pool.stopping_on() == {"w0": 2}
+    pool.end_stopping()
+    pool.plan(ARRIVAL_S + STALL_YIELD_S + 0.3)
+    assert [member.worker for member in pool.members("s0")] == ["w0", "w0"]
