A worker that starts again after a drain gets work and keeps its services

Callers saw a service on a host that had drained and started again under its name be stopped as soon as it started, and placed anew; where the restart was quicker than two syncs the host got no work at all.

Cause: that a worker leaves was kept for its name (`WorkerLink._leaving_at`, and the state LEAVING in the inventory) and never taken back. So each later sync evacuated it again.

Evidence: tests/test_link.py::test_worker_that_is_back_after_a_drain_keeps_its_services fails before (the task is not placed again); in a table of lost attempts a service on a drained worker was stopped in its next attempt.

It belongs to the incarnation: the first answer of the next one takes it back.

--- a/cranberrycleat/link.py
+++ b/cranberrycleat/link.py
@@ -249,6 +249,10 @@
 
     def _handle_new_incarnation(self, reply: SyncReply) -> None:
         """Handle the first reply of an incarnation, which now has our epoch."""
+        if self._leaving_at < math.inf:
+            # The incarnation before was leaving; this one is to count as live.
+            self._leaving_at = math.inf
+            self.shard.worker_silent(self.entry.name)
         self.shard.drop_unreported(self.entry.name, reply.tasks)
         until = self.clock.now() + self.times.lease_s * (1 + MAX_CLOCK_DRIFT)
         self.keep_until = self.release_until = until + self.times.order_s
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -14,6 +14,7 @@
 from cranberrycleat.messages import InboxEntry, JobPart, Outcome
 from cranberrycleat.shard import Shard
 from cranberrycleat.standins.table import MemoryTable
+from cranberrycleat.standins.worker import WorkerFaults
 from tests.fakes import DirectWorker, direct_worker, run_async
 
 LEASE_S = 10.0
@@ -278,6 +279,26 @@
     assert runs(owner.client)
 
 
+# Guards against a worker that has drained and started again under its name, and gets no
+# work, or whose services are stopped as soon as they start.
+def test_worker_that_is_back_after_a_drain_keeps_its_services() -> None:
+    owner, _, _ = running()
+    owner.client.standin.faults = WorkerFaults(leaving=True)
+    owner.sync()
+    advance_clocks(owner, TIMES.drain_s)
+    owner.renew()
+    owner.link._check_drain()
+    assert owner.shard.active["job/0"].stopping
+    owner.client.standin = direct_worker(ManualClock()).standin
+    owner.sync()
+    owner.sync()
+    owner.plan_round()
+    owner.sync()
+    owner.link._check_drain()
+    assert not owner.shard.active["job/0"].stopping
+    assert runs(owner.client)
+
+
 def test_task_that_crashes_its_worker_is_eventually_failed() -> None:
     """Each attempt restarts its worker, which then reports no failure of the task.
 
