A task is not failed by attempts whose start was never sent or is unknown

Callers saw a task of a service, batch or gang as failed although no worker had begun it: five attempts in a row were lost before their start was sent, or the scheduler was replaced between the start and the loss.

Cause: each stored placement that a worker did not list counted as an attempt that it had lost at its start, whether or not a start had left, and also after a takeover, where the new owner cannot know whether one had.

An attempt now counts only if this owner sent a start that the worker did not refuse, or heard from the worker that it runs. A task that crashes its workers is still failed after five starts that one owner each saw through; only a loss with a takeover between its start and its end is left out.

--- a/cranberrycleat/link.py
+++ b/cranberrycleat/link.py
@@ -145,6 +145,7 @@
         try:
             reply = await self.client.sync(order)
         except errors.PeerUnavailable:
+            self.shard.record_sent(order.starts)
             self._handle_no_reply()
             return
         except errors.ProblemError as exc:
@@ -227,6 +228,7 @@
 
     def _handle_reply(self, order: SyncOrder, reply: SyncReply) -> None:
         name = self.entry.name
+        self.shard.record_sent(order.starts)
         self.misses = 0
         self._worker_clock, self._worker_clock_read_at = reply.clock, self.clock.now()
         changed = bool(reply.tasks)
--- a/cranberrycleat/shard.py
+++ b/cranberrycleat/shard.py
@@ -37,6 +37,7 @@
     JobPart,
     LabelChange,
     Outcome,
+    StartOrder,
     TaskReport,
 )
 from cranberrycleat.placement import PlacementRequest
@@ -69,6 +70,8 @@
 
     Attributes:
         durable: Whether the placement is stored in the table.
+        ordered: Whether this owner sent a start that the worker did not refuse, or the
+            worker reported it as running.
         url: Its endpoint's URL, once it runs.
         running: Whether its worker reported it as running.
         since: When its worker first did so, on the shard's clock.
@@ -78,6 +81,7 @@
     """
 
     durable: bool = False
+    ordered: bool = False
     url: str = ""
     running: bool = False
     since: float = 0.0
@@ -343,6 +347,7 @@
 
     def _report_running(self, worker: str, report: TaskReport) -> None:
         active = self.active[report.task]
+        active.ordered = True
         if report.throttled:
             active.stopping = False
             self.inventory.set_needs(worker, report.task, throttled(active.needs))
@@ -359,9 +364,13 @@
         """Handle an attempt lost with its worker, which the task may have crashed.
 
         A task that had run for a while did not crash it. Other tasks that had just
-        started on the same worker are lost too, but not on several in a row.
+        started on the same worker are lost too, but not on several in a row. Where this
+        owner neither sent a start nor was told of one, the loss tells nothing.
         """
         active = self.active[task_id(job.spec.name, record.index)]
+        if not active.ordered:
+            self._attempt_ended(job, record, failed=False)
+            return
         stable = active.running and self.now() - active.since >= STABLE_AFTER_S
         record.crashes = 0 if stable else record.crashes + 1
         if record.crashes >= MAX_WORKER_CRASHES and not job.cancelled:
@@ -507,6 +516,13 @@
                 active.durable = True
         return frozenset(each.worker for each in plan.assignments)
 
+    def record_sent(self, starts: Iterable[StartOrder]) -> None:
+        """Record start orders that may have taken effect."""
+        for start in starts:
+            active = self.active.get(start.task)
+            if active is not None:
+                active.ordered = True
+
     def drop_unreported(self, worker: str, reports: Iterable[TaskReport]) -> None:
         """Mark durable tasks that a worker's full task list omits as lost."""
         listed = {(each.task, each.attempt) for each in reports}
