A task is not failed by workers that are lost together with others

Callers saw a task as failed whose workers had each been lost at the same moment as others: a rack, a power supply, a deployment that starts again. Five such losses just after the start were enough, although nothing told of the task.

Cause: `Shard._attempt_lost` counted every loss of an attempt that had run for less than a second, without a look at the other workers.

Each loss now has a kind and counts by `crash_attribution.EVIDENCE`, as for jobs of several steps: five losses in a row just after the start fail a task, if two of the earlier four have no other explanation. Two workers, or half of a rack, that fail at the same moment and on which nothing had just begun are such an explanation; so is a worker that was leaving. Earlier losses are judged again with each further one, since a restart is noticed at once and others of that moment later. Workers on which anything had just begun explain nothing: a test of three jobs that crash their workers at the same moment fails all three after five starts.

The losses stand at the end of the job's row; a test has the version before read the new row and the other way round. What that version has counted is no evidence by itself: such a task has up to three starts more. `WorkerFailures.record_failure` takes an address, so that the shard can use it. The shard gets the scheduler's clock.

--- a/cranberrycleat/jobs.py
+++ b/cranberrycleat/jobs.py
@@ -15,6 +15,7 @@
 
 from cranberrycleat import errors, selectors
 from cranberrycleat.amounts import MILLI, Amounts
+from cranberrycleat.workflow.crash_attribution import LostWorker
 
 MAX_TASKS: Final = 1000
 MAX_PROCESSORS: Final = 4096
@@ -164,6 +165,7 @@
         failures: The number of attempts that failed on their own.
         crashes: The number of consecutive attempts that were lost with their worker
             just after they had started; a crashed worker cannot report a failure.
+            `JobRow.losses` tells which of them are evidence against the task.
     """
 
     index: int
@@ -184,6 +186,8 @@
         tasks: The records of these tasks.
         cancelled: Whether an operator has cancelled the job.
         reasons: Human-readable reasons why tasks wait or can never run.
+        losses: The losses that `TaskRecord.crashes` counts, by the task's index. There
+            are fewer where an earlier version, which drops them, counted some.
     """
 
     spec: JobSpec
@@ -191,6 +195,7 @@
     tasks: list[TaskRecord]
     cancelled: bool = False
     reasons: list[str] = attrs.field(factory=list)
+    losses: dict[int, list[LostWorker]] = attrs.field(factory=dict)
 
 
 class JobStatusValues:
--- a/cranberrycleat/link.py
+++ b/cranberrycleat/link.py
@@ -242,8 +242,8 @@
         for mark in order.settled:
             self.settled.remove(mark)
         if self.shard.inventory.workers[name].state.value == "silent":
-            self.shard.worker_responded(name)
             changed = True
+        self.shard.worker_responded(name, reply.incarnation)
         if reply.state is HostState.LEAVING:
             self._record_leaving()
         if changed:
--- a/cranberrycleat/scheduler.py
+++ b/cranberrycleat/scheduler.py
@@ -204,7 +204,7 @@
             await self._take_over()
 
     async def _take_over(self) -> None:
-        shard = Shard(data_centre=self.cfg.data_centre)
+        shard = Shard(data_centre=self.cfg.data_centre, now=self.clock.now)
         rows = await self.platform.scan(prefix=f"{SHARD}/{self.cfg.data_centre}/")
         shard.load(row for row in rows if row.key != self.lease.key)
         self.shard = shard
--- a/cranberrycleat/shard.py
+++ b/cranberrycleat/shard.py
@@ -16,6 +16,7 @@
 
 from cranberrycleat import codec, selectors
 from cranberrycleat.amounts import NOTHING, Amounts
+from cranberrycleat.attempt_losses import AttemptLosses
 from cranberrycleat.clock import MonotonicClock
 from cranberrycleat.inventory import InventoryWorker, WorkerInventory, WorkerState
 from cranberrycleat.jobs import (
@@ -47,10 +48,6 @@
 
 STABLE_AFTER_S: Final = 1.0
 """An attempt that has run for this long is not considered to crash its worker."""
-MAX_WORKER_CRASHES: Final = 5
-"""Consecutive workers that may be lost just after a task started before the task is
-failed. A single loss is no evidence, since every task just started on that worker is
-lost with it."""
 
 
 @attrs.define(kw_only=True)
@@ -109,6 +106,12 @@
             lambda self: RoundPlanner(inventory=self.inventory), takes_self=True
         )
     )
+    losses: AttemptLosses = attrs.field(
+        default=attrs.Factory(
+            lambda self: AttemptLosses(now=self.now, inventory=self.inventory),
+            takes_self=True,
+        )
+    )
     _dirty: set[str] = attrs.field(factory=set)
     _dirty_workers: set[str] = attrs.field(factory=set)
     _jobs_with_pending: set[str] = attrs.field(factory=set)
@@ -196,6 +199,7 @@
         self.inventory.remove_worker(name)
         self.hosts.pop(name, None)
         self.orphaned_attempts.pop(name, None)
+        self.losses.forget_worker(name)
         self.planner.total_capacity = self.planner.total_capacity.minus(worker.capacity)
 
     def _labels(self, entry: HostEntry) -> dict[str, str]:
@@ -207,8 +211,9 @@
         }
         return {key: value for key, value in labels.items() if value is not None}
 
-    def worker_responded(self, name: str) -> None:
+    def worker_responded(self, name: str, incarnation: str = "") -> None:
         """Record that a worker responded, so that it may be given tasks."""
+        self.losses.worker_responded(name, incarnation)
         worker = self.inventory.workers[name]
         if worker.state is WorkerState.SILENT:
             worker.state = WorkerState.LIVE
@@ -216,6 +221,7 @@
 
     def worker_silent(self, name: str) -> None:
         """Record that a worker does not respond; its tasks stay allocated."""
+        self._worker_failed(name)
         worker = self.inventory.workers[name]
         if worker.state is not WorkerState.SILENT:
             worker.state = WorkerState.SILENT
@@ -223,6 +229,7 @@
 
     def worker_leaving(self, name: str) -> None:
         """Record that a worker is leaving: it is given no more tasks."""
+        self.losses.worker_leaving(name)
         worker = self.inventory.workers.get(name)
         if worker is not None and worker.state is not WorkerState.LEAVING:
             worker.state = WorkerState.LEAVING
@@ -360,20 +367,30 @@
             active.url = report.url
             self.endpoint_revision += 1
 
+    def _worker_failed(self, name: str) -> None:
+        """Record that a worker was found silent or replaced, before its tasks are."""
+        tasks = self.inventory.workers[name].tasks
+        just_begun = frozenset(
+            job_of(task)
+            for task in tasks
+            if self.active[task].ordered and not self._is_stable(task)
+        )
+        self.losses.worker_failed(name, just_begun)
+
+    def _is_stable(self, task: str) -> bool:
+        active = self.active[task]
+        return active.running and self.now() - active.since >= STABLE_AFTER_S
+
     def _attempt_lost(self, job: JobRow, record: TaskRecord) -> None:
         """Handle an attempt lost with its worker, which the task may have crashed.
 
-        A task that had run for a while did not crash it. Other tasks that had just
-        started on the same worker are lost too, but not on several in a row. Where this
-        owner neither sent a start nor was told of one, the loss tells nothing.
+        If this owner neither sent a start nor was told of one, the loss tells nothing.
         """
-        active = self.active[task_id(job.spec.name, record.index)]
-        if not active.ordered:
-            self._attempt_ended(job, record, failed=False)
-            return
-        stable = active.running and self.now() - active.since >= STABLE_AFTER_S
-        record.crashes = 0 if stable else record.crashes + 1
-        if record.crashes >= MAX_WORKER_CRASHES and not job.cancelled:
+        task = task_id(job.spec.name, record.index)
+        crashes_workers = self.active[task].ordered and self.losses.record_loss(
+            job, record, stable=self._is_stable(task)
+        )
+        if crashes_workers and not job.cancelled:
             self._end_placement(job, record, TaskState.FAILED)
             return
         self._attempt_ended(job, record, failed=False)
@@ -524,7 +541,8 @@
                 active.ordered = True
 
     def drop_unreported(self, worker: str, reports: Iterable[TaskReport]) -> None:
-        """Mark durable tasks that a worker's full task list omits as lost."""
+        """Mark durable tasks that a new incarnation's task list omits as lost."""
+        self._worker_failed(worker)
         listed = {(each.task, each.attempt) for each in reports}
         for task in list(self.inventory.workers[worker].tasks):
             record = self.record(task)
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -686,7 +686,7 @@
             jobs=frozenset(jobs),
             racks=frozenset(worker.entry.racks),
         )
-        self.worker_failures.record_failure(worker.entry, failure)
+        self.worker_failures.record_failure(worker.entry.address, failure)
 
     def silent_s(self, worker: FleetWorker, now: float) -> float:
         """Return for how long a worker is known not to answer; 0 if it does."""
--- a/cranberrycleat/workflow/worker_failures.py
+++ b/cranberrycleat/workflow/worker_failures.py
@@ -14,8 +14,6 @@
 
 import attrs
 
-from cranberrycleat.workflow.ports import WorkerEntry
-
 FAILED_MACHINE_COOLDOWN_S: Final = 10.0
 """How long a machine on which a worker was lost is not used for isolated attempts: on a
 machine that fails every few seconds a loss says nothing about the task."""
@@ -111,9 +109,9 @@
     superseded: list[tuple[str, WorkerFailure]] = attrs.field(factory=list)
     observing_since: float = float("-inf")
 
-    def record_failure(self, entry: WorkerEntry, failure: WorkerFailure) -> None:
-        """Record a worker's failure under its address."""
-        if not entry.address:
+    def record_failure(self, address: str, failure: WorkerFailure) -> None:
+        """Record a worker's failure under its address, if that is known."""
+        if not address:
             return
         since = failure.detected_at - SUPERSEDED_FAILURES_KEPT_S
         self.superseded = [
@@ -121,9 +119,9 @@
             for address, each in self.superseded
             if each.detected_at >= since
         ]
-        if entry.address in self.by_address:
-            self.superseded.append((entry.address, self.by_address[entry.address]))
-        self.by_address[entry.address] = failure
+        if address in self.by_address:
+            self.superseded.append((address, self.by_address[address]))
+        self.by_address[address] = failure
 
     def stable_for_s(self, address: str, now: float) -> float:
         """Return for how long no worker is known to have failed at an address."""
