A worker of a shard that answers again is taken off the losses of its tasks

Callers saw a task as failed whose workers had been cut off from the scheduler as its start was sent, and had answered again as the same incarnation.

Cause: an attempt that was given up when its leases were over counted for good, although an incarnation that answers again has not crashed.

Evidence: tests/test_shard_losses.py, case "unanswered, heard after its leases", failed for services, batches and gangs before.

A loss names the incarnation. When one answers an owner for the first time, or after it was silent, it is removed from the losses and from the count; also by the next owner, since the losses stand in the job's row. The row of tests/prove.py was run and fails without it.

--- a/cranberrycleat/attempt_losses.py
+++ b/cranberrycleat/attempt_losses.py
@@ -72,12 +72,35 @@
     failures: WorkerFailures = attrs.field(factory=WorkerFailures)
     _failure_of: dict[str, WorkerFailure] = attrs.field(factory=dict)
 
-    def worker_responded(self, name: str, incarnation: str) -> None:
-        """Record that an incarnation of a worker responded."""
+    def worker_responded(self, name: str, incarnation: str) -> bool:
+        """Record that an incarnation of a worker responded.
+
+        Returns:
+            Whether it may have been lost before, under this owner or an earlier one.
+        """
         contact = self.contacts.get(name)
         if contact is None or contact.incarnation != incarnation:
-            contact = self.contacts[name] = WorkerContact(incarnation=incarnation)
+            contact = WorkerContact(incarnation=incarnation)
+        maybe_lost = contact is not self.contacts.get(name) or bool(contact.failure)
+        self.contacts[name] = contact
         contact.heard_at, contact.failure = self.now(), None
+        return maybe_lost
+
+    @staticmethod
+    def clear(job: JobRow, name: str, incarnation: str) -> bool:
+        """Remove a worker that answers again from a job's losses: it did not crash.
+
+        Returns:
+            Whether it was on record.
+        """
+        cleared = False
+        for record in job.tasks if job.losses else ():
+            held = LossRecord(lost=job.losses.get(record.index, []))
+            if held.clear(_worker_id(name, incarnation)):
+                record.crashes -= 1
+                job.losses[record.index] = held.lost
+                cleared = True
+        return cleared
 
     def worker_leaving(self, name: str) -> None:
         """Record that a worker is leaving."""
@@ -157,7 +180,7 @@
 
     def _lost_worker(self, record: TaskRecord, kind: LossKind) -> LostWorker:
         contact = self.contacts[record.worker]
-        name = f"{record.worker}#{contact.incarnation}"
+        name = _worker_id(record.worker, contact.incarnation)
         since = self.now() - FAILURES_KEPT_S
         self._failure_of = {
             worker: failure
@@ -175,3 +198,8 @@
         if failure is None or not self._is_explained(loss.address, failure):
             return loss
         return attrs.evolve(loss, kind=LossKind.COINCIDENT)
+
+
+def _worker_id(name: str, incarnation: str) -> str:
+    """Return the name of one incarnation of a worker."""
+    return f"{name}#{incarnation}"
--- a/cranberrycleat/shard.py
+++ b/cranberrycleat/shard.py
@@ -213,7 +213,10 @@
 
     def worker_responded(self, name: str, incarnation: str = "") -> None:
         """Record that a worker responded, so that it may be given tasks."""
-        self.losses.worker_responded(name, incarnation)
+        if self.losses.worker_responded(name, incarnation):
+            for job in self.jobs.values():
+                if self.losses.clear(job, name, incarnation):
+                    self._mark_dirty(job)
         worker = self.inventory.workers[name]
         if worker.state is WorkerState.SILENT:
             worker.state = WorkerState.LIVE
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -414,6 +414,14 @@
         replacement="self.losses.record_loss(",
         test="tests/test_shard_losses.py",
     ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="clearing losses of a shard's worker that answers again",
+        file="attempt_losses.py",
+        text="if held.clear(_worker_id(name, incarnation)):",
+        replacement="if False:",
+        test="tests/test_shard_losses.py",
+    ),
     Mutant(
         guarantee="decisions",
         mechanism="the common cause of a shard's workers that fail at the same moment",
--- a/tests/test_shard_losses.py
+++ b/tests/test_shard_losses.py
@@ -286,6 +286,28 @@
     _stop(env)
 
 
+def _partitioned_without_task(env: Deployment) -> None:
+    on = env.start()
+    env.expire(on)
+    assert env.record.state is TaskState.PENDING
+    env.reconnect(on)
+
+
+def _unanswered_then_partitioned(env: Deployment) -> None:
+    on = env.place()
+    env.expire(on)
+    assert env.record.state is TaskState.PENDING
+    env.reconnect(on)
+
+
+def _partitioned_across_takeover(env: Deployment) -> None:
+    """The loss was recorded by the owner before."""
+    on = env.start()
+    env.expire(on)
+    env.take_over()
+    env.reconnect(on)
+
+
 def _crashed_with_others(env: Deployment) -> None:
     on = env.start()
     env.crash(on, *env.others())
@@ -358,10 +380,13 @@
     "unanswered, then heard": (_unanswered_then_heard, None),
     "unanswered, then crashed": (_unanswered_then_crashed, LossKind.CRASH),
     "unanswered, then silent": (_unanswered_then_silent, LossKind.CRASH),
+    "unanswered, heard after its leases": (_unanswered_then_partitioned, None),
     "crashed": (_crashed, LossKind.CRASH),
     "crashed later": (_crashed_later, None),
     "silent later": (_silent_later, None),
     "partitioned, heard with the task": (_partitioned_with_task, None),
+    "partitioned, heard without the task": (_partitioned_without_task, None),
+    "partitioned, heard by the next owner": (_partitioned_across_takeover, None),
     "crashed with others": (_crashed_with_others, LossKind.COINCIDENT),
     "crashed before others were noticed": (
         _crashed_before_others,
