How long an attempt of a shard ran is measured by its worker, not by its loss

Callers saw two things. A task that crashed each worker that started it was started without end where a worker was down for a second or more, and each start took along whatever ran beside it. And a task that had run for long was failed by workers that fell within a second after a takeover.

Cause: an attempt was taken to have run from the report that the owner first heard until the loss was noticed. The time that a crashed worker was down, or its leases took to end, counted as running; the time under an earlier owner did not.

Evidence: tests/test_shard_losses.py, cases "crashed and down for a while", "crashed for good" and "crashed later, after one" (a takeover), failed for services, batches and gangs before; "silent with others" was not recognized as coincident.

An attempt now begins when its report says (`run_s`) and is known to have run until its worker last answered. As before, it is not held to have crashed the worker after a second; where syncs are rarer than that, after the next sync. The row of tests/prove.py was run and fails without it.

--- a/cranberrycleat/attempt_losses.py
+++ b/cranberrycleat/attempt_losses.py
@@ -11,6 +11,7 @@
 begun there too: several jobs that crash their workers must not pass for a common cause.
 """
 
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -102,6 +103,11 @@
                 cleared = True
         return cleared
 
+    def heard_at(self, name: str) -> float:
+        """Return when a worker last answered; minus infinity for never."""
+        contact = self.contacts.get(name)
+        return contact.heard_at if contact is not None else -math.inf
+
     def worker_leaving(self, name: str) -> None:
         """Record that a worker is leaving."""
         if name in self.contacts:
--- a/cranberrycleat/shard.py
+++ b/cranberrycleat/shard.py
@@ -47,7 +47,9 @@
 from cranberrycleat.table import Put, Row
 
 STABLE_AFTER_S: Final = 1.0
-"""An attempt that has run for this long is not considered to crash its worker."""
+"""An attempt whose worker still answers this long after it began is not considered to
+crash it. When the loss is noticed tells nothing: a worker that crashes may be down for
+long, and a new owner has known the attempt for a moment only."""
 
 
 @attrs.define(kw_only=True)
@@ -71,7 +73,7 @@
             worker reported it as running.
         url: Its endpoint's URL, once it runs.
         running: Whether its worker reported it as running.
-        since: When its worker first did so, on the shard's clock.
+        since: When it began by its worker's report, on the shard's clock.
         stopping: Whether it is to be stopped or preempted.
         how: How it is to be preempted.
         needs: The resources allocated for it.
@@ -366,7 +368,7 @@
         self.planner.history.record_usage(job_of(report.task), report.used)
         if not active.running:
             active.running = True
-            active.since = self.now()
+            active.since = self.now() - report.run_s
             active.url = report.url
             self.endpoint_revision += 1
 
@@ -376,13 +378,14 @@
         just_begun = frozenset(
             job_of(task)
             for task in tasks
-            if self.active[task].ordered and not self._is_stable(task)
+            if self.active[task].ordered and not self._is_stable(task, name)
         )
         self.losses.worker_failed(name, just_begun)
 
-    def _is_stable(self, task: str) -> bool:
+    def _is_stable(self, task: str, worker: str) -> bool:
         active = self.active[task]
-        return active.running and self.now() - active.since >= STABLE_AFTER_S
+        ran_s = self.losses.heard_at(worker) - active.since
+        return active.running and ran_s >= STABLE_AFTER_S
 
     def _attempt_lost(self, job: JobRow, record: TaskRecord) -> None:
         """Handle an attempt lost with its worker, which the task may have crashed.
@@ -391,7 +394,7 @@
         """
         task = task_id(job.spec.name, record.index)
         crashes_workers = self.active[task].ordered and self.losses.record_loss(
-            job, record, stable=self._is_stable(task)
+            job, record, stable=self._is_stable(task, record.worker)
         )
         if crashes_workers and not job.cancelled:
             self._end_placement(job, record, TaskState.FAILED)
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -414,6 +414,14 @@
         replacement="self.losses.record_loss(",
         test="tests/test_shard_losses.py",
     ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="measuring an attempt of a shard until its worker last answered",
+        file="shard.py",
+        text="self.losses.heard_at(worker) - active.since",
+        replacement="self.now() - active.since",
+        test="tests/test_shard_losses.py",
+    ),
     Mutant(
         guarantee="decisions",
         mechanism="clearing losses of a shard's worker that answers again",
--- a/tests/test_shard_losses.py
+++ b/tests/test_shard_losses.py
@@ -268,6 +268,16 @@
     env.crash(env.start())
 
 
+def _crashed_and_down(env: Deployment) -> None:
+    env.crash(env.start(), down_s=LONG_S)
+
+
+def _crashed_for_good(env: Deployment) -> None:
+    on = env.start()
+    env.expire(on)
+    env.crash(on)
+
+
 def _crashed_later(env: Deployment) -> None:
     env.crash(env.start(ran_s=LONG_S))
 
@@ -324,6 +334,13 @@
     env.crash(*others)
 
 
+def _silent_with_others(env: Deployment) -> None:
+    on = env.start()
+    lost = (on, *env.others())
+    env.expire(*lost)
+    env.crash(*lost)
+
+
 def _crashed_before_takeover(env: Deployment) -> None:
     env.crash(env.start())
     env.take_over()
@@ -349,6 +366,14 @@
     env.crash(on)
 
 
+def _crashed_after_takeover(env: Deployment) -> None:
+    """It has run for long, as its worker tells the new owner."""
+    on = env.start(ran_s=LONG_S)
+    env.take_over()
+    env.sync()
+    env.crash(on)
+
+
 def _crashed_at_start_after_takeover(env: Deployment) -> None:
     on = env.start()
     env.take_over()
@@ -382,6 +407,8 @@
     "unanswered, then silent": (_unanswered_then_silent, LossKind.CRASH),
     "unanswered, heard after its leases": (_unanswered_then_partitioned, None),
     "crashed": (_crashed, LossKind.CRASH),
+    "crashed and down for a while": (_crashed_and_down, LossKind.CRASH),
+    "crashed for good": (_crashed_for_good, LossKind.CRASH),
     "crashed later": (_crashed_later, None),
     "silent later": (_silent_later, None),
     "partitioned, heard with the task": (_partitioned_with_task, None),
@@ -392,6 +419,7 @@
         _crashed_before_others,
         LossKind.COINCIDENT,
     ),
+    "silent with others": (_silent_with_others, LossKind.COINCIDENT),
     "crashed before a takeover": (_crashed_before_takeover, LossKind.CRASH),
     "crashed during a takeover": (_crashed_during_takeover, None),
     "never sent before a takeover": (_unsent_during_takeover, None),
@@ -400,6 +428,7 @@
         _crashed_at_start_after_takeover,
         LossKind.CRASH,
     ),
+    "crashed later, after one": (_crashed_after_takeover, None),
     "left": (_left, None),
     "drained": (_drained, None),
 }
