An attempt of a shard that ran ends the row of losses, whoever sees its end

Callers saw a task as failed after losses that were not in a row: between them an attempt had run for long, and was lost under an owner that had not heard of it.

Cause: that an attempt had run was looked at when it was lost, by the owner of that moment.

--- a/cranberrycleat/attempt_losses.py
+++ b/cranberrycleat/attempt_losses.py
@@ -95,7 +95,7 @@
             Whether it was on record.
         """
         cleared = False
-        for record in job.tasks if job.losses else ():
+        for record in job.tasks:
             held = LossRecord(lost=job.losses.get(record.index, []))
             if held.clear(_worker_id(name, incarnation)):
                 record.crashes -= 1
@@ -135,6 +135,14 @@
         )
         self.failures.record_failure(name, contact.failure)
 
+    @staticmethod
+    def attempt_survived(job: JobRow, record: TaskRecord) -> bool:
+        """Clear a task whose attempt ran for a while; return whether it had losses."""
+        had_losses = record.crashes > 0
+        record.crashes = 0
+        job.losses.pop(record.index, None)
+        return had_losses
+
     def record_loss(self, job: JobRow, record: TaskRecord, *, stable: bool) -> bool:
         """Record that an attempt that may have begun was lost with its worker.
 
@@ -150,8 +158,7 @@
         if kind is None:
             return False
         if EVIDENCE[kind] < Evidence.AT_START:
-            record.crashes = 0
-            job.losses.pop(record.index, None)
+            self.attempt_survived(job, record)
             return False
         record.crashes += 1
         # Workers that fail together are not found to have failed at the same time. So
--- a/cranberrycleat/shard.py
+++ b/cranberrycleat/shard.py
@@ -217,8 +217,9 @@
         """Record that a worker responded, so that it may be given tasks."""
         if self.losses.worker_responded(name, incarnation):
             for job in self.jobs.values():
-                if self.losses.clear(job, name, incarnation):
+                if job.losses and self.losses.clear(job, name, incarnation):
                     self._mark_dirty(job)
+        self._clear_survivors(name)
         worker = self.inventory.workers[name]
         if worker.state is WorkerState.SILENT:
             worker.state = WorkerState.LIVE
@@ -382,6 +383,17 @@
         )
         self.losses.worker_failed(name, just_begun)
 
+    def _clear_survivors(self, name: str) -> None:
+        """Clear the losses of tasks that have run on a worker for a while.
+
+        This is stored at once, since the next owner may not learn how long they ran.
+        """
+        for task in self.inventory.workers[name].tasks:
+            job = self.jobs[job_of(task)]
+            if job.losses and self._is_stable(task, name):
+                if self.losses.attempt_survived(job, self.record(task)):
+                    self._mark_dirty(job)
+
     def _is_stable(self, task: str, worker: str) -> bool:
         active = self.active[task]
         ran_s = self.losses.heard_at(worker) - active.since
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -422,6 +422,14 @@
         replacement="self.now() - active.since",
         test="tests/test_shard_losses.py",
     ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="storing that an attempt of a shard ran for a while",
+        file="shard.py",
+        text="if self.losses.attempt_survived(job, self.record(task)):",
+        replacement="if False:",
+        test="tests/test_shard_losses.py",
+    ),
     Mutant(
         guarantee="decisions",
         mechanism="clearing losses of a shard's worker that answers again",
--- a/tests/test_shard_losses.py
+++ b/tests/test_shard_losses.py
@@ -520,3 +520,16 @@
     for _ in range(2):
         _crashed(env)
     assert env.failed
+
+
+# Guards against losses that are taken to be in a row although an attempt has run for
+# long between them, whose end the owner that knew did not see.
+@pytest.mark.parametrize("kind", Kind, ids=lambda kind: kind.value)
+def test_attempt_that_ran_for_long_ends_the_row(kind: Kind) -> None:
+    env = Deployment(kind=kind)
+    for _ in range(START_LIMIT - 1):
+        _crashed(env)
+    _unreached_after_takeover(env)
+    _crashed(env)
+    assert not env.failed
+    assert env.record.crashes == 1
