A start for which no connection was established is not taken as sent

Callers saw a task as failed whose workers had crashed by themselves before its start was sent: the order found no connection, and another incarnation answered later.

Cause: `http_calls.call` told every failure as `PeerUnavailable`, after which an order may have taken effect. Without a connection no byte of it was sent.

Evidence: tests/test_shard_losses.py, case "unconnected", failed for services, batches and gangs before, and tests/test_link.py::test_order_without_connection_is_not_sent, over HTTP.

`call` raises `NotSent` (a `PeerUnavailable`, so that nothing else changes for its callers) where connecting failed, and the link does not record the starts of that order as sent.

--- a/cranberrycleat/http_calls.py
+++ b/cranberrycleat/http_calls.py
@@ -106,12 +106,15 @@
     """Send one message and return the decoded answer.
 
     Raises:
+        NotSent: No connection was established.
         PeerUnavailable: No complete answer arrived; the call may have taken effect.
         ProblemError: The server returned an error.
     """
     content = None if message is None else codec.encode(message)
     try:
         res = await client.send_request(method, url, content, params)
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
+        raise errors.NotSent(f"{url}: {exc!r}") from exc
     except (httpx.HTTPError, httpx.InvalidURL) as exc:
         raise errors.PeerUnavailable(f"{url}: {exc!r}") from exc
     if res.status_code >= 400:
--- a/cranberrycleat/link.py
+++ b/cranberrycleat/link.py
@@ -144,8 +144,9 @@
         order = self._order()
         try:
             reply = await self.client.sync(order)
-        except errors.PeerUnavailable:
-            self.shard.record_sent(order.starts)
+        except errors.PeerUnavailable as exc:
+            if not isinstance(exc, errors.NotSent):
+                self.shard.record_sent(order.starts)
             self._handle_no_reply()
             return
         except errors.ProblemError as exc:
--- a/cranberrycleat/worker_http.py
+++ b/cranberrycleat/worker_http.py
@@ -21,6 +21,7 @@
         """Send the worker its orders and return what it runs.
 
         Raises:
+            NotSent: No connection was established; no part of the order was sent.
             PeerUnavailable: No answer; the orders may take effect until their
                 `not_after` has passed on the worker's clock.
             ProblemError: Refused; no part of the order took effect.
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -83,17 +83,21 @@
     Attributes:
         standin: The worker.
         disconnected: Whether orders are lost before they reach the worker.
+        refuses_connections: Whether no connection to the worker can be established.
         late: Intercepted orders, for the test to deliver later.
         intercept: Whether orders are intercepted before they reach the worker.
     """
 
     standin: WorkerStandin
     disconnected: bool = False
+    refuses_connections: bool = False
     intercept: bool = False
     late: list[SyncOrder] = attrs.field(factory=list)
 
     async def sync(self, order: SyncOrder) -> SyncReply:
         """Deliver the order, unless disconnected or intercepting."""
+        if self.refuses_connections:
+            raise errors.NotSent("refused")
         if self.intercept:
             self.late.append(order)
         if self.disconnected or self.intercept:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+import socket
 
 import attrs
 import pytest
@@ -11,10 +12,11 @@
 from cranberrycleat.jobs import JobSpec, Kind, Program, TaskState
 from cranberrycleat.lease import OwnershipLease
 from cranberrycleat.link import LinkTimes, WorkerLink, inherited_leases
-from cranberrycleat.messages import InboxEntry, JobPart, Outcome
+from cranberrycleat.messages import InboxEntry, JobPart, Outcome, SyncOrder
 from cranberrycleat.shard import Shard
 from cranberrycleat.standins.table import MemoryTable
 from cranberrycleat.standins.worker import WorkerFaults
+from cranberrycleat.worker_http import HttpWorker
 from tests.fakes import DirectWorker, direct_worker, run_async
 
 LEASE_S = 10.0
@@ -299,6 +301,22 @@
     assert runs(owner.client)
 
 
+# Guards against a start that counts as sent although no connection was established, so
+# that the loss of the worker counts against the task.
+def test_order_without_connection_is_not_sent() -> None:
+    async def send() -> None:
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            client = HttpWorker(url=f"http://127.0.0.1:{unused.getsockname()[1]}")
+            try:
+                await client.sync(SyncOrder(holder="a", epoch=1))
+            finally:
+                await client.close()
+
+    with pytest.raises(errors.NotSent):
+        run_async(send())
+
+
 def test_task_that_crashes_its_worker_is_eventually_failed() -> None:
     """Each attempt restarts its worker, which then reports no failure of the task.
 
--- a/tests/test_shard_losses.py
+++ b/tests/test_shard_losses.py
@@ -235,6 +235,15 @@
     env.crash(env.place())
 
 
+def _unconnected(env: Deployment) -> None:
+    """The worker crashes by itself before the start is sent."""
+    on = env.place()
+    env.workers[on].refuses_connections = True
+    env.run(2 * STEP_S)
+    env.workers[on].refuses_connections = False
+    env.crash(on)
+
+
 def _unanswered_then_crashed(env: Deployment) -> None:
     on = env.place()
     env.disconnect(on)
@@ -402,6 +411,7 @@
 TABLE: dict[str, tuple[Way, LossKind | None]] = {
     "never sent": (_never_sent, None),
     "refused": (_refused, None),
+    "unconnected": (_unconnected, None),
     "unanswered, then heard": (_unanswered_then_heard, None),
     "unanswered, then crashed": (_unanswered_then_crashed, LossKind.CRASH),
     "unanswered, then silent": (_unanswered_then_silent, LossKind.CRASH),
