The log tells each lost attempt of a shard, and why a task is failed by losses

Each lost attempt that may have begun is logged with its kind, and the verdict with the workers that were lost. tests/test_shard_losses.py::test_log_tells_why_a_task_is_failed.

--- a/cranberrycleat/attempt_losses.py
+++ b/cranberrycleat/attempt_losses.py
@@ -11,6 +11,7 @@
 begun there too: several jobs that crash their workers must not pass for a common cause.
 """
 
+import logging
 import math
 from collections.abc import Callable
 from typing import Final
@@ -18,7 +19,8 @@
 import attrs
 
 from cranberrycleat.inventory import WorkerInventory
-from cranberrycleat.jobs import JobRow, TaskRecord
+from cranberrycleat.jobs import JobRow, TaskRecord, task_id
+from cranberrycleat.logs import part_logger
 from cranberrycleat.workflow.crash_attribution import (
     EVIDENCE,
     MIN_UNEXPLAINED,
@@ -34,6 +36,7 @@
     WorkerFailures,
 )
 
+LOG: Final[logging.Logger] = part_logger("losses")
 FAILURES_KEPT_S: Final = 60.0
 """How long the failure of a lost worker is kept, to see whether others coincide with it
 that are detected later."""
@@ -80,10 +83,11 @@
             Whether it may have been lost before, under this owner or an earlier one.
         """
         contact = self.contacts.get(name)
+        maybe_lost = True
         if contact is None or contact.incarnation != incarnation:
-            contact = WorkerContact(incarnation=incarnation)
-        maybe_lost = contact is not self.contacts.get(name) or bool(contact.failure)
-        self.contacts[name] = contact
+            contact = self.contacts[name] = WorkerContact(incarnation=incarnation)
+        else:
+            maybe_lost = contact.failure is not None
         contact.heard_at, contact.failure = self.now(), None
         return maybe_lost
 
@@ -155,6 +159,10 @@
             Whether the task is taken to crash its workers.
         """
         kind = self._kind_of(record.worker, stable=stable)
+        task, told = task_id(job.spec.name, record.index), (
+            kind.value if kind else "none"
+        )
+        LOG.info("Lost attempt %d of %s (%s).", record.attempt, task, told)
         if kind is None:
             return False
         if EVIDENCE[kind] < Evidence.AT_START:
@@ -169,7 +177,11 @@
         held.add_loss(self._lost_worker(record, kind), self.now())
         job.losses[record.index] = held.lost
         unexplained = sum(each.evidence >= Evidence.UNEXPLAINED for each in earlier)
-        return record.crashes >= START_LOSS_LIMIT and unexplained >= MIN_UNEXPLAINED
+        if record.crashes < START_LOSS_LIMIT or unexplained < MIN_UNEXPLAINED:
+            return False
+        lost = ", ".join(f"{each.worker} ({each.kind.value})" for each in held.lost)
+        LOG.warning("Task %s is taken to crash its workers: %s.", task, lost)
+        return True
 
     def _kind_of(self, name: str, *, stable: bool) -> LossKind | None:
         """Return what is known of a loss; None if its worker left or never answered."""
--- a/tests/test_shard_losses.py
+++ b/tests/test_shard_losses.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 import attrs
@@ -543,3 +544,18 @@
     _crashed(env)
     assert not env.failed
     assert env.record.crashes == 1
+
+
+# Guards against a task that is shown as failed without a word of the cause.
+def test_log_tells_why_a_task_is_failed(caplog: pytest.LogCaptureFixture) -> None:
+    env = Deployment(kind=Kind.BATCH)
+    with caplog.at_level(logging.INFO, logger="cranberrycleat.losses"):
+        for _ in range(START_LIMIT):
+            _crashed(env)
+    lost = [text for text in caplog.messages if text.startswith("Lost attempt")]
+    assert lost == [
+        f"Lost attempt {attempt} of job/0 (crash)."
+        for attempt in range(1, START_LIMIT + 1)
+    ]
+    assert caplog.messages[-1].startswith("Task job/0 is taken to crash its workers: w")
+    assert caplog.messages[-1].count("(crash)") == START_LIMIT
