--- a/cranberrycleat/link.py
+++ b/cranberrycleat/link.py
@@ -144,7 +144,9 @@
         order = self._order()
         try:
             reply = await self.client.sync(order)
-        except errors.PeerUnavailable:
+        except errors.PeerUnavailable as exc:
+            if not isinstance(exc, errors.NotSent):
+                self.shard.record_sent(order.starts)
             self._handle_no_reply()
             return
         except errors.ProblemError as exc:
@@ -227,6 +229,7 @@
 
     def _handle_reply(self, order: SyncOrder, reply: SyncReply) -> None:
         name = self.entry.name
+        self.shard.record_sent(order.starts)
         self.misses = 0
         self._worker_clock, self._worker_clock_read_at = reply.clock, self.clock.now()
         changed = bool(reply.tasks)
@@ -240,8 +243,8 @@
         for mark in order.settled:
             self.settled.remove(mark)
         if self.shard.inventory.workers[name].state.value == "silent":
-            self.shard.worker_responded(name)
             changed = True
+        self.shard.worker_responded(name, reply.incarnation)
         if reply.state is HostState.LEAVING:
             self._record_leaving()
         if changed:
@@ -249,6 +252,10 @@
 
     def _handle_new_incarnation(self, reply: SyncReply) -> None:
         """Handle the first reply of an incarnation, which now has our epoch."""
+        if self._leaving_at < math.inf:
+            # The incarnation before was leaving; this one is to count as live.
+            self._leaving_at = math.inf
+            self.shard.worker_silent(self.entry.name)
         self.shard.drop_unreported(self.entry.name, reply.tasks)
         until = self.clock.now() + self.times.lease_s * (1 + MAX_CLOCK_DRIFT)
         self.keep_until = self.release_until = until + self.times.order_s
--- a/cranberrycleat/shard.py
+++ b/cranberrycleat/shard.py
@@ -16,6 +16,7 @@
 
 from cranberrycleat import codec, selectors
 from cranberrycleat.amounts import NOTHING, Amounts
+from cranberrycleat.attempt_losses import AttemptLosses
 from cranberrycleat.clock import MonotonicClock
 from cranberrycleat.inventory import InventoryWorker, WorkerInventory, WorkerState
 from cranberrycleat.jobs import (
@@ -37,6 +38,7 @@
     JobPart,
     LabelChange,
     Outcome,
+    StartOrder,
     TaskReport,
 )
 from cranberrycleat.placement import PlacementRequest
@@ -45,11 +47,9 @@
 from cranberrycleat.table import Put, Row
 
 STABLE_AFTER_S: Final = 1.0
-"""An attempt that has run for this long is not considered to crash its worker."""
-MAX_WORKER_CRASHES: Final = 5
-"""Consecutive workers that may be lost just after a task started before the task is
-failed. A single loss is no evidence, since every task just started on that worker is
-lost with it."""
+"""An attempt whose worker still answers this long after it began is not considered to
+crash it. When the loss is noticed tells nothing: a worker that crashes may be down for
+long, and a new owner has known the attempt for a moment only."""
 
 
 @attrs.define(kw_only=True)
@@ -69,15 +69,18 @@
 
     Attributes:
         durable: Whether the placement is stored in the table.
+        ordered: Whether this owner sent a start that the worker did not refuse, or the
+            worker reported it as running.
         url: Its endpoint's URL, once it runs.
         running: Whether its worker reported it as running.
-        since: When its worker first did so, on the shard's clock.
+        since: When it began by its worker's report, on the shard's clock.
         stopping: Whether it is to be stopped or preempted.
         how: How it is to be preempted.
         needs: The resources allocated for it.
     """
 
     durable: bool = False
+    ordered: bool = False
     url: str = ""
     running: bool = False
     since: float = 0.0
@@ -105,6 +108,12 @@
             lambda self: RoundPlanner(inventory=self.inventory), takes_self=True
         )
     )
+    losses: AttemptLosses = attrs.field(
+        default=attrs.Factory(
+            lambda self: AttemptLosses(now=self.now, inventory=self.inventory),
+            takes_self=True,
+        )
+    )
     _dirty: set[str] = attrs.field(factory=set)
     _dirty_workers: set[str] = attrs.field(factory=set)
     _jobs_with_pending: set[str] = attrs.field(factory=set)
@@ -192,6 +201,7 @@
         self.inventory.remove_worker(name)
         self.hosts.pop(name, None)
         self.orphaned_attempts.pop(name, None)
+        self.losses.forget_worker(name)
         self.planner.total_capacity = self.planner.total_capacity.minus(worker.capacity)
 
     def _labels(self, entry: HostEntry) -> dict[str, str]:
@@ -203,8 +213,13 @@
         }
         return {key: value for key, value in labels.items() if value is not None}
 
-    def worker_responded(self, name: str) -> None:
+    def worker_responded(self, name: str, incarnation: str = "") -> None:
         """Record that a worker responded, so that it may be given tasks."""
+        if self.losses.worker_responded(name, incarnation):
+            for job in self.jobs.values():
+                if job.losses and self.losses.clear(job, name, incarnation):
+                    self._mark_dirty(job)
+        self._clear_survivors(name)
         worker = self.inventory.workers[name]
         if worker.state is WorkerState.SILENT:
             worker.state = WorkerState.LIVE
@@ -212,6 +227,7 @@
 
     def worker_silent(self, name: str) -> None:
         """Record that a worker does not respond; its tasks stay allocated."""
+        self._worker_failed(name)
         worker = self.inventory.workers[name]
         if worker.state is not WorkerState.SILENT:
             worker.state = WorkerState.SILENT
@@ -219,6 +235,7 @@
 
     def worker_leaving(self, name: str) -> None:
         """Record that a worker is leaving: it is given no more tasks."""
+        self.losses.worker_leaving(name)
         worker = self.inventory.workers.get(name)
         if worker is not None and worker.state is not WorkerState.LEAVING:
             worker.state = WorkerState.LEAVING
@@ -343,6 +360,7 @@
 
     def _report_running(self, worker: str, report: TaskReport) -> None:
         active = self.active[report.task]
+        active.ordered = True
         if report.throttled:
             active.stopping = False
             self.inventory.set_needs(worker, report.task, throttled(active.needs))
@@ -351,20 +369,46 @@
         self.planner.history.record_usage(job_of(report.task), report.used)
         if not active.running:
             active.running = True
-            active.since = self.now()
+            active.since = self.now() - report.run_s
             active.url = report.url
             self.endpoint_revision += 1
 
+    def _worker_failed(self, name: str) -> None:
+        """Record that a worker was found silent or replaced, before its tasks are."""
+        tasks = self.inventory.workers[name].tasks
+        just_begun = frozenset(
+            job_of(task)
+            for task in tasks
+            if self.active[task].ordered and not self._is_stable(task, name)
+        )
+        self.losses.worker_failed(name, just_begun)
+
+    def _clear_survivors(self, name: str) -> None:
+        """Clear the losses of tasks that have run on a worker for a while.
+
+        This is stored at once, since the next owner may not learn how long they ran.
+        """
+        for task in self.inventory.workers[name].tasks:
+            job = self.jobs[job_of(task)]
+            if job.losses and self._is_stable(task, name):
+                if self.losses.attempt_survived(job, self.record(task)):
+                    self._mark_dirty(job)
+
+    def _is_stable(self, task: str, worker: str) -> bool:
+        active = self.active[task]
+        ran_s = self.losses.heard_at(worker) - active.since
+        return active.running and ran_s >= STABLE_AFTER_S
+
     def _attempt_lost(self, job: JobRow, record: TaskRecord) -> None:
         """Handle an attempt lost with its worker, which the task may have crashed.
 
-        A task that had run for a while did not crash it. Other tasks that had just
-        started on the same worker are lost too, but not on several in a row.
+        If this owner neither sent a start nor was told of one, the loss tells nothing.
         """
-        active = self.active[task_id(job.spec.name, record.index)]
-        stable = active.running and self.now() - active.since >= STABLE_AFTER_S
-        record.crashes = 0 if stable else record.crashes + 1
-        if record.crashes >= MAX_WORKER_CRASHES and not job.cancelled:
+        task = task_id(job.spec.name, record.index)
+        crashes_workers = self.active[task].ordered and self.losses.record_loss(
+            job, record, stable=self._is_stable(task, record.worker)
+        )
+        if crashes_workers and not job.cancelled:
             self._end_placement(job, record, TaskState.FAILED)
             return
         self._attempt_ended(job, record, failed=False)
@@ -507,8 +551,16 @@
                 active.durable = True
         return frozenset(each.worker for each in plan.assignments)
 
+    def record_sent(self, starts: Iterable[StartOrder]) -> None:
+        """Record start orders that may have taken effect."""
+        for start in starts:
+            active = self.active.get(start.task)
+            if active is not None:
+                active.ordered = True
+
     def drop_unreported(self, worker: str, reports: Iterable[TaskReport]) -> None:
-        """Mark durable tasks that a worker's full task list omits as lost."""
+        """Mark durable tasks that a new incarnation's task list omits as lost."""
+        self._worker_failed(worker)
         listed = {(each.task, each.attempt) for each in reports}
         for task in list(self.inventory.workers[worker].tasks):
             record = self.record(task)
