Stand-in workers refuse requests for another lifetime and those after their end

Cause: a soak whose workers come back under a new identity at the same address needs the platform's 421: without it the next life carries out orders for the last one. And a connection accepted just before HttpProcess.kill was served after it (seen once as a KeyError in a soak under a load of 25).

Change: HttpWorker answers 421 if Expect-Instance names another identity; a connection that is handed over after the listener was closed is reset.

--- a/tests/http_workers.py
+++ b/tests/http_workers.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from cranberrycleat.platform.workers import REPLACED
 from cranberrycleat.standins.fleet import SimulatedWorker, StandinFleet
 from cranberrycleat.workflow.ports import (
     EndKind,
@@ -83,6 +84,13 @@
         """Return the status and the body of an answer."""
         raise NotImplementedError
 
+    def is_meant(self, identity: str) -> bool:
+        """Return whether a request for a lifetime with this identity is for this one.
+
+        An empty identity names none.
+        """
+        return True
+
     async def start(self) -> None:
         """Listen, at the same address as before."""
         self._server = await asyncio.start_server(
@@ -104,6 +112,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._server is None or not self._server.is_serving():
+            # It was accepted just before the process was killed.
+            writer.transport.abort()
+            return
         self.connections += 1
         # One that its caller has closed counts until its request is answered.
         if self.max_open is not None and len(self._open) >= self.max_open:
@@ -127,7 +139,7 @@
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                length = head.lower().partition("content-length: ")[2].split("\r\n")[0]
+                length = _header(head, "content-length")
                 req = json.loads(await reader.readexactly(int(length)))
                 path = head.split(" ")[1]
                 self.paths.append(path)
@@ -135,7 +147,10 @@
                     writer.transport.abort()
                     break
                 await asyncio.sleep(self.answer_delay_s)
-                status, answer = await self.answer(path, req)
+                if self.is_meant(_header(head, "expect-instance")):
+                    status, answer = await self.answer(path, req)
+                else:
+                    status, answer = REPLACED, {}
                 if path in self.lost_answers:
                     writer.transport.abort()
                     break
@@ -156,6 +171,10 @@
     fleet: StandinFleet
     name: str
 
+    def is_meant(self, identity: str) -> bool:
+        """Return whether a request names this worker, or none."""
+        return identity in ("", self.name)
+
     async def answer(self, path: str, req: dict[str, Any]) -> tuple[int, Any]:
         """Answer as the fleet does; a silent worker does not answer."""
         worker = self.fleet.workers[self.name]
@@ -207,6 +226,15 @@
         }
 
 
+def _header(head: str, name: str) -> str:
+    """Return the value of a header, given its name in lower case; empty if absent."""
+    for line in head.split("\r\n")[1:]:
+        key, _, value = line.partition(":")
+        if key.lower() == name:
+            return value.strip()
+    return ""
+
+
 def _verdict(reply: OrderReply) -> tuple[int, Any]:
     if reply.verdict is Verdict.ACCEPTED:
         return 200, {"clock_ms": reply.worker_time_ms}
