The stand-in store can turn single hosts away

Cause: so far it could only fall silent for all callers; the platform's store also rejects some machines while it serves the others.

Change: HostAccess is one host's address of the store. While the host is turned away, its calls are left unanswered, carried out but not answered, answered 503, or reset.

--- a/tests/store_server.py
+++ b/tests/store_server.py
@@ -1,7 +1,8 @@
 """Serves a table in memory over HTTP, in the protocol of the platform's store.
 
 It can fall silent around a write of the owner's row: before the write is carried out,
-after it, or with the write carried out while no call is answered.
+after it, or with the write carried out while no call is answered. Hosts that have an
+address of their own can be turned away while others are served.
 """
 
 import asyncio
@@ -9,7 +10,7 @@
 import contextlib
 import enum
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, Final
 from urllib.parse import parse_qsl
 
@@ -25,6 +26,9 @@
 
 NO_ANSWER_S: Final = 60.0
 """Longer than any caller waits."""
+REFUSED: Final = 503
+WRITE_PATH: Final = "/api/rows-tx"
+Responder = Callable[[str, Any, dict[str, str]], Awaitable[tuple[int, Any]]]
 
 
 class OwnerWrite(enum.Enum):
@@ -58,6 +62,16 @@
     seconds: float
 
 
+class Absence(enum.Enum):
+    """What the store does with the calls of a host that it turns away."""
+
+    SILENT = "silent"
+    LOSES_ANSWERS = "loses answers"
+    """Writes are carried out; nothing is answered."""
+    REFUSES = "refuses"
+    RESETS = "resets"
+
+
 @attrs.define(kw_only=True, eq=False)
 class StoreServer:
     """The store of a soak.
@@ -102,6 +116,10 @@
         """Write a row as the operator or a worker does."""
         self.table.apply(Transaction(puts=(Put(key=key, value=json.dumps(value)),)))
 
+    def drop(self, key: str) -> None:
+        """Remove a row as the platform does."""
+        self.table.apply(Transaction(deletes=(key,)))
+
     def owner_row(self) -> OwnerRow | None:
         """Return the owner's row."""
         row = self.table.rows.get(OWNER_KEY)
@@ -109,14 +127,17 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request, unless the store is silent."""
+        await self.serve(scope, receive, send, self.respond)
+
+    async def serve(
+        self, scope: Any, receive: Any, send: Any, respond: Responder
+    ) -> None:
+        """Answer one request with what `respond` returns for it."""
         body = await read_body(receive) or b""
         sent = json.loads(body) if body else {}
         args = dict(parse_qsl(scope["query_string"].decode()))
         try:
-            if self.answers:
-                status, message = await self._answer(scope["path"], sent, args)
-            else:
-                status, message = await self._leave_unanswered()
+            status, message = await respond(scope["path"], sent, args)
         except asyncio.CancelledError:
             if self._killed.is_set():
                 return
@@ -124,7 +145,15 @@
         data = json.dumps(message).encode()
         await send_answer(send, Answer(message=data, status=status))
 
-    async def _leave_unanswered(self) -> tuple[int, Any]:
+    async def respond(
+        self, path: str, sent: Any, args: dict[str, str]
+    ) -> tuple[int, Any]:
+        """Return the status and the body of an answer, unless the store is silent."""
+        if self.answers:
+            return await self._answer(path, sent, args)
+        return await self.leave_unanswered()
+
+    async def leave_unanswered(self) -> tuple[int, Any]:
         """Wait until the caller has given up; return what is answered then."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(NO_ANSWER_S):
@@ -157,7 +186,7 @@
                     loop.call_later(silence.seconds / 2, self.table.apply, txn)
                 case Silence.AFTER:
                     self.table.apply(txn)
-            return await self._leave_unanswered()
+            return await self.leave_unanswered()
         reply = self.table.apply(txn)
         if not reply.committed:
             keys = [check.key for check in txn.checks]
@@ -199,7 +228,7 @@
             wait_s=int(args.get("wait_ms", "0")) / 1000,
         )
         if not self.answers:
-            return await self._leave_unanswered()
+            return await self.leave_unanswered()
         rows = [
             (
                 _wire_row(each.row)
@@ -211,6 +240,70 @@
         return 200, {"rows": rows, "schema_ver": feed.version}
 
 
+@attrs.define(kw_only=True, eq=False)
+class HostAccess:
+    """One host's access to the store, at an address of its own.
+
+    Attributes:
+        store: The store.
+        absence: How the store turns the host away; None: it serves it.
+    """
+
+    store: StoreServer
+    absence: Absence | None = None
+    _server: "_ResettableServer" = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._server = _ResettableServer(app=self, host="127.0.0.1", port=0)
+
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        return self._server.port
+
+    async def start(self) -> None:
+        """Start listening."""
+        await self._server.start()
+
+    async def kill(self) -> None:
+        """Stop; the store is killed first, which gives up the unanswered calls."""
+        await self._server.kill()
+
+    def turn_away(self, absence: Absence) -> None:
+        """Turn the host away, including the calls under way."""
+        self.absence = absence
+        if absence is Absence.RESETS:
+            self._server.reset_connections()
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request, unless the host is turned away."""
+        await self.store.serve(scope, receive, send, self._respond)
+
+    async def _respond(
+        self, path: str, sent: Any, args: dict[str, str]
+    ) -> tuple[int, Any]:
+        is_lost = self.absence is Absence.LOSES_ANSWERS and path == WRITE_PATH
+        if self.absence is None or is_lost:
+            answer = await self.store.respond(path, sent, args)
+            if self.absence is None:
+                return answer
+        if self.absence is Absence.REFUSES:
+            return REFUSED, {}
+        if self.absence is Absence.RESETS:
+            self._server.reset_connections()
+        return await self.store.leave_unanswered()
+
+
+class _ResettableServer(HttpServer):
+    """A server that can reset its connections and go on listening."""
+
+    def reset_connections(self) -> None:
+        """Reset every open connection."""
+        if self._server is not None:
+            for conn in list(self._server.server_state.connections):
+                conn.transport.abort()
+
+
 def _transaction(sent: Any) -> Transaction:
     return Transaction(
         checks=tuple(
