The stand-in store answers waiting calls by the clock; the loss soak awaits submissions

Cause: two false findings of the soak. The table counts its polls instead of the time: on a machine with a load of 33 a call that may wait 1 s was answered after more than the callers' limit of 1.2 s, so that hosts took their configuration for unread and were not ready for 30 s (seen twice).

Change: the store looks for changes until the time is over; the end of a run is counted after the last submission.

--- a/tests/loss_soak.py
+++ b/tests/loss_soak.py
@@ -250,6 +250,7 @@
     began: float = 0.0
     _rng: random.Random = attrs.field(init=False)
     _played: "list[asyncio.Task[None]]" = attrs.field(factory=list)
+    _submissions: "list[asyncio.Task[None]]" = attrs.field(factory=list)
     _running: "set[asyncio.Task[None]]" = attrs.field(factory=set)
     _felled: set[str] = attrs.field(factory=set)
 
@@ -333,6 +334,8 @@
         await asyncio.gather(submitting, *self._played, return_exceptions=True)
         await self._end_faults()
         end = self._now() + END_LIMIT_S
+        # A job may be accepted after the others have ended.
+        await asyncio.gather(*self._submissions, return_exceptions=True)
         while self.judge.unended() and self._now() < end:
             await asyncio.sleep(0.1)
         self._add(f"{len(self.judge.unended())} jobs have not ended")
@@ -363,7 +366,8 @@
             await asyncio.sleep(rng.uniform(*SUBMIT_INTERVAL_S))
             planned = draw_job(rng)
             self.judge.jobs[planned.job_id] = planned
-            self._spawn(self._submit(planned, random.Random(planned.job_id)))
+            call = self._spawn(self._submit(planned, random.Random(planned.job_id)))
+            self._submissions.append(call)
 
     async def _submit(self, planned: PlannedJob, rng: random.Random) -> None:
         """Submit a job to one host after the other until one accepts it."""
--- a/tests/store_server.py
+++ b/tests/store_server.py
@@ -26,6 +26,7 @@
 
 NO_ANSWER_S: Final = 60.0
 """Longer than any caller waits."""
+FEED_POLL_S: Final = 0.005
 REFUSED: Final = 503
 WRITE_PATH: Final = "/api/rows-tx"
 Responder = Callable[[str, Any, dict[str, str]], Awaitable[tuple[int, Any]]]
@@ -222,11 +223,17 @@
         }
 
     async def _feed(self, args: dict[str, str]) -> tuple[int, Any]:
-        feed = await self.table.follow(
-            table=args["table"],
-            after=int(args["after"]),
-            wait_s=int(args.get("wait_ms", "0")) / 1000,
-        )
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(args.get("wait_ms", "0")) / 1000
+        while True:
+            # The table counts its waits, which on a busy machine last longer than the
+            # callers' time limits.
+            feed = await self.table.follow(
+                table=args["table"], after=int(args["after"]), wait_s=0.0
+            )
+            if feed.changes or loop.time() >= end:
+                break
+            await asyncio.sleep(FEED_POLL_S)
         if not self.answers:
             return await self.leave_unanswered()
         rows = [
