--- a/tests/loss_soak.py
+++ b/tests/loss_soak.py
@@ -522,12 +522,12 @@
         self._end_life(machine, same_identity=same_identity)
         self._spawn(self._lapse_entry(machine, before))
         await machine.process.kill()
+        await asyncio.sleep(back_s)
         if other_address and not same_identity:
             machine.process = HttpWorker(
                 fleet=self.fleet, name=machine.name, port=reserved_port()
             )
         machine.process.name = machine.name
-        await asyncio.sleep(back_s)
         await machine.process.start()
         machine.entry = at(machine.entry, machine.process.port)
         self.fleet.workers[machine.name].entry = machine.entry
