The next owner stops the rest of a gang that lost a member

Callers saw an accepted job that never ended (LOST): a gang lost a member while the worker of another one was cut off, and the owner changed before that worker got its stop. The next owner adopted the rest, renewed its leases, and held the lost members back until the rest ended.

Cause: the rest of a gang was stopped at the moment of the loss only; that it is to be stopped is not stored. Change: a takeover stops the rest of every gang that is not whole.

--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -634,6 +634,8 @@
                     for task in step.tasks:
                         if task.state is TaskState.PLACED:
                             self._adopt(task, now)
+                    if step.spec.gang:
+                        self._stop_incomplete_gang(step)
             for start in job.unanswered:
                 self._adopt_unanswered_start(job, start)
 
