What an owner lost sight of is kept for the owners after it

A step's row keeps the attempts that were placed just before a change of owner or whose worker fell silent before they had run for 0.3 s; a worker that answers takes them off. Their loss counts as unobserved, however many owners later it is proved.

Both new kinds of test_kind_of_each_loss and the four cases of test_task_that_crashes_its_workers_is_failed_in_time ask for it; 269 tests of the modules concerned pass.

--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -17,6 +17,7 @@
 from cranberrycleat.clock import BootClock, WallClock
 from cranberrycleat.logs import emit
 from cranberrycleat.table import TableLimits
+from cranberrycleat.workflow.crash_attribution import UNOBSERVED_S
 from cranberrycleat.workflow.decisions.load_control import LoadControl
 from cranberrycleat.workflow.decisions.ordering import objective_s
 from cranberrycleat.workflow.decisions.permit_choice import AllowedShare
@@ -644,9 +645,8 @@
             task.name, task.attempt, reserved_resources(task.step.spec), task, now
         )
         placement.program = task.step.job.spec.program
-        if task.step.placed_s:
-            ago_s = self.time_of_day() - task.step.placed_s
-            placement.placed_ago_s = max(0.0, ago_s)
+        if self.time_of_day() - task.step.placed_s <= UNOBSERVED_S:
+            self.losses.lose_sight(task)
         worker = self._worker_of(task.worker, placement.needs)
         self._reserve(worker, placement)
         if worker.entry.born_ms and task.step.job.queue.permits is None:
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -132,8 +132,6 @@
         stop_reason: Why, in human-readable form.
         listed_at: When its worker first listed it as running, on the owner's clock;
             None before.
-        placed_ago_s: How long before the takeover an earlier owner placed it, at least;
-            infinite if unknown.
         percent: The reported share of its work that is done, or for a service the share
             at which it works.
         advanced_at: When that share was last seen to rise, on the owner's clock.
@@ -165,7 +163,6 @@
     stopping: bool = False
     stop_reason: str = ""
     listed_at: float | None = None
-    placed_ago_s: float = float("inf")
     percent: float = 0.0
     advanced_at: float = 0.0
     first_advanced_at: float | None = None
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -342,6 +342,7 @@
                 )
             )
             self.worker.liveness = Liveness.SILENT
+            self.cluster_state.losses.worker_fell_silent(self.worker)
             if self.worker.entry.born_ms:
                 # The sync may be carried out late; it acknowledges ends by numbers that
                 # the next incarnation uses again.
--- a/cranberrycleat/workflow/loss_tracker.py
+++ b/cranberrycleat/workflow/loss_tracker.py
@@ -19,7 +19,6 @@
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.crash_attribution import (
     CRASH_WINDOW_S,
-    UNOBSERVED_S,
     LossKind,
     LossRecord,
     LostWorker,
@@ -209,8 +208,29 @@
         )
         return WorkersCrashed(task=task.name, losses=tuple(record.lost))
 
+    def lose_sight(self, task: Task) -> None:
+        """Record, for later owners too, that it is not known how long an attempt ran."""
+        key = (task.index, task.attempt)
+        if key not in task.step.unseen:
+            task.step.unseen.add(key)
+            self.changed(task.step.job)
+
+    def worker_fell_silent(self, worker: FleetWorker) -> None:
+        """Lose sight of the attempts that had only just begun on a worker."""
+        for placement in worker.placements.values():
+            task = placement.tracked_task
+            if task is None or not placement.is_current or placement.is_adopted:
+                continue
+            if placement.ordered and not worker.is_seen_past_crash_window(placement):
+                self.lose_sight(task)
+
     def clear(self, worker: FleetWorker) -> None:
         """Remove a worker that answers again from all records: no task crashed it."""
+        for placement in worker.placements.values():
+            task = placement.tracked_task
+            if task is not None and (task.index, task.attempt) in task.step.unseen:
+                task.step.unseen.remove((task.index, task.attempt))
+                self.changed(task.step.job)
         self.provisional = [
             each for each in self.provisional if each.worker is not worker
         ]
@@ -293,11 +313,9 @@
             return LossKind.CRASH if is_crash else LossKind.COINCIDENT
         # The platform drops the entry of a worker that crashed or left.
         has_ended = cause is LossCause.REPLACED or not worker.listed
-        if (
-            has_ended
-            and placement.placed_ago_s <= UNOBSERVED_S
-            and not correlated.exonerates(step.job.job_id)
-        ):
+        is_unseen = (placement.tracked_task.index, placement.attempt) in step.unseen
+        explained = correlated.exonerates(step.job.job_id)
+        if has_ended and is_unseen and not explained:
             return LossKind.UNOBSERVED
         return LossKind.UNKNOWN
 
--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -95,6 +95,7 @@
     loss_details: tuple[tuple[str, str, int, float], ...] = ()
     failed_ends: tuple[tuple[int, int, str], ...] = ()
     placed_s: float = 0.0
+    unseen: tuple[tuple[int, int], ...] = ()
 
 
 class _OccurrenceRow(msgspec.Struct, array_like=True):
@@ -321,6 +322,12 @@
                     if tasks[each.index].state is not TaskState.DONE
                 ),
                 placed_s=round(step.placed_s, 1),
+                unseen=tuple(
+                    (t.index, t.attempt)
+                    for t in tasks
+                    if t.state is TaskState.PLACED
+                    and (t.index, t.attempt) in step.unseen
+                ),
             )
         )
     return _OccurrenceRow(number=occurrence.number, steps=tuple(steps))
@@ -508,6 +515,7 @@
         for index, failures in step_row.failures:
             step.tasks[index].failures = failures
         step.placed_s = step_row.placed_s
+        step.unseen = set(step_row.unseen)
         _unpack_losses(step, step_row)
         step.failed_ends = [
             FailedEnd(index=index, attempt=attempt, worker=worker)
--- a/cranberrycleat/workflow/state.py
+++ b/cranberrycleat/workflow/state.py
@@ -168,6 +168,8 @@
         failed_ends: The ends that were counted as failed, oldest first.
         placed_s: When any of its tasks was last placed, in seconds since 1970; 0 if
             unknown.
+        unseen: The attempts, with the index of their task, that an owner lost sight of
+            before they outlived the crash window.
     """
 
     job: "Job"
@@ -189,6 +191,7 @@
     losses: dict[int, LossRecord] = attrs.field(factory=dict)
     failed_ends: list[FailedEnd] = attrs.field(factory=list)
     placed_s: float = 0.0
+    unseen: set[tuple[int, int]] = attrs.field(factory=set)
 
     @property
     def name(self) -> str:
@@ -386,6 +389,7 @@
         task.worker = worker
         task.attempt = attempt
         task.ended_on.clear()
+        task.step.unseen -= {each for each in task.step.unseen if each[0] == task.index}
         task.step.last_attempt = max(task.step.last_attempt, attempt)
         self.started = True
         self.attempts += 1
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -1498,8 +1498,8 @@
         guarantee="decisions",
         mechanism="not counting a loss that the earlier owner could have judged",
         file="workflow/loss_tracker.py",
-        text="            and placement.placed_ago_s <= UNOBSERVED_S\n",
-        replacement="",
+        text="if has_ended and is_unseen and not explained:",
+        replacement="if has_ended and not explained:",
         test="tests/test_loss_kinds.py::test_losses_without_evidence_fail_no_job",
     ),
     Mutant(
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -378,7 +378,7 @@
     owner_board = cluster_state(worker("w"))
     owner_board.accept("a", queue(), job(step()))
     text = rows.job_put(owner_board.jobs["a"]).value
-    older = text.replace(",[],[],[],0.0]]]]", "]]]]", 1)
+    older = text.replace(",[],[],[],0.0,[]]]]]", "]]]]", 1)
     assert older != text
     spec = rows.SpecRow(queue=queue(), spec=job(step()), accepted_s=NOW_S)
     restored = rows.restore("a", spec, rows.decode_job_row(older, "jobs/a"))
--- a/tests/test_loss_kinds.py
+++ b/tests/test_loss_kinds.py
@@ -23,7 +23,7 @@
     LossKind,
     LostWorker,
 )
-from cranberrycleat.workflow.fleet import FleetWorker, LossCause, Placement
+from cranberrycleat.workflow.fleet import FleetWorker, Liveness, LossCause, Placement
 from cranberrycleat.workflow.ports import EndedTask, EndKind, RunningTask, SyncReply
 from cranberrycleat.workflow.spec import StepSpec
 from cranberrycleat.workflow.state import JobState, StepRun, TaskState
@@ -265,6 +265,27 @@
     env.lose(env.first(), LossCause.SILENT)
 
 
+def _crash_before_two_takeovers(env: Deployment) -> None:
+    """The first of the two owners does not live to see that the worker is lost."""
+    env.start(ran_s=0.0)
+    env.take_over()
+    env.store()
+    env.now += LONG_S
+    env.take_over()
+    env.lose(env.first(), LossCause.REPLACED)
+
+
+def _fall_silent_before_takeover(env: Deployment) -> None:
+    """The owner that notices it does not live to see that the worker is lost."""
+    lost = env.start(ran_s=0.0)
+    lost.liveness = Liveness.SILENT
+    env.state.losses.worker_fell_silent(lost)
+    env.store()
+    env.now += LONG_S
+    env.take_over(listed=False)
+    env.lose(env.first(), LossCause.SILENT)
+
+
 def _run_until_takeover(env: Deployment) -> None:
     """It crashes while no owner observes it, long after it began."""
     env.start(ran_s=LONG_S)
@@ -317,6 +338,8 @@
     "answers again": (_answer_again, None),
     "crashes during a takeover": (_crash_during_takeover, LossKind.UNOBSERVED),
     "disappears during one": (_disappear_during_takeover, LossKind.UNOBSERVED),
+    "crashes before two": (_crash_before_two_takeovers, LossKind.UNOBSERVED),
+    "falls silent before one": (_fall_silent_before_takeover, LossKind.UNOBSERVED),
     "is not reached after one": (_unreached_after_takeover, LossKind.UNKNOWN),
     "crashes later after one": (_crash_after_takeover, LossKind.LATER),
 }
@@ -386,6 +409,8 @@
         ([_crash_alone], False, START_LOSS_LIMIT),
         ([_crash_during_takeover], True, START_LOSS_LIMIT),
         ([_disappear_during_takeover], True, START_LOSS_LIMIT),
+        ([_crash_before_two_takeovers], True, START_LOSS_LIMIT),
+        ([_fall_silent_before_takeover], True, START_LOSS_LIMIT),
         ([_crash_alone, _crash_during_takeover], True, START_LOSS_LIMIT),
         ([_crash_beside_others, _crash_during_takeover], True, START_LOSS_LIMIT),
         ([_crash_alone, _crash_beside_others], False, START_LOSS_LIMIT),
@@ -397,6 +422,8 @@
         "on one machine",
         "before each takeover",
         "before each takeover, and is not listed",
+        "before two takeovers each",
+        "silently, some time before each takeover",
         "before every other takeover",
         "beside others and before takeovers",
         "on one machine, at times beside others",
