--- a/cranberrycleat/workflow/loss_tracker.py
+++ b/cranberrycleat/workflow/loss_tracker.py
@@ -209,7 +209,7 @@
         return WorkersCrashed(task=task.name, losses=tuple(record.lost))
 
     def lose_sight(self, task: Task) -> None:
-        """Record, for later owners too, that it is not known how long an attempt ran."""
+        """Record for all later owners that how long an attempt ran is not known."""
         key = (task.index, task.attempt)
         if key not in task.step.unseen:
             task.step.unseen.add(key)
