--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -370,8 +370,8 @@
         guarantee="decisions",
         mechanism="a task avoids the worker on which it failed",
         file="workflow/decisions/planner.py",
-        text="        if not exclusions:",
-        replacement="        if True:",
+        text="        preferred = [each for each in candidates if exclusions.ends_at(each) is None]\n",
+        replacement="        return candidates\n",
         test="tests/test_planner.py::test_task_avoids_worker_that_failed_it",
     ),
     Mutant(
