Tests of losses compare kinds, not only whether a loss is a crash

Cause: when LostWorker.early became a kind, nine assertions on 'early' were carried over as 'kind is CRASH'. They could not tell a wrong kind that is no crash.

Change: the nine compare the kind itself, which is stricter.

--- a/cranberrycleat/workflow/crash_attribution.py
+++ b/cranberrycleat/workflow/crash_attribution.py
@@ -73,7 +73,8 @@
     COINCIDENT = "coincident"
     """It had only just begun, but the loss may have another cause."""
     UNOBSERVED = "unobserved"
-    """An earlier owner started it just before the takeover; the worker has ended."""
+    """An owner lost sight of it before it had outlived the crash window, and the worker
+    was found to have ended by a later one."""
     UNKNOWN = "unknown"
     """An earlier owner started it, and how long it ran is not known."""
     LATER = "later"
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -216,9 +216,9 @@
 @pytest.mark.parametrize(
     ("before", "heard_s", "expected"),
     [
-        (_no_change, 0.0, [True]),
-        (_no_change, CRASH_WINDOW_S, [False]),
-        (_set_leaving, 0.0, [True]),
+        (_no_change, 0.0, [EARLY]),
+        (_no_change, CRASH_WINDOW_S, [LATE]),
+        (_set_leaving, 0.0, [EARLY]),
         (_set_leaving, CRASH_WINDOW_S, []),
         (_hold_for_upkeep, 0.0, []),
         (_clear_ordered, 0.0, []),
@@ -236,7 +236,7 @@
 def test_which_losses_are_recorded(
     before: Callable[[FleetWorker, Placement], None],
     heard_s: float,
-    expected: list[bool],
+    expected: list[LossKind],
     loss: LossCause,
 ) -> None:
     only = worker("w")
@@ -245,7 +245,7 @@
     before(only, _place_and_begin(owner_board, only, heard_s=heard_s))
     owner_board.give_up_all(only, loss)
     record = _step_of(owner_board).losses.get(0, LossRecord())
-    assert [each.kind is EARLY for each in record.lost] == expected
+    assert [each.kind for each in record.lost] == expected
 
 
 @pytest.mark.parametrize("alone", [True, False])
@@ -288,9 +288,8 @@
     owner_board.fleet.record_worker_failure(only, stable_s)
     owner_board.give_up_all(only, LossCause.REPLACED)
     assert (owner_board.jobs["a"].verdict is JobState.FAILED) is fails
-    assert [each.kind is EARLY for each in _step_of(owner_board).losses[0].lost][
-        -1
-    ] is fails
+    latest = _step_of(owner_board).losses[0].lost[-1]
+    assert latest.kind is (EARLY if fails else BESIDE)
 
 
 # Guards against healthy work that is failed: two workers fail at the same moment, on
@@ -317,17 +316,17 @@
 
 
 @pytest.mark.parametrize(
-    ("spec", "early", "left"),
+    ("spec", "kinds"),
     [
-        (step(), False, 1),
-        (step(service=True), False, 0),
-        (step(2, gang=True), True, 1),
-        (step(1, gang=True), False, 1),
+        (step(), [LossKind.OUTLIVED]),
+        (step(service=True), []),
+        (step(2, gang=True), [EARLY]),
+        (step(1, gang=True), [LossKind.OUTLIVED]),
     ],
     ids=["a task", "a service", "a gang lacks a member", "all members of a gang"],
 )
 def test_attempt_past_crash_window_clears_early_losses(
-    spec: StepSpec, early: bool, left: int
+    spec: StepSpec, kinds: list[LossKind]
 ) -> None:
     first, second = worker("w"), worker("v")
     owner_board = cluster_state(first, second)
@@ -337,7 +336,7 @@
     owner_board.dirty.clear()
     _place_and_begin(owner_board, second, heard_s=CRASH_WINDOW_S)
     record = _step_of(owner_board).losses[0]
-    assert [each.kind is EARLY for each in record.lost] == [early] * left
+    assert [each.kind for each in record.lost] == kinds
     assert ("a" in owner_board.dirty) is True
 
 
--- a/tests/test_provisional_losses.py
+++ b/tests/test_provisional_losses.py
@@ -42,6 +42,8 @@
 from tests.test_crashing_tasks import crash_on, starts_of
 from tests.test_planner import NOW_S, cluster_state, plan, worker
 
+CRASH = LossKind.CRASH
+COINCIDENT = LossKind.COINCIDENT
 LATE_S = 0.5
 """How long after its failure a worker is found to have failed."""
 KINDS = [step(), step(1, gang=True), step(1, service=True)]
@@ -272,10 +274,10 @@
     owner_board.fleet.add(worker("stable"))
     assert owner_board.settle_losses()
     assert owner_board.jobs["a"].verdict is None
-    assert [each.kind is LossKind.CRASH for each in _record_of(owner_board).lost] == [
-        True,
-        True,
-        False,
+    assert [each.kind for each in _record_of(owner_board).lost] == [
+        CRASH,
+        CRASH,
+        COINCIDENT,
     ]
     assert len(plan(owner_board, now=ISOLATION_WAIT_S).groups) == 1
 
@@ -322,9 +324,7 @@
     for each in others:
         each.clock_read_at = -0.1
     _lose(owner_board, lost)
-    assert [each.kind is LossKind.CRASH for each in _record_of(owner_board).lost] == [
-        True
-    ]
+    assert [each.kind for each in _record_of(owner_board).lost] == [CRASH]
     owner_board.dirty.clear()
     for each in others:
         each.clock_read_at = -0.1 if together else 0.01
@@ -332,8 +332,8 @@
             owner_board.fleet.record_worker_failure(each, LATE_S)
             each.liveness = Liveness.SILENT
     assert owner_board.settle_losses()
-    early = [each.kind is LossKind.CRASH for each in _record_of(owner_board).lost]
-    assert early == [not together]
+    kinds = [each.kind for each in _record_of(owner_board).lost]
+    assert kinds == [COINCIDENT if together else CRASH]
     assert ("a" in owner_board.dirty) is together
 
 
@@ -346,7 +346,7 @@
     later = ClusterState(time_of_day=lambda: NOW_S, now=lambda: 50.0)
     later.restore(rows.restore("a", spec, row))
     record = _record_of(later)
-    assert [each.kind is LossKind.CRASH for each in record.lost] == [True, True, False]
+    assert [each.kind for each in record.lost] == [CRASH, CRASH, COINCIDENT]
     assert not record.undecided
     assert record.needs_isolation()
     for number in range(len(record.lost), START_LOSS_LIMIT):
@@ -421,6 +421,4 @@
     other.clock_read_at = CRASH_WINDOW_S
     _lose(owner_board, lost)
     assert not owner_board.losses.provisional
-    assert [each.kind is LossKind.CRASH for each in _record_of(owner_board).lost] == [
-        True
-    ]
+    assert [each.kind for each in _record_of(owner_board).lost] == [CRASH]
