Log when the list of workers could not be read, and on which entry a start relied

The record of an incident could not tell an old list from a change that was lost on the way: failed reads were logged at DEBUG, worker.leaving only for known workers, and task.started had neither the version nor the age of the worker's entry.

Now workers.list_unread and workers.list_read tell a series of failed reads, worker.leaving has the version and the gap to the previous read and is also logged for a worker that joins while it leaves, and task.started has the version and the age of the entry. Counters and durations follow.

--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -455,13 +455,27 @@
 
 @event("task.started")
 class TaskStarted:
-    """A worker accepted a start."""
+    """A worker accepted a start.
+
+    Attributes:
+        task: The task.
+        attempt: The attempt.
+        worker: The worker.
+        after_s: How long after it was planned.
+        sent: How many copies were sent.
+        entry_version: The version of the worker's entry in the platform's list that
+            the last copy relied on; 0 if unknown.
+        entry_age_s: How long before that copy the read was begun that showed the
+            entry; -1 if it was not read by this owner.
+    """
 
     task: str
     attempt: int
     worker: str
     after_s: float
     sent: int
+    entry_version: int = 0
+    entry_age_s: float = -1.0
 
 
 @event("task.unanswered")
@@ -777,10 +791,48 @@
 
 @event("worker.leaving")
 class WorkerLeaving:
-    """A worker announced that it is leaving; it receives no more work."""
+    """A worker announced that it is leaving; it receives no more work.
+
+    Attributes:
+        worker: The worker.
+        tasks: How many tasks count on it.
+        entry_version: The version of its entry that says so; 0 if unknown.
+        unread_s: How long before the read that showed it the previous one was begun.
+    """
 
     worker: str
     tasks: int
+    entry_version: int = 0
+    unread_s: float = 0.0
+
+
+@event("workers.list_unread")
+class WorkersListUnread:
+    """The platform's list of workers could not be read.
+
+    Logged once, until it is read again.
+
+    Attributes:
+        reason: What was received instead of an answer.
+        age_s: How long ago the newest complete read was begun.
+    """
+
+    reason: str
+    age_s: float
+
+
+@event("workers.list_read")
+class WorkersListRead:
+    """The platform's list of workers was read again after failed reads.
+
+    Attributes:
+        failed: Number of failed reads.
+        unread_s: Time between the beginnings of this read and the previous complete
+            one.
+    """
+
+    failed: int
+    unread_s: float
 
 
 @event("worker.unlisted")
--- a/cranberrycleat/platform/adapter.py
+++ b/cranberrycleat/platform/adapter.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cranberrycleat.clock import Clock
 from cranberrycleat.http_client import HttpClient
 from cranberrycleat.platform import records
 from cranberrycleat.platform.front import Front, Readiness
@@ -58,10 +59,13 @@
         """Return the state of a wave that was written for the operator."""
         return wave_state(row)
 
-    def directory(self) -> WorkerDirectory:
-        """Return a reader of the list of workers."""
+    def directory(self, clock: Clock) -> WorkerDirectory:
+        """Return a reader of the list of workers, which dates reads by a clock."""
         return WorkerDirectory(
-            store=self.store, table=records.WORKERS_TABLE, read=records.read_worker
+            store=self.store,
+            table=records.WORKERS_TABLE,
+            read=records.read_worker,
+            clock=clock,
         )
 
     def config_follower(self) -> ConfigFollower:
--- a/cranberrycleat/standins/feed_table.py
+++ b/cranberrycleat/standins/feed_table.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cranberrycleat import errors
 from cranberrycleat.standins.table import MemoryTable
 from cranberrycleat.table import CommitReply, Row, Transaction
 from cranberrycleat.workflow.ports import Feed, HistoryExpired, Snapshot, TableChange
@@ -40,8 +41,13 @@
         self.history.clear()
         self.kept_from = self.revision
 
+    def _check_feed(self, table: str) -> None:
+        if table in self.faults.unreadable_feeds:
+            raise errors.TableUnavailable(f"{table} cannot be read")
+
     async def snapshot(self, *, table: str) -> Snapshot:
         """Return a table's rows and the newest version."""
+        self._check_feed(table)
         rows: tuple[Row, ...] = await self.scan(prefix=f"{table}/")
         return Snapshot(rows=rows, version=self.revision)
 
@@ -50,6 +56,7 @@
     ) -> Feed:
         """Return the changes after a version; wait for one if there are none."""
         await self._apply_faults()
+        self._check_feed(table)
         left_s = wait_s
         while True:
             if after < self.kept_from:
--- a/cranberrycleat/standins/table.py
+++ b/cranberrycleat/standins/table.py
@@ -20,11 +20,14 @@
         down: Every call fails without effect.
         slow_s: Seconds added to every call.
         lose_replies: How many of the next commits take effect but give no answer.
+        unreadable_feeds: Tables that can neither be followed nor be read as a whole,
+            while all else works.
     """
 
     down: bool = False
     slow_s: float = 0.0
     lose_replies: int = 0
+    unreadable_feeds: set[str] = attrs.field(factory=set)
 
 
 @attrs.define(kw_only=True)
--- a/cranberrycleat/workflow/adapter.py
+++ b/cranberrycleat/workflow/adapter.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from cranberrycleat.clock import Clock
 from cranberrycleat.table import Put, Row
 from cranberrycleat.workflow.directory import ConfigFollower, WorkerDirectory
 from cranberrycleat.workflow.job_frontend import JobFrontend
@@ -55,8 +56,8 @@
             FindingsError: The row cannot be decoded.
         """
 
-    def directory(self) -> WorkerDirectory:
-        """Return a new reader of the worker directory."""
+    def directory(self, clock: Clock) -> WorkerDirectory:
+        """Return a new reader of the worker directory, which dates reads by a clock."""
 
     def config_follower(self) -> ConfigFollower:
         """Return a new follower of the configuration."""
--- a/cranberrycleat/workflow/directory.py
+++ b/cranberrycleat/workflow/directory.py
@@ -11,6 +11,7 @@
 import attrs
 
 from cranberrycleat import errors, events
+from cranberrycleat.clock import Clock, MonotonicClock
 from cranberrycleat.logs import emit
 from cranberrycleat.table import Row
 from cranberrycleat.workflow.ports import (
@@ -41,24 +42,33 @@
         store: The platform's table.
         table: The name of the table of workers.
         read: Decodes a row into an entry.
+        clock: The clock of `read_at`.
         entries: The entries by worker identity.
+        versions: The version of each entry's newest row, by worker identity.
+        read_at: When the newest complete read was begun: what was stored by then is in
+            `entries`.
     """
 
     store: FeedTable
     table: str
     read: Callable[[Row], WorkerEntry]
+    clock: Clock = attrs.field(factory=MonotonicClock)
     entries: dict[str, WorkerEntry] = attrs.field(factory=dict)
+    versions: dict[str, int] = attrs.field(factory=dict)
+    read_at: float = float("-inf")
     _version: int = 0
     _logged_versions: dict[str, int] = attrs.field(factory=dict)
 
     async def read_all(self) -> None:
         """Read the complete list; raises `errors.TableUnavailable`."""
+        began = self.clock.now()
         found = await self.store.snapshot(table=self.table)
         known = self.entries
-        self.entries = {}
+        self.entries, self.versions = {}, {}
         for row in found.rows:
             self._apply_row(row, known)
         self._version = found.version
+        self.read_at = began
 
     async def refresh(self) -> bool:
         """Apply all changes since the last read; return whether there were any.
@@ -66,6 +76,7 @@
         Raises:
             TableUnavailable: The table gave no answer.
         """
+        began = self.clock.now()
         try:
             feed = await self.store.follow(
                 table=self.table, after=self._version, wait_s=0.0
@@ -75,11 +86,14 @@
             return True
         for change in feed.changes:
             if change.row is None:
-                self.entries.pop(change.key.partition("/")[2], None)
+                worker = change.key.partition("/")[2]
+                self.entries.pop(worker, None)
+                self.versions.pop(worker, None)
                 self._logged_versions.pop(change.key, None)
             else:
                 self._apply_row(change.row, self.entries)
         self._version = max(self._version, feed.version)
+        self.read_at = began
         return bool(feed.changes)
 
     def _apply_row(self, row: Row, known: dict[str, WorkerEntry]) -> None:
@@ -88,11 +102,12 @@
         A worker that was known before keeps its link, so that its tasks go on and
         are not started twice, but it gets no new work.
         """
+        worker = row.key.partition("/")[2]
+        self.versions[worker] = row.version
         try:
             entry = self.read(row)
         except errors.FindingsError as exc:
             self._log_unreadable_once(row, str(exc))
-            worker = row.key.partition("/")[2]
             if worker in known:
                 self.entries[worker] = attrs.evolve(known[worker], readable=False)
             return
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -285,6 +285,9 @@
         unstored_ends: Task ends received and not yet acknowledged, oldest first: their
             numbers and tasks.
         listed: Whether the platform lists it.
+        entry_version: The version of its entry in the platform's list; 0 if unknown.
+        entry_read_at: When the newest read of the list that contained its entry was
+            begun, on the owner's clock; minus infinity before the first.
         missing_since: Since when the list has lacked it although it answers.
         unresponsive: Whether its data centre is silent; it is given no work until it
             answers again.
@@ -332,6 +335,8 @@
         factory=collections.deque
     )
     listed: bool = True
+    entry_version: int = 0
+    entry_read_at: float = float("-inf")
     missing_since: float | None = None
     unresponsive: bool = False
     missed_orders: int = 0
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -19,6 +19,7 @@
 
 import asyncio
 import logging
+import math
 from typing import Final, Protocol
 
 import attrs
@@ -106,6 +107,9 @@
         counted_from: From when `START_COPIES_S` is counted.
         waits_since: Since when the first copy waits for an answer to another order.
         backoff: The pauses between copies.
+        entry_version: The version of the worker's entry when the newest was sent.
+        entry_read_at: When that entry was read, on the owner's clock.
+        sent_at: When the newest was sent.
     """
 
     order: StartOrder | None = None
@@ -116,6 +120,20 @@
     backoff: Backoff = attrs.field(
         factory=lambda: Backoff(first_s=ORDER_RETRY_S, max_s=ORDER_RETRY_MAX_S)
     )
+    entry_version: int = 0
+    entry_read_at: float = float("-inf")
+    sent_at: float = 0.0
+
+    def note_sent(self, worker: FleetWorker, now: float) -> None:
+        """Record when a copy is sent, and on which entry of its worker it relies."""
+        self.sent_at = now
+        self.entry_version = worker.entry_version
+        self.entry_read_at = worker.entry_read_at
+
+    def entry_age_s(self) -> float:
+        """Return how old that entry was when the newest copy was sent, or -1."""
+        age_s = self.sent_at - self.entry_read_at
+        return round(age_s, 4) if math.isfinite(age_s) else -1.0
 
     def may_wait(self, now: float) -> bool:
         """Return whether the first copy may wait for an answer to another order."""
@@ -398,7 +416,7 @@
         if sending.order is None and not self._may_start(placement):
             return None
         if sending.unanswered and placement.running:
-            self._emit_started(placement, sending.unanswered)
+            self._emit_started(placement, sending, sending.unanswered)
             return None
         reason = self._void_reason(placement)
         if reason:
@@ -421,6 +439,7 @@
             self._fence_off(placement, sending)
             return None
         sending.order = attrs.evolve(sending.order, fence=self.fence)
+        sending.note_sent(self.worker, now)
         return await self._send_start_copy(placement, sending, sending.order)
 
     async def _send_start_copy(
@@ -457,7 +476,7 @@
         self._record_answered_order()
         if reply.verdict is Verdict.STALE_EPOCH:
             return ORDER_RETRY_S if self._is_fenced(order.fence) else 0.0
-        if self._apply_start_reply(placement, reply, sending.unanswered + 1):
+        if self._apply_start_reply(placement, reply, sending):
             return None
         return ORDER_RETRY_S
 
@@ -593,9 +612,9 @@
         )
 
     def _apply_start_reply(
-        self, placement: Placement, reply: OrderReply, sent: int
+        self, placement: Placement, reply: OrderReply, sending: _Sending
     ) -> bool:
-        unanswered = sent > 1
+        unanswered = sending.unanswered > 0
         now = self.clock.now()
         if reply.worker_time_ms is not None:
             self.worker.update_clock(reply.worker_time_ms, now)
@@ -606,7 +625,7 @@
                 placement.began(now, reply.worker_time_ms)
                 if reply.verdict is Verdict.ACCEPTED:
                     self.cluster_state.note_begun(placement)
-                self._emit_started(placement, sent)
+                self._emit_started(placement, sending, sending.unanswered + 1)
                 return True
             case Verdict.TOO_LATE if not unanswered:
                 return False
@@ -633,7 +652,7 @@
             self.owner.changed()
         return True
 
-    def _emit_started(self, placement: Placement, sent: int) -> None:
+    def _emit_started(self, placement: Placement, sending: _Sending, sent: int) -> None:
         emit(
             events.TaskStarted(
                 task=placement.task,
@@ -641,6 +660,8 @@
                 worker=self.worker.name,
                 after_s=round(self.clock.now() - placement.planned_at, 4),
                 sent=sent,
+                entry_version=sending.entry_version,
+                entry_age_s=sending.entry_age_s(),
             )
         )
 
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -515,7 +515,7 @@
         owner = Owner(
             lease=self._lease,
             store=self.adapter.store,
-            directory=self.adapter.directory(),
+            directory=self.adapter.directory(self.clock),
             client=self.adapter.workers,
             permit_queue=permit_queue,
             clock=self.clock,
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -168,6 +168,7 @@
     _handover_began_at: float = float("inf")
     took_over_at: float = 0.0
     worker_list_settled_at: float = 0.0
+    _list_reads_failed: int = 0
     _workers_reported_at: float = float("-inf")
     _stalls_checked_at: float = float("-inf")
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -342,6 +343,7 @@
         restore_speeds(self.cluster_state, stored)
         self.inbox.accept_rows(stored.inbox)
         self.roster.refresh()
+        self.roster.list_was_read(self.directory.read_at)
         self.cluster_state.adopt(self.clock.now())
         self.roster.link_unlisted_incarnations()
         for worker in self.cluster_state.fleet.workers.values():
@@ -539,13 +541,29 @@
             await asyncio.sleep(self.worker_list_interval_s())
             try:
                 changed = await self.directory.refresh()
-                self.roster.list_read_at = self.clock.now()
-                if changed or met != self.pools():
-                    met = self.pools()
-                    self.roster.refresh()
-                    self._plan_due.set()
             except errors.TableUnavailable as exc:
-                LOG.debug("could not read the list of workers: %s", exc)
+                self._note_list_unread(exc)
+                continue
+            self._note_list_read()
+            if changed or met != self.pools():
+                met = self.pools()
+                self.roster.list_read_at = self.directory.read_at
+                self.roster.refresh()
+                self._plan_due.set()
+            else:
+                self.roster.list_was_read(self.directory.read_at)
+
+    def _note_list_unread(self, exc: errors.TableUnavailable) -> None:
+        self._list_reads_failed += 1
+        if self._list_reads_failed == 1:
+            age_s = self.clock.now() - self.directory.read_at
+            emit(events.WorkersListUnread(reason=str(exc), age_s=round(age_s, 3)))
+
+    def _note_list_read(self) -> None:
+        failed, self._list_reads_failed = self._list_reads_failed, 0
+        if failed:
+            unread_s = round(self.directory.read_at - self.roster.list_read_at, 3)
+            emit(events.WorkersListRead(failed=failed, unread_s=unread_s))
 
     def worker_list_interval_s(self) -> float:
         """Return the pause before the list of workers is read again."""
--- a/cranberrycleat/workflow/roster.py
+++ b/cranberrycleat/workflow/roster.py
@@ -3,6 +3,7 @@
 A worker stays in the fleet until nothing that was granted there can still run.
 """
 
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -42,7 +43,8 @@
         bounds: The limits that workers guarantee for leases.
         join: Called to start a link to a new worker.
         changed: Called when the cluster state has changed.
-        list_read_at: When the platform's list was last read, on the owner's clock.
+        list_read_at: When the newest complete read of the platform's list was begun, on
+            the owner's clock.
         pools: Returns the pools that the configuration names; None while there is no
             configuration, when every worker gets a link.
     """
@@ -73,6 +75,24 @@
                 worker.missing_since = None
             elif worker.listed:
                 self._handle_missing_entry(worker, self.cluster_state.now())
+        self._note_read(self.list_read_at)
+
+    def list_was_read(self, read_at: float) -> None:
+        """Record a read that showed no change.
+
+        Args:
+            read_at: When it was begun, on the owner's clock.
+        """
+        self.list_read_at = read_at
+        self._note_read(read_at)
+
+    def _note_read(self, read_at: float) -> None:
+        """Record for each worker in the list when its entry was read last."""
+        versions = self.directory.versions
+        for worker in self.cluster_state.fleet.workers.values():
+            if worker.listed and worker.missing_since is None:
+                worker.entry_read_at = read_at
+                worker.entry_version = versions.get(worker.entry.worker, 0)
 
     def _is_listed(self, worker: FleetWorker) -> bool:
         """Return whether the list has a worker, if only an earlier incarnation."""
@@ -117,6 +137,8 @@
         else:
             worker = self._replace_incarnation(previous, entry)
         self.join(worker)
+        if entry.leaving:
+            self._report_leaving(worker)
         emit(
             events.WorkerJoined(
                 worker=entry.worker,
@@ -127,13 +149,24 @@
             )
         )
 
+    def _report_leaving(self, worker: FleetWorker) -> None:
+        unread_s = self.list_read_at - worker.entry_read_at
+        emit(
+            events.WorkerLeaving(
+                worker=worker.entry.worker,
+                tasks=len(worker.placements),
+                entry_version=self.directory.versions.get(worker.entry.worker, 0),
+                unread_s=round(unread_s, 3) if math.isfinite(unread_s) else 0.0,
+            )
+        )
+
     def _update(self, known: FleetWorker, entry: WorkerEntry) -> None:
         if known.entry == entry and known.listed:
             return
         if known is not self._newest_incarnation(entry):
             return
         if entry.leaving and not known.entry.leaving:
-            emit(events.WorkerLeaving(worker=entry.worker, tasks=len(known.placements)))
+            self._report_leaving(known)
         known.update(entry)
         known.listed = True
         if known.name not in self.links:
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -122,8 +122,10 @@
                 cause = "resumed" if saved else "fresh"
                 metrics.count("tasks.placed", cause=cause)
                 metrics.record("tasks.waited.duration", max(0.0, waited_s))
-            case events.TaskStarted(after_s=after_s):
+            case events.TaskStarted(after_s=after_s, entry_age_s=entry_age_s):
                 metrics.record("tasks.started.duration", after_s)
+                if entry_age_s >= 0:
+                    metrics.record("tasks.started.entry_age.duration", entry_age_s)
             case events.TaskUnanswered():
                 metrics.count("tasks.unanswered")
             case events.TaskStartFenced():
@@ -181,6 +183,10 @@
             case events.WorkersConnections(opened=opened, broken=broken):
                 metrics.count("workers.connections.opened", opened)
                 metrics.count("workers.connections.broken", broken)
+            case events.WorkersListUnread():
+                metrics.count("workers.list_unread")
+            case events.WorkersListRead(unread_s=unread_s):
+                metrics.record("workers.list_unread.duration", unread_s)
             case events.WorkerLeasesOver(tasks=tasks):
                 metrics.count("workers.leases_over.tasks", tasks)
 
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -142,6 +142,11 @@
         put = Put(key=f"servers/{name}", value=name)
         self.table.apply(Transaction(puts=(put,)))
 
+    def drain_worker(self, name: str) -> None:
+        """Have a worker announce that it is leaving, and the platform accept that."""
+        self.entries[name] = attrs.evolve(self.entries[name], leaving=True)
+        self.list_worker(name)
+
     def unlist_worker(self, name: str) -> None:
         """Remove a worker from the platform's list."""
         self.table.apply(Transaction(deletes=(f"servers/{name}",)))
@@ -178,7 +183,10 @@
             lease=lease,
             store=table,
             directory=WorkerDirectory(
-                store=table, table="servers", read=self.read_worker
+                store=table,
+                table="servers",
+                read=self.read_worker,
+                clock=self.clock,
             ),
             client=client or self.fleet,
             permit_queue=PermitQueue(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,6 +14,7 @@
 import pytest
 
 from cranberrycleat import errors, events
+from cranberrycleat.clock import Clock
 from cranberrycleat.http_client import HttpClient, HttpReply
 from cranberrycleat.logs import set_observer
 from cranberrycleat.platform.front import Front, Readiness
@@ -115,10 +116,13 @@
         """Return what `wave_status` wrote."""
         return row.value
 
-    def directory(self) -> WorkerDirectory:
+    def directory(self, clock: Clock) -> WorkerDirectory:
         """Return a reader of the shared worker list."""
         return WorkerDirectory(
-            store=self.store, table="servers", read=self.cell.read_worker
+            store=self.store,
+            table="servers",
+            read=self.cell.read_worker,
+            clock=clock,
         )
 
     def config_follower(self) -> ConfigFollower:
