Starts rely on a worker's entry for a limited time only

Callers saw tasks that began on a worker that was about to leave, and that were lost with it. Orders need a valid ownership lease, which writes renew; nothing asked how old the list of workers was. Where reads of the list alone failed or waited, or the entry was gone, starts went on by what the list had said before.

An entry is now relied on for drain_s (the platform's drain_ms) from the beginning of the read that showed it. A start asks for this last before it is sent, for the time at which it would be given up, since a wait for a permit, a transaction, a slot or a connection may come before; it then waits for the next read and is not rejected. The planner gives no work to a worker whose entry is too old. A worker whose entry is gone is relied on by its last entry for no longer than that, except where the list could not be read in between: those entries expired with the table. A read that got no answer is repeated after 0.1 s.

Where reads alone fail, jobs are accepted and begin with the next read.

--- a/cranberrycleat/platform/settings.py
+++ b/cranberrycleat/platform/settings.py
@@ -12,6 +12,7 @@
 from cranberrycleat.platform.early import FILE_VARIABLE
 from cranberrycleat.table import TableLimits
 from cranberrycleat.workflow.ports import (
+    DRAIN_S,
     CheckpointTiming,
     HostResources,
     LeaseBounds,
@@ -48,6 +49,7 @@
     spread_factor: float = 1.0
     status_s: float = 120.0
     grace_s: float = 6.0
+    drain_ms: float = 1000 * DRAIN_S
     config_ms: float = 3000.0
     strict_revoke: bool = False
     revoke_ms: float = 5000.0
@@ -121,6 +123,7 @@
         spread_factor=bounds.spread_factor,
         status_s=bounds.status_s,
         grace_s=bounds.grace_s,
+        drain_s=bounds.drain_ms / 1000,
         config_bound_s=bounds.config_ms / 1000,
         revoke_bound_s=bounds.revoke_ms / 1000 if bounds.strict_revoke else None,
         table_limits=TableLimits(row_bytes=wire.platform.row_bytes),
--- a/cranberrycleat/workflow/decisions/stalls.py
+++ b/cranberrycleat/workflow/decisions/stalls.py
@@ -258,6 +258,7 @@
         and worker.listed
         and worker.entry.readable
         and not worker.entry.leaving
+        and worker.is_entry_recent(now)
         and not worker.unresponsive
         and not worker.is_held(now)
         and not worker.has_unsized()
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -288,6 +288,8 @@
         entry_version: The version of its entry in the platform's list; 0 if unknown.
         entry_read_at: When the newest read of the list that contained its entry was
             begun, on the owner's clock; minus infinity before the first.
+        relied_on_until: Until when its entry may be relied on: if the worker has
+            announced since that read that it leaves, tasks may still begin there.
         missing_since: Since when the list has lacked it although it answers.
         unresponsive: Whether its data centre is silent; it is given no work until it
             answers again.
@@ -337,6 +339,7 @@
     listed: bool = True
     entry_version: int = 0
     entry_read_at: float = float("-inf")
+    relied_on_until: float = float("inf")
     missing_since: float | None = None
     unresponsive: bool = False
     missed_orders: int = 0
@@ -385,6 +388,8 @@
             return "unreadable"
         if self.entry.leaving:
             return "leaving"
+        if not self.is_entry_recent(now):
+            return "its entry was not read recently"
         if self.unresponsive:
             return "in a silent data centre"
         if self.leaves_orders_unanswered(now):
@@ -467,6 +472,14 @@
             and not self.is_overcommitted()
         )
 
+    def is_entry_recent(self, until: float) -> bool:
+        """Return whether a task may begin there at a time, by what its entry says.
+
+        Only an entry that was read a short time before shows that the worker had not
+        announced for long that it leaves.
+        """
+        return until <= self.relied_on_until
+
     def takes_no_orders(self, now: float) -> bool:
         """Return whether it has recently left several orders in a row unanswered.
 
--- a/cranberrycleat/workflow/links.py
+++ b/cranberrycleat/workflow/links.py
@@ -6,6 +6,11 @@
 is sent again, and counts as possibly carried out until the worker's report or the end
 of the lease settles it.
 
+A start is sent only while the entry of its worker was read so recently that the order,
+which is given up after its time limit, begins nothing long after the worker may have
+announced that it leaves. Until then it waits: neither an answer of the worker nor the
+owner's lease, which writes renew, shows how old the list of workers is.
+
 A worker may answer syncs and no orders, for example because it holds as many
 connections as it can. Copies of a start are therefore sent for a limited time, with
 growing pauses. Then a higher fence makes them void, and the answer to the next sync,
@@ -432,6 +437,9 @@
             return ORDER_RETRY_S
         if not self.owner.may_order() or not placement.stored:
             return ORDER_RETRY_S
+        limit_s = self.answer_timeout.limit_s()
+        if not self.worker.is_entry_recent(now + limit_s):
+            return ORDER_RETRY_S
         if sending.order is None or not sending.unanswered:
             sending.order, sending.first_sent_at = self._start_order(placement), now
             sending.count_again_from(now)
@@ -440,12 +448,15 @@
             return None
         sending.order = attrs.evolve(sending.order, fence=self.fence)
         sending.note_sent(self.worker, now)
-        return await self._send_start_copy(placement, sending, sending.order)
+        return await self._send_start_copy(placement, sending, sending.order, limit_s)
 
     async def _send_start_copy(
-        self, placement: Placement, sending: _Sending, order: StartOrder
+        self,
+        placement: Placement,
+        sending: _Sending,
+        order: StartOrder,
+        limit_s: float,
     ) -> float | None:
-        limit_s = self.answer_timeout.limit_s()
         earlier_until = self.cluster_state.start_sent(self.worker, placement, limit_s)
         try:
             placement.ordered = True
@@ -568,6 +579,8 @@
         """Return why an unanswered order must not start its task; empty if it may."""
         if self.worker.entry.leaving or self.worker.is_overcommitted():
             return "worker leaves, or has shrunk, before it began"
+        if not self.worker.listed:
+            return "worker is no longer listed"
         if self.cluster_state.is_over_quota(placement):
             return "its workspace's quota fell before it began"
         return ""
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -529,6 +529,7 @@
             access=self._access,
             policies=self.policies,
             checkpoints=cfg.checkpoints,
+            drain_s=cfg.drain_s,
             takeover_read_timeout_s=self._candidacy.takeover_read_timeout_s(
                 recorded_strength
             ),
--- a/cranberrycleat/workflow/options.py
+++ b/cranberrycleat/workflow/options.py
@@ -26,8 +26,10 @@
 STORE_RETRY_INTERVAL_S: Final = 0.1
 TASK_LOOP_INTERVAL_S: Final = 0.2
 DIRECTORY_POLL_INTERVAL_S: Final = 0.5
-"""How often the worker directory is read; leaving workers must get no new work after
-2 s."""
+"""How often the worker directory is read. It is relied on for `DRAIN_S`, less the time
+limit of a start. That leaves time for a second read if the first gets no answer."""
+DIRECTORY_RETRY_INTERVAL_S: Final = 0.1
+"""The pause after the first of several reads in a row that got no answer."""
 DIRECTORY_FAST_POLL_INTERVAL_S: Final = 0.1
 """As above, for 2.5 s after a takeover or an outage, while entries reappear: a
 successor that knew 15 of 270 workers looked for the rest only half a second later."""
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -62,7 +62,12 @@
     SubmitRequest,
 )
 from cranberrycleat.workflow.permit_queue import PermitQueue
-from cranberrycleat.workflow.ports import CheckpointTiming, FeedTable, WorkerClient
+from cranberrycleat.workflow.ports import (
+    DRAIN_S,
+    CheckpointTiming,
+    FeedTable,
+    WorkerClient,
+)
 from cranberrycleat.workflow.repeating_event import RepeatingEvent
 from cranberrycleat.workflow.roster import MISSING_ENTRY_GRACE_S, Roster
 from cranberrycleat.workflow.state import Job, JobState, TaskState
@@ -128,6 +133,8 @@
         access: Rechecks what other hosts granted; None if no request needs a key.
         policies: The enabled policies for hard load.
         checkpoints: How workers take checkpoints.
+        drain_s: How long after a worker's announcement that it leaves tasks may still
+            begin there.
         cluster_state: All jobs, workers and placements.
         links: The link to each worker, by the worker's name.
         ready: Set when the takeover is complete.
@@ -160,6 +167,7 @@
     access: KeyAuthorizer | None = None
     policies: LoadPolicies = LoadPolicies()
     checkpoints: CheckpointTiming = CheckpointTiming()
+    drain_s: float = DRAIN_S
     cluster_state: ClusterState = attrs.field(factory=ClusterState)
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
     ready: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -219,6 +227,7 @@
             bounds=self.leases.bounds,
             join=self._link,
             changed=self.changed,
+            drain_s=self.drain_s,
             pools=self.pools,
         )
         self.dispatcher = Dispatcher(
@@ -567,6 +576,8 @@
 
     def worker_list_interval_s(self) -> float:
         """Return the pause before the list of workers is read again."""
+        if self._list_reads_failed == 1:
+            return options.DIRECTORY_RETRY_INTERVAL_S
         if self._is_worker_list_settled():
             return options.DIRECTORY_POLL_INTERVAL_S
         return options.DIRECTORY_FAST_POLL_INTERVAL_S
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -13,6 +13,10 @@
 from cranberrycleat.amounts import NOTHING, Amounts
 from cranberrycleat.table import Row, Table, TableLimits
 
+DRAIN_S: Final = 2.0
+"""How long after a worker's announcement that it leaves tasks may still begin there,
+where the platform's settings do not tell."""
+
 
 @attrs.frozen(kw_only=True)
 class PermitTiming:
@@ -529,6 +533,8 @@
         spread_factor: Factor by which tasks take longer away from their data.
         status_s: How long an ended job's state is kept.
         grace_s: Time between SIGTERM and the forced end of the process.
+        drain_s: How long after a worker's announcement that it leaves tasks may still
+            begin there.
         config_bound_s: Time after its acknowledgement within which a configuration
             must be active on every host.
         revoke_bound_s: Time within which a revoked key must be rejected by every
@@ -553,6 +559,7 @@
     checkpoints: CheckpointTiming = CheckpointTiming()
     config_bound_s: float = 3.0
     revoke_bound_s: float | None = None
+    drain_s: float = DRAIN_S
     table_limits: TableLimits = TableLimits()
 
 
--- a/cranberrycleat/workflow/roster.py
+++ b/cranberrycleat/workflow/roster.py
@@ -22,7 +22,7 @@
 )
 from cranberrycleat.workflow.links import WorkerLink
 from cranberrycleat.workflow.membership import Membership
-from cranberrycleat.workflow.ports import LeaseBounds, WorkerEntry
+from cranberrycleat.workflow.ports import DRAIN_S, LeaseBounds, WorkerEntry
 
 UNRESPONSIVE_AFTER_S: Final = 0.4
 MISSING_ENTRY_GRACE_S: Final = 2.5
@@ -45,6 +45,8 @@
         changed: Called when the cluster state has changed.
         list_read_at: When the newest complete read of the platform's list was begun, on
             the owner's clock.
+        drain_s: How long after a worker's announcement that it leaves tasks may still
+            begin there.
         pools: Returns the pools that the configuration names; None while there is no
             configuration, when every worker gets a link.
     """
@@ -56,6 +58,7 @@
     bounds: LeaseBounds
     join: Callable[[FleetWorker], None]
     changed: Callable[[], None]
+    drain_s: float = DRAIN_S
     pools: Callable[[], frozenset[str] | None] = lambda: None
     list_read_at: float = float("-inf")
     _unconfigured: set[str] = attrs.field(factory=set)
@@ -93,6 +96,8 @@
             if worker.listed and worker.missing_since is None:
                 worker.entry_read_at = read_at
                 worker.entry_version = versions.get(worker.entry.worker, 0)
+                if math.isfinite(read_at):
+                    worker.relied_on_until = read_at + self.drain_s
 
     def _is_listed(self, worker: FleetWorker) -> bool:
         """Return whether the list has a worker, if only an earlier incarnation."""
@@ -210,11 +215,15 @@
     def _handle_missing_entry(self, worker: FleetWorker, now: float) -> None:
         """Stop using a worker whose entry is gone, unless it still answers.
 
-        A worker that left in an orderly way announced that before and accepts no work;
-        one that is lost is silent.
+        Its last entry is relied on as long as it would have been without a further
+        read, since it may have announced meanwhile that it leaves. Where the list could
+        not be read for longer, most entries that are gone have expired because the
+        table was down, and their workers have announced nothing.
         """
         if worker.missing_since is None:
             worker.missing_since = now
+            if worker.relied_on_until < self.list_read_at:
+                worker.relied_on_until = now + MISSING_ENTRY_GRACE_S
         answers = worker.liveness is Liveness.LIVE and not worker.unresponsive
         answers = answers or worker.previous is not None
         if answers and now - worker.missing_since <= MISSING_ENTRY_GRACE_S:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -477,6 +477,14 @@
     cfg = read_settings(str(path))
     assert cfg.peer_port == 7720 and cfg.bounds.longest_lease_s == 10.0
     assert cfg.grace_s == 6.0 and cfg.machines == ""
+    assert cfg.drain_s == 2.0
+
+
+def test_read_drain_bound(tmp_path: Path) -> None:
+    """Deployments differ in how long tasks may begin on a worker that leaves."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace("[bounds]", "[bounds]\ndrain_ms = 3000"))
+    assert read_settings(str(path)).drain_s == 3.0
 
 
 # Guards against resuming that is timed by the figures of another deployment.
