An announcement that a worker leaves is final for its incarnation

Callers saw tasks lost with a worker that had announced its leaving. An entry that was removed and written again, or written by somebody else, made the worker usable again, and one answer that held an announcement and a lapse showed the owner the lapse alone.

The reader of the list keeps the incarnations that announced it, whatever becomes of their entries, and the roster applies that to workers whose entries are gone.

Weighed: to store announcements with the jobs, so that the next owner knows them too. It reads the whole list when it takes over, and uses no worker that is not in it.

--- a/cranberrycleat/workflow/directory.py
+++ b/cranberrycleat/workflow/directory.py
@@ -33,6 +33,10 @@
 MIN_FEED_LIMIT_BYTES: Final = 65_536
 """Feed size allowed regardless of the last version's size; takes 0.1 s at 5 Mbit/s."""
 
+MAX_ANNOUNCED: Final = 10_000
+"""Incarnations whose announcement is kept: those of weeks, where 360 workers are replaced
+a day."""
+
 
 @attrs.define(kw_only=True, eq=False)
 class WorkerDirectory:
@@ -45,6 +49,8 @@
         clock: The clock of `read_at`.
         entries: The entries by worker identity.
         versions: The version of each entry's newest row, by worker identity.
+        announced: The incarnations that announced that they leave, whatever became of
+            their entries; the latest `MAX_ANNOUNCED`. An announcement is final.
         read_at: When the newest complete read was begun: what was stored by then is in
             `entries`.
     """
@@ -55,6 +61,7 @@
     clock: Clock = attrs.field(factory=MonotonicClock)
     entries: dict[str, WorkerEntry] = attrs.field(factory=dict)
     versions: dict[str, int] = attrs.field(factory=dict)
+    announced: dict[str, None] = attrs.field(factory=dict)
     read_at: float = float("-inf")
     _version: int = 0
     _logged_versions: dict[str, int] = attrs.field(factory=dict)
@@ -111,7 +118,17 @@
             if worker in known:
                 self.entries[worker] = attrs.evolve(known[worker], readable=False)
             return
-        self.entries[entry.worker] = entry
+        self.entries[entry.worker] = self._with_announcement(entry)
+
+    def _with_announcement(self, entry: WorkerEntry) -> WorkerEntry:
+        """Return an entry that leaves if its incarnation ever announced that."""
+        if entry.leaving:
+            self.announced.setdefault(entry.incarnation)
+            while len(self.announced) > MAX_ANNOUNCED:
+                self.announced.pop(next(iter(self.announced)))
+        elif entry.incarnation in self.announced:
+            return attrs.evolve(entry, leaving=True)
+        return entry
 
     def _log_unreadable_once(self, row: Row, findings: str) -> None:
         """Log an unreadable row once per version."""
--- a/cranberrycleat/workflow/roster.py
+++ b/cranberrycleat/workflow/roster.py
@@ -78,6 +78,7 @@
                 worker.missing_since = None
             elif worker.listed:
                 self._handle_missing_entry(worker, self.cluster_state.now())
+            self._apply_announcement(worker)
         self._note_read(self.list_read_at)
 
     def list_was_read(self, read_at: float) -> None:
@@ -154,6 +155,13 @@
             )
         )
 
+    def _apply_announcement(self, worker: FleetWorker) -> None:
+        """Have a worker leave that announced it and whose entry is gone since."""
+        announced = worker.entry.incarnation in self.directory.announced
+        if announced and not worker.entry.leaving:
+            self._report_leaving(worker)
+            worker.update(attrs.evolve(worker.entry, leaving=True))
+
     def _report_leaving(self, worker: FleetWorker) -> None:
         unread_s = self.list_read_at - worker.entry_read_at
         emit(
--- a/tests/test_worker_rows.py
+++ b/tests/test_worker_rows.py
@@ -223,3 +223,49 @@
     make_roster(found, joined, lambda: None).refresh()
     assert joined == ["i-1"]
     assert not count_unreadable(told)
+
+
+# Guards against starts on a worker that leaves (DRAIN): its announcement was forgotten.
+@pytest.mark.parametrize(
+    ("rows", "leaving"),
+    [
+        ([row({"state": "draining"}), row({})], True),
+        ([row({"state": "draining"}), None, row({})], True),
+        ([row({"state": "draining"}), row({"state": "odd"}), row({})], True),
+        ([row({"state": "draining", "born": 5}), row({"born": 5})], True),
+        ([row({"state": "draining", "born": 5}), row({"born": 6})], False),
+        ([row({}), row({})], False),
+    ],
+)
+@pytest.mark.parametrize("reads", ["one", "each", "all"])
+def test_announcement_is_final_for_its_incarnation(
+    rows: list[Row | None], leaving: bool, reads: str
+) -> None:
+    """However the rows were read: in one answer, one after the other, or as a whole."""
+    table = MemoryFeedTable()
+    found = make_directory(table)
+    asyncio.run(found.read_all())
+    for each in rows:
+        if each is None:
+            table.apply(Transaction(deletes=("servers/i-1",)))
+        else:
+            put(table, each)
+        if reads == "each":
+            asyncio.run(found.refresh())
+        elif reads == "all":
+            asyncio.run(found.read_all())
+    asyncio.run(found.refresh())
+    assert found.entries["i-1"].leaving is leaving
+
+
+def test_number_of_announcements_kept_is_limited(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(directory_module, "MAX_ANNOUNCED", 2)
+    table = MemoryFeedTable()
+    found = make_directory(table)
+    asyncio.run(found.read_all())
+    for number in range(4):
+        put(table, row({"state": "draining"}, worker=f"i-{number}"))
+    asyncio.run(found.refresh())
+    assert list(found.announced) == ["i-2", "i-3"]
