A worker that is used by an earlier incarnation's entry follows that entry

After a restart that a sync reply showed, the entry of the earlier incarnation is used once 2.5 s have passed without one of its own. Later versions of that entry were ignored, since they are not of the newest incarnation, and with them the announcement that the worker leaves: tasks went on beginning there until the worker was gone.

The tests of restarted workers and missing entries pass.

--- a/cranberrycleat/workflow/directory.py
+++ b/cranberrycleat/workflow/directory.py
@@ -34,8 +34,8 @@
 """Feed size allowed regardless of the last version's size; takes 0.1 s at 5 Mbit/s."""
 
 MAX_ANNOUNCED: Final = 10_000
-"""Incarnations whose announcement is kept: those of weeks, where 360 workers are replaced
-a day."""
+"""Incarnations whose announcement is kept: those of weeks where 360 workers are
+replaced a day."""
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/cranberrycleat/workflow/fleet.py
+++ b/cranberrycleat/workflow/fleet.py
@@ -288,6 +288,7 @@
         entry_version: The version of its entry in the platform's list; 0 if unknown.
         entry_read_at: When the newest read of the list that contained its entry was
             begun, on the owner's clock; minus infinity before the first.
+        adopted: Whether its entry is that of an earlier incarnation.
         relied_on_until: Until when its entry may be relied on: if the worker has
             announced since that read that it leaves, tasks may still begin there.
         missing_since: Since when the list has lacked it although it answers.
@@ -339,6 +340,7 @@
     listed: bool = True
     entry_version: int = 0
     entry_read_at: float = float("-inf")
+    adopted: bool = False
     relied_on_until: float = float("inf")
     missing_since: float | None = None
     unresponsive: bool = False
--- a/cranberrycleat/workflow/roster.py
+++ b/cranberrycleat/workflow/roster.py
@@ -78,6 +78,8 @@
                 worker.missing_since = None
             elif worker.listed:
                 self._handle_missing_entry(worker, self.cluster_state.now())
+            if worker.adopted:
+                self._adopt_entry(worker)
             self._apply_announcement(worker)
         self._note_read(self.list_read_at)
 
@@ -122,10 +124,24 @@
             or self.list_read_at < worker.added_at + MISSING_ENTRY_GRACE_S
         ):
             return
+        self._adopt_entry(worker)
+
+    def _adopt_entry(self, worker: FleetWorker) -> None:
+        """Use the newest version of an earlier incarnation's entry.
+
+        It may say that the worker leaves, or be unreadable by now.
+        """
         entry = self.directory.entries.get(worker.entry.worker)
-        if entry is not None and entry.readable and self._is_listed(worker):
-            worker.update(attrs.evolve(entry, born_ms=worker.entry.born_ms))
-            self.changed()
+        if entry is None or not self._is_listed(worker):
+            return
+        adopted = attrs.evolve(entry, born_ms=worker.entry.born_ms)
+        if adopted == worker.entry or not (entry.readable or worker.adopted):
+            return
+        worker.adopted = True
+        if adopted.leaving and not worker.entry.leaving:
+            self._report_leaving(worker)
+        worker.update(adopted)
+        self.changed()
 
     def _join(self, entry: WorkerEntry) -> None:
         """Add an incarnation that the platform lists, if it is the newest."""
@@ -181,7 +197,7 @@
         if entry.leaving and not known.entry.leaving:
             self._report_leaving(known)
         known.update(entry)
-        known.listed = True
+        known.listed, known.adopted = True, False
         if known.name not in self.links:
             # Until now it was known only from placements of an earlier owner.
             self.join(known)
