A change of the list of workers that could not be applied is applied again

The loop that follows the list reads an answer, applies it to its entries and then to the fleet. An exception in the second step restarts the loop; the next answer has no change, and the fleet kept what it knew before, an announcement of leaving included, until that worker wrote again. The owner now keeps that a change is still to be applied until it was.

--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -177,6 +177,8 @@
     took_over_at: float = 0.0
     worker_list_settled_at: float = 0.0
     _list_reads_failed: int = 0
+    _list_changed: bool = False
+    _joined_pools: frozenset[str] | None = None
     _workers_reported_at: float = float("-inf")
     _stalls_checked_at: float = float("-inf")
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -351,6 +353,7 @@
         restore(self.cluster_state, stored)
         restore_speeds(self.cluster_state, stored)
         self.inbox.accept_rows(stored.inbox)
+        self._joined_pools = self.pools()
         self.roster.refresh()
         self.roster.list_was_read(self.directory.read_at)
         self.cluster_state.adopt(self.clock.now())
@@ -545,19 +548,21 @@
     # --- workers ----------------------------------------------------------------
 
     async def _directory_loop(self) -> None:
-        met = self.pools()
         while True:
             await asyncio.sleep(self.worker_list_interval_s())
             try:
-                changed = await self.directory.refresh()
+                if await self.directory.refresh():
+                    self._list_changed = True
             except errors.TableUnavailable as exc:
                 self._note_list_unread(exc)
                 continue
             self._note_list_read()
-            if changed or met != self.pools():
-                met = self.pools()
+            pools = self.pools()
+            if self._list_changed or self._joined_pools != pools:
                 self.roster.list_read_at = self.directory.read_at
                 self.roster.refresh()
+                # Only now: if this fails, the next round applies the list again.
+                self._list_changed, self._joined_pools = False, pools
                 self._plan_due.set()
             else:
                 self.roster.list_was_read(self.directory.read_at)
