Rows of the cell's list of workers keep what was written; a leaving worker stays one

Each row now keeps the entry that was written, and what a worker says of itself is part of its own state, until its next incarnation.

No check or bound changes: entries that somebody else writes as 'ready' are still played.

--- a/cranberrycleat/standins/fleet.py
+++ b/cranberrycleat/standins/fleet.py
@@ -474,7 +474,7 @@
         """
         before = self._end_incarnation(name)
         born_ms = max(before.entry.born_ms + 1, round(WallClock().now_s() * 1000))
-        after = self.add(attrs.evolve(before.entry, born_ms=born_ms))
+        after = self.add(attrs.evolve(before.entry, born_ms=born_ms, leaving=False))
         after.clock_started_at = self.clock.now()
         after.late = before.late
         after.silent = before.silent
@@ -517,7 +517,8 @@
             self.on_restart(self.restart(name).entry, name)
             return
         base, _, restarts = name.partition("+")
-        entry = attrs.evolve(worker.entry, worker=f"{base}+{int(restarts or 0) + 1}")
+        identity = f"{base}+{int(restarts or 0) + 1}"
+        entry = attrs.evolve(worker.entry, worker=identity, leaving=False)
         self.replace_worker(name, entry)
         self.on_restart(entry, name)
 
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -108,6 +108,7 @@
     clock: Clock = attrs.field(factory=MonotonicClock)
     permits: AllPermits = attrs.field(factory=AllPermits)
     entries: dict[str, WorkerEntry] = attrs.field(factory=dict)
+    written: dict[str, WorkerEntry] = attrs.field(factory=dict)
     worker_lease_s: float = WORKER_LEASE_S
     late_order_s: float = LATE_ORDER_S
     quotas: Callable[[], Mapping[str, Amounts] | None] = dict
@@ -139,23 +140,33 @@
 
     def list_worker(self, name: str) -> None:
         """Have the platform list a worker in its current state."""
+        self.table.apply(Transaction(puts=(self.entry_put(name),)))
         if self.entries[name].leaving:
             self.fleet.record_leaving(self.entries[name])
-        put = Put(key=f"servers/{name}", value=name)
-        self.table.apply(Transaction(puts=(put,)))
+
+    def entry_put(self, name: str) -> Put:
+        """Return the write of a worker's entry in its current state."""
+        value = f"{name} {len(self.written)}"
+        self.written[value] = self.entries[name]
+        return Put(key=f"servers/{name}", value=value)
 
     def drain_worker(self, name: str) -> None:
         """Have a worker announce that it is leaving, and the platform accept that."""
-        self.entries[name] = attrs.evolve(self.entries[name], leaving=True)
+        self.mark_leaving(name)
         self.list_worker(name)
 
+    def mark_leaving(self, name: str) -> None:
+        """Have a worker's own state say that it is leaving."""
+        leaving = attrs.evolve(self.entries[name], leaving=True)
+        self.entries[name] = self.fleet.workers[name].entry = leaving
+
     def unlist_worker(self, name: str) -> None:
         """Remove a worker from the platform's list."""
         self.table.apply(Transaction(deletes=(f"servers/{name}",)))
 
     def read_worker(self, row: Row) -> WorkerEntry:
-        """Return the entry of the worker named in a row."""
-        return self.entries[row.value]
+        """Return the entry that was written to a row."""
+        return self.written[row.value]
 
     def make_owner(
         self,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -807,15 +807,14 @@
 
     async def _hold_back_change(self, name: str) -> None:
         """Announce a leaving that the list shows only after later changes."""
-        self.harness.entries[name] = attrs.evolve(
-            self.harness.entries[name], leaving=True
-        )
-        put = Put(key=f"servers/{name}", value=name)
+        self.harness.mark_leaving(name)
+        announced = self.harness.entries[name]
+        put = self.harness.entry_put(name)
         show = self.harness.table.hold_back(Transaction(puts=(put,)))
         self.harness.table.apply(Transaction(puts=(Put(key="other/1", value="1"),)))
         await asyncio.sleep(HELD_BACK_S)
         show()
-        self.harness.fleet.record_leaving(self.harness.entries[name])
+        self.harness.fleet.record_leaving(announced)
         self.record.add_fault(f"{name} announces that it leaves, out of order")
 
     def _replace_leaving_worker(self, name: str) -> None:
