Announcements that workers leave are stored, and the next owner knows them

The list alone does not tell the next owner, since it shows the newest row.

Price: one more read a takeover, and one row with the names of these workers, written with each announcement.

--- a/cranberrycleat/workflow/batches.py
+++ b/cranberrycleat/workflow/batches.py
@@ -15,7 +15,7 @@
 from cranberrycleat import events
 from cranberrycleat.logs import emit
 from cranberrycleat.table import Put, value_bytes
-from cranberrycleat.workflow import rows
+from cranberrycleat.workflow import announcements, rows
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.fleet import Placement, job_of
 from cranberrycleat.workflow.options import MAX_BATCH_BYTES, MAX_DELETES_PER_BATCH
@@ -102,6 +102,9 @@
             break
     room = max_entries - len(puts) - len(deletes)
     if room > 0 and size <= most_bytes and not isolating:
+        if cluster_state.announcements.unstored:
+            put = cluster_state.announcements.take_put(limits.row_bytes)
+            puts, room = [*puts, put], room - 1
         puts += _speed_puts(cluster_state, room)
     if not puts:
         deletes = _discarded(cluster_state, MAX_DELETES_PER_BATCH)
@@ -246,6 +249,8 @@
 def note_rejected(cluster_state: ClusterState, batch: Batch) -> None:
     """Take back a batch of which the table will never take any part."""
     jobs = [job for job, _ in batch.jobs]
+    if jobs and any(put.key == announcements.KEY for put in batch.puts):
+        cluster_state.announcements.unstored = True
     cluster_state.rejections.rejected([job.job_id for job in jobs], cluster_state.now())
     first = {job.job_id: job for job in jobs}
     later = {
--- a/cranberrycleat/workflow/cluster_state.py
+++ b/cranberrycleat/workflow/cluster_state.py
@@ -17,6 +17,7 @@
 from cranberrycleat.clock import BootClock, WallClock
 from cranberrycleat.logs import emit
 from cranberrycleat.table import TableLimits
+from cranberrycleat.workflow.announcements import Announcements
 from cranberrycleat.workflow.crash_attribution import UNOBSERVED_S
 from cranberrycleat.workflow.decisions.load_control import LoadControl
 from cranberrycleat.workflow.decisions.ordering import objective_s
@@ -121,6 +122,7 @@
         orphaned: The number of orphaned attempts that still count, by task.
         load: The policies for hard load; told of accepted jobs and ended attempts.
         table_limits: What the table takes at most.
+        announcements: The workers that announced that they leave.
         discarded: Keys of rows to be deleted, in the order in which they are.
         rejections: The jobs whose rows the table rejected.
         row_sizes: The sizes of large rows.
@@ -145,6 +147,7 @@
     orphaned: "collections.Counter[str]" = attrs.field(factory=collections.Counter)
     load: LoadControl = attrs.field(factory=LoadControl)
     table_limits: TableLimits = TableLimits()
+    announcements: Announcements = attrs.field(factory=Announcements)
     discarded: dict[str, None] = attrs.field(factory=dict)
     rejections: Rejections = attrs.field(factory=Rejections)
     row_sizes: RowSizes = attrs.field(factory=RowSizes)
--- a/cranberrycleat/workflow/directory.py
+++ b/cranberrycleat/workflow/directory.py
@@ -19,6 +19,7 @@
 from cranberrycleat.clock import Clock, MonotonicClock
 from cranberrycleat.logs import emit
 from cranberrycleat.table import Row
+from cranberrycleat.workflow.announcements import Announcements
 from cranberrycleat.workflow.ports import (
     ClusterConfig,
     Feed,
@@ -42,9 +43,6 @@
 """How long after a version was reported changes up to it are still asked for: the 0.5 s
 between two reads, and as long for a transaction, which takes 0.24 s in a table that is
 slowed 60 times."""
-MAX_ANNOUNCED: Final = 10_000
-"""Incarnations whose announcement is kept: those of weeks where 360 workers are
-replaced a day."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -59,7 +57,7 @@
         entries: The entries by worker identity.
         versions: The version of each entry's newest row, by worker identity.
         announced: The incarnations that announced that they leave, whatever became of
-            their entries; the latest `MAX_ANNOUNCED`. An announcement is final.
+            their entries.
         read_at: When the newest complete read was begun: what was stored by then is in
             `entries`.
     """
@@ -70,7 +68,7 @@
     clock: Clock = attrs.field(factory=MonotonicClock)
     entries: dict[str, WorkerEntry] = attrs.field(factory=dict)
     versions: dict[str, int] = attrs.field(factory=dict)
-    announced: dict[str, None] = attrs.field(factory=dict)
+    announced: Announcements = attrs.field(factory=Announcements)
     read_at: float = float("-inf")
     _version: int = 0
     _reported: "collections.deque[tuple[float, int]]" = attrs.field(
@@ -153,12 +151,20 @@
             return
         self.entries[entry.worker] = self._with_announcement(entry)
 
+    def restore_announced(self, text: str, place: str) -> None:
+        """Apply the announcements that an earlier owner stored.
+
+        Raises:
+            FindingsError: The row is malformed.
+        """
+        self.announced.restore(text, place)
+        for worker, entry in self.entries.items():
+            self.entries[worker] = self._with_announcement(entry)
+
     def _with_announcement(self, entry: WorkerEntry) -> WorkerEntry:
         """Return an entry that leaves if its incarnation ever announced that."""
         if entry.leaving:
-            self.announced.setdefault(entry.incarnation)
-            while len(self.announced) > MAX_ANNOUNCED:
-                self.announced.pop(next(iter(self.announced)))
+            self.announced.add(entry.incarnation)
         elif entry.incarnation in self.announced:
             return attrs.evolve(entry, leaving=True)
         return entry
--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -75,6 +75,7 @@
     StoredRows,
     read_all,
     restore,
+    restore_announced,
     restore_speeds,
 )
 from cranberrycleat.workflow.upkeep_director import UpkeepDirector
@@ -197,6 +198,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.cluster_state.table_limits = self.table_limits
+        self.cluster_state.announcements = self.directory.announced
         self.cluster_state.losses.epoch = self.epoch
         late_starts = self.cluster_state.late_starts
         late_starts.bound_s = self.leases.late_order_s
@@ -352,6 +354,7 @@
         stored = await self._read_rows()
         restore(self.cluster_state, stored)
         restore_speeds(self.cluster_state, stored)
+        restore_announced(self.directory, stored)
         self.inbox.accept_rows(stored.inbox)
         self._joined_pools = self.pools()
         self.roster.refresh()
--- a/cranberrycleat/workflow/takeover.py
+++ b/cranberrycleat/workflow/takeover.py
@@ -18,6 +18,7 @@
 from cranberrycleat.logs import emit, part_logger
 from cranberrycleat.table import Row
 from cranberrycleat.workflow import options, rows
+from cranberrycleat.workflow.announcements import ANNOUNCED
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.directory import WorkerDirectory
 from cranberrycleat.workflow.job_pages import PAGES, split_page_key
@@ -39,6 +40,7 @@
     specs: tuple[Row, ...]
     jobs: tuple[Row, ...]
     inbox: tuple[Row, ...]
+    announced: tuple[Row, ...] = ()
     speeds: tuple[Row, ...] = ()
     pages: tuple[Row, ...] = ()
 
@@ -77,18 +79,26 @@
 ) -> StoredRows:
     speeds = asyncio.ensure_future(_read_speeds(store)) if with_speeds else None
     try:
-        specs, jobs, pages, inbox, _ = await asyncio.gather(
+        specs, jobs, pages, inbox, announced, _ = await asyncio.gather(
             store.scan(prefix=f"{rows.SPECS}/"),
             store.scan(prefix=f"{rows.JOBS}/"),
             store.scan(prefix=f"{PAGES}/"),
             store.scan(prefix=f"{rows.INBOX}/"),
+            store.scan(prefix=f"{ANNOUNCED}/"),
             directory.read_all(),
         )
         found = await _speeds_read_by_now(speeds)
     finally:
         if speeds is not None:
             speeds.cancel()
-    return StoredRows(specs=specs, jobs=jobs, pages=pages, inbox=inbox, speeds=found)
+    return StoredRows(
+        specs=specs,
+        jobs=jobs,
+        pages=pages,
+        inbox=inbox,
+        announced=announced,
+        speeds=found,
+    )
 
 
 async def _speeds_read_by_now(
@@ -155,6 +165,15 @@
         fair_share.record_restored(cluster_state.jobs.values())
 
 
+def restore_announced(directory: WorkerDirectory, stored: StoredRows) -> None:
+    """Have the workers leave that announced it to an earlier owner."""
+    for row in stored.announced:
+        try:
+            directory.restore_announced(row.value, row.key)
+        except errors.FindingsError as exc:
+            emit(events.RowUnreadable(findings=str(exc)))
+
+
 def restore_speeds(cluster_state: ClusterState, stored: StoredRows) -> None:
     """Adopt the learned speeds of earlier owners; unusable rows are logged."""
     speeds = cluster_state.load.speeds
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -121,6 +121,18 @@
     env.list_worker("w0")
 
 
+async def _change_owner(env: Cell, owner: Owner) -> None:
+    """The same, and another owner takes over in between, who never saw it leave."""
+    ready = env.entries["w0"]
+    env.drain_worker("w0")
+    await until(lambda: owner.cluster_state.fleet.newest["w0"].entry.leaving)
+    env.unlist_worker("w0")
+    await until(lambda: "announced/workers" in env.table.rows)
+    await owner.hand_over()
+    env.entries["w0"] = ready
+    env.list_worker("w0")
+
+
 async def _lose_update(env: Cell, owner: Owner) -> None:
     """Applying an answer to the fleet fails once; the next answer has no change."""
     refresh = Roster.refresh
@@ -140,9 +152,8 @@
 
 async def _show_out_of_order(env: Cell, owner: Owner) -> None:
     """The list shows a later change, with a higher version, before the announcement."""
-    env.entries["w0"] = attrs.evolve(env.entries["w0"], leaving=True)
-    put = Put(key="servers/w0", value="w0")
-    show = env.table.hold_back(Transaction(puts=(put,)))
+    env.mark_leaving("w0")
+    show = env.table.hold_back(Transaction(puts=(env.entry_put("w0"),)))
     env.table.apply(Transaction(puts=(Put(key="other/1", value="1"),)))
     version = env.table.revision
     await until(lambda: owner.directory._version >= version)
@@ -159,6 +170,7 @@
         _lapse,
         _lapse_unread,
         _return_as_ready,
+        _change_owner,
         _lose_update,
         _show_out_of_order,
     ],
@@ -174,6 +186,8 @@
             owner.worker_list_settled_at = float("-inf")
             await asyncio.sleep(2 * options.DIRECTORY_FAST_POLL_INTERVAL_S)
             await announce(env, owner)
+            if not owner.lease.is_valid():
+                owner = await env.own("two")
             for number in range(int(LEAVES_AFTER_S / 0.1)):
                 await submit(owner, f"{number}", job(step(1)))
                 await asyncio.sleep(0.1)
--- a/tests/test_worker_rows.py
+++ b/tests/test_worker_rows.py
@@ -259,19 +259,6 @@
     assert found.entries["i-1"].leaving is leaving
 
 
-def test_number_of_announcements_kept_is_limited(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr(directory_module, "MAX_ANNOUNCED", 2)
-    table = MemoryFeedTable()
-    found = make_directory(table)
-    asyncio.run(found.read_all())
-    for number in range(4):
-        put(table, row({"state": "draining"}, worker=f"i-{number}"))
-    asyncio.run(found.refresh())
-    assert list(found.announced) == ["i-2", "i-3"]
-
-
 # Guards against an announcement (DRAIN) that becomes visible after a later change: no
 # read after the reported version would show it.
 @pytest.mark.parametrize("history", ["kept", "dropped before"])
