An odd entry hides no other: every decoder rejects what it can't represent

Reported by operators of other systems: one entry of another writer, very deeply nested, with a number too large or a port out of range, ended the hosts that read the list or stopped their reading. Here it could, but for the port:

- msgspec raises RecursionError, which is no DecodeError, for a deeply nested field, also for one that is ignored.
The follower failed before its version advanced, was started again and failed at the same row, so that no later leaving was seen; a new owner failed, released, and the next host did the same.
- A born of 400 digits was read and overflowed in a later division; amounts and times near the largest float were read too, and a sum or a product of them overflows.
- A key that is no identity ('a@b') would end a takeover where it is split again, and a value with letters outside ASCII raised ValueError instead of binascii.Error.
- A negative remaining_ms is now 0: the worker leaves, whatever the time says.

codec.UNDECODABLE names what decoding any text may raise, and every decoder handles it: codec, rows, store, workers, machines, permits, documents, log lines, the scheduler's bodies. Numbers of an entry are at most 2**53 - 1.

--- a/cranberrycleat/codec.py
+++ b/cranberrycleat/codec.py
@@ -4,13 +4,16 @@
 decoding, it checks types and reports the path of a fault.
 """
 
-from typing import TypeVar
+from typing import Final, TypeVar
 
 import msgspec
 
 from cranberrycleat import errors
 
 T = TypeVar("T")
+UNDECODABLE: Final = (msgspec.DecodeError, RecursionError)
+"""What decoding any text may raise. Text that is nested too deeply, also within a field
+that is ignored, raises an error of its own."""
 
 
 def encode(value: object) -> bytes:
@@ -36,6 +39,6 @@
     """
     try:
         return msgspec.json.decode(data, type=kind)
-    except msgspec.DecodeError as exc:
+    except UNDECODABLE as exc:
         found = errors.finding(place, errors.MALFORMED, reason=str(exc))
         raise errors.FindingsError(findings=(found,)) from None
--- a/cranberrycleat/documents.py
+++ b/cranberrycleat/documents.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cranberrycleat import errors
+from cranberrycleat import codec, errors
 from cranberrycleat.config import Configuration, parse_configuration
 from cranberrycleat.jobs import JobSpec, parse_job, unwrap
 
@@ -33,7 +33,11 @@
         if path.suffix == ".json":
             return msgspec.json.decode(data)
         return tomllib.loads(data.decode())
-    except (msgspec.DecodeError, tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+    except (
+        *codec.UNDECODABLE,
+        tomllib.TOMLDecodeError,
+        UnicodeDecodeError,
+    ) as exc:
         raise _malformed(path, str(exc)) from None
 
 
--- a/cranberrycleat/explain.py
+++ b/cranberrycleat/explain.py
@@ -114,7 +114,7 @@
             return None
         event = msgspec.convert(fields, cls)
         at, host = float(fields["time"]), str(fields["host"])
-    except (ValueError, KeyError, AttributeError, msgspec.ValidationError):
+    except (ValueError, KeyError, AttributeError, *codec.UNDECODABLE):
         return None
     prefix = line[:start].split()
     if len(prefix) == PREFIX_TIME_PARTS - 1:
--- a/cranberrycleat/http_calls.py
+++ b/cranberrycleat/http_calls.py
@@ -128,7 +128,7 @@
 def _problem(res: httpx.Response, url: str) -> Exception:
     try:
         fields = msgspec.json.decode(res.content, type=_ProblemFields)
-    except msgspec.DecodeError:
+    except codec.UNDECODABLE:
         return errors.PeerUnavailable(f"{url}: status {res.status_code}")
     problem = (
         errors.ProblemError(
--- a/cranberrycleat/platform/front.py
+++ b/cranberrycleat/platform/front.py
@@ -48,6 +48,8 @@
 NOT_READY: Final = 503
 DEFAULT_DEADLINE_S: Final = 3.0
 """Deadline for callers that send none; the same limit as on the sites."""
+MAX_DEADLINE_DIGITS: Final = 15
+"""A longer number is no deadline, and may not even be converted."""
 MAX_BODY_BYTES: Final = 262_144
 """The platform's configuration sets this limit for request bodies."""
 
@@ -170,7 +172,8 @@
 def _limit_s(headers: dict[bytes, bytes]) -> float:
     """Return the caller's deadline in seconds."""
     text = headers.get(DEADLINE_HEADER, b"")
-    return int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_S
+    valid = text.isdigit() and len(text) <= MAX_DEADLINE_DIGITS
+    return int(text) / 1000 if valid else DEFAULT_DEADLINE_S
 
 
 def _message(answer: RequestResult, *, is_queue: bool) -> Answer:
--- a/cranberrycleat/platform/machines.py
+++ b/cranberrycleat/platform/machines.py
@@ -153,7 +153,7 @@
 def _decode(reply: HttpReply, kind: type[Any]) -> Any:
     try:
         return msgspec.json.decode(reply.body or b"{}", type=kind)
-    except msgspec.DecodeError as exc:
+    except codec.UNDECODABLE as exc:
         raise MachinesUnavailable(str(exc)) from exc
 
 
--- a/cranberrycleat/platform/records.py
+++ b/cranberrycleat/platform/records.py
@@ -28,6 +28,10 @@
 LEAVING_BY_STATE: Final = {"ready": False, "draining": True}
 """Whether a worker is leaving, for each state that it may write."""
 MAX_PORT: Final = 65535
+MAX_NUMBER: Final = 2**53 - 1
+"""The largest integer that every reader of JSON represents exactly."""
+INCARNATION_SEPARATOR: Final = "@"
+"""Separates a worker's identity from its start time in names of incarnations."""
 
 
 @attrs.frozen(kw_only=True)
@@ -189,8 +193,18 @@
     """
     wire = codec.decode(row.value, _WireWorker, place=row.key)
     found = errors.Findings()
+    worker = row.key.partition("/")[2]
+    if not worker or INCARNATION_SEPARATOR in worker:
+        found.add(
+            row.key, errors.BAD_VALUE, value=worker, allowed="a worker's identity"
+        )
     _check_address(f"{row.key}.addr", wire.addr, found)
     _check_amounts(f"{row.key}.capacity", wire.capacity, found)
+    _check_number(f"{row.key}.born", wire.born, 0, found)
+    _check_number(f"{row.key}.clock_ms", wire.clock_ms, -MAX_NUMBER, found)
+    _check_number(
+        f"{row.key}.remaining_ms", wire.remaining_ms or 0.0, -MAX_NUMBER, found
+    )
     if not wire.service:
         found.add(f"{row.key}.service", errors.MISSING, allowed="a service's name")
     if wire.state not in LEAVING_BY_STATE:
@@ -203,7 +217,7 @@
     if found.items:
         raise errors.FindingsError(findings=found.sorted())
     return WorkerEntry(
-        worker=row.key.partition("/")[2],
+        worker=worker,
         pool=wire.service,
         address=wire.addr,
         data_centre=wire.zone,
@@ -211,7 +225,9 @@
         capacity=wire.capacity.amounts(),
         labels=wire.labels,
         worker_time_ms=round(wire.clock_ms),
-        leaves_in_s=(None if wire.remaining_ms is None else wire.remaining_ms / 1000),
+        leaves_in_s=(
+            None if wire.remaining_ms is None else max(0.0, wire.remaining_ms / 1000)
+        ),
         born_ms=wire.born,
     )
 
@@ -229,8 +245,14 @@
 
 def _check_amounts(place: str, amounts: WireAmounts, found: errors.Findings) -> None:
     for field in attrs.fields(WireAmounts):
-        value = getattr(amounts, field.name)
-        if value < 0:
-            found.add(
-                f"{place}.{field.name}", errors.BAD_VALUE, value=value, allowed=">= 0"
-            )
+        _check_number(f"{place}.{field.name}", getattr(amounts, field.name), 0, found)
+
+
+def _check_number(
+    place: str, value: float, least: float, found: errors.Findings
+) -> None:
+    """Check that later calculations with a number can't overflow."""
+    if value < least:
+        found.add(place, errors.BAD_VALUE, value=value, allowed=f">= {least}")
+    elif value > MAX_NUMBER:
+        found.add(place, errors.BAD_VALUE, value=value, allowed=f"<= {MAX_NUMBER}")
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import base64
-import binascii
 from typing import Final
 
 import attrs
@@ -322,7 +321,7 @@
 def _decode(reply: HttpReply, place: str) -> _WireRows:
     try:
         return msgspec.json.decode(reply.body, type=_WireRows)
-    except msgspec.DecodeError as exc:
+    except codec.UNDECODABLE as exc:
         raise errors.TableUnavailable(f"{place}: {exc}") from exc
 
 
@@ -366,5 +365,6 @@
     """
     try:
         return base64.b64decode(value).decode()
-    except (binascii.Error, UnicodeDecodeError):
+    except ValueError:
+        # Neither base64 nor UTF-8, or not even ASCII.
         return ""
--- a/cranberrycleat/platform/workers.py
+++ b/cranberrycleat/platform/workers.py
@@ -322,7 +322,7 @@
 def _decode(reply: HttpReply, kind: type[T], entry: WorkerEntry) -> T:
     try:
         return msgspec.json.decode(reply.body or b"{}", type=kind)
-    except msgspec.DecodeError as exc:
+    except codec.UNDECODABLE as exc:
         raise WorkerUnreachable(f"{entry.worker}: {exc}") from exc
 
 
@@ -380,7 +380,7 @@
             raise PermitUnavailable(f"status {reply.status}")
         try:
             good = msgspec.json.decode(reply.body, type=_WireGood).good
-        except msgspec.DecodeError as exc:
+        except codec.UNDECODABLE as exc:
             raise PermitUnavailable(str(exc)) from exc
         return tuple(
             Permit(worker=asked[worker], ticket=ticket)
--- a/cranberrycleat/scheduler_api.py
+++ b/cranberrycleat/scheduler_api.py
@@ -45,7 +45,7 @@
 async def _json_body(request: AnyRequest) -> Any:
     try:
         return msgspec.json.decode(await request.body())
-    except msgspec.DecodeError as exc:
+    except codec.UNDECODABLE as exc:
         found = errors.finding("body", errors.MALFORMED, reason=str(exc))
         raise errors.FindingsError(findings=(found,)) from None
 
@@ -178,7 +178,7 @@
 def _checked(text: str) -> Configuration:
     try:
         data = msgspec.json.decode(text)
-    except msgspec.DecodeError as exc:
+    except codec.UNDECODABLE as exc:
         found = errors.finding("document", errors.MALFORMED, reason=str(exc))
         raise errors.FindingsError(findings=(found,)) from None
     return unwrap(parse_configuration(data, place="document"))
--- a/cranberrycleat/workflow/rows.py
+++ b/cranberrycleat/workflow/rows.py
@@ -441,7 +441,7 @@
         sections[number] = section
         try:
             decoded = msgspec.json.decode(found, type=_Section)
-        except msgspec.DecodeError as exc:
+        except codec.UNDECODABLE as exc:
             raise _malformed(place, exc) from None
         row.open += decoded.open
         row.left += decoded.left
@@ -455,7 +455,7 @@
         if text.startswith("{"):
             return msgspec.json.decode(text, type=_HeadRow)
         return _HeadRow(head=msgspec.json.decode(text, type=JobRow), sections=())
-    except msgspec.DecodeError as exc:
+    except codec.UNDECODABLE as exc:
         raise _malformed(place, exc) from None
 
 
@@ -624,7 +624,7 @@
         for worker, *_, log_speed, _ in row.workers:
             if not abs(log_speed) <= MAX_LOG_SPEED:
                 raise msgspec.ValidationError(f"speed of {worker}: e^{log_speed}")
-    except msgspec.DecodeError as exc:
+    except codec.UNDECODABLE as exc:
         found = errors.finding(place, errors.MALFORMED, reason=str(exc))
         raise errors.FindingsError(findings=(found,)) from None
     return row.written_s, tuple(
