Soaks write a leaving worker's old entry only once an owner has read the announcement

A worker writes no such entry. It is still played, from when an owner has read the list and could store what it says; otherwise the entry that comes back says that it leaves.

--- a/tests/loss_soak.py
+++ b/tests/loss_soak.py
@@ -163,6 +163,8 @@
 CONTACT_S: Final = 3.0
 """The time bounds of the platform's rules do not hold for a host that was paused in
 this time before."""
+STORED_AFTER_S: Final = 0.5
+"""How long after it has read the list an owner may take to store what it says."""
 CPU_PERIOD_S: Final = 0.1
 NESTED: Final = "[" * 30_000 + "]" * 30_000
 ODD_VALUES: Final = (
@@ -844,13 +846,14 @@
         before = self.store.table.rows.get(key)
         machine.is_draining = True
         self._write_entry(machine)
+        announced_at = self._now()
         self._add(f"{name} is draining")
         await asyncio.sleep(rng.choice((0.0, 0.05, rng.uniform(0.1, 1.0))))
         self.store.drop(key)
         self._add(f"the entry of {name} lapses")
         await asyncio.sleep(rng.uniform(0.1, 1.0))
         if machine.name == name and machine.is_up:
-            if before is not None and rng.random() < 0.5:
+            if before is not None and self._was_list_read(announced_at):
                 put = Put(key=key, value=before.value)
                 self.store.table.apply(Transaction(puts=(put,)))
                 self._add(f"the entry of {name} is written as it was")
@@ -860,6 +863,14 @@
         if machine.name == name and machine.is_up:
             self._leave(machine)
 
+    def _was_list_read(self, since: float) -> bool:
+        """Return whether a host read the list after a time, and could store that.
+
+        Nobody can know of an announcement that was replaced before.
+        """
+        read_at = [at for each in self.access.values() for at in each.list_reads]
+        return any(since < each < self._now() - STORED_AFTER_S for each in read_at)
+
     async def _hide_list(self, fault: PlannedFault, rng: random.Random) -> None:
         """Leave the reads of the list of workers by some hosts without answer."""
         hosts = self._by_owner(rng)[: rng.randint(1, len(self.hosts))]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -116,6 +116,8 @@
 """How long the list of workers can't be read, while the owner's writes are answered."""
 HELD_BACK_S: Final = 0.3
 """How long a change is not shown although later ones are."""
+STORED_AFTER_S: Final = 0.5
+"""How long after it has read the list an owner may take to store what it says."""
 DRAINERS: Final = 2
 PERMIT_DELAY_S: Final = 0.05
 PERMIT_QUEUE: Final = attrs.evolve(
@@ -781,6 +783,7 @@
         self.harness.entries[name] = before.entry
         announce = self._hold_back_change if rng.random() < 0.3 else self._announce
         await announce(name)
+        announced_at = self.harness.clock.now()
         stays_s = rng.uniform(*STAYS_S)
         lapses_s = rng.choice((0.0, 0.05, 0.5, stays_s))
         await asyncio.sleep(lapses_s)
@@ -789,15 +792,25 @@
             self.record.add_fault(f"the entry of {name} lapses")
             await asyncio.sleep(rng.uniform(0.1, 1.0))
             if self._stays(before) and rng.random() < 0.5:
-                entry_before = attrs.evolve(before.entry, leaving=rng.random() < 0.5)
-                self.harness.entries[name] = entry_before
+                is_as_before = self._was_list_read(announced_at)
+                await asyncio.sleep(STORED_AFTER_S)
+                entry_back = attrs.evolve(before.entry, leaving=not is_as_before)
+                self.harness.entries[name] = entry_back
                 self.harness.list_worker(name)
-                self.record.add_fault(f"the entry of {name} is back: {entry_before}")
+                self.record.add_fault(f"the entry of {name} is back: {entry_back}")
         await asyncio.sleep(stays_s)
         if self._stays(before):
             self._replace_leaving_worker(name)
         self._leaving.discard(name)
 
+    def _was_list_read(self, since: float) -> bool:
+        """Return whether the present owner has read the list since a time.
+
+        Nobody can know of an announcement that was replaced before.
+        """
+        owner = self._current_owner()
+        return owner is not None and owner.directory.read_at > since
+
     def _stays(self, worker: SimulatedWorker) -> bool:
         return self.harness.fleet.workers.get(worker.entry.worker) is worker
 
--- a/tests/store_server.py
+++ b/tests/store_server.py
@@ -29,6 +29,7 @@
 FEED_POLL_S: Final = 0.005
 REFUSED: Final = 503
 WRITE_PATH: Final = "/api/rows-tx"
+WORKERS_TABLE: Final = "servers"
 Responder = Callable[[str, Any, dict[str, str]], Awaitable[tuple[int, Any]]]
 
 
@@ -256,11 +257,14 @@
         absence: How the store turns the host away; None: it serves it.
         hidden_tables: What the store does with the host's reads of some tables, while
             it serves it otherwise.
+        list_reads: When its reads of the list of workers were answered, on the event
+            loop's clock.
     """
 
     store: StoreServer
     absence: Absence | None = None
     hidden_tables: dict[str, Absence] = attrs.field(factory=dict)
+    list_reads: list[float] = attrs.field(factory=list)
     _server: "_ResettableServer" = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -298,6 +302,8 @@
             answer = await self.store.respond(path, sent, args)
             absence = self.absence or self.hidden_tables.get(args.get("table", ""))
             if absence is None:
+                if args.get("table") == WORKERS_TABLE:
+                    self.list_reads.append(asyncio.get_running_loop().time())
                 return answer
         if absence is Absence.REFUSES:
             return REFUSED, {}
