The scheduler's shards keep that a worker leaves, and start nothing there

A worker that the list showed as leaving when an owner first read it was taken for new; one that fell silent and answered again counted as live; and a placement from before the announcement was ordered after it.

Whether a worker leaves is now one question of the shard: the list says so, or the worker's own answer of this incarnation did. No start is ordered to such a worker, and placements that were not ordered are ended, so that their tasks wait for another place. What was ordered without an answer is settled as before, by the worker's next answer or its leases.

--- a/cranberrycleat/link.py
+++ b/cranberrycleat/link.py
@@ -255,6 +255,7 @@
         if self._leaving_at < math.inf:
             # The incarnation before was leaving; this one is to count as live.
             self._leaving_at = math.inf
+            self.shard.worker_restarted(self.entry.name)
             self.shard.worker_silent(self.entry.name)
         self.shard.drop_unreported(self.entry.name, reply.tasks)
         until = self.clock.now() + self.times.lease_s * (1 + MAX_CLOCK_DRIFT)
@@ -265,6 +266,9 @@
         self._leaving_at = min(self._leaving_at, self.clock.now())
 
     def _check_drain(self) -> None:
+        name = self.entry.name
+        if self.shard.is_leaving(name) and self.shard.release_unordered(name):
+            self.on_change.set()
         if self.clock.now() - self._leaving_at >= self.times.drain_s:
             self.shard.evacuate(self.entry.name)
 
--- a/cranberrycleat/orders.py
+++ b/cranberrycleat/orders.py
@@ -12,7 +12,12 @@
 
 
 def start_orders(shard: Shard, worker: str) -> tuple[StartOrder, ...]:
-    """Return start orders for durable placements that the worker has not confirmed."""
+    """Return start orders for durable placements that the worker has not confirmed.
+
+    A worker that leaves gets none, not even of placements from before.
+    """
+    if shard.is_leaving(worker):
+        return ()
     orders = []
     for task in shard.inventory.workers[worker].tasks:
         active = shard.active[task]
--- a/cranberrycleat/shard.py
+++ b/cranberrycleat/shard.py
@@ -103,6 +103,7 @@
     pending_acks: dict[str, list[AttemptRef]] = attrs.field(factory=dict)
     orphaned_attempts: dict[str, dict[str, int]] = attrs.field(factory=dict)
     endpoint_revision: int = 0
+    _announced: set[str] = attrs.field(factory=set)
     planner: RoundPlanner = attrs.field(
         default=attrs.Factory(
             lambda self: RoundPlanner(inventory=self.inventory), takes_self=True
@@ -169,13 +170,12 @@
         for entry in entries:
             if entry.data_centre != self.data_centre:
                 continue
-            known = self.hosts.get(entry.name)
-            if known is None:
+            if entry.name not in self.hosts:
                 added.append(entry)
                 self._add_listed_worker(entry)
-            elif entry.state is HostState.LEAVING:
-                self.worker_leaving(entry.name)
             self.hosts[entry.name] = entry
+            if entry.state is HostState.LEAVING:
+                self._stop_placing(entry.name)
         return tuple(added)
 
     def _add_listed_worker(self, entry: HostEntry) -> None:
@@ -200,6 +200,7 @@
         worker = self.inventory.workers[name]
         self.inventory.remove_worker(name)
         self.hosts.pop(name, None)
+        self._announced.discard(name)
         self.orphaned_attempts.pop(name, None)
         self.losses.forget_worker(name)
         self.planner.total_capacity = self.planner.total_capacity.minus(worker.capacity)
@@ -220,9 +221,10 @@
                 if job.losses and self.losses.clear(job, name, incarnation):
                     self._mark_dirty(job)
         self._clear_survivors(name)
+        state = WorkerState.LEAVING if self.is_leaving(name) else WorkerState.LIVE
         worker = self.inventory.workers[name]
-        if worker.state is WorkerState.SILENT:
-            worker.state = WorkerState.LIVE
+        if worker.state is not state:
+            worker.state = state
             self.endpoint_revision += 1
 
     def worker_silent(self, name: str) -> None:
@@ -233,8 +235,44 @@
             worker.state = WorkerState.SILENT
             self.endpoint_revision += 1
 
+    def is_leaving(self, name: str) -> bool:
+        """Return whether a worker leaves, by the list or by its own answers.
+
+        What it answered holds for that incarnation, even if it falls silent and answers
+        again, or the list says otherwise.
+        """
+        entry = self.hosts.get(name)
+        listed = entry is not None and entry.state is HostState.LEAVING
+        return listed or name in self._announced
+
     def worker_leaving(self, name: str) -> None:
-        """Record that a worker is leaving: it is given no more tasks."""
+        """Record that a worker answered that it leaves: it is given no more tasks."""
+        self._announced.add(name)
+        self._stop_placing(name)
+
+    def worker_restarted(self, name: str) -> None:
+        """Record that another incarnation answers, which may not leave."""
+        self._announced.discard(name)
+
+    def release_unordered(self, name: str) -> bool:
+        """End the placements on a leaving worker that were not ordered yet.
+
+        Returns:
+            Whether there were any; their tasks wait for another place.
+        """
+        unordered = [
+            task
+            for task in self.inventory.workers[name].tasks
+            if self.active[task].durable and not self.active[task].ordered
+        ]
+        for task in unordered:
+            if task in self.active:
+                self._attempt_ended(
+                    self.jobs[job_of(task)], self.record(task), failed=False
+                )
+        return bool(unordered)
+
+    def _stop_placing(self, name: str) -> None:
         self.losses.worker_leaving(name)
         worker = self.inventory.workers.get(name)
         if worker is not None and worker.state is not WorkerState.LEAVING:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -12,7 +12,7 @@
 from cranberrycleat.jobs import JobSpec, Kind, Program, TaskState
 from cranberrycleat.lease import OwnershipLease
 from cranberrycleat.link import LinkTimes, WorkerLink, inherited_leases
-from cranberrycleat.messages import InboxEntry, JobPart, Outcome, SyncOrder
+from cranberrycleat.messages import HostState, InboxEntry, JobPart, Outcome, SyncOrder
 from cranberrycleat.shard import Shard
 from cranberrycleat.standins.table import MemoryTable
 from cranberrycleat.standins.worker import WorkerFaults
@@ -301,6 +301,84 @@
     assert runs(owner.client)
 
 
+def listed_as(owner: Owner, state: HostState) -> None:
+    """Have the platform's list show a state of the worker."""
+    owner.shard.update_hosts([attrs.evolve(owner.link.entry, state=state)])
+
+
+def submit_batch(owner: Owner) -> None:
+    """Submit a job of one task."""
+    program = Program(command="run", run_s=1000.0)
+    spec = JobSpec(name="job", kind=Kind.BATCH, program=program)
+    owner.shard.apply_change(
+        InboxEntry(id="1", submit=JobPart(spec=spec, indices=(0,)))
+    )
+
+
+# Guards against a start on a worker that leaves (DRAIN): the list showed it when the
+# owner first read it, and it was taken for new; or it fell silent meanwhile.
+@pytest.mark.parametrize("silent_between", [False, True])
+@pytest.mark.parametrize("announced_by", ["list", "worker"])
+def test_leaving_worker_is_given_no_task(
+    announced_by: str, silent_between: bool
+) -> None:
+    clock = ManualClock(time_s=100.0)
+    client = direct_worker(ManualClock(time_s=7.0))
+    if announced_by == "list":
+        client.standin.entry = attrs.evolve(
+            client.standin.entry, state=HostState.LEAVING
+        )
+    owner = make_owner(MemoryTable(), clock, client)
+    client.standin.entry = attrs.evolve(client.standin.entry, state=HostState.LIVE)
+    if announced_by == "worker":
+        client.standin.faults = WorkerFaults(leaving=True)
+    owner.sync()
+    client.standin.faults = WorkerFaults()
+    if silent_between:
+        owner.shard.worker_silent(owner.link.entry.name)
+    owner.sync()
+    submit_batch(owner)
+    owner.plan_round()
+    owner.sync()
+    owner.sync()
+    assert not runs(client)
+    assert owner.state()[0] is TaskState.PENDING
+
+
+# Guards against a start that was placed before the worker announced its leaving, and is
+# sent after that.
+def test_placement_that_was_not_ordered_leaves_a_leaving_worker() -> None:
+    clock = ManualClock(time_s=100.0)
+    client = direct_worker(ManualClock(time_s=7.0))
+    owner = make_owner(MemoryTable(), clock, client)
+    owner.sync()
+    submit_batch(owner)
+    owner.plan_round()
+    assert owner.state()[0] is TaskState.PLACED
+    listed_as(owner, HostState.LEAVING)
+    owner.sync()
+    owner.link._check_drain()
+    owner.sync()
+    assert not runs(client)
+    assert owner.state()[0] is TaskState.PENDING
+
+
+def test_worker_that_the_list_shows_as_live_again_gets_tasks() -> None:
+    """Names are used again in this list, which does not tell incarnations apart."""
+    clock = ManualClock(time_s=100.0)
+    client = direct_worker(ManualClock(time_s=7.0))
+    owner = make_owner(MemoryTable(), clock, client)
+    listed_as(owner, HostState.LEAVING)
+    owner.sync()
+    listed_as(owner, HostState.LIVE)
+    owner.sync()
+    submit_batch(owner)
+    owner.plan_round()
+    owner.sync()
+    owner.sync()
+    assert runs(client)
+
+
 # Guards against a start that counts as sent although no connection was established, so
 # that the loss of the worker counts against the task.
 def test_order_without_connection_is_not_sent() -> None:
