A host keeps the announcements that it read as an earlier owner

What a host knows now outlives its ownerships, and is stored when it owns again. test_host_remembers_announcements_of_its_earlier_ownership failed before with the reader's memory of its own.

--- a/cranberrycleat/platform/adapter.py
+++ b/cranberrycleat/platform/adapter.py
@@ -19,6 +19,7 @@
 from cranberrycleat.platform.store import PlatformStore
 from cranberrycleat.platform.workers import PlatformPermits, PlatformWorkers
 from cranberrycleat.table import Put, Row
+from cranberrycleat.workflow.announcements import Announcements
 from cranberrycleat.workflow.directory import ConfigFollower, WorkerDirectory
 from cranberrycleat.workflow.job_frontend import JobFrontend
 from cranberrycleat.workflow.ports import NodeSettings
@@ -59,13 +60,14 @@
         """Return the state of a wave that was written for the operator."""
         return wave_state(row)
 
-    def directory(self, clock: Clock) -> WorkerDirectory:
-        """Return a reader of the list of workers, which dates reads by a clock."""
+    def directory(self, clock: Clock, announced: Announcements) -> WorkerDirectory:
+        """Return a reader of the list of workers."""
         return WorkerDirectory(
             store=self.store,
             table=records.WORKERS_TABLE,
             read=records.read_worker,
             clock=clock,
+            announced=announced,
         )
 
     def config_follower(self) -> ConfigFollower:
--- a/cranberrycleat/workflow/adapter.py
+++ b/cranberrycleat/workflow/adapter.py
@@ -5,6 +5,7 @@
 
 from cranberrycleat.clock import Clock
 from cranberrycleat.table import Put, Row
+from cranberrycleat.workflow.announcements import Announcements
 from cranberrycleat.workflow.directory import ConfigFollower, WorkerDirectory
 from cranberrycleat.workflow.job_frontend import JobFrontend
 from cranberrycleat.workflow.ports import (
@@ -56,8 +57,13 @@
             FindingsError: The row cannot be decoded.
         """
 
-    def directory(self, clock: Clock) -> WorkerDirectory:
-        """Return a new reader of the worker directory, which dates reads by a clock."""
+    def directory(self, clock: Clock, announced: Announcements) -> WorkerDirectory:
+        """Return a new reader of the worker directory.
+
+        Args:
+            clock: The clock by which it dates its reads.
+            announced: What this host knows of workers that leave; it adds to that.
+        """
 
     def config_follower(self) -> ConfigFollower:
         """Return a new follower of the configuration."""
--- a/cranberrycleat/workflow/announcements.py
+++ b/cranberrycleat/workflow/announcements.py
@@ -1,7 +1,8 @@
 """Announcements of workers that they leave, which are final for their incarnations.
 
 They outlive the worker's entry, which may lapse or be written anew, and the owner that
-read them: the owner stores them with the jobs, and the next one restores them.
+read them: the owner stores them with the jobs, and the next one restores them. A host
+keeps those that it read as an earlier owner and may not have been able to store.
 """
 
 from typing import Final
@@ -74,7 +75,11 @@
         known, self._incarnations = self._incarnations, {}
         for incarnation in (*stored, *known):
             self.add(incarnation)
-        self.unstored = bool(known)
+        self.unstored = not known.keys() <= set(stored)
+
+    def store_again(self) -> None:
+        """Have all that are kept be written: the table has none."""
+        self.unstored = bool(self._incarnations)
 
 
 def _put(incarnations: list[str]) -> Put:
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -29,6 +29,7 @@
 from cranberrycleat.workflow import options
 from cranberrycleat.workflow.access import KeyAuthorizer
 from cranberrycleat.workflow.adapter import Adapter
+from cranberrycleat.workflow.announcements import Announcements
 from cranberrycleat.workflow.candidacy import Candidacy, strength
 from cranberrycleat.workflow.config_watch import ConfigWatch
 from cranberrycleat.workflow.decisions.load_policies import LoadPolicies
@@ -95,6 +96,7 @@
     _lease_check_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     _last_ready: bool = False
     _membership: Membership = attrs.field(factory=Membership)
+    _announced: Announcements = attrs.field(factory=Announcements)
     _reachability: Reachability = attrs.field(init=False)
     _owner_absence: OwnerAbsence = attrs.field(init=False)
 
@@ -515,7 +517,7 @@
         owner = Owner(
             lease=self._lease,
             store=self.adapter.store,
-            directory=self.adapter.directory(self.clock),
+            directory=self.adapter.directory(self.clock, self._announced),
             client=self.adapter.workers,
             permit_queue=permit_queue,
             clock=self.clock,
--- a/cranberrycleat/workflow/takeover.py
+++ b/cranberrycleat/workflow/takeover.py
@@ -167,6 +167,8 @@
 
 def restore_announced(directory: WorkerDirectory, stored: StoredRows) -> None:
     """Have the workers leave that announced it to an earlier owner."""
+    if not stored.announced:
+        directory.announced.store_again()
     for row in stored.announced:
         try:
             directory.restore_announced(row.value, row.key)
--- a/tests/loss_soak.py
+++ b/tests/loss_soak.py
@@ -849,11 +849,12 @@
         announced_at = self._now()
         self._add(f"{name} is draining")
         await asyncio.sleep(rng.choice((0.0, 0.05, rng.uniform(0.1, 1.0))))
+        was_read = self._was_list_read(announced_at)
         self.store.drop(key)
         self._add(f"the entry of {name} lapses")
-        await asyncio.sleep(rng.uniform(0.1, 1.0))
+        await asyncio.sleep(STORED_AFTER_S + rng.uniform(0.0, 0.5))
         if machine.name == name and machine.is_up:
-            if before is not None and self._was_list_read(announced_at):
+            if before is not None and was_read:
                 put = Put(key=key, value=before.value)
                 self.store.table.apply(Transaction(puts=(put,)))
                 self._add(f"the entry of {name} is written as it was")
@@ -864,12 +865,15 @@
             self._leave(machine)
 
     def _was_list_read(self, since: float) -> bool:
-        """Return whether a host read the list after a time, and could store that.
+        """Return whether a host has read the list since a time.
 
         Nobody can know of an announcement that was replaced before.
         """
-        read_at = [at for each in self.access.values() for at in each.list_reads]
-        return any(since < each < self._now() - STORED_AFTER_S for each in read_at)
+        return any(
+            read_at > since
+            for each in self.access.values()
+            for read_at in each.list_reads
+        )
 
     async def _hide_list(self, fault: PlannedFault, rng: random.Random) -> None:
         """Leave the reads of the list of workers by some hosts without answer."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -787,14 +787,14 @@
         stays_s = rng.uniform(*STAYS_S)
         lapses_s = rng.choice((0.0, 0.05, 0.5, stays_s))
         await asyncio.sleep(lapses_s)
+        was_read = self._was_list_read(announced_at)
         if lapses_s < stays_s and rng.random() < 0.5:
             self.harness.unlist_worker(name)
             self.record.add_fault(f"the entry of {name} lapses")
             await asyncio.sleep(rng.uniform(0.1, 1.0))
             if self._stays(before) and rng.random() < 0.5:
-                is_as_before = self._was_list_read(announced_at)
                 await asyncio.sleep(STORED_AFTER_S)
-                entry_back = attrs.evolve(before.entry, leaving=not is_as_before)
+                entry_back = attrs.evolve(before.entry, leaving=not was_read)
                 self.harness.entries[name] = entry_back
                 self.harness.list_worker(name)
                 self.record.add_fault(f"the entry of {name} is back: {entry_back}")
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -38,6 +38,29 @@
     assert json.loads(restored.take_put(65_536).value)["workers"] == ["a", "b@5", "c"]
 
 
+@pytest.mark.parametrize(
+    ("known", "stored", "unstored"),
+    [
+        (["a"], None, True),
+        ([], None, False),
+        (["a"], ["a", "b"], False),
+        (["a", "c"], ["a", "b"], True),
+    ],
+)
+def test_host_stores_what_it_knew_before_it_took_over(
+    known: list[str], stored: list[str] | None, unstored: bool
+) -> None:
+    """A batch of its earlier ownership may not have been stored."""
+    found = announced(*known)
+    found.take_put(65_536)
+    if stored is None:
+        found.store_again()
+    else:
+        put = announced(*stored).take_put(65_536)
+        found.restore(put.value, put.key)
+    assert found.unstored is unstored
+
+
 def test_restored_announcements_alone_are_not_written_again() -> None:
     put = announced("a").take_put(65_536)
     restored = Announcements()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,8 +19,9 @@
 from cranberrycleat.logs import set_observer
 from cranberrycleat.platform.front import Front, Readiness
 from cranberrycleat.standins.feed_table import MemoryFeedTable
-from cranberrycleat.table import Put, Row
+from cranberrycleat.table import Put, Row, Transaction
 from cranberrycleat.workflow import options
+from cranberrycleat.workflow.announcements import Announcements
 from cranberrycleat.workflow.directory import ConfigFollower, WorkerDirectory
 from cranberrycleat.workflow.job_frontend import JobFrontend
 from cranberrycleat.workflow.node import Node, balancer_wait_s
@@ -116,13 +117,14 @@
         """Return what `wave_status` wrote."""
         return row.value
 
-    def directory(self, clock: Clock) -> WorkerDirectory:
+    def directory(self, clock: Clock, announced: Announcements) -> WorkerDirectory:
         """Return a reader of the shared worker list."""
         return WorkerDirectory(
             store=self.store,
             table="servers",
             read=self.cell.read_worker,
             clock=clock,
+            announced=announced,
         )
 
     def config_follower(self) -> ConfigFollower:
@@ -294,6 +296,34 @@
     run_async(run())
 
 
+# Guards against starts on a worker that leaves (DRAIN): a host that loses the ownership
+# before it could store the announcement owns again, and the list lacks it by now.
+def test_host_remembers_announcements_of_its_earlier_ownership() -> None:
+    async def run() -> None:
+        async with cell(workers=1) as made, nodes(made, count=1) as running:
+            (node,) = running
+            first = node.owner
+            assert first is not None
+            ready = made.entries["w0"]
+            made.drain_worker("w0")
+            await until(lambda: "w0" in first.directory.announced)
+            await first.hand_over()
+            deletes = ("announced/workers", "servers/w0")
+            made.table.apply(Transaction(deletes=deletes))
+            made.entries["w0"] = ready
+            made.list_worker("w0")
+            await until(
+                lambda: node.owner is not None
+                and node.owner is not first
+                and node.owner.ready.is_set()
+            )
+            assert node.owner is not None
+            assert node.owner.directory.entries["w0"].leaving
+            await until(lambda: "announced/workers" in made.table.rows)
+
+    run_async(run())
+
+
 def test_drained_owner_is_replaced_immediately() -> None:
     """A drained owner releases its lease and notifies its peers, which take over."""
 
