--- a/cranberrycleat/workflow/owner.py
+++ b/cranberrycleat/workflow/owner.py
@@ -551,12 +551,16 @@
     # --- workers ----------------------------------------------------------------
 
     async def _directory_loop(self) -> None:
+        took_s = 0.0
         while True:
-            await asyncio.sleep(self.worker_list_interval_s())
+            await asyncio.sleep(self.worker_list_pause_s(took_s))
+            began = self.clock.now()
             try:
                 if await self.directory.refresh():
                     self._list_changed = True
+                took_s = self.clock.now() - began
             except errors.TableUnavailable as exc:
+                took_s = 0.0
                 self._note_list_unread(exc)
                 continue
             self._note_list_read()
@@ -582,8 +586,20 @@
             unread_s = round(self.directory.read_at - self.roster.list_read_at, 3)
             emit(events.WorkersListRead(failed=failed, unread_s=unread_s))
 
+    def worker_list_pause_s(self, took_s: float) -> float:
+        """Return the pause before the next read of the list.
+
+        Reads begin at the same intervals even if answers take long: the list must not
+        get older than it has to be.
+
+        Args:
+            took_s: How long the previous read took; 0 if it failed.
+        """
+        pause_s = self.worker_list_interval_s() - took_s
+        return max(options.DIRECTORY_RETRY_INTERVAL_S, pause_s)
+
     def worker_list_interval_s(self) -> float:
-        """Return the pause before the list of workers is read again."""
+        """Return the time between the beginnings of two reads of the list."""
         if self._list_reads_failed == 1:
             return options.DIRECTORY_RETRY_INTERVAL_S
         if self._is_worker_list_settled():
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -53,6 +53,15 @@
     assert not worker.may_accept_work(time[0])
 
 
+def test_announcement_without_entry_is_applied() -> None:
+    """Services on that worker move at once, as if its entry still said so."""
+    roster, worker, time = listed_worker()
+    roster.directory.announced.add(worker.entry.incarnation)
+    del roster.directory.entries["w"]
+    read(roster, time[0])
+    assert worker.entry.leaving
+
+
 # Guards against starts on a worker whose entry was adopted for a later incarnation:
 # newer versions of it were ignored, and among them the announcement.
 def test_worker_used_by_an_earlier_entry_drains() -> None:
--- a/tests/test_list_reads.py
+++ b/tests/test_list_reads.py
@@ -1,17 +1,18 @@
 """Tests what the log says of reads of the list of workers, and of starts by them."""
 
+from collections.abc import Iterator
 from typing import Any
 
 import pytest
 
 from cranberrycleat import events
 from cranberrycleat.logs import set_observer
-from tests.cell import cell, job, step, submit, until
+from tests.cell import Cell, cell, job, step, submit, until
 from tests.fakes import run_async
 
 
 @pytest.fixture(name="told")
-def observed_events() -> "Any":
+def observed_events() -> Iterator[list[Any]]:
     """Return the list of emitted events."""
     told: list[Any] = []
     set_observer(told.append)
@@ -56,6 +57,17 @@
     assert read.failed >= 1 and read.unread_s > 0.9
 
 
+# Guards against a list that is too old for starts because its reads take long.
+@pytest.mark.parametrize(
+    ("took_s", "pause_s"),
+    [(0.0, 0.5), (0.01, 0.49), (0.3, 0.2), (0.45, 0.1), (2.0, 0.1)],
+)
+def test_slow_reads_begin_as_often(took_s: float, pause_s: float) -> None:
+    owner = Cell().make_owner("one")
+    owner.worker_list_settled_at = float("-inf")
+    assert owner.worker_list_pause_s(took_s) == pytest.approx(pause_s)
+
+
 def test_leaving_tells_version_of_entry_and_gap_between_reads(told: list[Any]) -> None:
     async def run() -> None:
         async with cell(workers=1) as env:
