A page of the table's changes that was cut short is continued at its end

The version that an answer reports is the table's newest. Where the answer says that it was cut short, reading went on from there, and what lay between was lost, an announcement of leaving included. The case of the test with a page that is cut short failed before.

The soak's two ways to replace a worker share their code.

--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -213,9 +213,11 @@
             )
             for each in page.rows
         )
+        # The table's newest version is not reached by a page that was cut short.
+        is_cut = page.truncated and page.rows
         return Feed(
             changes=changes,
-            version=page.schema_ver,
+            version=page.rows[-1].schema_ver if is_cut else page.schema_ver,
             size=len(reply.body),
             read_s=reply.read_s,
         )
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -740,17 +740,9 @@
 
     async def _crash_worker(self) -> None:
         name = self.rng.choice(sorted(self.harness.fleet.workers))
-        self._incarnations += 1
-        rack = self.harness.fleet.workers[name].entry.labels[1]
-        fresh = entry(f"w-{self._incarnations}", rack=rack, born_ms=int(self.restarts))
-        if self.stalls:
-            self._slots[fresh.worker] = self._slots[name.partition("+")[0]]
-        # Another fault may list it as soon as the fleet has it.
-        self.harness.entries[fresh.worker] = fresh
-        self.harness.fleet.replace_worker(name, fresh)
-        self.harness.unlist_worker(name)
+        fresh = self._replace_worker(name)
         await asyncio.sleep(self.rng.uniform(0.0, 0.5))
-        self.harness.list_worker(fresh.worker)
+        self.harness.list_worker(fresh)
 
     async def _stall_worker(self) -> None:
         worker = self.rng.choice(list(self.harness.fleet.workers.values()))
@@ -832,15 +824,20 @@
 
     def _replace_leaving_worker(self, name: str) -> None:
         self.record.add_fault(f"{name} leaves")
+        self.harness.list_worker(self._replace_worker(name))
+
+    def _replace_worker(self, name: str) -> str:
+        """End a worker and add another, not listed yet; return its name."""
         self._incarnations += 1
         rack = self.harness.fleet.workers[name].entry.labels[1]
         fresh = entry(f"w-{self._incarnations}", rack=rack, born_ms=int(self.restarts))
         if self.stalls:
             self._slots[fresh.worker] = self._slots[name.partition("+")[0]]
+        # Another fault may list it as soon as the fleet has it.
         self.harness.entries[fresh.worker] = fresh
         self.harness.fleet.replace_worker(name, fresh)
         self.harness.unlist_worker(name)
-        self.harness.list_worker(fresh.worker)
+        return fresh.worker
 
     async def _disturb_list(self) -> None:
         """Have the list of workers be unreadable now and then, and all else work."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,7 +15,7 @@
 import pytest
 
 from cranberrycleat import codec, documents, errors, explain
-from cranberrycleat.http_client import HttpReply
+from cranberrycleat.http_client import HttpClient, HttpReply
 from cranberrycleat.messages import HostEntry
 from cranberrycleat.platform import front, machines, records, store, workers
 from cranberrycleat.standins.feed_table import MemoryFeedTable
@@ -201,3 +201,27 @@
 def test_odd_time_limit_of_caller_counts_as_none(value: str) -> None:
     headers = {b"deadline-ms": value.encode()}
     assert front._limit_s(headers) == front.DEFAULT_DEADLINE_S
+
+
+@attrs.define(kw_only=True, eq=False)
+class CannedHttp(HttpClient):
+    """Answers each call with the same body."""
+
+    body: bytes
+
+    async def call(self, *args: object, **kwargs: object) -> HttpReply:
+        """Return the body."""
+        return HttpReply(status=200, body=self.body)
+
+
+# Guards against an announcement (DRAIN) beyond the end of a page that was cut short: the
+# next read would begin behind it.
+@pytest.mark.parametrize(("truncated", "version"), [(False, 9), (True, 4)])
+def test_feed_continues_where_its_page_ends(truncated: bool, version: int) -> None:
+    listed = {"table": "servers", "key": "i-1", "value": "", "schema_ver": 4}
+    page = {"rows": [listed], "schema_ver": 9, "truncated": truncated}
+    table = store.PlatformStore(
+        address="127.0.0.1:1", http=CannedHttp(body=json.dumps(page).encode())
+    )
+    feed = asyncio.run(table.follow(table="servers", after=3, wait_s=0.0))
+    assert feed.version == version
