--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -214,8 +214,8 @@
         return HttpReply(status=200, body=self.body)
 
 
-# Guards against an announcement (DRAIN) beyond the end of a page that was cut short: the
-# next read would begin behind it.
+# Guards against an announcement (DRAIN) beyond the end of a page that was cut short:
+# the next read would begin behind it.
 @pytest.mark.parametrize(("truncated", "version"), [(False, 9), (True, 4)])
 def test_feed_continues_where_its_page_ends(truncated: bool, version: int) -> None:
     listed = {"table": "servers", "key": "i-1", "value": "", "schema_ver": 4}
