A list that was applied before its read is dated is relied on for a limited time, too

The roster took entries for reliable without an end until the first dated read; an owner dates it at once, a caller of the roster alone may not. It counts from when it was applied.

--- a/cranberrycleat/workflow/roster.py
+++ b/cranberrycleat/workflow/roster.py
@@ -93,14 +93,18 @@
         self._note_read(read_at)
 
     def _note_read(self, read_at: float) -> None:
-        """Record for each worker in the list when its entry was read last."""
+        """Record for each worker in the list when its entry was read last.
+
+        A list that was applied before any read of it is dated counts from then.
+        """
+        if not math.isfinite(read_at):
+            read_at = self.cluster_state.now()
         versions = self.directory.versions
         for worker in self.cluster_state.fleet.workers.values():
             if worker.listed and worker.missing_since is None:
                 worker.entry_read_at = read_at
                 worker.entry_version = versions.get(worker.entry.worker, 0)
-                if math.isfinite(read_at):
-                    worker.relied_on_until = read_at + self.drain_s
+                worker.relied_on_until = read_at + self.drain_s
 
     def _is_listed(self, worker: FleetWorker) -> bool:
         """Return whether the list has a worker, if only an earlier incarnation."""
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -62,6 +62,16 @@
     assert worker.entry.leaving
 
 
+def test_list_without_a_dated_read_is_relied_on_for_a_limited_time() -> None:
+    """An owner applies the first list before it notes when that was read."""
+    roster, worker, time = _roster(Liveness.LIVE, False)
+    roster.directory.entries["w"] = worker.entry
+    roster.refresh()
+    assert worker.may_accept_work(time[0])
+    time[0] += 2.1
+    assert not worker.may_accept_work(time[0])
+
+
 # Guards against starts on a worker whose entry was adopted for a later incarnation:
 # newer versions of it were ignored, and among them the announcement.
 def test_worker_used_by_an_earlier_entry_drains() -> None:
