--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -92,6 +92,13 @@
     assert asyncio.run(run) == []
 
 
+# Guards against a start on a leaving worker (DRAIN) whose announcement was in progress
+# while a new owner read the whole list, and became visible after a later change.
+def test_announcement_in_progress_at_takeover_is_known() -> None:
+    found = asyncio.run(soak.run_seed(45, 8.0, restarts=True, drains=True))
+    assert [each for each in found if "announced that it leaves" in each] == []
+
+
 # Guards against a job that waits beside room (LOST) after workers left just before a
 # change of owner: the next owner waits for their leases anew.
 def test_leaving_before_change_of_owner_leaves_no_job_waiting() -> None:
