Count a loss just after a new owner heard of the attempt

`LossTracker.clear` took the answer for proof that the attempt was no suspect, so the loss was `unknown`, which does not count towards the five. That a worker answers proves only that it has not crashed yet.

Change: an answer removes the mark of an earlier owner's attempt only if the attempt was placed longer than `UNOBSERVED_S` ago. Otherwise it stays until this owner has heard the attempt for the crash window. The new case of the table failed before, for a task and for a gang; two prover rows, both noticed.

--- a/cranberrycleat/workflow/loss_tracker.py
+++ b/cranberrycleat/workflow/loss_tracker.py
@@ -19,6 +19,7 @@
 from cranberrycleat.logs import emit
 from cranberrycleat.workflow.crash_attribution import (
     CRASH_WINDOW_S,
+    UNOBSERVED_S,
     LossKind,
     LossRecord,
     LostWorker,
@@ -228,9 +229,10 @@
         """Remove a worker that answers again from all records: no task crashed it."""
         for placement in worker.placements.values():
             task = placement.tracked_task
-            if task is not None and (task.index, task.attempt) in task.step.unseen:
-                task.step.unseen.remove((task.index, task.attempt))
-                self.changed(task.step.job)
+            if task is None or not placement.is_current:
+                continue
+            if not self._may_have_just_begun(task, worker, placement):
+                self._regain_sight(task)
         self.provisional = [
             each for each in self.provisional if each.worker is not worker
         ]
@@ -239,6 +241,26 @@
                 if record.clear(worker.name):
                     self.changed(job)
 
+    def _may_have_just_begun(
+        self, task: Task, worker: FleetWorker, placement: Placement
+    ) -> bool:
+        """Return whether an earlier owner's attempt may still crash its worker.
+
+        That the worker answers proves only that it has not done so yet.
+        """
+        return (
+            placement.is_adopted
+            and not worker.is_seen_past_crash_window(placement)
+            and self.time_of_day() - task.step.placed_s <= UNOBSERVED_S
+        )
+
+    def _regain_sight(self, task: Task) -> None:
+        """Record that this owner knows how long the task's attempt has run at least."""
+        key = (task.index, task.attempt)
+        if key in task.step.unseen:
+            task.step.unseen.remove(key)
+            self.changed(task.step.job)
+
     def attempt_survived(self, worker: FleetWorker, placement: Placement) -> None:
         """Clear suspicion of a task whose attempt has outlived the crash window.
 
@@ -248,6 +270,8 @@
         task = placement.tracked_task
         if task is None or not placement.is_current:
             return
+        if task.step.unseen and worker.is_seen_past_crash_window(placement):
+            self._regain_sight(task)
         record = task.step.losses_of(task)
         if record is None or not record.has_evidence():
             return
--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -1510,6 +1510,22 @@
         replacement="    LossKind.UNOBSERVED: Evidence.SUSPECT,",
         test="tests/test_loss_kinds.py::test_task_that_crashes_its_workers_is_failed_in_time",
     ),
+    Mutant(
+        guarantee="faults",
+        mechanism="counting a loss just after the new owner heard of the attempt",
+        file="workflow/loss_tracker.py",
+        text="if not self._may_have_just_begun(task, worker, placement):",
+        replacement="if True:",
+        test="tests/test_loss_kinds.py::test_kind_of_each_loss",
+    ),
+    Mutant(
+        guarantee="decisions",
+        mechanism="not counting a loss after an attempt that an owner saw running",
+        file="workflow/loss_tracker.py",
+        text="if task.step.unseen and worker.is_seen_past_crash_window(placement):",
+        replacement="if False:",
+        test="tests/test_loss_kinds.py::test_kind_of_each_loss",
+    ),
     Mutant(
         guarantee="decisions",
         mechanism="keeping the losses of a gang of which a member has not begun",
--- a/tests/test_loss_kinds.py
+++ b/tests/test_loss_kinds.py
@@ -16,6 +16,7 @@
 from cranberrycleat.workflow.cluster_state import ClusterState
 from cranberrycleat.workflow.crash_attribution import (
     CRASH_ADDRESS_LIMIT,
+    CRASH_WINDOW_S,
     EVIDENCE,
     MAX_LOSSES_KEPT,
     START_LOSS_LIMIT,
@@ -316,6 +317,40 @@
     env.lose(env.first(), LossCause.SILENT)
 
 
+def _answer_new_owner(env: Deployment) -> None:
+    env.take_over()
+    env.hear_all(env.first())
+    for task in env.step_run.tasks:
+        env.state.losses.clear(env.state.fleet.workers[task.worker])
+
+
+def _crash_after_first_answer(env: Deployment) -> None:
+    """The new owner hears of the attempt before it has outlived the crash window."""
+    env.start(ran_s=0.0)
+    _answer_new_owner(env)
+    env.now += CRASH_WINDOW_S / 2
+    env.lose(env.first(), LossCause.REPLACED)
+
+
+def _crash_long_before_first_answer(env: Deployment) -> None:
+    """It ran long before the takeover, and its owner could not store that."""
+    env.start(ran_s=0.0)
+    env.now += LONG_S
+    _answer_new_owner(env)
+    env.now += CRASH_WINDOW_S / 2
+    env.lose(env.first(), LossCause.REPLACED)
+
+
+def _outlive_window_between_two_takeovers(env: Deployment) -> None:
+    env.start(ran_s=0.0)
+    _answer_new_owner(env)
+    env.now += LONG_S
+    env.hear_all(env.first())
+    env.store()
+    env.take_over()
+    env.lose(env.first(), LossCause.REPLACED)
+
+
 def _crash_after_takeover(env: Deployment) -> None:
     env.start(ran_s=0.0)
     env.take_over()
@@ -340,6 +375,12 @@
     "disappears during one": (_disappear_during_takeover, LossKind.UNOBSERVED),
     "crashes before two": (_crash_before_two_takeovers, LossKind.UNOBSERVED),
     "falls silent before one": (_fall_silent_before_takeover, LossKind.UNOBSERVED),
+    "crashes after an answer": (_crash_after_first_answer, LossKind.UNOBSERVED),
+    "outlives it between two": (
+        _outlive_window_between_two_takeovers,
+        LossKind.UNKNOWN,
+    ),
+    "ran long before it": (_crash_long_before_first_answer, LossKind.UNKNOWN),
     "is not reached after one": (_unreached_after_takeover, LossKind.UNKNOWN),
     "crashes later after one": (_crash_after_takeover, LossKind.LATER),
 }
@@ -368,6 +409,7 @@
         _answer_again,
         _run_until_takeover,
         _run_long_before_takeover,
+        _crash_long_before_first_answer,
         _unreached_after_takeover,
         _crash_after_takeover,
         _fall_with_others_during_takeover,
