Options of the soak are given by name

`soak.run_seed` took ten options by position, seven of them booleans, and `main` passed all of them in order. They are keyword-only now; no option, default or check changed.

Run: `python -m tests.soak` once with four options; tests/test_soak.py, -k "restart or seed_that".

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1079,6 +1079,7 @@
 async def run_seed(
     seed: int,
     seconds: float,
+    *,
     crashing: float = 0.0,
     restarts: bool = False,
     quotas: bool = False,
@@ -1182,15 +1183,15 @@
             run_seed(
                 seed,
                 cfg.seconds,
-                cfg.crashing,
-                cfg.restarts,
-                cfg.quotas,
-                cfg.record,
-                cfg.injectors,
-                cfg.rejections,
-                cfg.weights,
-                cfg.stalls,
-                cfg.drains,
+                crashing=cfg.crashing,
+                restarts=cfg.restarts,
+                quotas=cfg.quotas,
+                record_in=cfg.record,
+                injectors=cfg.injectors,
+                rejections=cfg.rejections,
+                weights=cfg.weights,
+                stalls=cfg.stalls,
+                drains=cfg.drains,
             )
         )
         for each in found:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,7 +29,8 @@
 def test_no_task_is_lost_or_run_twice_when_workers_restart(
     seed: int, crashing: float
 ) -> None:
-    found = asyncio.run(soak.run_seed(seed, SECONDS, crashing, restarts=True))
+    run = soak.run_seed(seed, SECONDS, crashing=crashing, restarts=True)
+    found = asyncio.run(run)
     assert found == []
 
 
