A loss counts against a task that ran, if another of its step was just placed

If another task of the step is placed just before a change of owner, one that has run for 2 s looks new, and its loss within 0.3 s of the next owner's first answer counts towards the five. Not mended: it takes a time for each placed task in the rows.

The docstring of `_had_just_begun` and docs/PLATFORM.md say now what is compared; no code that runs changed.

Run: lint; test_loss_kinds, test_known_red, test_provisional_losses, test_crash_attribution.

--- a/cranberrycleat/workflow/loss_tracker.py
+++ b/cranberrycleat/workflow/loss_tracker.py
@@ -349,8 +349,10 @@
     def _had_just_begun(
         self, step: StepRun, worker: FleetWorker, placement: Placement
     ) -> bool:
-        """Return whether an earlier owner's attempt was younger than the crash window
-        when its worker last answered.
+        """Return whether an earlier owner's attempt may have had no time to outlive.
+
+        The step was last placed less than the crash window before the worker's last
+        answer. If that was another task, the attempt may be older.
         """
         if placement.listed_at is None:
             return False
--- a/tests/test_loss_kinds.py
+++ b/tests/test_loss_kinds.py
@@ -419,6 +419,27 @@
     assert env.kinds == ([] if kind is None else [kind])
 
 
+# Guards against a loss that counts against a task that ran for seconds (LOST): rows say
+# when any task of the step was placed last, not when this one was.
+@pytest.mark.parametrize("beside_others", [False, True])
+def test_placement_of_another_task_makes_no_attempt_look_new(
+    beside_others: bool,
+) -> None:
+    env = Deployment(spec=step(2))
+    env.start(ran_s=LONG_S)
+    other = env.step_run.tasks[1]
+    on = env.state.fleet.workers[other.worker]
+    env.report(1, EndKind.FAILED)
+    env.state.place(other, on, 2, now=env.now)
+    env.store()
+    _answer_new_owner(env)
+    if beside_others:
+        _record_other_failures(env)
+    env.lose(env.first(), LossCause.REPLACED)
+    losses = env.step_run.losses[0].lost
+    assert [each.kind for each in losses] == [LossKind.UNKNOWN]
+
+
 # Guards against a job that is shown as failed although no task has failed as often as
 # its queue allows (LOST).
 @pytest.mark.parametrize("spec", SHAPES, ids=SHAPE_NAMES)
