Answers to callers are not held back by Nagle's algorithm

What callers saw: each answer on a host's front address took 44 ms (p50 and p95 of 200 requests on one connection, on loopback). Cause: the socket that is opened before the libraries are loaded was created without a protocol number. asyncio sets TCP_NODELAY on an accepted connection only if its socket has the number of TCP, which it inherits from the listening socket. uvicorn writes the head and the body of an answer one after the other, so that the body waited for the client's delayed acknowledgement. Found while measuring the cost of a request.

The test fails without it.

--- a/cranberrycleat/early_listen.py
+++ b/cranberrycleat/early_listen.py
@@ -23,7 +23,10 @@
 
 def listen_early(host: str, port: int) -> bool:
     """Listen on an address; return whether it succeeded."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # asyncio disables Nagle's algorithm on accepted connections only if the socket has
+    # a protocol number. With the algorithm, an answer of two writes waits for the
+    # client's delayed acknowledgement.
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -54,6 +54,31 @@
     assert run_async(run()).startswith(b"HTTP/1.1 204")
 
 
+# Guards against answers that the kernel holds back for 40 ms: the head and the body of
+# an answer are two writes.
+def test_answers_on_early_socket_are_sent_at_once(port: int) -> None:
+    async def run() -> list[int]:
+        server = HttpServer(app=no_content_app, host="127.0.0.1", port=port)
+        await server.start()
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(REQUEST.replace(b"close", b"keep-alive"))
+            await reader.readline()
+            assert server._server is not None
+            found = [
+                conn.transport.get_extra_info("socket").getsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_NODELAY
+                )
+                for conn in server._server.server_state.connections
+            ]
+            writer.close()
+            return found
+        finally:
+            await server.stop()
+
+    assert [bool(each) for each in run_async(run())] == [True]
+
+
 def test_early_socket_is_taken_once(port: int) -> None:
     """Two servers never share a socket."""
     taken = early_listen.take_socket("127.0.0.1", port)
