A request whose body breaks off is not run

What callers could see: a job that runs although its request was never whole. Cause: `read_body` took the end of the connection for the end of the body and returned what had arrived, which may be a whole job by itself (a chunked body without its last chunk, or a longer Content-Length). Where the server refuses such a request, the refusal would promise what is not so. A body over its limit was also read to its end, which it may not have.

Now the first raises `ClientDisconnected`, and nothing is handled or answered; the second returns as soon as the body is too large.

--- a/cranberrycleat/asgi.py
+++ b/cranberrycleat/asgi.py
@@ -37,20 +37,26 @@
 Handler = Callable[[bytes], Awaitable[Answer]]
 
 
+class ClientDisconnected(Exception):
+    """The client closed the connection, or was refused, before its body was whole."""
+
+
 async def read_body(receive: Any, *, max_bytes: int = MAX_BODY_BYTES) -> bytes | None:
-    """Return a request's complete body, or None if it is too large."""
-    parts: list[bytes] = []
-    size = 0
+    """Return a request's complete body, or None as soon as it is too large.
+
+    Raises:
+        ClientDisconnected: There is no complete body, and nobody to answer.
+    """
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] != "http.request":
-            return b"".join(parts)
-        part = message.get("body", b"")
-        size += len(part)
-        if size <= max_bytes:
-            parts.append(part)
+            raise ClientDisconnected
+        body += message.get("body", b"")
+        if len(body) > max_bytes:
+            return None
         if not message.get("more_body"):
-            return b"".join(parts) if size <= max_bytes else None
+            return bytes(body)
 
 
 async def send_answer(send: Any, answer: Answer) -> None:
@@ -85,7 +91,10 @@
         """Answer one request."""
         if scope["type"] != "http":
             return
-        body = await read_body(receive)
+        try:
+            body = await read_body(receive)
+        except ClientDisconnected:
+            return
         await send_answer(send, await self._answer(scope["path"], body))
 
     async def _answer(self, path: str, body: bytes | None) -> Answer:
--- a/cranberrycleat/platform/front.py
+++ b/cranberrycleat/platform/front.py
@@ -12,7 +12,7 @@
 import attrs
 
 from cranberrycleat import errors, events
-from cranberrycleat.asgi import Answer, read_body, send_answer
+from cranberrycleat.asgi import Answer, ClientDisconnected, read_body, send_answer
 from cranberrycleat.logs import emit
 from cranberrycleat.platform.jobs import (
     DEADLINE_HEADER,
@@ -81,7 +81,10 @@
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
         path = scope["path"]
         queue = self.job_frontend.queue(host, path)
-        body = await read_body(receive, max_bytes=MAX_BODY_BYTES)
+        try:
+            body = await read_body(receive, max_bytes=MAX_BODY_BYTES)
+        except ClientDisconnected:
+            return
         if isinstance(queue, RequestResult):
             answer = queue
         elif body is None:
