Client connections are limited one by one and all together

What callers saw: a crowd of clients that we do not control ended a process (memory), or held it so that nobody else was served (descriptors).

Change: `connection_limits` has the limits as one value, derived from the process's memory and descriptors. `connection_budget` counts the connections and bytes of all servers of a process, knows since when each connection waits for what, and closes those that wait too long; if connections or bytes run short, those that have waited longest without a whole request. A request in progress is never cut off. `bounded_protocol`, a subclass of uvicorn's protocol, reads 16 KiB at a time, parses up to the end of one request and leaves the rest unparsed until its answer has been sent; it counts heads, fields, framing and bodies, and answers 400, 413, 431 or 503 before it closes. What it refuses was not handled. A request to change the protocol is served as HTTP/1.1, with its body; before, the bytes behind it were lost. The same on every address: front, ready, peers, gateway, scheduler and the stand-ins. Closed connections are logged as one line per reason in 5 s, and counted.

--- a/cranberrycleat/asgi.py
+++ b/cranberrycleat/asgi.py
@@ -10,8 +10,8 @@
 import attrs
 
 from cranberrycleat import codec, errors
+from cranberrycleat.connection_limits import MAX_BODY_BYTES
 
-MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 OK: Final = 200
 NOT_FOUND: Final = 404
 BAD_REQUEST: Final = 400
--- a/cranberrycleat/early_listen.py
+++ b/cranberrycleat/early_listen.py
@@ -21,21 +21,31 @@
 _sockets: dict[tuple[str, int], socket.socket] = {}
 
 
-def listen_early(host: str, port: int) -> bool:
-    """Listen on an address; return whether it succeeded."""
+def open_socket(host: str, port: int) -> socket.socket:
+    """Return a socket that listens on an address; raises OSError if it cannot."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
     # asyncio disables Nagle's algorithm on accepted connections only if the socket has
     # a protocol number. With the algorithm, an answer of two writes waits for the
     # client's delayed acknowledgement.
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
         sock.listen(BACKLOG)
     except OSError:
-        # Not an error yet: the server tries again and reports the reason.
         sock.close()
-        return False
+        raise
     sock.setblocking(False)
+    return sock
+
+
+def listen_early(host: str, port: int) -> bool:
+    """Listen on an address; return whether it succeeded."""
+    try:
+        sock = open_socket(host, port)
+    except OSError:
+        # Not an error yet: the server tries again and reports the reason.
+        return False
     _sockets[(host, sock.getsockname()[1])] = sock
     return True
 
--- a/cranberrycleat/events.py
+++ b/cranberrycleat/events.py
@@ -171,6 +171,21 @@
     reason: str
 
 
+@event("connections.closed", essential=True)
+class ConnectionsClosed:
+    """Client connections were closed because they exceeded a limit.
+
+    `reason` is one of `connection_budget.CloseReason`; `connections` counts those
+    closed for it on one address since the last line.
+    """
+
+    address: str
+    reason: str
+    connections: int
+    open_connections: int
+    held_bytes: int
+
+
 @event("job.malformed", essential=True)
 class JobMalformed:
     """A job cannot be decoded, or its request can never be satisfied."""
--- a/cranberrycleat/http_calls.py
+++ b/cranberrycleat/http_calls.py
@@ -17,7 +17,8 @@
 T = TypeVar("T")
 KEEPALIVE_EXPIRY_S: Final = 60.0
 """Idle connections expire before the servers close them after 75 s
-(`http_server.KEEP_ALIVE_S`), and are kept longer than the pause between two syncs."""
+(`ConnectionLimits.idle_timeout_s`), and are kept longer than the pause between two
+syncs."""
 Params = dict[str, str] | None
 
 
--- a/cranberrycleat/platform/settings.py
+++ b/cranberrycleat/platform/settings.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cranberrycleat import errors
+from cranberrycleat.connection_limits import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 from cranberrycleat.platform.early import FILE_VARIABLE
 from cranberrycleat.table import TableLimits
 from cranberrycleat.workflow.ports import (
@@ -62,6 +63,8 @@
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
 
 @attrs.frozen(kw_only=True)
@@ -119,6 +122,8 @@
         room=HostResources(
             processors=wire.limits.cpu_share * wire.limits.cores,
             link_mbps=wire.limits.link_mbps,
+            memory_mb=wire.limits.memory_mb,
+            max_fds=wire.limits.max_fds,
         ),
         spread_factor=bounds.spread_factor,
         status_s=bounds.status_s,
--- a/cranberrycleat/serve.py
+++ b/cranberrycleat/serve.py
@@ -13,10 +13,10 @@
 from litestar import MediaType, Request, Response, get
 
 from cranberrycleat import codec, errors
+from cranberrycleat.connection_limits import MAX_BODY_BYTES
 from cranberrycleat.metrics import Metrics
 
 PROBLEM_TYPE: Final = "application/problem+json"
-MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 
 
 @attrs.frozen(kw_only=True)
--- a/cranberrycleat/workflow/node.py
+++ b/cranberrycleat/workflow/node.py
@@ -14,6 +14,8 @@
 
 from cranberrycleat import errors, events
 from cranberrycleat.clock import BootClock, Clock
+from cranberrycleat.connection_budget import ConnectionBudget
+from cranberrycleat.connection_limits import process_limits
 from cranberrycleat.http_client import HttpClient
 from cranberrycleat.http_server import HttpServer
 from cranberrycleat.lease import OwnershipLease
@@ -92,6 +94,7 @@
     _job_frontend: JobFrontend = attrs.field(init=False)
     _peers: PeerClient = attrs.field(init=False)
     _servers: list[HttpServer] = attrs.field(factory=list)
+    _connections: ConnectionBudget = attrs.field(init=False)
     _background: BackgroundTasks = attrs.field(factory=BackgroundTasks)
     _lease_check_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     _last_ready: bool = False
@@ -104,6 +107,11 @@
         cfg = self.adapter.settings
         self.address = f"{cfg.ip}:{cfg.peer_port}"
         self._holder_prefix = f"{cfg.name}@{self.address}"
+        self._connections = ConnectionBudget(
+            limits=process_limits(
+                memory_mb=cfg.room.memory_mb, max_fds=cfg.room.max_fds
+            )
+        )
         self._peers = PeerClient(http=self.http)
         self._reachability = Reachability(clock=self.clock)
         self._owner_absence = OwnerAbsence(
@@ -289,8 +297,8 @@
             metrics=metrics,
             dump=self.dump,
         )
-        await self._listen(self.adapter.readiness(self.is_ready), cfg.ready)
-        await self._listen(peers.app(), self.address)
+        await self._listen("ready", self.adapter.readiness(self.is_ready), cfg.ready)
+        await self._listen("peers", peers.app(), self.address)
         set_host_name(cfg.name)
         emit(events.ProcessStarted(name=cfg.name, data_centre=cfg.data_centre))
         for loop in (
@@ -304,19 +312,26 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_CONFIG_TIMEOUT_S):
                 await self._config.first_read_done.wait()
-        await self._listen(
-            self.adapter.front(self._job_frontend, self.is_ready), cfg.front
-        )
+        front = self.adapter.front(self._job_frontend, self.is_ready)
+        await self._listen("front", front, cfg.front)
 
-    async def _listen(self, app: Any, address: str) -> None:
+    async def _listen(self, name: str, app: Any, address: str) -> None:
         host, _, port = address.rpartition(":")
-        server = HttpServer(app=app, host=host, port=int(port))
+        server = HttpServer(
+            app=app, host=host, port=int(port), name=name, budget=self._connections
+        )
         await server.start()
         self._servers.append(server)
 
     def _register_gauges(self, metrics: Metrics) -> None:
         """Register gauges that read this process's state."""
         metrics.add_gauge("log.lines.left_out", lambda: float(dropped_lines()))
+        metrics.add_gauge(
+            "connections.open", lambda: float(self._connections.open_connections)
+        )
+        metrics.add_gauge(
+            "connections.held.bytes", lambda: float(self._connections.held_bytes)
+        )
         metrics.add_gauge("owner.epoch", lambda: float(self._lease.epoch))
         metrics.add_gauge("host.ready", lambda: float(self.is_ready()))
         metrics.add_gauge(
--- a/cranberrycleat/workflow/ports.py
+++ b/cranberrycleat/workflow/ports.py
@@ -11,6 +11,7 @@
 import attrs
 
 from cranberrycleat.amounts import NOTHING, Amounts
+from cranberrycleat.connection_limits import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 from cranberrycleat.table import Row, Table, TableLimits
 
 DRAIN_S: Final = 2.0
@@ -500,10 +501,14 @@
     Attributes:
         processors: Processor capacity, in cores of the platform's standard speed.
         link_mbps: Bandwidth of its network link, in megabits per second.
+        memory_mb: Memory of the process, in megabytes.
+        max_fds: Maximum number of descriptors of the process.
     """
 
     processors: float
     link_mbps: float
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
     def carries_bytes_s(self) -> float:
         """Return the bandwidth in bytes per second that one transfer can rely on.
--- a/cranberrycleat/workflow/telemetry.py
+++ b/cranberrycleat/workflow/telemetry.py
@@ -64,6 +64,12 @@
                 metrics.count("jobs.unknown", queue=queue)
             case events.JobMalformed(queue=queue):
                 metrics.count("jobs.malformed", queue=queue)
+            case events.ConnectionsClosed(
+                address=address, reason=reason, connections=number
+            ):
+                metrics.count(
+                    "connections.closed", number, address=address, reason=reason
+                )
             case events.JobStored(after_s=after_s):
                 metrics.record("jobs.stored.duration", after_s)
             case events.JobEnded(queue=queue, state=state, after_s=after_s, late=late):
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -330,8 +330,8 @@
 
 
 # Guards against requests that are queued, and answers that are held, until the memory
-# is used up. The server stops reading from such a client; a time limit ends its connection
-# (`test_connection_limits`).
+# is used up. The server stops reading from such a client; a time limit ends its
+# connection (`test_connection_limits`).
 @pytest.mark.parametrize(
     ("kind", "address"),
     [
