A caller's deadline and job identity are limited

`Deadline-Ms` of 15 digits kept a request, with its body, for as long as the outcome was open: 30,000 years by the header. It is now cut to 60 s; callers of the sites wait 3 s. An identity of a job of any length was written into log lines, and a job with one into rows: over 64 characters it is refused (the documentation says 16). Both cases of tests/test_odd_requests.py fail without the change.

--- a/cranberrycleat/platform/front.py
+++ b/cranberrycleat/platform/front.py
@@ -13,6 +13,7 @@
 
 from cranberrycleat import errors, events
 from cranberrycleat.asgi import Answer, ClientDisconnected, read_body, send_answer
+from cranberrycleat.connection_limits import MAX_DEADLINE_S
 from cranberrycleat.logs import emit
 from cranberrycleat.platform.jobs import (
     DEADLINE_HEADER,
@@ -50,6 +51,8 @@
 """Deadline for callers that send none; the same limit as on the sites."""
 MAX_DEADLINE_DIGITS: Final = 15
 """A longer number is no deadline, and may not even be converted."""
+MAX_JOB_ID_CHARS: Final = 64
+"""The platform's job IDs have 16. They are written into rows and log lines."""
 MAX_BODY_BYTES: Final = 262_144
 """The platform's configuration sets this limit for request bodies."""
 
@@ -112,6 +115,9 @@
         body: bytes,
     ) -> RequestResult:
         job_id = path[len(queue.prefix) :]
+        if len(job_id) > MAX_JOB_ID_CHARS:
+            reason = f"the job's identity is over {MAX_JOB_ID_CHARS} characters"
+            return RequestResult(status=RequestStatus.MALFORMED, reason=reason)
         access = self.job_frontend.authorize(queue, job_id, _key_digest(headers))
         if isinstance(access, RequestResult):
             return access
@@ -173,10 +179,10 @@
 
 
 def _limit_s(headers: dict[bytes, bytes]) -> float:
-    """Return the caller's deadline in seconds."""
+    """Return the caller's deadline in seconds, at most `MAX_DEADLINE_S`."""
     text = headers.get(DEADLINE_HEADER, b"")
     valid = text.isdigit() and len(text) <= MAX_DEADLINE_DIGITS
-    return int(text) / 1000 if valid else DEFAULT_DEADLINE_S
+    return min(int(text) / 1000, MAX_DEADLINE_S) if valid else DEFAULT_DEADLINE_S
 
 
 def _message(answer: RequestResult, *, is_queue: bool) -> Answer:
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -77,3 +77,28 @@
     step: dict[str, Any], job: dict[str, Any]
 ) -> None:
     assert fault_of(step, job) == ""
+
+
+# Guards against a request that is kept for as long as its caller likes.
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        (b"3000", 3.0),
+        (b"60000", 60.0),
+        (b"999999999999999", MAX_DEADLINE_S),
+        (b"9" * 400, 3.0),
+        (b"-5", 3.0),
+    ],
+)
+def test_deadline_of_a_caller_is_limited(text: bytes, expected: float) -> None:
+    assert _limit_s({DEADLINE_HEADER: text}) == expected
+
+
+def test_long_job_identity_is_refused() -> None:
+    """It would be written into rows and log lines."""
+
+    async def run() -> int:
+        async with cell() as made, nodes(made, 1) as running:
+            return (await ask(running[0], "GET", "/q/" + "0" * 65)).status
+
+    assert run_async(run()) == 400
