An odd timeout of a gateway's caller is a finding

`X-Timeout-Ms` of over 4,300 digits, or with digits that are not ASCII, raised a ValueError: the caller got a 500, the log a traceback. Now it is a finding (400), which repeats 40 characters of the value at most. The body is read by `asgi.read_body`, of which the gateway had a copy. Three cases of tests/test_odd_requests.py fail without the change.

--- a/cranberrycleat/gateway_api.py
+++ b/cranberrycleat/gateway_api.py
@@ -13,6 +13,8 @@
 
 from cranberrycleat import codec, errors
 from cranberrycleat.admission import RequestClass
+from cranberrycleat.asgi import ClientDisconnected, read_body
+from cranberrycleat.connection_limits import MAX_BODY_BYTES
 from cranberrycleat.forward import (
     IDEMPOTENT_METHODS,
     Answered,
@@ -22,7 +24,6 @@
 from cranberrycleat.gateway import Gateway
 from cranberrycleat.messages import Digest, Readiness
 from cranberrycleat.serve import (
-    MAX_BODY_BYTES,
     PROBLEM_TYPE,
     json_response,
     problem_of,
@@ -39,6 +40,7 @@
 OUTCOME_HEADER: Final = b"x-outcome"
 MAX_KEY_LENGTH: Final = 255
 MAX_TIMEOUT_S: Final = 3600.0
+MAX_TIMEOUT_DIGITS: Final = 7
 
 
 @attrs.frozen(kw_only=True)
@@ -145,7 +147,10 @@
     names = [each.name.lower() for each in RequestClass]
     if text not in names:
         found.add(
-            "header X-Class", errors.BAD_VALUE, value=text, allowed=", ".join(names)
+            "header X-Class",
+            errors.BAD_VALUE,
+            value=text[:40],
+            allowed=", ".join(names),
         )
         return RequestClass.NORMAL
     return RequestClass[text.upper()]
@@ -157,34 +162,31 @@
     if TIMEOUT_HEADER not in by_name:
         return default_s
     text = by_name[TIMEOUT_HEADER].decode("latin-1")
-    if text.isdigit() and 0 < int(text) <= MAX_TIMEOUT_S * 1000:
+    # `isdecimal` alone accepts digits that are not ASCII; `int` raises for long texts.
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_TIMEOUT_DIGITS
+    if is_number and 0 < int(text) <= MAX_TIMEOUT_S * 1000:
         return int(text) / 1000
     found.add(
         "header X-Timeout-Ms",
         errors.BAD_VALUE,
-        value=text,
+        value=text[:40],
         allowed=f"1 to {int(MAX_TIMEOUT_S * 1000)}",
     )
     return default_s
 
 
 async def _read_body(receive: Any) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        event = await receive()
-        if event["type"] == "http.disconnect":
-            raise errors.ProblemError(
-                status=400, code=errors.MALFORMED, reason="the body broke off"
-            )
-        size += len(event.get("body", b""))
-        if size > MAX_BODY_BYTES:
-            raise errors.ProblemError(
-                status=413, code=errors.TOO_LARGE, size="the body", limit=MAX_BODY_BYTES
-            )
-        parts.append(event.get("body", b""))
-        if not event.get("more_body"):
-            return b"".join(parts)
+    try:
+        body = await read_body(receive)
+    except ClientDisconnected:
+        raise errors.ProblemError(
+            status=400, code=errors.MALFORMED, reason="the body broke off"
+        ) from None
+    if body is None:
+        raise errors.ProblemError(
+            status=413, code=errors.TOO_LARGE, size="the body", limit=MAX_BODY_BYTES
+        )
+    return body
 
 
 async def _send_answer(send: Any, answered: Answered) -> None:
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -94,6 +94,15 @@
     assert _limit_s({DEADLINE_HEADER: text}) == expected
 
 
+# Guards against an error of the gateway itself (500) instead of a finding.
+@pytest.mark.parametrize("text", ["9" * 5000, "\u00b2", "1\u00b9", "x", "-1", "0"])
+def test_odd_timeout_is_a_finding(text: str) -> None:
+    found = errors.Findings()
+    _timeout({TIMEOUT_HEADER: text.encode("latin-1")}, 1.0, found)
+    assert len(found.items) == 1
+    assert len(str(found.items[0])) < 200
+
+
 def test_long_job_identity_is_refused() -> None:
     """It would be written into rows and log lines."""
 
