Answers that are read as a client have a maximum size

Cause: `HttpClient.call` limited only the store's feed, and the clients of gateways and schedulers nothing.

Now every call has a limit: 4 MiB for workers, peers, permits and machines, 64 MiB for a page of the store (500 rows of the largest size take 44 MB) and for the tables that gateways and schedulers read. A longer answer counts as none. There is no new time limit: a whole read over a thin link may take long.

--- a/cranberrycleat/forward.py
+++ b/cranberrycleat/forward.py
@@ -16,7 +16,7 @@
 import attrs
 import httpx
 
-from cranberrycleat.http_calls import tls_context
+from cranberrycleat.http_calls import read_response, tls_context
 from cranberrycleat.standins.service import LEAVING, NOT_STARTED
 
 MAX_RESPONSE_BYTES: Final = 8 * 1024 * 1024
@@ -161,7 +161,7 @@
         )
         res = await transport.handle_async_request(sent)
         try:
-            body = await _read_body(res)
+            body = await read_response(res, max_bytes=MAX_RESPONSE_BYTES)
         finally:
             await res.aclose()
         if body is None:
@@ -184,19 +184,6 @@
     }
 
 
-async def _read_body(res: httpx.Response) -> bytes | None:
-    """Read the body; return None if it exceeds `MAX_RESPONSE_BYTES`."""
-    parts: list[bytes] = []
-    size = 0
-    assert isinstance(res.stream, httpx.AsyncByteStream)
-    async for part in res.stream:
-        size += len(part)
-        if size > MAX_RESPONSE_BYTES:
-            return None
-        parts.append(part)
-    return b"".join(parts)
-
-
 def _outcome(res: httpx.Response, body: bytes) -> AttemptOutcome:
     leaving = res.headers.get(LEAVING) == "leaving"
     if NOT_STARTED in res.headers:
--- a/cranberrycleat/http_calls.py
+++ b/cranberrycleat/http_calls.py
@@ -19,6 +19,8 @@
 """Idle connections expire before the servers close them after 75 s
 (`ConnectionLimits.idle_timeout_s`), and are kept longer than the pause between two
 syncs."""
+MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+"""Maximum size of an answer: the platform's tables are read whole."""
 Params = dict[str, str] | None
 
 
@@ -32,6 +34,19 @@
     return httpx.create_ssl_context()
 
 
+async def read_response(res: httpx.Response, *, max_bytes: int) -> bytes | None:
+    """Return the body of a response; None as soon as it is too large."""
+    parts: list[bytes] = []
+    size = 0
+    assert isinstance(res.stream, httpx.AsyncByteStream)
+    async for part in res.stream:
+        size += len(part)
+        if size > max_bytes:
+            return None
+        parts.append(part)
+    return b"".join(parts)
+
+
 @attrs.define(kw_only=True, eq=False)
 class JsonClient:
     """Sends messages over persistent connections, directly on httpx's transport.
@@ -78,10 +93,12 @@
         )
         res = await self._transport.handle_async_request(req)
         try:
-            await res.aread()
+            body = await read_response(res, max_bytes=MAX_ANSWER_BYTES)
         finally:
             await res.aclose()
-        return res
+        if body is None:
+            raise httpx.ReadError(f"the answer is over {MAX_ANSWER_BYTES} bytes")
+        return httpx.Response(res.status_code, headers=res.headers, content=body)
 
 
 def make_client(*, timeout_s: float, connections: int = 100) -> JsonClient:
--- a/cranberrycleat/http_client.py
+++ b/cranberrycleat/http_client.py
@@ -13,6 +13,9 @@
 import attrs
 
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
+MAX_ANSWER_BYTES: Final = 4 * 1024 * 1024
+"""Maximum size of a response body where a call sets none. The largest one expected is a
+worker's report: 500 ended tasks and what it runs take about 0.1 MB."""
 KEEPALIVE_EXPIRY_S: Final = 50.0
 """Idle connections are kept, since new ones are billed; below the servers' 75 s."""
 
@@ -60,13 +63,13 @@
         parts: The parts received.
         received_bytes: Their total size.
         expected: The body's size according to its header, if given.
-        limit_bytes: The maximum size; None for no limit.
+        limit_bytes: The maximum size.
     """
 
     parts: list[bytes] = attrs.field(factory=list)
     received_bytes: int = 0
     expected: int | None = None
-    limit_bytes: int | None = None
+    limit_bytes: int = MAX_ANSWER_BYTES
 
     def add_part(self, part: bytes) -> None:
         """Append a part."""
@@ -75,10 +78,7 @@
 
     def is_too_large(self) -> bool:
         """Return whether the body is known to exceed the limit."""
-        return (
-            self.limit_bytes is not None
-            and max(self.received_bytes, self.expected or 0) > self.limit_bytes
-        )
+        return max(self.received_bytes, self.expected or 0) > self.limit_bytes
 
     def __str__(self) -> str:
         return f"{self.received_bytes} of {self.expected or 'unknown'} bytes"
@@ -114,7 +114,7 @@
         params: dict[str, str] | None = None,
         timeout_s: float,
         stall_s: float | None = None,
-        max_bytes: int | None = None,
+        max_bytes: int = MAX_ANSWER_BYTES,
         required_connection: int | None = None,
     ) -> HttpReply:
         """Send one request and return the complete response.
--- a/cranberrycleat/platform/store.py
+++ b/cranberrycleat/platform/store.py
@@ -44,6 +44,8 @@
 PAGE_START_S: Final = 1.5
 """Extra time, beyond a short answer's, until the first byte of a page: pages of other
 tables use the same link."""
+MAX_PAGE_BYTES: Final = 64 * 1024 * 1024
+"""Maximum size of an answer; 500 rows of the largest size take 44 MB (base64)."""
 STALL_TIMEOUT_S: Final = 1.0
 """Maximum gap between the bytes of an answer that has begun. A slowed table sends a
 whole answer in 0.5 s, and a host slowed five times receives data within this time. The
@@ -300,9 +302,11 @@
                 params=params,
                 timeout_s=self.answer_timeout.limit_s() + wait_s,
                 stall_s=stall_s,
-                max_bytes=max_bytes,
+                max_bytes=max_bytes or MAX_PAGE_BYTES,
             )
         except ResponseTooLarge as exc:
+            if max_bytes is None:
+                raise errors.TableUnavailable(str(exc)) from exc
             raise FeedTooLarge(str(exc)) from exc
         except NoAnswer as exc:
             self.answer_timeout.missed()
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -162,7 +162,7 @@
         guarantee="3 whole answers",
         mechanism="reading the whole response body before a connection is reused",
         file="forward.py",
-        text="body = await _read_body(res)",
+        text="body = await read_response(res, max_bytes=MAX_RESPONSE_BYTES)",
         replacement="body = b''",
         test="tests/test_gateway.py",
     ),
