Messages of libraries are structured log lines, and limited

Cause: the loggers of uvicorn and asyncio had no handler, so that Python wrote their warnings to standard error.

They now write to the process's own sink, at most five messages that begin alike in 10 s and at most 51 kinds of them; the next one says how many were left out.

--- a/cranberrycleat/logs.py
+++ b/cranberrycleat/logs.py
@@ -19,6 +19,15 @@
 
 ROOT: Final = "cranberrycleat"
 EVENTS: Final[logging.Logger] = logging.getLogger(f"{ROOT}.events")
+LIBRARY_LOGGERS: Final = ("uvicorn.error", "asyncio")
+"""Loggers of the libraries that handle connections."""
+MAX_REPEATS: Final = 5
+"""How many messages of a library that begin alike are written in an interval."""
+REPEAT_INTERVAL_S: Final = 10.0
+MESSAGE_START: Final = 40
+MAX_MESSAGES: Final = 50
+OTHER_MESSAGES: Final = ""
+"""Counts the messages beyond `MAX_MESSAGES` different ones, which share a limit."""
 MESSAGE: Final = "message"
 """The event name of a log message that is not a typed event."""
 
@@ -47,6 +56,35 @@
 _STATE: Final = _State()
 
 
+@attrs.define(kw_only=True, eq=False)
+class _RepeatFilter(logging.Filter):
+    """Drops repeated messages of a library, which a client may cause at will.
+
+    Attributes:
+        clock: Returns the time in seconds.
+    """
+
+    clock: Callable[[], float]
+    _since: float = float("-inf")
+    _counts: dict[str, int] = attrs.field(factory=dict)
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether to write a message."""
+        now = self.clock()
+        if now - self._since > REPEAT_INTERVAL_S:
+            dropped = sum(max(0, n - MAX_REPEATS) for n in self._counts.values())
+            self._since = now
+            self._counts = {}
+            if dropped:
+                record.msg = f"{record.getMessage()} ({dropped} earlier ones left out)"
+                record.args = ()
+        start = str(record.msg)[:MESSAGE_START]
+        if len(self._counts) >= MAX_MESSAGES and start not in self._counts:
+            start = OTHER_MESSAGES
+        self._counts[start] = self._counts.get(start, 0) + 1
+        return self._counts[start] <= MAX_REPEATS
+
+
 class _TextFormatter(logging.Formatter):
     def format(self, record: logging.LogRecord) -> str:
         part = record.name.removeprefix(ROOT + ".")
@@ -99,6 +137,13 @@
     logger.handlers[:] = [handler]
     logger.setLevel(level.upper())
     logger.propagate = False
+    # Without a handler, Python writes their warnings to standard error as bare text.
+    for name in LIBRARY_LOGGERS:
+        library = logging.getLogger(name)
+        library.handlers[:] = [handler]
+        library.filters[:] = [_RepeatFilter(clock=time.monotonic)]
+        library.setLevel(logging.WARNING)
+        library.propagate = False
 
 
 def set_host_name(host: str) -> None:
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -380,6 +380,42 @@
     asyncio.run(run())
 
 
+ODD_REQUESTS: Final = [
+    b"nonsense\r\n\r\n",
+    b"GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n",
+    b"GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n",
+    b"GET /?q=1 HTTP/1.0\r\n\r\n",
+    b"GET http:// HTTP/1.1\r\n\r\n",
+    b"CONNECT a:1 HTTP/1.1\r\n\r\n",
+    b"POST /q/01 HTTP/1.1\r\nHost: host.example\r\nContent-Length: 2000\r\n\r\n"
+    + b"[" * 2000,
+    b"POST /q/01 HTTP/1.1\r\nHost: host.example\r\nContent-Length: 400\r\n\r\n"
+    + b"9" * 400,
+    b"GET /\xff%ff HTTP/1.1\r\n\r\n",
+    b"GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+]
+
+
+# Guards against log lines that are neither structured nor limited.
+def test_odd_requests_are_answered_and_logged_as_structured_lines(
+    tmp_path: Path,
+) -> None:
+    async def run() -> None:
+        async with running_node(tmp_path) as target:
+            for name, address in target.addresses.items():
+                host, _, port = address.rpartition(":")
+                for data in ODD_REQUESTS * 20:
+                    reader, writer = await asyncio.open_connection(host, int(port))
+                    writer.write(data)
+                    line = await asyncio.wait_for(reader.readline(), ANSWER_LIMIT_S)
+                    assert line.startswith(b"HTTP/1."), (name, data[:40])
+                    writer.close()
+                await target.wait_for_answer(name)
+            check_limits(target)
+
+    asyncio.run(run())
+
+
 # Guards against a limit for each connection that all of them together exceed.
 @pytest.mark.parametrize("address", ["front", "peer"])
 def test_bodies_of_many_connections_fit_into_memory(
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import re
 import signal
@@ -83,6 +84,37 @@
     os.close(writer)
 
 
+# Guards against a log that grows by megabytes a second, in bare text: asyncio logs a
+# traceback for each refused connection.
+@pytest.mark.parametrize("name", logs.LIBRARY_LOGGERS)
+@pytest.mark.parametrize("start", ["", "different each time"])
+def test_messages_of_libraries_are_structured_and_limited(
+    name: str, start: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    library = logging.getLogger(name)
+    before = library.handlers[:], library.filters[:], library.level, library.propagate
+    out = open(tmp_path / "log", "w+b", buffering=0)
+    monkeypatch.setattr("sys.stdout", out)
+    root = logging.getLogger(logs.ROOT)
+    root_before = root.handlers[:], root.level, root.propagate
+    try:
+        logs.set_up(level="info", form="json")
+        for number in range(2_000):
+            text = f"{number} {start}" if start else "out of descriptors"
+            library.warning(text)
+        logs.flush()
+    finally:
+        library.handlers[:], library.filters[:], library.level, library.propagate = (
+            before
+        )
+        root.handlers[:], root.level, root.propagate = root_before
+        logs._STATE.sink = None
+    out.seek(0)
+    lines = out.read().splitlines()
+    assert 1 <= len(lines) <= 300
+    assert json.loads(lines[0])["part"] == name
+
+
 def test_closed_reader_is_tolerated() -> None:
     """A closed pipe must not stop the process."""
     reader, writer = os.pipe()
