--- a/tests/prove_workflow.py
+++ b/tests/prove_workflow.py
@@ -442,8 +442,8 @@
         guarantee="decisions",
         mechanism="listening before the libraries are loaded",
         file="http_server.py",
-        text="        early_socket = early_listen.take_socket(self.host, self.port)",
-        replacement="        early_socket = None",
+        text="        sock = early_listen.take_socket(self.host, self.port)",
+        replacement="        sock = None",
         test="tests/test_start.py",
     ),
     Mutant(
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -571,6 +571,28 @@
     run_async(run())
 
 
+# Guards against a whole request that runs although it was refused for want of room.
+def test_whole_request_without_room_is_not_run() -> None:
+    async def run() -> None:
+        limits = attrs.evolve(LIMITS, max_held_bytes=BODY_BYTES)
+        async with serving(limits) as served:
+            served.app.resumed.clear()
+            first = await served.connect()
+            head = b"POST /1 HTTP/1.1\r\nContent-Length: %d\r\n\r\n"
+            await first.send(head % BODY_BYTES + b"a" * BODY_BYTES)
+            while not served.app.served:
+                await asyncio.sleep(0.01)
+            second = await served.connect()
+            await second.send(head % 12_000 + b"a" * 12_000)
+            assert await second.read_status() == 503
+            await second.wait_for_close()
+            served.app.resumed.set()
+            assert await first.read_status() == 200
+            assert served.app.served == [("/1", BODY_BYTES)]
+
+    run_async(run())
+
+
 @pytest.mark.parametrize(
     ("memory_mb", "max_fds"),
     [(300, 4100), (200, 4100), (552, 8192), (160, 400), (64, 300)],
