Requests that wait behind one in progress are no reason to refuse it

Three faults, two shown by tests that failed first:

The unparsed bytes of requests ahead counted as held. With the budget used up, a caller whose request was being handled, and so might run, got a 503 for it, which promises that it never runs. They take one read at most, which the limit of connections covers, and no longer count (`test_request_in_progress_is_not_refused_because_of_those_behind_it`: 503 before, 200 now).

A connection that was refused and lingers for its answer could not be closed to make room, so that refused clients kept others out for 2 s (`test_connection_that_lingers_ makes_room`: closed before, 200 now).

What was read was copied for each end of a message in it. The bytes stay in place now, and only the end that the parser accepts is searched for.

--- a/cranberrycleat/bounded_protocol.py
+++ b/cranberrycleat/bounded_protocol.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import re
 from typing import Any, Final
 
 import httptools
@@ -18,10 +17,11 @@
 
 from cranberrycleat.connection_budget import CloseReason, ConnectionBudget, Phase
 
-MESSAGE_END: Final = re.compile(rb"\n\r?\n")
-"""The end of a head without a body, and of a chunked body with its trailers."""
-OVERLAP_BYTES: Final = 2
-"""How many bytes of `MESSAGE_END` may have been parsed before the bytes at hand."""
+MESSAGE_END: Final = b"\r\n\r\n"
+"""The end of a head without a body, and of a chunked body with its trailers. The parser
+accepts no other."""
+OVERLAP_BYTES: Final = len(MESSAGE_END) - 1
+"""How many bytes of `MESSAGE_END` may be parsed before the rest has arrived."""
 FIELD_BYTES: Final = 150
 """Memory that a header field takes besides its bytes."""
 PART_BYTES: Final = 64
@@ -72,7 +72,8 @@
         self.budget = budget
         self.address = address
         self._limits = budget.limits
-        self._unparsed = b""
+        self._read = b""
+        self._parsed = 0
         self._refused = False
         self._is_replaying = False
         self._reset_request()
@@ -89,7 +90,6 @@
         self._overhead_bytes = 0
         self._body_left = 0
         self._is_chunked = False
-        self._last_bytes = b""
 
     # --- events of the transport ----------------------------------------------
 
@@ -106,7 +106,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Release what the connection holds."""
         self.budget.remove(self)
-        self._unparsed = b""
+        self._drop_unparsed()
         super().connection_lost(exc)
 
     def end(self) -> None:
@@ -130,7 +130,10 @@
         """Parse what was read, up to the end of a request."""
         if self._refused:
             return
-        self._unparsed += data
+        # Parsed bytes are kept as far as an end may begin with them.
+        kept = max(0, self._parsed - OVERLAP_BYTES)
+        self._read = self._read[kept:] + data
+        self._parsed -= kept
         if not self._in_head:
             self._overhead_bytes += PART_BYTES
         self._parse()
@@ -170,38 +173,43 @@
 
     def _parse(self) -> None:
         """Parse the waiting bytes, request by request, as far as they may be."""
-        while self._unparsed and not self._refused:
+        while self._has_unparsed() and not self._refused:
             if self.transport.is_closing():
-                self._unparsed = b""
+                self._drop_unparsed()
                 break
             if self._is_whole:
                 if self._is_in_progress() or self._is_answer_unread():
                     break
                 self._reset_request()
-            part = self._next_part()
-            self._unparsed = self._unparsed[len(part) :]
-            self._parse_part(part)
-        self.flow.has_unparsed = bool(self._unparsed)
-        if self._unparsed:
+            start, self._parsed = self._parsed, self._next_end()
+            self._parse_part(self._read[start : self._parsed])
+        self.flow.has_unparsed = self._has_unparsed()
+        if self.flow.has_unparsed:
             self.flow.pause_reading()
         elif not self._refused:
             self.flow.resume_reading()
         if not self._refused:
             self._hold()
 
-    def _next_part(self) -> bytes:
-        """Return the waiting bytes up to where the current request may end."""
-        waiting = self._unparsed
+    def _has_unparsed(self) -> bool:
+        return self._parsed < len(self._read)
+
+    def _drop_unparsed(self) -> None:
+        self._read = b""
+        self._parsed = 0
+
+    def _next_end(self) -> int:
+        """Return the index in what was read up to which to parse next.
+
+        It is where the current request may end, or else the end of what was read.
+        """
         if not self._in_head and self._body_left:
-            return waiting[: self._body_left]
-        found = MESSAGE_END.search(self._last_bytes + waiting)
-        if found is None:
-            return waiting
-        return waiting[: max(1, found.end() - len(self._last_bytes))]
+            return min(self._parsed + self._body_left, len(self._read))
+        found = self._read.find(MESSAGE_END, max(0, self._parsed - OVERLAP_BYTES))
+        return len(self._read) if found < 0 else found + len(MESSAGE_END)
 
     def _parse_part(self, part: bytes) -> None:
         was_in_head = self._in_head
-        self._last_bytes = (self._last_bytes + part)[-OVERLAP_BYTES:]
         if was_in_head:
             self._head_bytes += len(part)
             if self._head_bytes > self._limits.max_head_bytes:
@@ -214,7 +222,7 @@
         try:
             self.parser.feed_data(part)
         except httptools.HttpParserUpgrade as exc:
-            self._unparsed = part[exc.args[0] :] + self._unparsed
+            self._parsed -= len(part) - exc.args[0]
             self._ignore_upgrade()
         except httptools.HttpParserError:
             self.refuse(self._fault or CloseReason.MALFORMED)
@@ -264,8 +272,12 @@
         return self._is_chunked or self._body_left > 0
 
     def _hold(self) -> None:
-        """Report what the connection holds; refuse the request if it may not."""
-        held = len(self._unparsed) + self.transport.get_write_buffer_size()
+        """Report what the connection holds; refuse the request if it may not.
+
+        Unparsed bytes do not count: they take one read at most, which a connection may
+        hold anyway, and are no reason to refuse the request before them.
+        """
+        held = self.transport.get_write_buffer_size()
         if not self._is_whole or self._is_in_progress():
             held += self._head_bytes + self._body_bytes
             held += self._framing_bytes + self._overhead_bytes
@@ -348,9 +360,9 @@
         self.budget.count(self.address, reason)
         is_answered = self.cycle is not None and self.cycle.response_started
         is_between = self.cycle is None or self.cycle.response_complete
+        self._refused = True
         self._cancel_request()
         if self._is_answer_unread() or (is_answered and not is_between):
-            self._refused = True
             self.transport.abort()
             return
         body = msgspec.json.encode({"reason": reason.value})
@@ -379,7 +391,7 @@
         the answer. Until then everything that arrives is dropped.
         """
         self._refused = True
-        self._unparsed = b""
+        self._drop_unparsed()
         self.flow.has_unparsed = False
         self.budget.hold(self, self.transport.get_write_buffer_size())
         self.budget.enter(self, Phase.CLOSING)
--- a/cranberrycleat/connection_budget.py
+++ b/cranberrycleat/connection_budget.py
@@ -57,7 +57,13 @@
 
 ROUTINE_REASONS: Final = frozenset({CloseReason.IDLE, CloseReason.CLOSE_LATE})
 """Reasons that say nothing about a client's behaviour; counted, but not logged."""
-CLOSED_FOR_CONNECTIONS: Final = (Phase.IDLE, Phase.HEAD, Phase.BODY, Phase.ANSWER)
+CLOSED_FOR_CONNECTIONS: Final = (
+    Phase.IDLE,
+    Phase.HEAD,
+    Phase.BODY,
+    Phase.ANSWER,
+    Phase.CLOSING,
+)
 CLOSED_FOR_BYTES: Final = (Phase.HEAD, Phase.BODY, Phase.ANSWER)
 
 
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -593,6 +593,48 @@
     run_async(run())
 
 
+# Guards against a refusal of a request that is being handled, and so may run (REFUSED):
+# other requests that wait behind it are no reason.
+def test_request_in_progress_is_not_refused_because_of_those_behind_it() -> None:
+    async def run() -> None:
+        limits = attrs.evolve(LIMITS, max_held_bytes=BODY_BYTES)
+        async with serving(limits) as served:
+            served.app.resumed.clear()
+            caller = await served.connect()
+            await caller.send(GET)
+            while not served.app.served:
+                await asyncio.sleep(0.01)
+            large = await served.connect()
+            head = b"POST /1 HTTP/1.1\r\nContent-Length: %d\r\n\r\n"
+            await large.send(head % BODY_BYTES + b"a" * BODY_BYTES)
+            while len(served.app.served) < 2:
+                await asyncio.sleep(0.01)
+            await caller.send(GET * 2_000)
+            await asyncio.sleep(0.1)
+            served.app.resumed.set()
+            assert await caller.read_status() == 200
+            assert await large.read_status() == 200
+
+    run_async(run())
+
+
+def test_connection_that_lingers_makes_room() -> None:
+    """Clients that were refused and do not close take no connection from others."""
+
+    async def run() -> None:
+        limits = attrs.evolve(LIMITS, linger_s=LONG_S)
+        async with serving(limits) as served:
+            for _ in range(LIMITS.max_address_connections):
+                refused = await served.connect()
+                await refused.send(b"nonsense\r\n\r\n")
+                assert await refused.read_status() == 400
+            caller = await served.connect()
+            await caller.send(GET)
+            assert await caller.read_status() == 200
+
+    run_async(run())
+
+
 @pytest.mark.parametrize(
     ("memory_mb", "max_fds"),
     [(300, 4100), (200, 4100), (552, 8192), (160, 400), (64, 300)],
