The system's limit of descriptors counts where it is the lower one

What callers would see: a gateway or scheduler that was started with fewer than 4,096 descriptors (1,024 is a usual default) took more client connections than it has descriptors, and accepted nobody any more. Cause: the limits of client connections took a default of 4,096 whatever the system allows.

`process_limits` now asks the system, too.

--- a/cranberrycleat/connection_limits.py
+++ b/cranberrycleat/connection_limits.py
@@ -6,6 +6,7 @@
 reasons are in docs/design/client-limits.md.
 """
 
+import resource
 from typing import Final
 
 import attrs
@@ -94,8 +95,12 @@
 
     Args:
         memory_mb: The process's memory, in megabytes.
-        max_fds: The process's maximum number of descriptors.
+        max_fds: The process's maximum number of descriptors; the limit that the system
+            sets for this process counts if it is lower.
     """
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed != resource.RLIM_INFINITY:
+        max_fds = min(max_fds, allowed)
     memory_bytes = memory_mb * 1_000_000
     by_memory = memory_bytes * CONNECTIONS_MEMORY / CONNECTION_BYTES
     by_sockets = max(0, max_fds - FILE_FDS) * CLIENT_SOCKETS
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -11,7 +11,7 @@
 import resource
 import subprocess
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 from typing import Any, Final
 
@@ -169,18 +169,31 @@
         await store.kill()
 
 
+@contextlib.contextmanager
+def lowered_descriptors(max_fds: int) -> Iterator[None]:
+    """Lower the descriptors of processes that are started meanwhile."""
+    before = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max_fds, before[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+
+
 @contextlib.asynccontextmanager
-async def running_daemon(name: str) -> AsyncIterator[Target]:
+async def running_daemon(name: str, *, max_fds: int = MAX_FDS) -> AsyncIterator[Target]:
     """Run a gateway or a scheduler beside the platform stand-in."""
     with Fleet() as fleet:
         platform = await asyncio.to_thread(fleet.platform)
         start = fleet.gateway if name == "gateway" else fleet.scheduler
-        program = await asyncio.to_thread(start, "d0", platform)
+        with lowered_descriptors(max_fds):
+            program = await asyncio.to_thread(start, "d0", platform)
         target = Target(
             pid=program.process.pid,
             addresses={name: program.url.removeprefix("http://")},
             ordinary={name: ("GET", "/v1/metrics", None)},
             memory_mb=DAEMON_MEMORY_MB,
+            max_fds=max_fds,
         )
         await target.wait_for_answer(name)
         yield target
@@ -450,3 +463,14 @@
                 pass
 
     asyncio.run(run())
+
+
+# The same where only the system limits the descriptors of the process.
+@pytest.mark.parametrize("name", ["gateway", "scheduler"])
+def test_connections_without_a_request_leave_descriptors_to_daemons(name: str) -> None:
+    async def run() -> None:
+        async with running_daemon(name, max_fds=FEW_FDS) as target:
+            async with crowd_at(target, "nothing", name, connections=800, size=1000):
+                pass
+
+    asyncio.run(run())
