The largest integer of JSON stands once

Jobs and entries of workers are held to the same largest number, which stood in two modules. A sentence on the limits of connections is worded plainly. No change of behaviour; tests of odd requests, odd entries and worker rows pass.

--- a/cranberrycleat/codec.py
+++ b/cranberrycleat/codec.py
@@ -11,6 +11,8 @@
 from cranberrycleat import errors
 
 T = TypeVar("T")
+MAX_INTEGER: Final = 2**53 - 1
+"""The largest integer that every reader of JSON represents exactly."""
 UNDECODABLE: Final = (msgspec.DecodeError, RecursionError)
 """What decoding any text may raise. Text that is nested too deeply, also within a field
 that is ignored, raises an error of its own."""
--- a/cranberrycleat/connection_limits.py
+++ b/cranberrycleat/connection_limits.py
@@ -1,9 +1,9 @@
 """Limits of what clients may make a process hold, and for how long.
 
 One `ConnectionLimits` describes a process. `connection_budget` counts what all
-connections of the process hold, and `bounded_protocol` applies the limits to each. A
-client that stays inside the platform's documentation meets none of the defaults. Their
-reasons are in docs/design/client-limits.md.
+connections of the process hold, and `bounded_protocol` applies the limits to each. No
+default affects a client that keeps to the platform's documentation. The reasons are in
+docs/design/client-limits.md.
 """
 
 import resource
--- a/cranberrycleat/platform/records.py
+++ b/cranberrycleat/platform/records.py
@@ -28,8 +28,7 @@
 LEAVING_BY_STATE: Final = {"ready": False, "draining": True}
 """Whether a worker is leaving, for each state that it may write."""
 MAX_PORT: Final = 65535
-MAX_NUMBER: Final = 2**53 - 1
-"""The largest integer that every reader of JSON represents exactly."""
+MAX_NUMBER: Final = codec.MAX_INTEGER
 INCARNATION_SEPARATOR: Final = "@"
 """Separates a worker's identity from its start time in names of incarnations."""
 
--- a/cranberrycleat/workflow/job_frontend.py
+++ b/cranberrycleat/workflow/job_frontend.py
@@ -59,8 +59,6 @@
 MAX_TASKS_PER_STEP: Final = 2000
 MAX_PROGRAM_BYTES: Final = 4000
 """Limit given in the platform's documentation of jobs."""
-MAX_NUMBER: Final = 2**53 - 1
-"""The largest integer that every reader of JSON represents exactly."""
 MAX_QUEUE_LENGTH_AGE_S: Final = 1.6
 """Queue lengths shown to callers must be at most 2 s old."""
 OUTAGE_RETRY_AFTER_S: Final = 1.0
@@ -611,6 +609,6 @@
 def _find_number_fault(numbers: dict[str, float]) -> str:
     """Return a description of the first number out of range, or an empty string."""
     for name, value in numbers.items():
-        if not 0 <= value <= MAX_NUMBER:
-            return f"{name}: 0 to {MAX_NUMBER}"
+        if not 0 <= value <= codec.MAX_INTEGER:
+            return f"{name}: 0 to {codec.MAX_INTEGER}"
     return ""
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -9,11 +9,12 @@
 import pytest
 
 from cranberrycleat import errors
+from cranberrycleat.codec import MAX_INTEGER
 from cranberrycleat.connection_limits import MAX_DEADLINE_S
 from cranberrycleat.gateway_api import TIMEOUT_HEADER, _timeout
 from cranberrycleat.platform.front import _limit_s
 from cranberrycleat.platform.jobs import DEADLINE_HEADER, read_job
-from cranberrycleat.workflow.job_frontend import MAX_NUMBER, find_spec_fault
+from cranberrycleat.workflow.job_frontend import find_spec_fault
 from tests.cell import cell
 from tests.fakes import run_async
 from tests.test_node import ask, nodes
@@ -39,7 +40,7 @@
         ({"mem_mb": -1}, {}),
         ({"mem_mb": 1e300}, {}),
         ({"gpu": -3}, {}),
-        ({"gpu": MAX_NUMBER * 2}, {}),
+        ({"gpu": MAX_INTEGER * 2}, {}),
         ({"estimate_ms": 1e300}, {}),
         ({"estimate_ms": -1e9}, {}),
         ({"target_ms": 1e300}, {}),
@@ -65,7 +66,7 @@
         ({}, {}),
         ({"cpu": 0, "mem_mb": 0, "gpu": 0, "estimate_ms": 0}, {}),
         ({"cpu": 1.5, "estimate_ms": 0.5, "target_ms": 0.1}, {}),
-        ({"cpu": MAX_NUMBER, "mem_mb": MAX_NUMBER}, {}),
+        ({"cpu": MAX_INTEGER, "mem_mb": MAX_INTEGER}, {}),
         ({"count": 2000, "anti_affinity": 1, "may_miss": 3}, {}),
         ({}, TIMED),
         ({}, {**TIMED, "period_ms": 0, "max_runs": 1_000_000}),
