--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -354,6 +354,10 @@
         self.hold_max_s = more.get("hold_max_s", 10.0)
         self.on_start = more.get("on_start", lambda worker, task, run: None)
         self.on_stop = more.get("on_stop", lambda worker, task, run: None)
+        # The Unix millisecond of its start, where the platform reports births.
+        self.born_ms = more.get("born_ms", 0)
+        # How many of the next starts are carried out and not answered.
+        self.unanswered_starts = 0
         self.born = time.monotonic()
         self.fence = 0
         self.until_ms = 0
@@ -399,6 +403,8 @@
             "labels": self.labels,
             "clock_ms": self.clock_ms(),
         }
+        if self.born_ms:
+            entry["born"] = self.born_ms
         await self.store.put("servers", self.name, entry)
 
     async def beat(self):
@@ -450,7 +456,12 @@
         if headers.get("expect-instance", self.name) != self.name:
             return 421, {"clock_ms": self.clock_ms()}
         if path == "/api/run-start":
-            return self.start_run(req)
+            answer = self.start_run(req)
+            if self.unanswered_starts > 0:
+                self.unanswered_starts -= 1
+                self.record.add(f"worker {self.name}: the answer to that start is lost")
+                await asyncio.sleep(3600)
+            return answer
         if path == "/api/run-stop":
             return self.stop_run(req)
         if path == "/api/hold":
@@ -549,11 +560,14 @@
             [task, run["run"], "", self.percent(run)]
             for task, run in self.running.items()
         ]
-        return 200, {
+        lists = {
             "clock_ms": self.clock_ms(),
             "running": running,
             "ended": self.ended[:500],
         }
+        if self.born_ms:
+            lists["born"] = self.born_ms
+        return 200, lists
 
 
 class Node:
