--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -168,9 +169,11 @@
         except OSError:
             writer.transport.abort()
             return
-        await asyncio.gather(
-            self.pump(reader, up_writer, sock), self.pump(up_reader, writer, None)
-        )
+        with contextlib.suppress(asyncio.CancelledError):
+            # Cancelled when the script ends.
+            await asyncio.gather(
+                self.pump(reader, up_writer, sock), self.pump(up_reader, writer, None)
+            )
 
     async def pump(self, reader, writer, sender):
         try:
@@ -663,6 +666,8 @@
                 self.process.send_signal(signal.SIGCONT)
                 self.process.kill()
             await self.process.wait()
+        if os.environ.get("KEEP") != "1":
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def log(self):
         return (self.folder / "log.txt").read_text(errors="replace")
